Lay out the workspace, the protocols and the settings tree

Cause: the parts are built side by side and need one set of names, one settings tree and one description of the outside protocols to meet at. Ruled out: one crate, since the decisions must stay free of I/O to be model checked.

--- /dev/null
+++ b/crates/toucancleat-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command.
--- /dev/null
+++ b/crates/toucancleat-core/src/lib.rs
@@ -0,0 +1,11 @@
+//! Every decision of toucancleat as pure reducers.
+//!
+//! Nothing in this crate performs I/O, reads a clock, starts a thread or draws a
+//! random number of its own: the daemon feeds events in and carries effects out. That
+//! is what lets the model checker replay a specification's trace through the very code
+//! that serves requests.
+
+pub mod ids;
+pub mod prelude;
+pub mod settings;
+pub mod verdict;
--- /dev/null
+++ b/crates/toucancleat-core/src/settings/tree.rs
@@ -0,0 +1,130 @@
+//! The tree as operators write it.
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use super::values::{Effective, Values};
+use crate::prelude::*;
+
+/// The whole settings document.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tree {
+    /// Availability zones of the fleet.
+    #[serde(default)]
+    pub zones: Vec<ZoneName>,
+    /// Pools by name.
+    #[serde(default)]
+    pub pools: IndexMap<PoolName, Pool>,
+    /// Values and kinds that hold for the whole fleet.
+    #[serde(default)]
+    pub fleet: Level,
+    /// Live events by name.
+    #[serde(default)]
+    pub live_events: IndexMap<LiveEventName, LiveEvent>,
+}
+
+/// The values of one level, for all kinds and for single kinds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Level {
+    /// Values for every request kind.
+    pub values: Values,
+    /// Values for one request kind, over those for every kind.
+    pub kinds: IndexMap<KindName, Values>,
+}
+
+/// A live event and the organisations that take part in it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LiveEvent {
+    /// When the event begins.
+    pub starts_at_unix_ms: u64,
+    /// When the event ends.
+    pub ends_at_unix_ms: u64,
+    /// What the event overrides.
+    #[serde(default)]
+    pub level: Level,
+    /// Organisations by name.
+    #[serde(default)]
+    pub organisations: IndexMap<OrganisationName, Organisation>,
+}
+
+/// An organisation within a live event.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Organisation {
+    /// SHA-256 of each API key in force, in hexadecimal.
+    pub api_key_sha256: Vec<String>,
+    /// What the organisation overrides.
+    pub level: Level,
+}
+
+/// A pool of targets that serve the same kinds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// What the targets are.
+    pub class: TargetClass,
+    /// Targets by name.
+    #[serde(default)]
+    pub targets: IndexMap<TargetName, Target>,
+}
+
+/// What the targets of a pool are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetClass {
+    /// Model engines, which stream generations.
+    ModelEngine,
+    /// Plain services.
+    Service,
+}
+
+/// One target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// Availability zone of the target.
+    pub zone: ZoneName,
+    /// IP address and port.
+    pub address: String,
+    /// Cache memory of an engine, in tokens.
+    #[serde(default)]
+    pub memory_tokens: u64,
+    /// Most sequences that an engine decodes at once.
+    #[serde(default)]
+    pub max_batch: u32,
+    /// Whether the target refuses an order that carries an old fencing number.
+    #[serde(default)]
+    pub checks_fencing: bool,
+}
+
+impl Tree {
+    /// Resolves the values in force for a request; `None` when the live event, the
+    /// organisation or the kind isn't in the tree.
+    ///
+    /// Levels apply from the fleet down to the organisation, and at each level the
+    /// values for the kind go over those for every kind.
+    pub fn effective(
+        &self,
+        live_event: &LiveEventName,
+        organisation: &OrganisationName,
+        kind: &KindName,
+    ) -> Option<Effective> {
+        let event = self.live_events.get(live_event)?;
+        let organisation = event.organisations.get(organisation)?;
+        let levels = [&self.fleet, &event.level, &organisation.level];
+        if !levels.iter().any(|level| level.kinds.contains_key(kind)) {
+            return None;
+        }
+        let mut values = Values::default();
+        for level in levels {
+            values.overlay(&level.values);
+            if let Some(lower) = level.kinds.get(kind) {
+                values.overlay(lower);
+            }
+        }
+        Some(Effective::from(&values))
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load and experiment tool.
--- /dev/null
+++ b/crates/toucancleat-model/src/lib.rs
@@ -0,0 +1,1 @@
+//! Specifications of the core protocols, explored exhaustively.
--- /dev/null
+++ b/crates/toucancleat-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Cap'n Proto messages between the entry hosts.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! Serving system for generations of unknown length on crowded engines.
