Add the change record of the settings

Hex ids get a JSON form, since a change id stands in the table's rows. Organisations are shared between revisions so that a new revision of a tree with thousands of them costs a pointer for each that didn't change.

--- a/crates/toucancleat-core/src/ids.rs
+++ b/crates/toucancleat-core/src/ids.rs
@@ -7,7 +7,8 @@
 use std::fmt;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
+use serde::de::Error;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
@@ -87,6 +88,20 @@
                 write!(f, "{:032x}", self.0)
             }
         }
+
+        impl Serialize for $name {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                let text = <std::borrow::Cow<'de, str>>::deserialize(deserializer)?;
+                $name::parse(&text)
+                    .ok_or_else(|| D::Error::custom("expected 32 hexadecimal digits"))
+            }
+        }
     };
 }
 
@@ -140,3 +155,7 @@
     /// One attempt at a generation, unique over all attempts.
     GenerationId
 }
+hex_type! {
+    /// One change of the settings, the same over all attempts to commit it.
+    ChangeId
+}
--- a/crates/toucancleat-core/src/prelude.rs
+++ b/crates/toucancleat-core/src/prelude.rs
@@ -1,7 +1,7 @@
 //! The types that nearly every module uses.
 
 pub use crate::ids::{
-    FencingNumber, GenerationId, HostName, Incarnation, KindName, LiveEventName,
-    OrganisationName, PoolName, RequestId, Revision, TargetName, ZoneName,
+    ChangeId, FencingNumber, GenerationId, HostName, Incarnation, KindName,
+    LiveEventName, OrganisationName, PoolName, RequestId, Revision, TargetName, ZoneName,
 };
 pub use crate::verdict::Verdict;
--- a/crates/toucancleat-core/src/settings/mod.rs
+++ b/crates/toucancleat-core/src/settings/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! Each level overrides only what differs from its parent. See docs/SETTINGS.md.
 
+mod change;
 mod tree;
 mod values;
 
+pub use self::change::{Change, Edit};
 pub use self::tree::{Level, LiveEvent, Organisation, Pool, Target, TargetClass, Tree};
 pub use self::values::{Delivery, Effective, RoutingPolicy, Values};
--- a/crates/toucancleat-core/src/settings/tree.rs
+++ b/crates/toucancleat-core/src/settings/tree.rs
@@ -1,5 +1,7 @@
 //! The tree as operators write it.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
@@ -45,9 +47,10 @@
     /// What the event overrides.
     #[serde(default)]
     pub level: Level,
-    /// Organisations by name.
+    /// Organisations by name, shared between revisions: a change touches few of the
+    /// many thousands.
     #[serde(default)]
-    pub organisations: IndexMap<OrganisationName, Organisation>,
+    pub organisations: IndexMap<OrganisationName, Arc<Organisation>>,
 }
 
 /// An organisation within a live event.
