--- /dev/null
+++ b/crates/toucancleat-core/tests/common/mod.rs
@@ -0,0 +1,120 @@
+//! Random settings trees, small enough that two of them often meet in the same names.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use toucancleat_core::prelude::*;
+use toucancleat_core::settings::{
+    Delivery, Level, LiveEvent, Organisation, Pool, Target, TargetClass, Tree, Values,
+};
+
+/// Returns the configuration of every property test: the same cases at every run.
+pub fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(0x5e77_1465),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+/// Makes random trees, which need not pass the check.
+pub fn tree() -> impl Strategy<Value = Tree> {
+    let zones = prop::collection::vec("[ab]".prop_map(|name| ZoneName::new(&name)), 0..3);
+    let pools = map_of("[pq/~]", pool());
+    let live_events = map_of("[ef~]", live_event());
+    (zones, pools, level(), live_events).prop_map(|(zones, pools, fleet, live_events)| {
+        Tree {
+            zones,
+            pools: named(pools),
+            fleet,
+            live_events: named(live_events),
+        }
+    })
+}
+
+fn pool() -> impl Strategy<Value = Pool> {
+    map_of("[tu]", any::<(u16, bool)>()).prop_map(|targets| Pool {
+        class: TargetClass::ModelEngine,
+        targets: named(
+            targets
+                .into_iter()
+                .map(|(name, value)| (name, target(value))),
+        ),
+    })
+}
+
+fn target((port, checks_fencing): (u16, bool)) -> Target {
+    Target {
+        zone: ZoneName::new("a"),
+        address: format!("127.0.0.1:{port}"),
+        memory_tokens: 0,
+        max_batch: 0,
+        checks_fencing,
+    }
+}
+
+fn live_event() -> impl Strategy<Value = LiveEvent> {
+    let organisations = map_of("[xyz/]", organisation());
+    (any::<u32>(), level(), organisations).prop_map(|(start, level, organisations)| {
+        LiveEvent {
+            starts_at_unix_ms: start.into(),
+            ends_at_unix_ms: u64::from(start) + 1,
+            level,
+            organisations: named(
+                organisations.into_iter().map(|(n, o)| (n, Arc::new(o))),
+            ),
+        }
+    })
+}
+
+fn organisation() -> impl Strategy<Value = Organisation> {
+    let keys = prop::collection::vec("[0-9a-f]{2}", 0..2);
+    (keys, level()).prop_map(|(api_key_sha256, level)| Organisation {
+        api_key_sha256,
+        level,
+    })
+}
+
+fn level() -> impl Strategy<Value = Level> {
+    (values(), map_of("[kl]", values())).prop_map(|(values, kinds)| Level {
+        values,
+        kinds: named(kinds),
+    })
+}
+
+fn values() -> impl Strategy<Value = Values> {
+    let whole = proptest::option::of(Just(Delivery::Whole));
+    (
+        any::<Option<u8>>(),
+        any::<Option<u64>>(),
+        proptest::option::of(-1.0e9..1.0e9),
+        whole,
+    )
+        .prop_map(|(priority, timeout_ms, share_weight, delivery)| Values {
+            priority,
+            timeout_ms,
+            share_weight,
+            delivery,
+            ..Values::default()
+        })
+}
+
+fn map_of<V: Strategy>(
+    name: &'static str,
+    value: V,
+) -> impl Strategy<Value = Vec<(String, V::Value)>> {
+    prop::collection::vec((name, value), 0..3)
+}
+
+fn named<K, V>(entries: impl IntoIterator<Item = (String, V)>) -> IndexMap<K, V>
+where
+    K: for<'a> From<&'a str> + std::hash::Hash + Eq,
+{
+    entries
+        .into_iter()
+        .map(|(name, value)| (K::from(name.as_str()), value))
+        .collect()
+}
