Check settings documents whole, and find organisations by API key

Every problem carries its line and column; serde stops at its first error, so the part at fault is left out and the rest read again. Values know the level they come from.

Found by a_written_tree_is_read_back: serde_json reads some numbers back one unit in the last place off, so a host that took the tree as text could differ from one that applied the change.

--- /dev/null
+++ b/crates/toucancleat-core/src/settings/directory.rs
@@ -0,0 +1,154 @@
+//! Which organisation a caller's API key belongs to.
+
+use indexmap::IndexMap;
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+use super::tree::Tree;
+use crate::prelude::*;
+
+/// Finds the organisation of an API key without reading the tree.
+///
+/// The tree holds hashes alone. The hashes are sorted, and a look-up compares in
+/// constant time those that share the first bytes with the caller's; as these bytes
+/// come from SHA-256, what their search gives away says nothing about a key.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    memberships: Vec<Membership>,
+    keys: Vec<KeyEntry>,
+}
+
+/// An organisation and the live events that it takes part in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Membership {
+    organisation: OrganisationName,
+    live_events: Vec<LiveEventName>,
+}
+
+/// The live event of a request can't be told.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{kind}")]
+pub struct LiveEventError {
+    kind: LiveEventErrorKind,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+enum LiveEventErrorKind {
+    #[error("organisation takes part in several live events, expected the name of one")]
+    Several,
+    #[error("organisation takes no part in live event `{0}`")]
+    NoPart(String),
+}
+
+#[derive(Clone, Debug)]
+struct KeyEntry {
+    sha256: [u8; 32],
+    membership: usize,
+}
+
+impl Directory {
+    /// Indexes the organisations of a tree.
+    pub fn new(tree: &Tree) -> Self {
+        let mut memberships: IndexMap<OrganisationName, Vec<LiveEventName>> =
+            IndexMap::new();
+        let mut keys = Vec::new();
+        for (event_name, event) in &tree.live_events {
+            for (name, organisation) in &event.organisations {
+                let entry = memberships.entry(name.clone());
+                let membership = entry.index();
+                entry.or_default().push(event_name.clone());
+                let hashes = organisation.api_key_sha256.iter();
+                let hashes = hashes.filter_map(|digits| decode_sha256(digits));
+                keys.extend(hashes.map(|sha256| KeyEntry { sha256, membership }));
+            }
+        }
+        keys.sort_unstable_by_key(|entry| prefix(&entry.sha256));
+        let memberships = memberships.into_iter();
+        let memberships = memberships
+            .map(|(organisation, live_events)| Membership {
+                organisation,
+                live_events,
+            })
+            .collect();
+        Directory { memberships, keys }
+    }
+
+    /// Returns the organisation of an API key.
+    pub fn authenticate(&self, api_key: &str) -> Option<&Membership> {
+        let sha256: [u8; 32] = Sha256::digest(api_key).into();
+        let prefix_of_key = prefix(&sha256);
+        let first = self
+            .keys
+            .partition_point(|entry| prefix(&entry.sha256) < prefix_of_key);
+        let candidates = self.keys[first..].iter();
+        let found = candidates
+            .take_while(|entry| prefix(&entry.sha256) == prefix_of_key)
+            .filter(|entry| bool::from(entry.sha256.ct_eq(&sha256)))
+            .last()?;
+        Some(&self.memberships[found.membership])
+    }
+
+    /// Returns how many organisations have been indexed.
+    pub fn len(&self) -> usize {
+        self.memberships.len()
+    }
+
+    /// Says whether there is no organisation.
+    pub fn is_empty(&self) -> bool {
+        self.memberships.is_empty()
+    }
+}
+
+impl Membership {
+    /// Returns the organisation.
+    pub fn organisation(&self) -> &OrganisationName {
+        &self.organisation
+    }
+
+    /// Returns the live events that the organisation takes part in.
+    pub fn live_events(&self) -> &[LiveEventName] {
+        &self.live_events
+    }
+
+    /// Returns the live event that a request names; it need not name the only one.
+    pub fn live_event(
+        &self,
+        named: Option<&str>,
+    ) -> Result<&LiveEventName, LiveEventError> {
+        let kind = match (named, self.live_events.as_slice()) {
+            (None, [only]) => return Ok(only),
+            (None, _) => LiveEventErrorKind::Several,
+            (Some(named), events) => {
+                let found = events.iter().find(|event| event.as_str() == named);
+                return found.ok_or_else(|| LiveEventError {
+                    kind: LiveEventErrorKind::NoPart(named.to_owned()),
+                });
+            }
+        };
+        Err(LiveEventError { kind })
+    }
+}
+
+/// Returns the hash of an API key as the settings hold it.
+pub fn api_key_sha256(api_key: &str) -> String {
+    let sha256 = Sha256::digest(api_key);
+    sha256.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Decodes 64 hexadecimal digits; any other text gives `None`.
+pub(super) fn decode_sha256(digits: &str) -> Option<[u8; 32]> {
+    if digits.len() != 64 || !digits.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+        return None;
+    }
+    let mut sha256 = [0; 32];
+    for (byte, pair) in sha256.iter_mut().zip(digits.as_bytes().chunks_exact(2)) {
+        let pair = std::str::from_utf8(pair).ok()?;
+        *byte = u8::from_str_radix(pair, 16).ok()?;
+    }
+    Some(sha256)
+}
+
+fn prefix(sha256: &[u8; 32]) -> u64 {
+    let (prefix, _) = sha256.split_first_chunk().expect("32 bytes begin with 8");
+    u64::from_be_bytes(*prefix)
+}
--- a/crates/toucancleat-core/src/settings/mod.rs
+++ b/crates/toucancleat-core/src/settings/mod.rs
@@ -3,12 +3,23 @@
 //! Each level overrides only what differs from its parent. See docs/SETTINGS.md.
 
 mod change;
+mod check;
+mod directory;
+pub mod document;
 mod edit;
+mod explain;
+mod limits;
+mod problem;
 pub mod store;
 mod tree;
 mod values;
 
 pub use self::change::{Change, Edit};
+pub use self::check::{check, parse};
+pub use self::directory::{Directory, LiveEventError, Membership, api_key_sha256};
 pub use self::edit::{Applied, EditError, join_pointer, pointer_segments};
+pub use self::explain::{Explained, LevelName, Source};
+pub use self::limits::{LIMITS, Limits};
+pub use self::problem::{Position, Problem, Problems};
 pub use self::tree::{Level, LiveEvent, Organisation, Pool, Target, TargetClass, Tree};
 pub use self::values::{Delivery, Effective, RoutingPolicy, Values};
--- a/crates/toucancleat-core/src/settings/tree.rs
+++ b/crates/toucancleat-core/src/settings/tree.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
+use super::explain::LevelName;
 use super::values::{Effective, Values};
 use crate::prelude::*;
 
@@ -130,4 +131,21 @@
         }
         Some(Effective::from(&values))
     }
+
+    /// Returns the levels above and at an organisation, outermost first.
+    pub(super) fn levels(
+        &self,
+        live_event: &LiveEventName,
+        organisation: &OrganisationName,
+    ) -> Option<Vec<(LevelName, &Level)>> {
+        let event = self.live_events.get(live_event)?;
+        let level = &event.organisations.get(organisation)?.level;
+        let event_name = LevelName::LiveEvent(live_event.clone());
+        let name = LevelName::Organisation(live_event.clone(), organisation.clone());
+        Some(vec![
+            (LevelName::Fleet, &self.fleet),
+            (event_name, &event.level),
+            (name, level),
+        ])
+    }
 }
--- a/crates/toucancleat-core/src/settings/values.rs
+++ b/crates/toucancleat-core/src/settings/values.rs
@@ -23,6 +23,12 @@
             /// The name of each value, in the order of the documentation.
             pub const NAMES: &'static [&'static str] = &[$(stringify!($name)),*];
 
+            /// Returns the names of the values that are set.
+            pub fn set_names(&self) -> impl Iterator<Item = &'static str> {
+                let set = [$(self.$name.is_some()),*];
+                Self::NAMES.iter().zip(set).filter(|(_, set)| *set).map(|(name, _)| *name)
+            }
+
             /// Replaces each value that `lower` sets.
             pub fn overlay(&mut self, lower: &Values) {
                 $(if let Some(value) = &lower.$name { self.$name = Some(value.clone()); })*
--- /dev/null
+++ b/crates/toucancleat-core/tests/settings_parse.rs
@@ -0,0 +1,335 @@
+//! Reading and checking settings documents: what is accepted, what is told, and where.
+
+mod common;
+
+use proptest::prelude::*;
+use toucancleat_core::settings::{
+    Effective, Limits, Problems, Tree, Values, check, parse,
+};
+
+struct Case {
+    name: &'static str,
+    text: &'static str,
+    expected: &'static [&'static str],
+}
+
+/// Documents that can't be read as a tree.
+const UNREADABLE: &[Case] = &[
+    Case {
+        name: "nothing",
+        text: "",
+        expected: &["1:1: expected an object, found nothing"],
+    },
+    Case {
+        name: "no end",
+        text: "{\n\"fleet\": {",
+        expected: &["2:10: Unterminated object"],
+    },
+    Case {
+        name: "single quotes",
+        text: "{'fleet': {}}",
+        expected: &["1:2: Single-quoted strings are not allowed"],
+    },
+    Case {
+        name: "text after the end",
+        text: "{} {}",
+        expected: &["1:4: Text cannot contain more than one JSON value"],
+    },
+    Case {
+        name: "not an object",
+        text: "// settings\n 3",
+        expected: &["2:2: invalid type: integer `3`, expected struct Tree"],
+    },
+    Case {
+        name: "a name given twice",
+        text: "{\"fleet\": {\"kinds\": {\n  \"draft\": {},\n  \"draft\": {}}}}",
+        expected: &["3:3: /fleet/kinds/draft: given twice"],
+    },
+    Case {
+        name: "an unknown field",
+        text: "{\n  \"colour\": 3}",
+        expected: &[
+            "2:3: /colour: unknown field `colour`, expected one of `zones`, `pools`, \
+                     `fleet`, `live_events`",
+        ],
+    },
+    Case {
+        name: "another unit",
+        text: "{\"fleet\": {\"values\": {\n  \"timeout_s\": 3}}}",
+        expected: &[
+            "2:3: /fleet/values/timeout_s: unknown field `timeout_s`, expected \
+                     `timeout_ms`",
+        ],
+    },
+    Case {
+        name: "a unit in the value, after wide characters",
+        text: "{\"fleet\": {\"values\": {\n /* 予算 */ \"timeout_ms\": \"3 s\"}}}",
+        expected: &[
+            "2:25: /fleet/values/timeout_ms: invalid type: string \"3 s\", expected u64",
+        ],
+    },
+    Case {
+        name: "a field is missing",
+        text: "{\"pools\": {\n \"p\": {}}}",
+        expected: &["2:7: /pools/p: missing field `class`"],
+    },
+    Case {
+        name: "a wrong field is not told again as missing",
+        text: "{\"pools\": {\"p\": {\n  \"class\": \"engine\"}}}",
+        expected: &[
+            "2:12: /pools/p/class: unknown variant `engine`, expected `model_engine` or \
+                     `service`",
+        ],
+    },
+    Case {
+        name: "all problems at once",
+        text: "{\"zones\": [\"a\", 7],\n\"fleet\": {\"values\": {\"priority\": 300, \"x\": 1,\n\
+               \"share_weight\": 1e999}}}",
+        expected: &[
+            "1:17: /zones/1: invalid type: integer `7`, expected a string",
+            "2:34: /fleet/values/priority: invalid value: integer `300`, expected u8",
+            "2:39: /fleet/values/x: unknown field `x`",
+            "3:17: /fleet/values/share_weight: invalid type: string \"1e999\", expected f64",
+        ],
+    },
+];
+
+/// Readable documents with faults, each after [`SOUND`]'s pools and zones.
+const UNSOUND: &[Case] = &[
+    Case {
+        name: "numbers out of range",
+        text: r#""fleet": {"values": {"priority": 10, "retry_budget_ratio": -0.5}}"#,
+        expected: &[
+            "/fleet/values/priority: expected a number from 0 to 9, found 10",
+            "/fleet/values/retry_budget_ratio: expected a number from 0 to 1, found -0.5",
+        ],
+    },
+    Case {
+        name: "a pool that isn't there",
+        text: r#""fleet": {"kinds": {"draft": {"pool": "nowhere"}}}"#,
+        expected: &["/fleet/kinds/draft/pool: expected one of `pools`, found `nowhere`"],
+    },
+    Case {
+        name: "a kind without a pool, told once",
+        text: r#""fleet": {"kinds": {"draft": {}}}, "live_events": {"e": {
+            "starts_at_unix_ms": 1, "ends_at_unix_ms": 2, "level": {"values": {"priority": 1}}}}"#,
+        expected: &[
+            "/fleet/kinds/draft: expected `pool` to be set here or at a level above",
+        ],
+    },
+    Case {
+        name: "an event that ends before it starts",
+        text: r#""live_events": {"e": {"starts_at_unix_ms": 5, "ends_at_unix_ms": 5}}"#,
+        expected: &[
+            "/live_events/e/ends_at_unix_ms: expected a time after starts_at_unix_ms (5)",
+        ],
+    },
+    Case {
+        name: "a key hash that is none",
+        text: r#""live_events": {"e": {"starts_at_unix_ms": 1, "ends_at_unix_ms": 2,
+            "organisations": {"o": {"api_key_sha256": ["abc"]}}}}"#,
+        expected: &[
+            "/live_events/e/organisations/o/api_key_sha256/0: expected 64 hexadecimal \
+                     digits",
+        ],
+    },
+    Case {
+        name: "one key of two organisations",
+        text: r#""live_events": {"e": {"starts_at_unix_ms": 1, "ends_at_unix_ms": 2,
+            "organisations": {
+            "o": {"api_key_sha256":
+                ["aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"]},
+            "p": {"api_key_sha256":
+                ["AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"]}}}}"#,
+        expected: &[
+            "/live_events/e/organisations/p/api_key_sha256/0: is also a key of \
+                     organisation `o`",
+        ],
+    },
+    Case {
+        name: "names that can't stand in a header or a row",
+        text: r#""live_events": {"a/b": {"starts_at_unix_ms": 1, "ends_at_unix_ms": 2,
+            "organisations": {"": {}}}}"#,
+        expected: &[
+            "/live_events/a~1b: name `a/b`: expected 1 to 64 letters, digits, `-`, `_` or `.`",
+            "/live_events/a~1b/organisations/: name ``: expected 1 to 64 letters, digits, `-`, \
+             `_` or `.`",
+        ],
+    },
+    Case {
+        name: "a timeout longer than the one around it",
+        text: r#""fleet": {"values": {"timeout_ms": 1000}, "kinds":
+            {"draft": {"pool": "engines", "first_token_timeout_ms": 2000}}}"#,
+        expected: &["/fleet/kinds/draft/first_token_timeout_ms: expected \
+                     first_token_timeout_ms to be at most timeout_ms"],
+    },
+    Case {
+        name: "a level below makes a kind idempotent",
+        text: r#""fleet": {"kinds": {"booking": {"pool": "services", "idempotent": false}}},
+            "live_events": {"e": {"starts_at_unix_ms": 1, "ends_at_unix_ms": 2, "organisations":
+            {"o": {"level": {"kinds": {"booking": {"idempotent": true}}}}}}}"#,
+        expected: &[
+            "/live_events/e/organisations/o/level/kinds/booking/idempotent: a level \
+                     above says that the kind isn't idempotent",
+        ],
+    },
+    Case {
+        name: "engines that would deduplicate keys",
+        text: r#""fleet": {"kinds": {"draft": {"pool": "engines", "target_deduplicates": true}}}"#,
+        expected: &[
+            "/fleet/kinds/draft/target_deduplicates: expected a pool of services: model \
+                     engines don't deduplicate keys",
+        ],
+    },
+    Case {
+        name: "nothing has weight",
+        text: r#""fleet": {"values": {"weight_stall_time": 0, "weight_preemptions": 0,
+            "weight_tail_latency": 0}, "kinds": {"draft": {"pool": "engines"}}}"#,
+        expected: &[
+            "/fleet/values/weight_tail_latency: expected one of the weights to be above 0",
+        ],
+    },
+];
+
+/// Pools and zones with faults of their own.
+const UNSOUND_TARGETS: &[Case] = &[
+    Case {
+        name: "a zone given twice",
+        text: r#"{"zones": ["a", "a"]}"#,
+        expected: &["/zones/1: zone `a` is given twice"],
+    },
+    Case {
+        name: "an unknown zone, a host name for an address, an engine without sizes",
+        text: r#"{"pools": {"p": {"class": "model_engine", "targets": {"t": {
+            "zone": "b", "address": "localhost:80"}}}}}"#,
+        expected: &[
+            "/pools/p/targets/t/max_batch: expected at least 1 for a model engine",
+            "/pools/p/targets/t/memory_tokens: expected at least 1 for a model engine",
+            "/pools/p/targets/t/zone: expected one of `zones`, found `b`",
+            "/pools/p/targets/t/address: expected an IP address and a port, such as \
+             127.0.0.1:8000, found `localhost:80`",
+        ],
+    },
+    Case {
+        name: "one target in two pools",
+        text: r#"{"zones": ["a"], "pools": {
+            "p": {"class": "service", "targets": {"t": {"zone": "a", "address": "127.0.0.1:1"}}},
+            "q": {"class": "service", "targets": {"t": {"zone": "a", "address": "127.0.0.1:1"}}}
+            }}"#,
+        expected: &[
+            "/pools/q/targets/t: pool `p` has a target of the same name",
+            "/pools/q/targets/t/address: target `t` has the same address",
+        ],
+    },
+];
+
+const SOUND: &str = r#"{
+    // Trailing commas and comments are accepted.
+    "zones": ["a",],
+    "pools": {
+        "engines": {"class": "model_engine", "targets": {
+            "e1": {"zone": "a", "address": "[::1]:1", "memory_tokens": 1, "max_batch": 1}}},
+        "services": {"class": "service"},
+    },"#;
+
+fn told(result: Result<Tree, Problems>) -> Vec<String> {
+    match result {
+        Ok(_) => Vec::new(),
+        Err(problems) => problems.to_string().lines().map(str::to_owned).collect(),
+    }
+}
+
+/// Returns what is told without the places, which must all be there.
+fn told_without_places(text: &str) -> Vec<String> {
+    let Err(problems) = parse(text) else {
+        return Vec::new();
+    };
+    let problems = problems.as_slice().iter();
+    problems
+        .map(|problem| {
+            assert!(problem.position().is_some(), "{problem} has no place");
+            format!("{}: {}", problem.path(), problem.message())
+        })
+        .collect()
+}
+
+#[test]
+fn unreadable_documents_are_told_with_their_places() {
+    for case in UNREADABLE {
+        let told = told(parse(case.text));
+        assert_eq!(told.len(), case.expected.len(), "{}: {told:#?}", case.name);
+        for (told, expected) in told.iter().zip(case.expected) {
+            assert!(told.starts_with(expected), "{}: {told}", case.name);
+        }
+    }
+}
+
+#[test]
+fn unsound_documents_are_told() {
+    for case in UNSOUND {
+        let text = format!("{SOUND}{}}}", case.text);
+        assert_eq!(told_without_places(&text), case.expected, "{}", case.name);
+    }
+    for case in UNSOUND_TARGETS {
+        let mut told = told_without_places(case.text);
+        let mut expected = case.expected.to_vec();
+        told.sort();
+        expected.sort();
+        assert_eq!(told, expected, "{}", case.name);
+    }
+}
+
+#[test]
+fn sound_documents_are_accepted() {
+    let text = format!("{SOUND}}}");
+    assert_eq!(told(parse(&text)), [] as [&str; 0]);
+    assert_eq!(check(&Tree::default()), []);
+}
+
+#[test]
+fn each_number_has_limits_that_hold_its_default() {
+    let defaults = serde_json::to_value(Effective::default()).expect("values are JSON");
+    for name in Values::NAMES {
+        let default = defaults[*name].as_f64();
+        let limits = Limits::of(name);
+        assert_eq!(default.is_some(), limits.is_some(), "{name}");
+        if let (Some(default), Some(limits)) = (default, limits) {
+            assert!(limits.contain(default), "{name}: {default}");
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(common::config())]
+
+    #[test]
+    fn no_text_makes_the_reader_panic(text in "\\PC{0,80}") {
+        let _ = parse(&text);
+    }
+
+    #[test]
+    fn no_text_of_json_pieces_makes_the_reader_panic(
+        pieces in prop::collection::vec(prop::sample::select(vec![
+            "{", "}", "[", "]", ":", ",", "\n", "//", "/*", "*/", "\"", "\\", "null", "-1e9",
+            "\"fleet\":{", "\"values\":{", "\"pools\":{\"p\":{", "\"priority\":", "\"zones\":[",
+            "\"class\":\"service\"", "\"live_events\":{\"é\":{", "\"a\"", "1", "true", "\u{feff}",
+        ]), 0..40),
+    ) {
+        let _ = parse(&pieces.concat());
+    }
+
+    #[test]
+    fn a_cut_document_is_told_or_accepted(tree in common::tree(), cut in 0.0..1.0) {
+        let text = serde_json::to_string_pretty(&tree).expect("a tree is JSON");
+        let at = (text.len() as f64 * cut) as usize;
+        let at = (0..=at).rev().find(|at| text.is_char_boundary(*at)).unwrap_or(0);
+        prop_assert!(parse(&text[..at]).is_err(), "{}", &text[..at]);
+    }
+
+    #[test]
+    fn a_written_tree_is_read_back(tree in common::tree()) {
+        let text = serde_json::to_string(&tree).expect("a tree is JSON");
+        let read: Result<Tree, _> = toucancleat_core::settings::document::read(&text);
+        prop_assert_eq!(read, Ok(tree));
+    }
+}
