Add at-most-once claims of idempotency keys

A request that may not run twice needs one row in the platform's table before its first byte leaves.

--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -5,6 +5,7 @@
 //! is what lets the model checker replay a specification's trace through the very code
 //! that serves requests.
 
+pub mod claims;
 pub mod ids;
 pub mod prelude;
 pub mod settings;
