Add membership, homes and the peers' message type

Membership is a reducer after SWIM: one probe a second, indirect probes, suspicion with refutation by incarnation, statements that ride on probes in a bounded number, and delegates that exchange zone summaries. The host list only says whom to try. Homes are worked out by rendezvous hashing over the live hosts.

--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -5,7 +5,11 @@
 //! is what lets the model checker replay a specification's trace through the very code
 //! that serves requests.
 
+pub mod homes;
 pub mod ids;
+pub mod membership;
+pub mod peer;
 pub mod prelude;
+pub mod rng;
 pub mod settings;
 pub mod verdict;
--- /dev/null
+++ b/crates/toucancleat-core/src/membership/zones.rs
@@ -0,0 +1,198 @@
+//! The other zones: their summaries and the delegates that exchange them.
+
+use std::net::SocketAddr;
+
+use super::{Delegate, Effect, ListedHost, Message, State, ZoneSummary};
+use crate::homes::{self, HomeKey, ZoneRole};
+use crate::prelude::*;
+
+/// What this host knows of another zone.
+#[derive(Debug)]
+pub struct OtherZone {
+    summary: Option<ZoneSummary>,
+    heard_at_ms: u64,
+    reachable: bool,
+    seeds: Vec<Delegate>,
+}
+
+impl OtherZone {
+    /// Returns the latest summary, or `None` before the first.
+    pub fn summary(&self) -> Option<&ZoneSummary> {
+        self.summary.as_ref()
+    }
+
+    /// Says whether a new summary has come lately.
+    pub fn is_reachable(&self) -> bool {
+        self.reachable
+    }
+
+    /// Returns when the latest summary came.
+    pub fn heard_at_ms(&self) -> u64 {
+        self.heard_at_ms
+    }
+
+    pub(super) fn clear_seeds(&mut self) {
+        self.seeds.clear();
+    }
+
+    pub(super) fn address_of(&self, name: &HostName) -> Option<SocketAddr> {
+        self.contacts()
+            .find(|contact| contact.name == *name)
+            .map(|contact| contact.address)
+    }
+
+    fn contacts(&self) -> impl Iterator<Item = &Delegate> {
+        let delegates = self.summary.iter().flat_map(|summary| &summary.delegates);
+        delegates.chain(&self.seeds)
+    }
+
+    fn new(now_ms: u64) -> Self {
+        OtherZone {
+            summary: None,
+            heard_at_ms: now_ms,
+            reachable: false,
+            seeds: Vec::new(),
+        }
+    }
+}
+
+impl State {
+    /// Returns the other zones in the order in which they were heard of.
+    pub fn other_zones(&self) -> impl Iterator<Item = (&ZoneName, &OtherZone)> {
+        self.zones.iter()
+    }
+
+    /// Returns the hosts that speak for this zone, the first one preferred.
+    pub fn delegates(&self) -> Vec<Delegate> {
+        let key = HomeKey::Role(ZoneRole::Delegate);
+        let ranked = homes::rank(&key, self.live_hosts(), self.config.delegates_per_zone);
+        let delegate = |host: &super::Host| Delegate {
+            name: host.name.clone(),
+            address: host.address,
+        };
+        ranked.into_iter().map(delegate).collect()
+    }
+
+    /// Says whether this host speaks for its zone.
+    pub fn is_delegate(&self) -> bool {
+        self.delegates()
+            .iter()
+            .any(|delegate| delegate.name == self.own.host.name)
+    }
+
+    pub(super) fn add_zone_seed(&mut self, listed: ListedHost) {
+        let at_ms = self.listed_at_ms;
+        let zone = self
+            .zones
+            .entry(listed.zone)
+            .or_insert_with(|| OtherZone::new(at_ms));
+        let seed = Delegate {
+            name: listed.name,
+            address: listed.address,
+        };
+        if zone.seeds.len() < self.config.zone_seeds_max {
+            zone.seeds.push(seed);
+            return;
+        }
+        // N.B. A random one is replaced, or all hosts would turn to the list's first.
+        let i = self.rng.below(2 * zone.seeds.len());
+        if let Some(replaced) = zone.seeds.get_mut(i) {
+            *replaced = seed;
+        }
+    }
+
+    /// Sends this zone's summary to one host of one other zone.
+    pub(super) fn exchange_summaries(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        if now_ms < self.next_summary_ms {
+            return;
+        }
+        self.next_summary_ms = now_ms + self.config.summary_interval_ms;
+        if self.zones.is_empty() || !self.is_delegate() {
+            return;
+        }
+        let zone = self.rng.below(self.zones.len());
+        let contacts: Vec<HostName> = self.zones[zone]
+            .contacts()
+            .map(|contact| contact.name.clone())
+            .collect();
+        if contacts.is_empty() {
+            return;
+        }
+        let to = contacts[self.rng.below(contacts.len())].clone();
+        self.send_summary(now_ms, to, true, effects);
+    }
+
+    pub(super) fn send_summary(
+        &mut self,
+        now_ms: u64,
+        to: HostName,
+        reply: bool,
+        effects: &mut Vec<Effect>,
+    ) {
+        let summary = ZoneSummary {
+            zone: self.own.host.zone.clone(),
+            made_unix_ms: now_ms,
+            live_hosts: self.live_hosts().count() as u32,
+            delegates: self.delegates(),
+            spare: self.spare.clone(),
+        };
+        effects.push(Effect::Send {
+            to,
+            message: Message::Summary { reply, summary },
+        });
+    }
+
+    pub(super) fn take_summary(
+        &mut self,
+        now_ms: u64,
+        summary: &ZoneSummary,
+        effects: &mut Vec<Effect>,
+    ) {
+        if summary.zone == self.own.host.zone {
+            return;
+        }
+        let zone = self
+            .zones
+            .entry(summary.zone.clone())
+            .or_insert_with(|| OtherZone::new(now_ms));
+        let newer = zone
+            .summary
+            .as_ref()
+            .is_none_or(|known| summary.made_unix_ms > known.made_unix_ms);
+        if !newer {
+            return;
+        }
+        zone.summary = Some(summary.clone());
+        zone.heard_at_ms = now_ms;
+        if !std::mem::replace(&mut zone.reachable, true) {
+            let zone = summary.zone.clone();
+            effects.push(Effect::ZoneReachable {
+                zone,
+                reachable: true,
+            });
+        }
+    }
+
+    pub(super) fn expire_zones(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let expiry_ms = self.config.summary_expiry_ms;
+        for (name, zone) in &mut self.zones {
+            if zone.reachable && now_ms.saturating_sub(zone.heard_at_ms) >= expiry_ms {
+                zone.reachable = false;
+                let zone = name.clone();
+                effects.push(Effect::ZoneReachable {
+                    zone,
+                    reachable: false,
+                });
+            }
+        }
+    }
+
+    /// Picks the summary of a random other zone to pass on in this zone.
+    pub(super) fn pick_summary(&mut self) -> Option<ZoneSummary> {
+        let reachable: Vec<usize> = (0..self.zones.len())
+            .filter(|&i| self.zones[i].reachable)
+            .collect();
+        let i = reachable.get(self.rng.below(reachable.len()))?;
+        self.zones[*i].summary.clone()
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-core/src/peer.rs
@@ -0,0 +1,34 @@
+//! What entry hosts say to each other, over all concerns.
+
+use crate::membership;
+use crate::prelude::*;
+
+/// A one-way message from one entry host to another.
+///
+/// Messages may be lost, duplicated, late or out of order; each concern is made for that,
+/// so that nothing between the hosts has to be acknowledged.
+#[derive(Clone, Debug, PartialEq)]
+#[non_exhaustive]
+pub enum Message {
+    /// Who lives.
+    Membership(membership::Message),
+}
+
+/// A message with its sender, as it travels.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Envelope {
+    /// The host that sent it.
+    pub from: HostName,
+    /// The sender's incarnation, by which late messages of an earlier start are known.
+    pub incarnation: Incarnation,
+    /// The sender's hybrid logical clock, for the time line.
+    pub stamp: u64,
+    /// The message.
+    pub message: Message,
+}
+
+impl From<membership::Message> for Message {
+    fn from(message: membership::Message) -> Self {
+        Message::Membership(message)
+    }
+}
