--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -6,7 +6,11 @@
 //! that serves requests.
 
 pub mod claims;
+pub mod homes;
 pub mod ids;
+pub mod membership;
+pub mod peer;
 pub mod prelude;
+pub mod rng;
 pub mod settings;
 pub mod verdict;
