Add stand-ins of the platform, the engine and the plain service

Each runs on a thread and runtime of its own, so that stopping one closes its sockets as the death of a process would; each records what reached it and takes faults in process or over HTTP.

--- /dev/null
+++ b/crates/toucancleat-standin/src/clock.rs
@@ -0,0 +1,10 @@
+//! The wall clock in the unit of the protocols.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// Returns the milliseconds since the Unix epoch.
+pub(crate) fn now_unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |elapsed| elapsed.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/toucancleat-standin/src/engine/stream.rs
@@ -0,0 +1,191 @@
+//! The server-sent event stream of a generation.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::Stream;
+use http_body_util::StreamBody;
+use serde_json::json;
+use tokio::sync::watch;
+use volo_http::body::Body;
+use volo_http::error::BoxError;
+use volo_http::http::header::{self, HeaderValue};
+use volo_http::hyper::body::Frame;
+use volo_http::response::Response;
+
+use super::Shared;
+use super::faults::NonsenseKind;
+use super::generation::{Generation, Progress, token_text};
+use super::records::GenerationState;
+
+/// The size of an event that the `HugeFrame` fault sends.
+const HUGE_FRAME_BYTES: usize = 8 * 1024 * 1024;
+
+/// How often a stalled stream looks whether the fault is gone.
+const STALL_POLL_MS: u64 = 20;
+
+/// Returns the reply that streams a generation from a token index on.
+pub(super) fn response(
+    shared: Arc<Shared>,
+    generation: Arc<Generation>,
+    from: u32,
+) -> Response {
+    let events = events(Reader::new(shared, generation, from));
+    let mut response = Response::new(Body::from_body(StreamBody::new(events)));
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/event-stream"),
+    );
+    response
+}
+
+/// One reader of a generation.
+struct Reader {
+    shared: Arc<Shared>,
+    generation: Arc<Generation>,
+    progress: watch::Receiver<Progress>,
+    next_index: u32,
+    sent_tokens: u32,
+    done: bool,
+}
+
+impl Reader {
+    fn new(shared: Arc<Shared>, generation: Arc<Generation>, from: u32) -> Reader {
+        generation.attach();
+        Reader {
+            shared,
+            progress: generation.follow(),
+            generation,
+            next_index: from,
+            sent_tokens: 0,
+            done: false,
+        }
+    }
+
+    /// Returns the next piece of the stream, or `None` after the last.
+    async fn next(&mut self) -> Option<Result<Bytes, BoxError>> {
+        if self.done {
+            return None;
+        }
+        if let Err(err) = self.apply_faults().await {
+            self.done = true;
+            return Some(Err(err));
+        }
+        let ping = Duration::from_millis(self.shared.config.ping_ms);
+        loop {
+            let progress = *self.progress.borrow_and_update();
+            if self.next_index < progress.produced_tokens {
+                return Some(Ok(self.token_event()));
+            }
+            if progress.state != GenerationState::Running {
+                self.done = true;
+                return self.last_event(progress.state);
+            }
+            if tokio::time::timeout(ping, self.progress.changed())
+                .await
+                .is_err()
+            {
+                return Some(Ok(Bytes::from_static(b": ping\n\n")));
+            }
+        }
+    }
+
+    /// Returns the event of the next token and moves past it.
+    fn token_event(&mut self) -> Bytes {
+        let index = self.next_index;
+        self.next_index += 1;
+        self.sent_tokens += 1;
+        let nonsense = self.shared.state().faults.take_nonsense(index);
+        match nonsense {
+            None => self.event(&self.generation.id, index),
+            Some(NonsenseKind::BadEvent) => {
+                Bytes::from_static(b"id: ??\ndata: {nonsense\n\n")
+            }
+            Some(NonsenseKind::WrongGeneration) => {
+                let other: String = self.generation.id.chars().rev().collect();
+                self.event(&other, index)
+            }
+            Some(NonsenseKind::SkippedIndex) => {
+                self.event(&self.generation.id, index + 1)
+            }
+            Some(NonsenseKind::RepeatedIndex) => {
+                self.event(&self.generation.id, index.saturating_sub(1))
+            }
+            Some(NonsenseKind::HugeFrame) => self.huge_event(index),
+        }
+    }
+
+    fn event(&self, id: &str, index: u32) -> Bytes {
+        let text = token_text(id, index);
+        self.event_with_text(id, index, &text)
+    }
+
+    fn huge_event(&self, index: u32) -> Bytes {
+        let text = "x".repeat(HUGE_FRAME_BYTES);
+        self.event_with_text(&self.generation.id, index, &text)
+    }
+
+    fn event_with_text(&self, id: &str, index: u32, text: &str) -> Bytes {
+        let last = index + 1 >= self.generation.length.tokens;
+        let finish_reason = last.then_some(self.generation.length.finish_reason);
+        let choice = if self.generation.chat {
+            json!({"index": 0, "delta": {"content": text}, "finish_reason": finish_reason})
+        } else {
+            json!({"index": 0, "text": text, "finish_reason": finish_reason})
+        };
+        let data = json!({ "choices": [choice] });
+        Bytes::from(format!("id: {id}:{index}\ndata: {data}\n\n"))
+    }
+
+    /// Ends the stream: a finished generation says so, any other is cut off.
+    fn last_event(&self, state: GenerationState) -> Option<Result<Bytes, BoxError>> {
+        if state == GenerationState::Finished {
+            return Some(Ok(Bytes::from_static(b"data: [DONE]\n\n")));
+        }
+        Some(Err("generation was cancelled".into()))
+    }
+
+    async fn apply_faults(&self) -> Result<(), BoxError> {
+        let faults = self.shared.state().faults.clone();
+        if faults.die_at_token == Some(self.sent_tokens) {
+            flush().await;
+            self.shared.stop.die().await;
+        }
+        let cut = self.shared.state().faults.take_cut(self.sent_tokens);
+        if cut {
+            flush().await;
+            return Err("stream cut by a fault".into());
+        }
+        while self.is_stalled() {
+            tokio::time::sleep(Duration::from_millis(STALL_POLL_MS)).await;
+        }
+        Ok(())
+    }
+
+    fn is_stalled(&self) -> bool {
+        let stall_at_token = self.shared.state().faults.stall_at_token;
+        stall_at_token.is_some_and(|token| token <= self.sent_tokens)
+    }
+}
+
+impl Drop for Reader {
+    fn drop(&mut self) {
+        if self.generation.detach() {
+            self.shared.orphaned(&self.generation);
+        }
+    }
+}
+
+/// Lets the server write out what the stream has already yielded: it flushes whenever a
+/// stream isn't ready.
+async fn flush() {
+    tokio::task::yield_now().await;
+}
+
+fn events(reader: Reader) -> impl Stream<Item = Result<Frame<Bytes>, BoxError>> {
+    futures::stream::unfold(reader, |mut reader| async move {
+        let piece = reader.next().await?;
+        Some((piece.map(Frame::data), reader))
+    })
+}
--- /dev/null
+++ b/crates/toucancleat-standin/src/main.rs
@@ -0,0 +1,157 @@
+//! Runs one stand-in as a process.
+
+use std::io::{self, Write};
+use std::net::SocketAddr;
+
+use bpaf::{Bpaf, Parser};
+use tokio::signal::unix::{SignalKind, signal};
+use toucancleat_standin::{
+    Engine, EngineConfig, Platform, PlatformConfig, Service, ServiceConfig,
+};
+
+/// Stand-ins of the platform, engines and services for tests.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+enum Command {
+    /// Runs the platform: table service, object store and host list in memory.
+    #[bpaf(command)]
+    Platform {
+        /// Address to bind; port 0 takes a free port.
+        #[bpaf(external(bind_address))]
+        bind: SocketAddr,
+        /// Time after which readers see a change of the host list.
+        #[bpaf(argument("MS"), fallback(0))]
+        host_list_lag_ms: u64,
+    },
+    /// Runs a model engine.
+    #[bpaf(command)]
+    Engine {
+        /// Address to bind; port 0 takes a free port.
+        #[bpaf(external(bind_address))]
+        bind: SocketAddr,
+        /// Model that is loaded at the start; may be given several times.
+        #[bpaf(argument("NAME"))]
+        model: Vec<String>,
+        /// Carries out orders with an old fencing number too.
+        ignores_fencing: bool,
+    },
+    /// Runs a plain service.
+    #[bpaf(command)]
+    Service {
+        /// Address to bind; port 0 takes a free port.
+        #[bpaf(external(bind_address))]
+        bind: SocketAddr,
+        /// Name that replies carry.
+        #[bpaf(argument("NAME"), fallback("service".to_owned()))]
+        name: String,
+        /// Time that a run takes.
+        #[bpaf(argument("MS"), fallback(0))]
+        run_ms: u64,
+    },
+}
+
+fn bind_address() -> impl Parser<SocketAddr> {
+    bpaf::long("bind")
+        .help("Address to bind; port 0 takes a free port.")
+        .argument("ADDRESS")
+        .fallback(SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> io::Result<()> {
+    let command = command().run();
+    init_log();
+    let mut terminate = signal(SignalKind::terminate())?;
+    tokio::select! {
+        result = run(command) => result,
+        _ = terminate.recv() => {
+            log::info!("stopped by SIGTERM");
+            Ok(())
+        }
+    }
+}
+
+async fn run(command: Command) -> io::Result<()> {
+    match command {
+        Command::Platform {
+            bind,
+            host_list_lag_ms,
+        } => {
+            let config = PlatformConfig {
+                bind,
+                host_list_lag_ms,
+                ..PlatformConfig::default()
+            };
+            let platform = Platform::start(config).await?;
+            announce("platform", platform.address())?;
+            platform.stopped().await;
+        }
+        Command::Engine {
+            bind,
+            model,
+            ignores_fencing,
+        } => {
+            let mut config = EngineConfig {
+                bind,
+                checks_fencing: !ignores_fencing,
+                ..EngineConfig::default()
+            };
+            if !model.is_empty() {
+                config.models = model;
+            }
+            let engine = Engine::start(config).await?;
+            announce("engine", engine.address())?;
+            engine.stopped().await;
+        }
+        Command::Service { bind, name, run_ms } => {
+            let config = ServiceConfig {
+                bind,
+                name,
+                run_ms,
+                ..ServiceConfig::default()
+            };
+            let service = Service::start(config).await?;
+            announce("service", service.address())?;
+            service.stopped().await;
+        }
+    }
+    Ok(())
+}
+
+/// Prints the bound address, for which whoever started the process waits.
+fn announce(standin: &str, address: SocketAddr) -> io::Result<()> {
+    log::info!(standin, address = address.to_string().as_str(); "listening");
+    let line = serde_json::json!({ "standin": standin, "address": address });
+    let mut stdout = io::stdout().lock();
+    writeln!(stdout, "{line}")?;
+    stdout.flush()
+}
+
+/// Writes logs as JSON lines to the standard error output.
+fn init_log() {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+        .format(|out, record| {
+            let mut line = serde_json::Map::new();
+            line.insert("level".into(), record.level().as_str().into());
+            line.insert("message".into(), record.args().to_string().into());
+            let mut fields = Fields(&mut line);
+            // The visitor never fails.
+            let _ = record.key_values().visit(&mut fields);
+            writeln!(out, "{}", serde_json::Value::Object(line))
+        })
+        .init();
+}
+
+/// Copies a record's typed fields into a line.
+struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
+
+impl<'kvs> log::kv::VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(
+        &mut self,
+        key: log::kv::Key<'kvs>,
+        value: log::kv::Value<'kvs>,
+    ) -> Result<(), log::kv::Error> {
+        self.0.insert(key.to_string(), value.to_string().into());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-standin/tests/engine.rs
@@ -0,0 +1,296 @@
+//! The stand-in engine keeps the protocol, and its faults do what they say.
+
+mod support;
+
+use support::{Call, generate, get, post, send};
+use toucancleat_standin::{
+    AtToken, Engine, EngineConfig, EngineFaults, GenerationState, Nonsense, NonsenseKind,
+    fingerprint,
+};
+use volo_http::http::Method;
+
+const ID: &str = "0123456789abcdef0123456789abcdef";
+const BODY: &str = r#"{"prompt": "plan", "stream": true, "standin_output_tokens": 6}"#;
+
+async fn engine() -> Engine {
+    Engine::start(EngineConfig::default())
+        .await
+        .expect("an engine")
+}
+
+fn ids(indices: impl Iterator<Item = u32>) -> Vec<String> {
+    indices.map(|index| format!("{ID}:{index}")).collect()
+}
+
+#[tokio::test]
+async fn a_generation_streams_each_token_once_in_order() {
+    let engine = engine().await;
+    let reply = generate(engine.address(), ID, BODY).await.expect("a reply");
+    assert_eq!(reply.status, 200);
+    assert_eq!(reply.event_ids(), ids(0..6));
+    assert!(reply.text.ends_with("data: [DONE]\n\n"), "{}", reply.text);
+    assert_eq!(reply.text.matches(r#""finish_reason":"stop""#).count(), 1);
+    let records = engine.records();
+    let record = &records.generations[0];
+    assert_eq!(record.generation_id, ID);
+    assert_eq!(record.body_fingerprint, fingerprint(BODY.as_bytes()));
+    assert_eq!(record.priority, 7);
+    assert_eq!(record.produced_tokens, 6);
+    assert_eq!(record.state, GenerationState::Finished);
+}
+
+#[tokio::test]
+async fn a_stream_resumes_at_an_index_and_a_generation_cancels() {
+    let engine = engine().await;
+    generate(engine.address(), ID, BODY).await.expect("a reply");
+    struct Case {
+        method: Method,
+        path: String,
+        status: u16,
+        ids: Vec<String>,
+    }
+    let cases = [
+        Case {
+            method: Method::GET,
+            path: format!("/v1/generations/{ID}/stream?from=4"),
+            status: 200,
+            ids: ids(4..6),
+        },
+        Case {
+            method: Method::GET,
+            path: "/v1/generations/00/stream?from=0".into(),
+            status: 404,
+            ids: vec![],
+        },
+        Case {
+            method: Method::DELETE,
+            path: format!("/v1/generations/{ID}"),
+            status: 200,
+            ids: vec![],
+        },
+        Case {
+            method: Method::DELETE,
+            path: "/v1/generations/00".into(),
+            status: 404,
+            ids: vec![],
+        },
+    ];
+    for case in cases {
+        let call = Call {
+            method: case.method,
+            path: &case.path,
+            headers: &[],
+            body: "",
+        };
+        let reply = send(engine.address(), call).await.expect("a reply");
+        assert_eq!(reply.status, case.status, "{}", case.path);
+        assert_eq!(reply.event_ids(), case.ids, "{}", case.path);
+    }
+    assert_eq!(engine.records().generations[0].resumes, 1);
+}
+
+#[tokio::test]
+async fn a_cancelled_generation_ends_its_stream_early() {
+    let engine = engine().await;
+    engine.set_faults(|faults| faults.freeze_steps = true);
+    let address = engine.address();
+    let stream = tokio::spawn(async move { generate(address, ID, BODY).await });
+    while engine.records().generations.is_empty() {
+        tokio::task::yield_now().await;
+    }
+    let cancel = Call {
+        method: Method::DELETE,
+        path: &format!("/v1/generations/{ID}"),
+        headers: &[],
+        body: "",
+    };
+    assert_eq!(send(address, cancel).await.expect("a reply").status, 200);
+    let reply = stream.await.expect("joined");
+    assert!(reply.is_none_or(|reply| !reply.whole));
+    let record = &engine.records().generations[0];
+    assert_eq!(record.state, GenerationState::Cancelled);
+    assert_eq!(record.produced_tokens, 0);
+}
+
+#[tokio::test]
+async fn faults_break_streams_where_they_say() {
+    struct Case {
+        name: &'static str,
+        set: fn(&mut EngineFaults),
+        whole: bool,
+        ids: Vec<String>,
+        dead: bool,
+    }
+    let reversed: String = ID.chars().rev().collect();
+    let mut wrong_generation = ids(0..6);
+    wrong_generation[2] = format!("{reversed}:2");
+    let mut skipped = ids(0..6);
+    skipped[2] = format!("{ID}:3");
+    let mut repeated = ids(0..6);
+    repeated[2] = format!("{ID}:1");
+    let mut bad = ids(0..6);
+    bad[2] = "??".into();
+    macro_rules! nonsense {
+        ($kind:ident) => {
+            |faults| {
+                faults.nonsense = Some(Nonsense {
+                    kind: NonsenseKind::$kind,
+                    token: 2,
+                    times: 1,
+                })
+            }
+        };
+    }
+    let cases = [
+        Case {
+            name: "dies before the first token",
+            set: |faults| faults.die_at_token = Some(0),
+            whole: false,
+            ids: vec![],
+            dead: true,
+        },
+        Case {
+            name: "dies after a token",
+            set: |faults| faults.die_at_token = Some(3),
+            whole: false,
+            ids: ids(0..3),
+            dead: true,
+        },
+        Case {
+            name: "cut",
+            set: |faults| faults.cut = Some(AtToken { token: 2, times: 1 }),
+            whole: false,
+            ids: ids(0..2),
+            dead: false,
+        },
+        Case {
+            name: "bad event",
+            set: nonsense!(BadEvent),
+            whole: true,
+            ids: bad,
+            dead: false,
+        },
+        Case {
+            name: "wrong generation",
+            set: nonsense!(WrongGeneration),
+            whole: true,
+            ids: wrong_generation,
+            dead: false,
+        },
+        Case {
+            name: "skipped index",
+            set: nonsense!(SkippedIndex),
+            whole: true,
+            ids: skipped,
+            dead: false,
+        },
+        Case {
+            name: "repeated index",
+            set: nonsense!(RepeatedIndex),
+            whole: true,
+            ids: repeated,
+            dead: false,
+        },
+    ];
+    for case in cases {
+        let engine = engine().await;
+        engine.set_faults(case.set);
+        let reply = generate(engine.address(), ID, BODY).await;
+        let (ids, whole) = match &reply {
+            Some(reply) => (reply.event_ids(), reply.whole),
+            None => (vec![], false),
+        };
+        assert_eq!(ids, case.ids, "{}", case.name);
+        assert_eq!(whole, case.whole, "{}", case.name);
+        if case.dead {
+            engine.stopped().await;
+        }
+        let record = &engine.records().generations[0];
+        assert!(
+            record.produced_tokens as usize >= ids.len(),
+            "{}",
+            case.name
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_marked_prompt_crashes_the_engine() {
+    let engine = engine().await;
+    engine.set_faults(|faults| faults.crash_marker = Some("poison".into()));
+    let fine = generate(engine.address(), ID, BODY).await.expect("a reply");
+    assert!(fine.whole);
+    let other = "00000000000000000000000000000001";
+    let reply = generate(engine.address(), other, r#"{"prompt": "a poison b"}"#).await;
+    assert!(reply.is_none_or(|reply| !reply.whole));
+    engine.stopped().await;
+    assert_eq!(engine.records().generations.len(), 2);
+}
+
+#[tokio::test]
+async fn refusals_prove_that_nothing_ran() {
+    let engine = engine().await;
+    engine.set_faults(|faults| faults.reject = true);
+    let reply = generate(engine.address(), ID, BODY).await.expect("a reply");
+    assert_eq!(reply.status, 503);
+    assert_eq!(reply.headers["x-verdict"], "NotRun");
+    assert_eq!(reply.headers["retry-after"], "1");
+    assert!(engine.records().generations.is_empty());
+}
+
+#[tokio::test]
+async fn arrivals_are_measured_against_the_leaving() {
+    let engine = engine().await;
+    generate(engine.address(), ID, BODY).await.expect("a reply");
+    engine.set_faults(|faults| faults.leaving = true);
+    let load = get(engine.address(), "/v1/load")
+        .await
+        .expect("a load")
+        .json();
+    assert_eq!(load["state"], "leaving");
+    let late = "00000000000000000000000000000002";
+    generate(engine.address(), late, BODY)
+        .await
+        .expect("a reply");
+    let records = engine.records().generations;
+    assert_eq!(records[0].arrived_after_leaving_ms, None);
+    assert!(records[1].arrived_after_leaving_ms.is_some());
+}
+
+#[tokio::test]
+async fn orders_are_fenced_only_where_the_engine_checks() {
+    for checks_fencing in [true, false] {
+        let config = EngineConfig {
+            checks_fencing,
+            ..EngineConfig::default()
+        };
+        let engine = Engine::start(config).await.expect("an engine");
+        let order = |number: u32, version: &str| {
+            format!(
+                r#"{{"order": "load_model", "name": "m", "version": "{version}",
+                    "fencing_number": {number}, "order_id": "o-{number}"}}"#
+            )
+        };
+        let new = post(engine.address(), "/v1/orders", &order(14, "b")).await;
+        assert_eq!(new.expect("a reply").status, 200);
+        let old = post(engine.address(), "/v1/orders", &order(12, "a"))
+            .await
+            .expect("a reply");
+        let state = get(engine.address(), "/v1/orders/state")
+            .await
+            .expect("a state")
+            .json();
+        if checks_fencing {
+            assert_eq!(old.status, 409);
+            assert_eq!(old.json()["fencing_number"], 14);
+            assert_eq!(state["models"]["m"], "b");
+        } else {
+            assert_eq!(old.status, 200);
+            assert_eq!(state["models"]["m"], "a");
+        }
+        assert_eq!(state["fencing_number"], 14);
+        let accepted: Vec<_> =
+            engine.records().orders.iter().map(|o| o.accepted).collect();
+        assert_eq!(accepted, [true, !checks_fencing]);
+    }
+}
