Add admission through accounts of targets, length sketches and routing choices

Types and a first working version of the reducer: reservations at the home, a queue by fair share and slack, the memory forecast, baselines behind the same choice.

--- /dev/null
+++ b/crates/toucancleat-core/src/accounts/mod.rs
@@ -0,0 +1,36 @@
+//! Admission to targets, through one account of each target's memory.
+//!
+//! Every target has a home among the entry hosts of its zone. The home keeps the only
+//! full account of the target's memory; any host asks it for a reservation and then
+//! streams from the target directly. One [`State`] holds both sides on a host: the
+//! accounts it is home of, and the requests that it has itself. See docs/POLICY.md.
+
+mod account;
+mod admission;
+mod client;
+mod config;
+mod event;
+mod forecast;
+mod home;
+mod message;
+mod pending;
+mod queue;
+mod reply;
+mod running;
+mod service;
+mod state;
+mod step_time;
+mod views;
+mod widen;
+
+pub use self::config::{Config, LengthOracle};
+pub use self::event::{
+    Effect, Event, LoadReport, Outcome, RefuseReason, Request, TargetSpec,
+};
+pub use self::forecast::{Footprint, Forecast};
+pub use self::message::{
+    Finished, Granted, Holding, Limits, Load, Message, Progress, Queued, Refused, Reserve,
+};
+pub use self::queue::{Queue, Waiting};
+pub use self::state::{State, reduce};
+pub use self::step_time::StepTime;
--- /dev/null
+++ b/crates/toucancleat-core/src/accounts/reply.rs
@@ -0,0 +1,50 @@
+//! Answers of a home to the hosts that asked it.
+
+use crate::accounts::account::Entry;
+use crate::accounts::event::RefuseReason;
+use crate::accounts::message::{Granted, Message, Queued, Refused, Reserve};
+use crate::accounts::state::Outbox;
+use crate::prelude::*;
+
+/// Tells a host that its request may start.
+pub(super) fn send_granted(
+    reserve: &Reserve,
+    to: &HostName,
+    priority: u8,
+    outbox: &mut Outbox,
+) {
+    let granted = Granted {
+        request: reserve.request,
+        generation: reserve.generation,
+        target: reserve.target.clone(),
+        priority,
+    };
+    outbox.send(to, Message::Granted(granted));
+}
+
+/// Tells a host that its request waits.
+pub(super) fn send_queued(entry: &Entry, wait_ms: u64, outbox: &mut Outbox) {
+    let queued = Queued {
+        request: entry.reserve.request,
+        target: entry.reserve.target.clone(),
+        wait_ms,
+    };
+    outbox.send(&entry.host, Message::Queued(queued));
+}
+
+/// Tells a host that the target can't take its request.
+pub(super) fn send_refused(
+    reserve: &Reserve,
+    to: &HostName,
+    reason: RefuseReason,
+    retry_after_ms: u64,
+    outbox: &mut Outbox,
+) {
+    let refused = Refused {
+        request: reserve.request,
+        target: reserve.target.clone(),
+        reason,
+        retry_after_ms,
+    };
+    outbox.send(to, Message::Refused(refused));
+}
--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -5,7 +5,10 @@
 //! is what lets the model checker replay a specification's trace through the very code
 //! that serves requests.
 
+pub mod accounts;
 pub mod ids;
+pub mod lengths;
 pub mod prelude;
+pub mod routing;
 pub mod settings;
 pub mod verdict;
--- /dev/null
+++ b/crates/toucancleat-core/src/routing/mod.rs
@@ -0,0 +1,15 @@
+//! The choice of targets for a request, as pure functions.
+//!
+//! See docs/POLICY.md, "Choice of a target".
+
+pub mod prefix;
+pub mod random;
+
+mod choice;
+mod retry_budget;
+mod spill;
+
+pub use self::choice::{Candidate, Choice, candidates};
+pub use self::prefix::{affinity_key, prefix_hashes, rendezvous_score};
+pub use self::retry_budget::RetryBudget;
+pub use self::spill::{ZoneSummary, spill_zone};
--- /dev/null
+++ b/crates/toucancleat-core/src/routing/prefix.rs
@@ -0,0 +1,47 @@
+//! Hashes of a prompt's prefixes.
+
+use crate::routing::random::mix;
+
+/// Length of the first hashed prefix; each further one is twice as long.
+const FIRST_PREFIX_BYTES: usize = 64;
+
+/// Prefixes that decide affinity: up to 512 bytes, about 128 tokens.
+const AFFINITY_PREFIXES: usize = 4;
+
+/// Offset basis and prime of the 64-bit FNV-1a hash.
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Hashes the prefixes of 64, 128, 256, ... bytes of a prompt, and the whole prompt last.
+///
+/// Doubling keeps the list short for any prompt. The hash is the same on every host and in
+/// every version, since hosts of mixed versions must choose the same targets.
+pub fn prefix_hashes(prompt: &[u8]) -> Vec<u64> {
+    let mut hashes = Vec::new();
+    let mut hash = FNV_BASIS;
+    let mut next = FIRST_PREFIX_BYTES;
+    for (index, &byte) in prompt.iter().enumerate() {
+        if index == next {
+            hashes.push(mix(hash));
+            next *= 2;
+        }
+        hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
+    }
+    hashes.push(mix(hash));
+    hashes
+}
+
+/// Returns the hash that decides affinity, the longest shared start worth keeping together.
+pub fn affinity_key(prefix_hashes: &[u64]) -> Option<u64> {
+    let last = prefix_hashes.len().min(AFFINITY_PREFIXES).checked_sub(1)?;
+    prefix_hashes.get(last).copied()
+}
+
+/// Scores a name for a key; the highest score of all names wins (rendezvous hashing).
+pub fn rendezvous_score(key: u64, name: &str) -> u64 {
+    let bytes = name.bytes();
+    let hash = bytes.fold(FNV_BASIS, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    });
+    mix(hash ^ mix(key))
+}
