--- a/crates/toucancleat-core/src/accounts/client.rs
+++ b/crates/toucancleat-core/src/accounts/client.rs
@@ -10,7 +10,7 @@
 use crate::accounts::views::{self, Views};
 use crate::accounts::widen::advance;
 use crate::prelude::*;
-use crate::routing::random::Random;
+use crate::rng::Rng;
 use crate::routing::{Choice, RetryBudget, affinity_key, candidates};
 use crate::settings::RoutingPolicy;
 
@@ -25,7 +25,7 @@
     pub(super) running: IndexMap<GenerationId, Run>,
     turns: IndexMap<PoolName, u64>,
     budgets: IndexMap<PoolName, RetryBudget>,
-    random: Random,
+    random: Rng,
     progress_sent_ms: u64,
 }
 
@@ -37,7 +37,7 @@
             running: IndexMap::new(),
             turns: IndexMap::new(),
             budgets: IndexMap::new(),
-            random: Random::new(seed),
+            random: Rng::new(seed),
             progress_sent_ms: 0,
         }
     }
--- a/crates/toucancleat-core/src/accounts/home.rs
+++ b/crates/toucancleat-core/src/accounts/home.rs
@@ -11,7 +11,7 @@
 use crate::accounts::state::{Outbox, State};
 use crate::lengths;
 use crate::prelude::*;
-use crate::routing::random::Random;
+use crate::rng::Rng;
 
 /// Accounts of the targets that the host is home of.
 #[derive(Clone, Debug)]
@@ -20,7 +20,7 @@
     pub(super) lengths: lengths::Store,
     refreshed_ms: u64,
     loads_sent_ms: u64,
-    random: Random,
+    random: Rng,
 }
 
 impl Home {
@@ -30,7 +30,7 @@
             lengths: lengths::Store::new(config),
             refreshed_ms: 0,
             loads_sent_ms: 0,
-            random: Random::new(0),
+            random: Rng::new(0),
         }
     }
 
--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -6,9 +6,13 @@
 //! that serves requests.
 
 pub mod accounts;
+pub mod homes;
 pub mod ids;
 pub mod lengths;
+pub mod membership;
+pub mod peer;
 pub mod prelude;
+pub mod rng;
 pub mod routing;
 pub mod settings;
 pub mod verdict;
--- a/crates/toucancleat-core/src/routing/choice.rs
+++ b/crates/toucancleat-core/src/routing/choice.rs
@@ -1,8 +1,8 @@
 //! The order in which targets are tried.
 
 use crate::prelude::*;
+use crate::rng::Rng;
 use crate::routing::prefix::rendezvous_score;
-use crate::routing::random::Random;
 use crate::settings::RoutingPolicy;
 
 /// A target as the choosing host sees it.
@@ -29,8 +29,8 @@
     pub affinity_key: Option<u64>,
     /// Turn of the pool, which each request advances by one.
     pub turn: &'a mut u64,
-    /// Random choices.
-    pub random: &'a mut Random,
+    /// Rng choices.
+    pub random: &'a mut Rng,
     /// Most targets to return.
     pub candidates_max: usize,
 }
@@ -69,7 +69,7 @@
     index
 }
 
-fn least_outstanding(targets: &[Candidate<'_>], random: &mut Random) -> usize {
+fn least_outstanding(targets: &[Candidate<'_>], random: &mut Rng) -> usize {
     // Ties are broken at random, or every idle host would pick the same target.
     let start = random.below(targets.len());
     let indices = (0..targets.len()).map(|i| (i + start) % targets.len());
@@ -80,7 +80,7 @@
 
 fn lesser_of_two(
     targets: &[Candidate<'_>],
-    random: &mut Random,
+    random: &mut Rng,
     load: impl Fn(&Candidate<'_>) -> f64,
 ) -> usize {
     let first = random.below(targets.len());
--- a/crates/toucancleat-core/src/routing/mod.rs
+++ b/crates/toucancleat-core/src/routing/mod.rs
@@ -2,10 +2,8 @@
 //!
 //! See docs/POLICY.md, "Choice of a target".
 
-pub mod prefix;
-pub mod random;
-
 mod choice;
+mod prefix;
 mod retry_budget;
 mod spill;
 
