--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod rng;
 pub mod routing;
 pub mod settings;
+pub mod timeline;
 pub mod verdict;
--- /dev/null
+++ b/crates/toucancleat-core/src/timeline/filter.rs
@@ -0,0 +1,64 @@
+//! Choosing among the records of many hosts and putting them in order.
+
+use std::collections::HashSet;
+
+use super::clock::Stamp;
+use super::kind::RecordKind;
+use super::record::Record;
+use super::ring::Page;
+use crate::prelude::*;
+
+/// Which records to show; what is `None` or empty doesn't matter.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Filter {
+    /// The request.
+    pub request: Option<RequestId>,
+    /// The target.
+    pub target: Option<TargetName>,
+    /// The organisation.
+    pub organisation: Option<OrganisationName>,
+    /// One of these kinds.
+    pub kinds: Vec<RecordKind>,
+}
+
+impl Filter {
+    /// Says whether a record is to be shown.
+    pub fn matches(&self, record: &Record) -> bool {
+        let entry = &record.entry;
+        is_wanted(&self.request, &entry.request)
+            && is_wanted(&self.target, &entry.target)
+            && is_wanted(&self.organisation, &entry.organisation)
+            && (self.kinds.is_empty() || self.kinds.contains(&entry.kind))
+    }
+}
+
+/// Puts the records of several hosts into one order that respects cause and effect.
+pub fn merge(pages: impl IntoIterator<Item = Page>) -> Vec<Record> {
+    let mut records: Vec<Record> =
+        pages.into_iter().flat_map(|page| page.records).collect();
+    records.sort_by(|a, b| order(a).cmp(&order(b)));
+    records
+}
+
+/// Returns the records of a request and of those that went on with one of its streams.
+pub fn related_to(request: RequestId, records: &[Record]) -> Vec<&Record> {
+    let own = records
+        .iter()
+        .filter(|record| record.entry.request == Some(request));
+    let generations: HashSet<GenerationId> =
+        own.filter_map(|record| record.entry.generation).collect();
+    let related = |record: &&Record| {
+        let generation = record.entry.generation;
+        record.entry.request == Some(request)
+            || generation.is_some_and(|generation| generations.contains(&generation))
+    };
+    records.iter().filter(related).collect()
+}
+
+fn order(record: &Record) -> (Stamp, &HostName, u64) {
+    (record.stamp, &record.host, record.sequence)
+}
+
+fn is_wanted<T: PartialEq>(wanted: &Option<T>, found: &Option<T>) -> bool {
+    wanted.is_none() || wanted == found
+}
--- /dev/null
+++ b/crates/toucancleat-core/src/timeline/ring.rs
@@ -0,0 +1,110 @@
+//! A bounded ring of records.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use super::clock::Stamp;
+use super::record::{Entry, Record};
+use crate::prelude::*;
+
+/// What a record costs beside its texts and fields; twice its size, as a deque may hold
+/// that much spare room.
+const RECORD_BYTES: usize = 2 * size_of::<Record>();
+
+/// The latest records of one host, within a fixed bound of memory.
+#[derive(Clone, Debug)]
+pub struct Ring {
+    records: VecDeque<Record>,
+    bytes: usize,
+    bytes_max: usize,
+    next_sequence: u64,
+}
+
+/// Some records of one host, as the operators' port returns them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Page {
+    /// The host.
+    pub host: HostName,
+    /// The incarnation of the host; sequence numbers start again with each.
+    pub incarnation: Incarnation,
+    /// Records after the one asked for that the ring no longer holds.
+    pub dropped: u64,
+    /// The sequence number after which to go on reading.
+    pub next_after: u64,
+    /// The records, oldest first.
+    pub records: Vec<Record>,
+}
+
+impl Ring {
+    /// Makes an empty ring.
+    pub fn new(bytes_max: usize) -> Self {
+        Ring {
+            records: VecDeque::new(),
+            bytes: 0,
+            bytes_max,
+            next_sequence: 1,
+        }
+    }
+
+    /// Adds a record and drops the oldest ones that no longer fit.
+    pub fn push(&mut self, stamp: Stamp, host: HostName, entry: Entry) {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let record = Record {
+            stamp,
+            host,
+            sequence,
+            entry,
+        };
+        self.bytes += record_bytes(&record);
+        self.records.push_back(record);
+        while self.bytes > self.bytes_max {
+            let Some(oldest) = self.records.pop_front() else {
+                return;
+            };
+            self.bytes -= record_bytes(&oldest);
+        }
+    }
+
+    /// Returns the records after a sequence number, oldest first.
+    pub fn page(
+        &self,
+        host: HostName,
+        incarnation: Incarnation,
+        after: u64,
+        limit: usize,
+    ) -> Page {
+        let first = self.next_sequence - self.records.len() as u64;
+        let dropped = first.saturating_sub(after.saturating_add(1));
+        let skip = after.saturating_add(1).saturating_sub(first);
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let records: Vec<Record> = self
+            .records
+            .iter()
+            .skip(skip)
+            .take(limit)
+            .cloned()
+            .collect();
+        let next_after = match records.last() {
+            Some(last) => last.sequence,
+            None => after.max(first - 1),
+        };
+        Page {
+            host,
+            incarnation,
+            dropped,
+            next_after,
+            records,
+        }
+    }
+
+    /// Returns how much memory the records hold.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
+fn record_bytes(record: &Record) -> usize {
+    RECORD_BYTES + record.entry.heap_bytes()
+}
--- a/crates/toucancleat-core/tests/settings_edit.rs
+++ b/crates/toucancleat-core/tests/settings/edit.rs
@@ -1,11 +1,11 @@
 //! Edits, differences and undo of the settings tree.
 
-mod common;
-
 use proptest::prelude::*;
 use serde_json::{Value, json};
 use toucancleat_core::settings::{Edit, Tree};
 
+use crate::trees;
+
 struct Case {
     name: &'static str,
     edits: Vec<Edit>,
@@ -151,12 +151,12 @@
 }
 
 proptest! {
-    #![proptest_config(common::config())]
+    #![proptest_config(trees::config())]
 
     #[test]
     fn the_difference_leads_from_one_tree_to_the_other(
-        before in common::tree(),
-        after in common::tree(),
+        before in trees::tree(),
+        after in trees::tree(),
     ) {
         let applied = before.apply(&before.diff(&after)).expect("a difference applies");
         prop_assert_eq!(&applied.tree, &after);
@@ -164,7 +164,7 @@
     }
 
     #[test]
-    fn undo_restores(before in common::tree(), after in common::tree()) {
+    fn undo_restores(before in trees::tree(), after in trees::tree()) {
         let applied = before.apply(&before.diff(&after)).expect("a difference applies");
         let undone = applied.tree.apply(&applied.inverse).expect("the inverse applies");
         prop_assert_eq!(undone.tree, before);
@@ -172,7 +172,7 @@
 
     #[test]
     fn edits_of_any_path_and_value_never_panic(
-        tree in common::tree(),
+        tree in trees::tree(),
         path in "(/(fleet|values|kinds|priority|live_events|e|organisations|x|level|[a-z~]{0,3})){0,6}",
         value in prop::option::of(prop_oneof![
             Just(json!({})), Just(json!([])), Just(json!(1)), Just(Value::Null),
--- /dev/null
+++ b/crates/toucancleat-core/tests/settings/main.rs
@@ -0,0 +1,7 @@
+//! The settings tree: documents, checks, edits, look-ups and the store.
+
+mod edit;
+mod lookup;
+mod parse;
+mod store;
+mod trees;
--- a/crates/toucancleat-core/tests/settings_parse.rs
+++ b/crates/toucancleat-core/tests/settings/parse.rs
@@ -1,12 +1,12 @@
 //! Reading and checking settings documents: what is accepted, what is told, and where.
 
-mod common;
-
 use proptest::prelude::*;
 use toucancleat_core::settings::{
     Effective, Limits, Problems, Tree, Values, check, parse,
 };
 
+use crate::trees;
+
 struct Case {
     name: &'static str,
     text: &'static str,
@@ -300,7 +300,7 @@
 }
 
 proptest! {
-    #![proptest_config(common::config())]
+    #![proptest_config(trees::config())]
 
     #[test]
     fn no_text_makes_the_reader_panic(text in "\\PC{0,80}") {
@@ -319,7 +319,7 @@
     }
 
     #[test]
-    fn a_cut_document_is_told_or_accepted(tree in common::tree(), cut in 0.0..1.0) {
+    fn a_cut_document_is_told_or_accepted(tree in trees::tree(), cut in 0.0..1.0) {
         let text = serde_json::to_string_pretty(&tree).expect("a tree is JSON");
         let at = (text.len() as f64 * cut) as usize;
         let at = (0..=at).rev().find(|at| text.is_char_boundary(*at)).unwrap_or(0);
@@ -327,7 +327,7 @@
     }
 
     #[test]
-    fn a_written_tree_is_read_back(tree in common::tree()) {
+    fn a_written_tree_is_read_back(tree in trees::tree()) {
         let text = serde_json::to_string(&tree).expect("a tree is JSON");
         let read: Result<Tree, _> = toucancleat_core::settings::document::read(&text);
         prop_assert_eq!(read, Ok(tree));
