--- a/crates/toucancleat-core/tests/settings/main.rs
+++ b/crates/toucancleat-core/tests/settings/main.rs
@@ -3,5 +3,6 @@
 mod edit;
 mod lookup;
 mod parse;
+mod samples;
 mod store;
 mod trees;
