--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -5,7 +5,18 @@
 //! is what lets the model checker replay a specification's trace through the very code
 //! that serves requests.
 
+mod effect;
+mod event;
 pub mod ids;
 pub mod prelude;
+mod reduce;
+pub mod refusal;
+pub mod requests;
 pub mod settings;
+mod state;
 pub mod verdict;
+
+pub use self::effect::Effect;
+pub use self::event::Event;
+pub use self::reduce::reduce;
+pub use self::state::State;
--- /dev/null
+++ b/crates/toucancleat-entry/src/service.rs
@@ -0,0 +1,86 @@
+//! The dialect of the plain services; see docs/PROTOCOLS.md, "Plain services".
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method, StatusCode};
+use toucancleat_core::prelude::*;
+use toucancleat_core::requests::LossCause;
+
+use crate::engine::{retry_after_ms, says_not_run};
+use crate::http::{Call, CallError, HttpClient};
+
+/// A request to a plain service, as the caller sent it.
+#[derive(Clone, Debug)]
+pub struct ServiceRequest {
+    /// Method.
+    pub method: Method,
+    /// Path and query below `/services/{kind}`, with that prefix.
+    pub path: String,
+    /// Headers that are passed on.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// How a plain service answered.
+#[derive(Debug)]
+pub enum ServiceReply {
+    /// The service ran the request and this is its answer.
+    Answered {
+        /// HTTP status.
+        status: StatusCode,
+        /// Media type of the body.
+        content_type: Option<HeaderValue>,
+        /// Body.
+        body: Bytes,
+    },
+    /// The service proved that it did not run the request.
+    NotRun {
+        /// When it asks to come back.
+        retry_after_ms: Option<u64>,
+    },
+    /// The service may have run the request.
+    Unknown(LossCause),
+}
+
+/// Gives a request to a plain service and reads its whole answer.
+pub async fn call(
+    client: &HttpClient,
+    address: SocketAddr,
+    request_id: RequestId,
+    request: &ServiceRequest,
+    timeout_ms: u64,
+    answer_max_bytes: usize,
+) -> ServiceReply {
+    let mut headers = request.headers.clone();
+    let id = HeaderValue::from_str(&request_id.to_string());
+    headers.push((
+        HeaderName::from_static("x-request-id"),
+        id.expect("a request id is hexadecimal"),
+    ));
+    let call = Call {
+        address,
+        method: request.method.clone(),
+        path: &request.path,
+        headers,
+        body: request.body.clone(),
+    };
+    match client.exchange(call, timeout_ms, answer_max_bytes).await {
+        Ok(reply) => read_reply(reply),
+        Err(CallError::NotSent(_)) => ServiceReply::NotRun { retry_after_ms: None },
+        Err(CallError::TimedOut(_)) => ServiceReply::Unknown(LossCause::TimedOut),
+        Err(_) => ServiceReply::Unknown(LossCause::Disconnected),
+    }
+}
+
+fn read_reply(reply: http::Response<Bytes>) -> ServiceReply {
+    if says_not_run(reply.headers()) {
+        return ServiceReply::NotRun { retry_after_ms: retry_after_ms(reply.headers()) };
+    }
+    ServiceReply::Answered {
+        status: reply.status(),
+        content_type: reply.headers().get(http::header::CONTENT_TYPE).cloned(),
+        body: reply.into_body(),
+    }
+}
