--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -7,11 +7,15 @@
 
 mod effect;
 mod event;
+pub mod homes;
 pub mod ids;
+pub mod membership;
+pub mod peer;
 pub mod prelude;
 mod reduce;
 pub mod refusal;
 pub mod requests;
+pub mod rng;
 pub mod settings;
 mod state;
 pub mod verdict;
