--- /dev/null
+++ b/crates/toucancleat-entry/src/driver.rs
@@ -0,0 +1,175 @@
+//! The task that owns the reducer's state and carries out its effects.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval};
+use toucancleat_core::prelude::*;
+use toucancleat_core::refusal::{Problem, Refusal};
+use toucancleat_core::requests::{self, Arrival};
+use toucancleat_core::{Effect, Event, State, reduce};
+
+use crate::host::Host;
+
+/// Time between two ticks of the reducer.
+const TICK: Duration = Duration::from_millis(50);
+/// Time to come back when the table is away.
+const RETRY_AFTER_CLAIMS_MS: u64 = 1_000;
+
+/// What the other tasks tell the driver.
+pub enum Input {
+    /// An event for the reducer.
+    Event(Event),
+    /// A request that arrived, and where its commands go.
+    Open {
+        /// The request.
+        arrival: Arc<Arrival>,
+        /// Where its commands go.
+        commands: mpsc::UnboundedSender<Command>,
+    },
+    /// A look at the state, for operators.
+    Inspect(Box<dyn FnOnce(&State) + Send>),
+}
+
+/// What the driver tells the task of a request.
+#[derive(Debug)]
+pub enum Command {
+    /// Give the request to a target.
+    Dispatch(Dispatch),
+    /// Refuse the request, or end its stream where the answer has begun.
+    Refuse(Refusal),
+}
+
+/// One attempt at a target.
+#[derive(Clone, Debug)]
+pub struct Dispatch {
+    /// The target.
+    pub target: TargetName,
+    /// Address of the target, IP and port.
+    pub address: String,
+    /// Number of the attempt, from 1.
+    pub attempt: u32,
+    /// Priority towards the engine.
+    pub priority: u8,
+    /// When the answer must be whole.
+    pub deadline_ms: u64,
+}
+
+/// The driver of one entry host.
+#[derive(Debug)]
+pub struct Driver {
+    host: Arc<Host>,
+    state: State,
+    inputs: mpsc::UnboundedReceiver<Input>,
+    commands: IndexMap<RequestId, mpsc::UnboundedSender<Command>>,
+}
+
+impl std::fmt::Debug for Input {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Input::Event(event) => f.debug_tuple("Event").field(event).finish(),
+            Input::Open { arrival, .. } => f.debug_tuple("Open").field(arrival).finish(),
+            Input::Inspect(_) => f.write_str("Inspect"),
+        }
+    }
+}
+
+impl Driver {
+    /// Makes the driver of a host.
+    pub fn new(host: Arc<Host>, inputs: mpsc::UnboundedReceiver<Input>) -> Self {
+        let state = State::new(host.config.host.clone(), host.config.zone.clone());
+        Driver { host, state, inputs, commands: IndexMap::new() }
+    }
+
+    /// Runs until every sender of inputs is gone.
+    pub async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let input = tokio::select! {
+                input = self.inputs.recv() => input,
+                _ = ticks.tick() => Some(Input::Event(Event::Tick)),
+            };
+            match input {
+                Some(input) => self.take(input),
+                None => return,
+            }
+        }
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Event(event) => self.apply(event),
+            Input::Open { arrival, commands } => {
+                self.commands.insert(arrival.request, commands);
+                self.apply(Event::Request(requests::Event::Arrived(arrival)));
+            }
+            Input::Inspect(look) => look(&self.state),
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        let now_ms = self.host.clock.now_ms();
+        let ended = ended_request(&event);
+        let mut effects = Vec::new();
+        reduce(&mut self.state, now_ms, event, &mut effects);
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        if let Some(request) = ended
+            && self.state.requests.arrival(request).is_none()
+        {
+            self.commands.swap_remove(&request);
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Dispatch { request, target, address, attempt, priority, deadline_ms } => {
+                let dispatch =
+                    Dispatch { target, address, attempt, priority, deadline_ms };
+                self.command(request, Command::Dispatch(dispatch));
+            }
+            Effect::Refuse { request, refusal } => {
+                self.command(request, Command::Refuse(refusal));
+                self.commands.swap_remove(&request);
+            }
+            Effect::Claim { arrival } => {
+                let refusal = Refusal::not_run(
+                    Problem::ClaimsUnavailable,
+                    "requests that may run once only can't be claimed",
+                )
+                .with_retry_after_ms(RETRY_AFTER_CLAIMS_MS);
+                let request = arrival.request;
+                let event = requests::Event::ClaimRefused { request, refusal };
+                self.host.tell(Input::Event(Event::Request(event)));
+            }
+            Effect::ApplySettings(settings) => {
+                log::info!(revision = settings.revision.0; "settings are in force");
+                self.host.apply_settings(settings);
+            }
+            _ => {}
+        }
+    }
+
+    fn command(&self, request: RequestId, command: Command) {
+        let Some(sender) = self.commands.get(&request) else { return };
+        if sender.send(command).is_err() {
+            let event = requests::Event::CallerGone { request };
+            self.host.tell(Input::Event(Event::Request(event)));
+        }
+    }
+}
+
+/// Returns the request that an event may end.
+fn ended_request(event: &Event) -> Option<RequestId> {
+    match event {
+        Event::Request(
+            requests::Event::AttemptEnded { request, .. }
+            | requests::Event::CallerGone { request },
+        ) => Some(*request),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-entry/src/host.rs
@@ -0,0 +1,129 @@
+//! What the tasks of one entry host share.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, RwLock};
+
+use tokio::sync::{Notify, mpsc};
+use toucancleat_core::settings::InForce;
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::driver::Input;
+use crate::http::HttpClient;
+use crate::metrics::Metrics;
+use crate::platform::Platform;
+
+/// The shared part of an entry host.
+///
+/// Decisions are not taken here: the driver's task alone owns the reducer's state, and the
+/// others tell it events and are told commands.
+#[derive(Debug)]
+pub struct Host {
+    /// What the host was told at its start.
+    pub config: Config,
+    /// The host's clock.
+    pub clock: Clock,
+    /// Client for calls that may be repeated.
+    pub pooled: HttpClient,
+    /// Client for calls that must reach a target once at most.
+    pub fresh: HttpClient,
+    /// The platform.
+    pub platform: Platform,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    inputs: mpsc::UnboundedSender<Input>,
+    settings: RwLock<Option<Arc<InForce>>>,
+    draining: AtomicBool,
+    in_progress: AtomicUsize,
+    idle: Notify,
+}
+
+/// Counts one request in progress until it is dropped.
+#[derive(Debug)]
+pub struct InProgress(Arc<Host>);
+
+impl Host {
+    /// Makes the shared part; `inputs` leads to the driver.
+    pub fn new(config: Config, inputs: mpsc::UnboundedSender<Input>) -> Self {
+        Host {
+            clock: Clock::start(),
+            pooled: HttpClient::pooled(),
+            fresh: HttpClient::fresh(),
+            platform: Platform::new(config.platform_address),
+            metrics: Metrics::default(),
+            config,
+            inputs,
+            settings: RwLock::new(None),
+            draining: AtomicBool::new(false),
+            in_progress: AtomicUsize::new(0),
+            idle: Notify::new(),
+        }
+    }
+
+    /// Tells the driver something.
+    pub fn tell(&self, input: Input) {
+        // N.B. the driver outlives every other task, so this fails only while the process
+        // is ending, when there is nobody left to tell.
+        let _ = self.inputs.send(input);
+    }
+
+    /// Returns the settings in force; `None` until the first revision is known.
+    pub fn settings(&self) -> Option<Arc<InForce>> {
+        self.settings.read().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
+    }
+
+    /// Puts settings in force for requests that arrive from now on.
+    pub fn apply_settings(&self, settings: Arc<InForce>) {
+        let mut current =
+            self.settings.write().unwrap_or_else(|poisoned| poisoned.into_inner());
+        *current = Some(settings);
+    }
+
+    /// Stops taking new requests.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Says whether the host was told to stop.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Says whether a request that came now would be taken.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.settings().is_some()
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.load(Ordering::SeqCst)
+    }
+
+    /// Counts a request in; `None` when the host is full or stopping.
+    pub fn begin(self: &Arc<Self>) -> Option<InProgress> {
+        // N.B. counted before the check, so that a drain either sees this request or this
+        // request sees the drain.
+        let before = self.in_progress.fetch_add(1, Ordering::SeqCst);
+        let counted = InProgress(self.clone());
+        (before < self.config.requests_max && !self.is_draining()).then_some(counted)
+    }
+
+    /// Waits until no request is in progress.
+    pub async fn wait_idle(&self) {
+        loop {
+            let notified = self.idle.notified();
+            if self.in_progress() == 0 {
+                return;
+            }
+            notified.await;
+        }
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        if self.0.in_progress.fetch_sub(1, Ordering::SeqCst) == 1 {
+            self.0.idle.notify_waiters();
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-entry/src/platform.rs
@@ -0,0 +1,303 @@
+//! The dialect of the platform's services; see docs/PROTOCOLS.md, "Platform".
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::engine::retry_after_ms;
+use crate::error::Error;
+use crate::http::{Call, CallError, HttpClient};
+
+/// Time for one call to the platform, after which its outcome is unknown.
+const CALL_TIMEOUT_MS: u64 = 2_000;
+/// Largest reply that is read.
+const REPLY_MAX_BYTES: usize = 64 * 1_024 * 1_024;
+/// Time to come back when the platform names none.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// A client of the table, the object store and the host list.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    client: HttpClient,
+    address: SocketAddr,
+}
+
+/// A version that a row must have; `None` when it must not exist.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Condition {
+    /// Table of the row.
+    pub table: String,
+    /// Name of the row.
+    pub row: String,
+    /// Version that the row must have.
+    pub version: Option<u64>,
+}
+
+/// A new value of a row; `None` deletes it.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Write {
+    /// Table of the row.
+    pub table: String,
+    /// Name of the row.
+    pub row: String,
+    /// New value.
+    pub value: Option<Value>,
+}
+
+/// A row of the table.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Name of the row.
+    pub row: String,
+    /// Version; `None` when the row doesn't exist.
+    #[serde(default)]
+    pub version: Option<u64>,
+    /// Value.
+    #[serde(default)]
+    pub value: Value,
+}
+
+/// What became of a transaction.
+#[derive(Clone, Debug, PartialEq)]
+#[non_exhaustive]
+pub enum TransactReply {
+    /// All writes were applied.
+    Applied {
+        /// Version of each written row.
+        versions: Vec<u64>,
+    },
+    /// Nothing was applied; the rows whose condition failed, as they are.
+    Conflict {
+        /// Those rows.
+        rows: Vec<Row>,
+    },
+    /// Nothing was applied, since the table takes no work for now.
+    Rejected {
+        /// Time to come back.
+        retry_after_ms: u64,
+    },
+    /// Nothing was applied, since no connection could be opened.
+    Unreachable,
+    /// The writes may have been applied, or may still be.
+    Unknown,
+}
+
+/// One entry of the host list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListedHost {
+    /// Name.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// `entry` or `target`.
+    pub role: String,
+    /// `live` or `leaving`.
+    pub state: String,
+    /// Where other entry hosts connect.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer_address: Option<SocketAddr>,
+    /// Where operators connect.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operator_address: Option<SocketAddr>,
+    /// Address of a target.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub address: Option<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+struct Versions {
+    versions: Vec<u64>,
+}
+
+#[derive(Deserialize)]
+struct Conflicts {
+    conflicts: Vec<Row>,
+}
+
+#[derive(Deserialize)]
+struct Rows {
+    rows: Vec<Row>,
+}
+
+#[derive(Deserialize)]
+struct Hosts {
+    hosts: Vec<ListedHost>,
+}
+
+impl Platform {
+    /// Makes a client of the platform at an address.
+    pub fn new(address: SocketAddr) -> Self {
+        Platform { client: HttpClient::pooled(), address }
+    }
+
+    /// Applies all writes, or none.
+    pub async fn transact(&self, conditions: &[Condition], writes: &[Write]) -> TransactReply {
+        #[derive(Serialize)]
+        struct Body<'a> {
+            conditions: &'a [Condition],
+            writes: &'a [Write],
+        }
+        let body = to_json(&Body { conditions, writes });
+        let call = self.json_call(Method::POST, "/v1/table/transact", body);
+        match self.client.exchange(call, CALL_TIMEOUT_MS, REPLY_MAX_BYTES).await {
+            Ok(reply) => read_transact_reply(&reply),
+            Err(CallError::NotSent(_)) => TransactReply::Unreachable,
+            Err(_) => TransactReply::Unknown,
+        }
+    }
+
+    /// Reads rows by name; rows that don't exist are left out.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the table gave no usable reply.
+    pub async fn get(&self, table: &str, rows: &[String]) -> Result<Vec<Row>, Error> {
+        let body = serde_json::json!({ "table": table, "rows": rows });
+        let call = self.json_call(Method::POST, "/v1/table/get", to_json(&body));
+        let reply: Rows = self.json_reply("table get", call).await?;
+        Ok(reply.rows)
+    }
+
+    /// Reads rows in the order of their names.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the table gave no usable reply.
+    pub async fn scan(
+        &self,
+        table: &str,
+        prefix: &str,
+        after: &str,
+        limit: u32,
+    ) -> Result<Vec<Row>, Error> {
+        let body = serde_json::json!({
+            "table": table, "prefix": prefix, "after": after, "limit": limit
+        });
+        let call = self.json_call(Method::POST, "/v1/table/scan", to_json(&body));
+        let reply: Rows = self.json_reply("table scan", call).await?;
+        Ok(reply.rows)
+    }
+
+    /// Stores an object whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the object store did not confirm.
+    pub async fn put_object(&self, name: &str, body: Bytes) -> Result<(), Error> {
+        let path = format!("/v1/objects/{name}");
+        let call = self.json_call(Method::PUT, &path, body);
+        self.success("object put", call).await.map(|_| ())
+    }
+
+    /// Reads an object; `None` when there is none of that name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the object store gave no usable reply.
+    pub async fn get_object(&self, name: &str) -> Result<Option<Bytes>, Error> {
+        let path = format!("/v1/objects/{name}");
+        let call = self.json_call(Method::GET, &path, Bytes::new());
+        let reply = self.reply("object get", call).await?;
+        match reply.status() {
+            StatusCode::NOT_FOUND => Ok(None),
+            status if status.is_success() => Ok(Some(reply.into_body())),
+            status => Err(Error::platform("object get", format!("replied {status}"))),
+        }
+    }
+
+    /// Reads the host list, which lags behind reality.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform gave no usable reply.
+    pub async fn hosts(&self) -> Result<Vec<ListedHost>, Error> {
+        let call = self.json_call(Method::GET, "/v1/hosts", Bytes::new());
+        let reply: Hosts = self.json_reply("host list", call).await?;
+        Ok(reply.hosts)
+    }
+
+    /// Adds a host to the list, or replaces its entry.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform did not confirm.
+    pub async fn put_host(&self, host: &ListedHost) -> Result<(), Error> {
+        let path = format!("/v1/hosts/{}", host.name);
+        let call = self.json_call(Method::PUT, &path, to_json(host));
+        self.success("host list put", call).await.map(|_| ())
+    }
+
+    /// Removes a host from the list.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the platform did not confirm.
+    pub async fn delete_host(&self, name: &str) -> Result<(), Error> {
+        let path = format!("/v1/hosts/{name}");
+        let call = self.json_call(Method::DELETE, &path, Bytes::new());
+        self.success("host list delete", call).await.map(|_| ())
+    }
+
+    fn json_call<'a>(&self, method: Method, path: &'a str, body: Bytes) -> Call<'a> {
+        let json = HeaderValue::from_static("application/json");
+        let headers = vec![(CONTENT_TYPE, json)];
+        Call { address: self.address, method, path, headers, body }
+    }
+
+    async fn reply(
+        &self,
+        what: &'static str,
+        call: Call<'_>,
+    ) -> Result<http::Response<Bytes>, Error> {
+        self.client
+            .exchange(call, CALL_TIMEOUT_MS, REPLY_MAX_BYTES)
+            .await
+            .map_err(|error| Error::platform(what, error.to_string()))
+    }
+
+    async fn success(&self, what: &'static str, call: Call<'_>) -> Result<Bytes, Error> {
+        let reply = self.reply(what, call).await?;
+        if !reply.status().is_success() {
+            return Err(Error::platform(what, format!("replied {}", reply.status())));
+        }
+        Ok(reply.into_body())
+    }
+
+    async fn json_reply<T: DeserializeOwned>(
+        &self,
+        what: &'static str,
+        call: Call<'_>,
+    ) -> Result<T, Error> {
+        let body = self.success(what, call).await?;
+        serde_json::from_slice(&body).map_err(|error| Error::platform(what, error.to_string()))
+    }
+}
+
+fn read_transact_reply(reply: &http::Response<Bytes>) -> TransactReply {
+    let body = reply.body();
+    match reply.status() {
+        StatusCode::OK => match serde_json::from_slice::<Versions>(body) {
+            Ok(found) => TransactReply::Applied { versions: found.versions },
+            Err(_) => TransactReply::Unknown,
+        },
+        StatusCode::CONFLICT => match serde_json::from_slice::<Conflicts>(body) {
+            Ok(found) => TransactReply::Conflict { rows: found.conflicts },
+            Err(_) => TransactReply::Unknown,
+        },
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+            let retry_after_ms = retry_after_ms(reply.headers()).unwrap_or(RETRY_AFTER_MS);
+            TransactReply::Rejected { retry_after_ms }
+        }
+        _ => TransactReply::Unknown,
+    }
+}
+
+fn to_json<T: Serialize>(value: &T) -> Bytes {
+    let bytes = serde_json::to_vec(value).expect("rows and hosts have string keys");
+    Bytes::from(bytes)
+}
