--- a/crates/toucancleat-core/src/effect.rs
+++ b/crates/toucancleat-core/src/effect.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
+use crate::claims::{ConditionalWrite, StoredAnswer};
 use crate::prelude::*;
 use crate::refusal::Refusal;
-use crate::requests::Arrival;
 use crate::settings::InForce;
 
 /// An effect, as the daemon carries it out.
@@ -33,15 +33,35 @@
         /// What the caller is told.
         refusal: Refusal,
     },
-    /// Claim the request's key in the platform's table.
-    Claim {
-        /// The request.
-        arrival: Arc<Arrival>,
+    /// Give the answer that an earlier request with the same key got.
+    Replay {
+        /// The request that repeats the key.
+        request: RequestId,
+        /// The answer.
+        answer: StoredAnswer,
     },
-    /// Give up the claim of a request that was never given to a target.
-    AbandonClaim {
-        /// The request.
+    /// Apply all writes to the table of the claims, or none.
+    ClaimsTransact {
+        /// Number to reply with.
+        transact: u64,
+        /// Writes, each on the condition of its row's version.
+        writes: Vec<ConditionalWrite>,
+    },
+    /// Read rows of the table of the claims.
+    ClaimsRead {
+        /// Number to reply with.
+        read: u64,
+        /// Names of the rows.
+        rows: Vec<String>,
+    },
+    /// Store an answer that is too large for its row.
+    PutAnswer {
+        /// The request to reply with.
         request: RequestId,
+        /// Name of the object.
+        name: String,
+        /// Content.
+        body: Vec<u8>,
     },
     /// Let new requests be read under these settings.
     ApplySettings(Arc<InForce>),
--- a/crates/toucancleat-core/src/event.rs
+++ b/crates/toucancleat-core/src/event.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::requests;
 use crate::settings::InForce;
+use crate::{claims, requests};
 
 /// An event, as the daemon feeds it to [`crate::reduce`].
 #[derive(Clone, Debug)]
@@ -15,6 +15,8 @@
     Settings(Arc<InForce>),
     /// Something happened to a request.
     Request(requests::Event),
+    /// The platform answered the claims, or something happened to one.
+    Claims(claims::Event),
     /// The host was told to stop: it takes no new requests and finishes those it has.
     Drain,
 }
--- a/crates/toucancleat-core/src/reduce.rs
+++ b/crates/toucancleat-core/src/reduce/requests.rs
@@ -1,9 +1,10 @@
-//! The one reducer over all events of an entry host.
+//! Effects of the requests in progress.
 
 use std::sync::Arc;
 
+use super::claims;
+use crate::claims::{Begin, Event as ClaimEvent, Outcome as ClaimOutcome};
 use crate::effect::Effect;
-use crate::event::Event;
 use crate::prelude::*;
 use crate::refusal::{Problem, Refusal};
 use crate::requests::{self, Arrival, Outcome};
@@ -13,31 +14,8 @@
 /// Time to come back when no target can be reached.
 const RETRY_AFTER_NO_TARGET_MS: u64 = 2_000;
 
-/// Applies one event and appends what is to be done.
-///
-/// The reducers of the single concerns feed each other through here, until only effects
-/// remain that need the outside.
-pub fn reduce(state: &mut State, now_ms: u64, event: Event, effects: &mut Vec<Effect>) {
-    match event {
-        Event::Tick => reduce_request(state, now_ms, requests::Event::Tick, effects),
-        Event::Settings(settings) => apply_settings(state, settings, effects),
-        Event::Request(event) => reduce_request(state, now_ms, event, effects),
-        Event::Drain => state.draining = true,
-    }
-}
-
-fn apply_settings(state: &mut State, settings: Arc<InForce>, effects: &mut Vec<Effect>) {
-    let newer = state
-        .settings
-        .as_ref()
-        .is_none_or(|current| current.revision < settings.revision);
-    if newer {
-        state.settings = Some(settings.clone());
-        effects.push(Effect::ApplySettings(settings));
-    }
-}
-
-fn reduce_request(
+/// Applies an event of a request.
+pub(super) fn apply(
     state: &mut State,
     now_ms: u64,
     event: requests::Event,
@@ -57,15 +35,17 @@
     effects: &mut Vec<Effect>,
 ) {
     match effect {
-        requests::Effect::Claim { arrival } => effects.push(Effect::Claim { arrival }),
-        requests::Effect::AbandonClaim { request } => {
-            effects.push(Effect::AbandonClaim { request });
-        }
+        requests::Effect::Claim { arrival } => claim(state, now_ms, &arrival, effects),
+        requests::Effect::SettleClaim {
+            request,
+            dispatched,
+            outcome,
+        } => settle_claim(state, now_ms, request, dispatched, outcome, effects),
         requests::Effect::Reserve {
             arrival, excluded, ..
         } => {
             let event = choose_target(state, &arrival, &excluded);
-            reduce_request(state, now_ms, event, effects);
+            apply(state, now_ms, event, effects);
         }
         requests::Effect::Withdraw { .. } => {}
         requests::Effect::Dispatch {
@@ -85,9 +65,11 @@
                     attempt,
                     outcome,
                 };
-                reduce_request(state, now_ms, event, effects);
+                apply(state, now_ms, event, effects);
                 return;
             };
+            // N.B. the claim must know before the first byte leaves.
+            claims::apply(state, now_ms, ClaimEvent::Dispatched { request }, effects);
             *state.outstanding.entry(target.clone()).or_insert(0) += 1;
             effects.push(Effect::Dispatch {
                 request,
@@ -109,6 +91,47 @@
     }
 }
 
+fn claim(
+    state: &mut State,
+    now_ms: u64,
+    arrival: &Arc<Arrival>,
+    effects: &mut Vec<Effect>,
+) {
+    let request = arrival.request;
+    let Some(key) = arrival.idempotency_key.clone() else {
+        let detail = format!("requests of kind {} need an Idempotency-Key", arrival.kind);
+        let refusal = Refusal::not_run(Problem::KeyNeeded, detail);
+        let event = requests::Event::ClaimRefused { request, refusal };
+        apply(state, now_ms, event, effects);
+        return;
+    };
+    let begin = Begin {
+        request,
+        organisation: arrival.organisation.clone(),
+        key,
+        body_sha256: arrival.body_sha256,
+        now_unix_ms: arrival.arrived_unix_ms,
+        expires_unix_ms: arrival.key_expires_unix_ms(),
+    };
+    claims::apply(state, now_ms, ClaimEvent::Begin(begin), effects);
+}
+
+fn settle_claim(
+    state: &mut State,
+    now_ms: u64,
+    request: RequestId,
+    dispatched: bool,
+    outcome: ClaimOutcome,
+    effects: &mut Vec<Effect>,
+) {
+    let event = if dispatched {
+        ClaimEvent::Finished { request, outcome }
+    } else {
+        ClaimEvent::Abandon { request }
+    };
+    claims::apply(state, now_ms, event, effects);
+}
+
 fn choose_target(
     state: &State,
     arrival: &Arrival,
--- a/crates/toucancleat-core/src/requests/arrival.rs
+++ b/crates/toucancleat-core/src/requests/arrival.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::claims::BodyHash;
 use crate::prelude::*;
 use crate::settings::{Effective, TargetClass};
 
@@ -10,6 +11,8 @@
 pub struct Arrival {
     /// The request.
     pub request: RequestId,
+    /// When the request arrived, by the wall clock.
+    pub arrived_unix_ms: u64,
     /// The live event it belongs to.
     pub live_event: LiveEventName,
     /// When that event begins, which orders waiting requests by slack.
@@ -29,7 +32,7 @@
     /// The caller's idempotency key.
     pub idempotency_key: Option<String>,
     /// SHA-256 of method, path and body, which tells a repeat from another request.
-    pub body_sha256: [u8; 32],
+    pub body_sha256: BodyHash,
     /// Estimate of the prompt's length.
     pub prompt_tokens: u32,
     /// Most tokens the answer may have.
@@ -39,6 +42,11 @@
 }
 
 impl Arrival {
+    /// Returns when the idempotency key's life ends.
+    pub fn key_expires_unix_ms(&self) -> u64 {
+        self.live_event_ends_unix_ms + self.values.key_retention_ms
+    }
+
     /// Says whether the request must be claimed in the platform's table before it runs.
     pub fn needs_claim(&self) -> bool {
         !self.values.idempotent && !self.values.target_deduplicates
--- a/crates/toucancleat-core/src/requests/mod.rs
+++ b/crates/toucancleat-core/src/requests/mod.rs
@@ -14,6 +14,7 @@
 
 pub use self::arrival::Arrival;
 pub use self::outcome::{LossCause, Outcome};
+use crate::claims::{Answer, Outcome as ClaimOutcome};
 use crate::prelude::*;
 use crate::refusal::{Problem, Refusal};
 
@@ -114,10 +115,14 @@
         /// The request.
         arrival: Arc<Arrival>,
     },
-    /// Give up a claim whose request was never given to a target.
-    AbandonClaim {
+    /// Tell the claim how its request ended.
+    SettleClaim {
         /// The request.
         request: RequestId,
+        /// Whether a target was ever given the request.
+        dispatched: bool,
+        /// How it ended.
+        outcome: ClaimOutcome,
     },
     /// Find a target.
     Reserve {
@@ -197,6 +202,22 @@
         self.arrived_ms + self.arrival.values.timeout_ms
     }
 
+    /// Tells the claim that the request ended without an answer.
+    fn settle_claim(&self, request: RequestId, effects: &mut Vec<Effect>) {
+        if !self.claimed {
+            return;
+        }
+        let outcome = match self.verdict {
+            Verdict::NotRun => ClaimOutcome::NotRun,
+            _ => ClaimOutcome::MayHaveRun,
+        };
+        effects.push(Effect::SettleClaim {
+            request,
+            dispatched: self.attempts > 0,
+            outcome,
+        });
+    }
+
     /// Says whether another attempt keeps every promise.
     ///
     /// N.B. `retries_max` bounds one request; the budget that keeps retries from
@@ -300,7 +321,7 @@
 fn claimed(state: &mut Requests, request: RequestId, effects: &mut Vec<Effect>) {
     let Some(found) = state.active.get_mut(&request) else {
         // The caller left or the deadline passed while the claim was on its way.
-        effects.push(Effect::AbandonClaim { request });
+        effects.push(abandon(request));
         return;
     };
     if found.stage != Stage::Claiming {
@@ -387,9 +408,21 @@
         outcome: outcome.clone(),
     });
     found.verdict = found.verdict.max(outcome.verdict());
-    if matches!(outcome, Outcome::Finished { .. } | Outcome::CallerGone) {
-        state.remove(request);
-        return;
+    match outcome {
+        Outcome::Finished { answer, .. } => {
+            let claimed = state.remove(request).is_some_and(|found| found.claimed);
+            if claimed {
+                effects.push(finish_claim(request, answer));
+            }
+            return;
+        }
+        Outcome::CallerGone => {
+            if let Some(found) = state.remove(request) {
+                found.settle_claim(request, effects);
+            }
+            return;
+        }
+        _ => {}
     }
     if found.may_retry(now_ms, &outcome) {
         found.excluded.push(target);
@@ -405,6 +438,18 @@
     give_up(state, request, refusal, effects);
 }
 
+fn finish_claim(request: RequestId, answer: Option<Arc<Answer>>) -> Effect {
+    let outcome = match answer {
+        Some(answer) => ClaimOutcome::Ran(answer.as_ref().clone()),
+        None => ClaimOutcome::MayHaveRun,
+    };
+    Effect::SettleClaim {
+        request,
+        dispatched: true,
+        outcome,
+    }
+}
+
 /// Ends a request with the verdict that its attempts prove, and gives up its claim where
 /// no target can have run it.
 fn give_up(
@@ -416,9 +461,7 @@
     let Some(found) = state.remove(request) else {
         return;
     };
-    if found.claimed && found.verdict == Verdict::NotRun {
-        effects.push(Effect::AbandonClaim { request });
-    }
+    found.settle_claim(request, effects);
     let verdict = refusal.verdict.max(found.verdict);
     effects.push(Effect::Refuse {
         request,
@@ -455,11 +498,17 @@
         return;
     }
     effects.push(Effect::Withdraw { request });
-    let Some(found) = state.remove(request) else {
-        return;
-    };
-    if found.claimed && found.verdict == Verdict::NotRun {
-        effects.push(Effect::AbandonClaim { request });
+    if let Some(found) = state.remove(request) {
+        found.settle_claim(request, effects);
+    }
+}
+
+/// Gives up a claim whose request was never given to a target.
+fn abandon(request: RequestId) -> Effect {
+    Effect::SettleClaim {
+        request,
+        dispatched: false,
+        outcome: ClaimOutcome::NotRun,
     }
 }
 
--- a/crates/toucancleat-core/src/requests/outcome.rs
+++ b/crates/toucancleat-core/src/requests/outcome.rs
@@ -1,5 +1,8 @@
 //! How an attempt at a target ended.
 
+use std::sync::Arc;
+
+use crate::claims::Answer;
 use crate::prelude::*;
 
 /// How an attempt at a target ended, as the relay saw it.
@@ -10,6 +13,8 @@
     Finished {
         /// Tokens of the answer; 0 for a plain service.
         tokens: u32,
+        /// The answer, where its claim keeps it for a repeat of the key.
+        answer: Option<Arc<Answer>>,
     },
     /// It is proved that the target did not begin the request: no byte reached it, or it
     /// said so itself.
--- a/crates/toucancleat-core/src/state.rs
+++ b/crates/toucancleat-core/src/state.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use crate::claims;
 use crate::prelude::*;
 use crate::requests::Requests;
 use crate::settings::InForce;
@@ -21,6 +22,8 @@
     pub settings: Option<Arc<InForce>>,
     /// Requests in progress.
     pub requests: Requests,
+    /// Claims of keys in the platform's table.
+    pub claims: claims::State,
     /// Requests that this host has given to each target and that are still running.
     pub outstanding: IndexMap<TargetName, u32>,
     /// Whether the host was told to stop.
@@ -29,8 +32,18 @@
 
 impl State {
     /// Makes the state of a host that has just started.
-    pub fn new(host: HostName, zone: ZoneName) -> Self {
+    ///
+    /// The seed has to be random: it tells this host's claims from those of its earlier
+    /// incarnations.
+    pub fn new(
+        host: HostName,
+        zone: ZoneName,
+        incarnation: Incarnation,
+        seed: u128,
+    ) -> Self {
+        let claims_config = claims::Config::default();
         State {
+            claims: claims::State::new(claims_config, &host, incarnation, seed),
             host,
             zone,
             settings: None,
