--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -5,11 +5,13 @@
 //! is what lets the model checker replay a specification's trace through the very code
 //! that serves requests.
 
+pub mod accounts;
 pub mod claims;
 mod effect;
 mod event;
 pub mod homes;
 pub mod ids;
+pub mod lengths;
 pub mod membership;
 pub mod peer;
 pub mod prelude;
@@ -17,6 +19,7 @@
 pub mod refusal;
 pub mod requests;
 pub mod rng;
+pub mod routing;
 pub mod settings;
 mod state;
 pub mod verdict;
