--- /dev/null
+++ b/crates/toucancleat-entry/src/callers/body.rs
@@ -0,0 +1,36 @@
+//! Reading a request's body within bounds of size and time.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use toucancleat_core::refusal::{Problem, Refusal};
+use volo_http::body::Body;
+
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// Returns the refusal of a body that is too large, too slow or broken off.
+pub(super) async fn read(
+    body: Body,
+    max_bytes: u64,
+    timeout_ms: u64,
+) -> Result<Bytes, Refusal> {
+    let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
+    let collect = Limited::new(body, max_bytes).collect();
+    let collected =
+        tokio::time::timeout(Duration::from_millis(timeout_ms), collect).await;
+    match collected {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::not_run(
+            Problem::TooLarge,
+            format!("expected a body of at most {max_bytes} bytes"),
+        )),
+        Ok(Err(_)) => Err(Refusal::not_run(Problem::Malformed, "the body broke off")),
+        Err(_) => Err(Refusal::not_run(
+            Problem::BodyTimeout,
+            format!("expected the whole body within {timeout_ms} ms"),
+        )),
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-entry/src/callers/generations.rs
@@ -0,0 +1,176 @@
+//! Completions and chat completions.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method};
+use serde_json::{Map, Value};
+use toucancleat_core::claims::BodyHash;
+use toucancleat_core::prelude::*;
+use toucancleat_core::refusal::{Problem, Refusal};
+use toucancleat_core::requests::Arrival;
+use toucancleat_core::routing::prefix_hashes;
+use toucancleat_core::settings::{Delivery, TargetClass};
+use volo_http::request::Request;
+use volo_http::response::Response;
+
+use super::{Admitted, admit, body, refuse, relay, text_header};
+use crate::clock::now_unix_ms;
+use crate::host::Host;
+use crate::relay::{GenerationWork, Work};
+
+/// Kind of a request that names none.
+const DEFAULT_KIND: &str = "default";
+/// Bytes of text for one token, for the estimate of a prompt's length.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Answers one request to generate.
+pub(super) async fn handle(
+    host: Arc<Host>,
+    path: &'static str,
+    request: Request,
+) -> Response {
+    let id = RequestId(rand::random());
+    match prepare(&host, path, id, request).await {
+        Ok((arrival, work, admitted)) => {
+            relay(host, arrival, Work::Generation(work), admitted.in_progress).await
+        }
+        Err(refusal) => refuse(&host, id, &refusal),
+    }
+}
+
+async fn prepare(
+    host: &Arc<Host>,
+    path: &'static str,
+    id: RequestId,
+    request: Request,
+) -> Result<(Arrival, GenerationWork, Admitted), Refusal> {
+    let (head, incoming) = request.into_parts();
+    if head.method != Method::POST {
+        let detail = format!("expected POST at {path}");
+        return Err(Refusal::not_run(Problem::MethodNotAllowed, detail));
+    }
+    let admitted = admit(host, &head.headers, kind_of(&head.headers)?)?;
+    if admitted.admission.class != TargetClass::ModelEngine {
+        let detail = format!("requests of kind {} go to /services/", admitted.kind);
+        return Err(Refusal::not_run(Problem::Unknown, detail));
+    }
+    let values = &admitted.admission.values;
+    let bytes =
+        body::read(incoming, values.max_body_bytes, host.config.body_timeout_ms).await?;
+    let asked = Asked::parse(path, &bytes, values.max_output_tokens)?;
+    let whole = values.delivery == Delivery::Whole || !values.idempotent;
+    let arrival = arrival(id, path, &bytes, &asked, &admitted);
+    let work = GenerationWork {
+        path,
+        body: asked.body,
+        streamed: asked.streamed,
+        whole,
+    };
+    Ok((arrival, work, admitted))
+}
+
+fn kind_of(headers: &HeaderMap) -> Result<&str, Refusal> {
+    Ok(text_header(headers, "x-request-kind")?.unwrap_or(DEFAULT_KIND))
+}
+
+fn arrival(
+    id: RequestId,
+    path: &str,
+    bytes: &[u8],
+    asked: &Asked,
+    admitted: &Admitted,
+) -> Arrival {
+    let admission = &admitted.admission;
+    let mut content = path.as_bytes().to_vec();
+    content.push(0);
+    content.extend_from_slice(bytes);
+    Arrival {
+        request: id,
+        arrived_unix_ms: now_unix_ms(),
+        live_event: admission.live_event.clone(),
+        live_event_starts_unix_ms: admission.starts_at_unix_ms,
+        live_event_ends_unix_ms: admission.ends_at_unix_ms,
+        organisation: admission.organisation.clone(),
+        kind: admitted.kind.clone(),
+        class: admission.class,
+        revision: admitted.settings.revision,
+        values: admission.values.clone(),
+        idempotency_key: admitted.idempotency_key.clone(),
+        body_sha256: BodyHash::of(&content),
+        prompt_tokens: asked.prompt_tokens,
+        max_output_tokens: asked.max_output_tokens,
+        prefix_hashes: asked.prefix_hashes.clone(),
+    }
+}
+
+/// What a body asks for.
+struct Asked {
+    body: Bytes,
+    streamed: bool,
+    prompt_tokens: u32,
+    max_output_tokens: u32,
+    prefix_hashes: Vec<u64>,
+}
+
+impl Asked {
+    fn parse(path: &str, bytes: &[u8], output_limit: u32) -> Result<Self, Refusal> {
+        let malformed = |detail: String| Refusal::not_run(Problem::Malformed, detail);
+        let mut body: Map<String, Value> = serde_json::from_slice(bytes)
+            .map_err(|error| malformed(format!("expected a JSON object: {error}")))?;
+        let prompt = prompt_text(path, &body).map_err(malformed)?;
+        let streamed = match body.get("stream") {
+            None | Some(Value::Null) => false,
+            Some(Value::Bool(streamed)) => *streamed,
+            Some(_) => {
+                return Err(malformed("expected true or false in stream".to_owned()));
+            }
+        };
+        let wanted = match body.get("max_tokens") {
+            None | Some(Value::Null) => output_limit,
+            Some(value) => value
+                .as_u64()
+                .filter(|tokens| *tokens > 0)
+                .map(|tokens| u32::try_from(tokens).unwrap_or(u32::MAX))
+                .ok_or_else(|| {
+                    malformed("expected a whole number above 0 in max_tokens".to_owned())
+                })?,
+        };
+        let max_output_tokens = wanted.min(output_limit);
+        body.insert("stream".to_owned(), Value::Bool(true));
+        body.insert("max_tokens".to_owned(), Value::from(max_output_tokens));
+        let body = serde_json::to_vec(&body).expect("a JSON object can be written");
+        Ok(Asked {
+            body: Bytes::from(body),
+            streamed,
+            prompt_tokens: u32::try_from(prompt.len().div_ceil(BYTES_PER_TOKEN))
+                .unwrap_or(u32::MAX),
+            max_output_tokens,
+            prefix_hashes: prefix_hashes(prompt.as_bytes()),
+        })
+    }
+}
+
+/// Returns the text whose length and beginning tell about the work.
+fn prompt_text(path: &str, body: &Map<String, Value>) -> Result<String, String> {
+    if path == super::COMPLETIONS_PATH {
+        return match body.get("prompt") {
+            Some(Value::String(prompt)) => Ok(prompt.clone()),
+            _ => Err("expected text in prompt".to_owned()),
+        };
+    }
+    let Some(Value::Array(messages)) = body.get("messages") else {
+        return Err("expected a list in messages".to_owned());
+    };
+    if messages.is_empty() {
+        return Err("expected at least one message".to_owned());
+    }
+    let mut text = String::new();
+    for message in messages {
+        let content = message.get("content").and_then(Value::as_str);
+        let content = content.ok_or("expected text in the content of each message")?;
+        text.push_str(content);
+        text.push('\n');
+    }
+    Ok(text)
+}
--- /dev/null
+++ b/crates/toucancleat-entry/src/callers/mod.rs
@@ -0,0 +1,186 @@
+//! The interface towards callers; see docs/PROTOCOLS.md, "Callers".
+
+mod body;
+mod credential;
+mod generations;
+mod services;
+
+use std::sync::Arc;
+
+use http::header::CONNECTION;
+use http::{HeaderMap, HeaderValue, StatusCode};
+use toucancleat_core::prelude::*;
+use toucancleat_core::refusal::{Problem, Refusal};
+use toucancleat_core::settings::{Admission, InForce};
+use volo_http::response::Response;
+use volo_http::server::Router;
+use volo_http::server::route::{any, get};
+
+use crate::host::{Host, InProgress};
+use crate::problem;
+use crate::relay::{Caller, Relay, Work};
+
+/// Path of completions.
+pub const COMPLETIONS_PATH: &str = "/v1/completions";
+/// Path of chat completions.
+pub const CHAT_PATH: &str = "/v1/chat/completions";
+/// Time to come back when this host takes nothing; the balancer leads elsewhere by then.
+const RETRY_AFTER_NOT_READY_MS: u64 = 1_000;
+/// Longest idempotency key.
+const KEY_MAX_BYTES: usize = 255;
+
+/// Makes the routes of the callers' port.
+pub fn router(host: Arc<Host>) -> Router {
+    let completions = host.clone();
+    let chat = host.clone();
+    let services = host.clone();
+    let ready = host.clone();
+    Router::new()
+        .route(
+            COMPLETIONS_PATH,
+            any(move |request| {
+                generations::handle(completions, COMPLETIONS_PATH, request)
+            }),
+        )
+        .route(
+            CHAT_PATH,
+            any(move |request| generations::handle(chat, CHAT_PATH, request)),
+        )
+        .route(
+            "/services/{kind}/{*path}",
+            any(move |request| services::handle(services, request)),
+        )
+        .route("/readyz", get(move || readiness(ready)))
+        .route("/livez", get(|| async { StatusCode::OK }))
+        .fallback(not_found)
+}
+
+async fn readiness(host: Arc<Host>) -> StatusCode {
+    if host.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+async fn not_found() -> Response {
+    let refusal = Refusal::not_run(Problem::Unknown, "there is nothing at this path");
+    problem::response(RequestId(rand::random()), &refusal)
+}
+
+/// A request whose head was read and authorised.
+struct Admitted {
+    in_progress: InProgress,
+    settings: Arc<InForce>,
+    admission: Admission,
+    kind: KindName,
+    idempotency_key: Option<String>,
+}
+
+/// Reads the head of a request and finds what the settings say about it.
+fn admit(host: &Arc<Host>, headers: &HeaderMap, kind: &str) -> Result<Admitted, Refusal> {
+    let in_progress = host
+        .begin()
+        .ok_or_else(|| not_ready("takes no new requests"))?;
+    let settings = host
+        .settings()
+        .ok_or_else(|| not_ready("has no settings yet"))?;
+    let key_sha256 = credential::key_sha256_hex(headers)?;
+    let live_event = text_header(headers, "x-live-event")?;
+    let kind = KindName::new(kind);
+    let admission = settings.admit(&key_sha256, live_event, &kind)?;
+    let idempotency_key = idempotency_key(headers)?;
+    host.metrics.requests.inc();
+    Ok(Admitted {
+        in_progress,
+        settings,
+        admission,
+        kind,
+        idempotency_key,
+    })
+}
+
+fn not_ready(why: &str) -> Refusal {
+    Refusal::not_run(Problem::NotReady, format!("this entry host {why}"))
+        .with_retry_after_ms(RETRY_AFTER_NOT_READY_MS)
+}
+
+fn idempotency_key(headers: &HeaderMap) -> Result<Option<String>, Refusal> {
+    if headers.get_all("idempotency-key").iter().count() > 1 {
+        let detail = "expected one Idempotency-Key, got several";
+        return Err(Refusal::not_run(Problem::Malformed, detail));
+    }
+    let key = text_header(headers, "idempotency-key")?;
+    match key {
+        Some(key) if key.is_empty() || key.len() > KEY_MAX_BYTES => {
+            let detail =
+                format!("expected an Idempotency-Key of 1 to {KEY_MAX_BYTES} bytes");
+            Err(Refusal::not_run(Problem::Malformed, detail))
+        }
+        key => Ok(key.map(str::to_owned)),
+    }
+}
+
+/// Returns a header that may be missing, but must be plain text.
+fn text_header<'a>(
+    headers: &'a HeaderMap,
+    name: &str,
+) -> Result<Option<&'a str>, Refusal> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| {
+        Refusal::not_run(
+            Problem::Malformed,
+            format!("expected plain ASCII in {name}"),
+        )
+    })?;
+    Ok(Some(text))
+}
+
+/// Hands a request to a task of its own and waits for its response.
+///
+/// The task is its own so that a request that may run once only goes on when the caller's
+/// connection, and with it this future, is dropped.
+async fn relay(
+    host: Arc<Host>,
+    arrival: toucancleat_core::requests::Arrival,
+    work: Work,
+    in_progress: InProgress,
+) -> Response {
+    let request = arrival.request;
+    let (caller, waiting) = Caller::new(host.config.stream_buffer_tokens);
+    let relay = Relay {
+        host,
+        arrival: Arc::new(arrival),
+        work,
+        caller,
+        in_progress,
+    };
+    tokio::spawn(relay.run());
+    match waiting.response().await {
+        Some(response) => response,
+        None => {
+            let refusal = Refusal::not_run(
+                Problem::TargetFault,
+                "the request's task ended without an answer",
+            )
+            .with_verdict(Verdict::MayHaveRun);
+            problem::response(request, &refusal)
+        }
+    }
+}
+
+/// Makes the response to a request that was refused before it reached the reducer.
+fn refuse(host: &Host, request: RequestId, refusal: &Refusal) -> Response {
+    host.metrics.count_refusal(refusal);
+    let mut response = problem::response(request, refusal);
+    if refusal.problem == Problem::NotReady || refusal.problem == Problem::TooLarge {
+        // N.B. what is left of the body is not read, and a host that stops wants its
+        // connections to end.
+        response
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
--- /dev/null
+++ b/crates/toucancleat-entry/src/claims.rs
@@ -0,0 +1,108 @@
+//! The claims' dealings with the platform.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use toucancleat_core::Event;
+use toucancleat_core::claims::{
+    self, ConditionalWrite, ConflictRow, PresentRow, TransactOutcome,
+};
+use toucancleat_core::prelude::*;
+
+use crate::driver::Input;
+use crate::host::Host;
+use crate::platform::{Condition, Row, TransactReply, Write};
+
+/// Applies the writes of one transaction and tells the reducer what became of it.
+pub(crate) async fn transact(
+    host: Arc<Host>,
+    transact: u64,
+    writes: Vec<ConditionalWrite>,
+) {
+    let conditions: Vec<_> = writes.iter().map(condition).collect();
+    let writes: Vec<_> = writes.iter().map(write).collect();
+    let outcome = match host.platform.transact(&conditions, &writes).await {
+        TransactReply::Applied { versions } => TransactOutcome::Applied { versions },
+        TransactReply::Conflict { rows } => conflict(rows),
+        TransactReply::Rejected { retry_after_ms } => {
+            TransactOutcome::Rejected { retry_after_ms }
+        }
+        TransactReply::Unreachable => TransactOutcome::Unreachable,
+        TransactReply::Unknown => TransactOutcome::Unknown,
+    };
+    tell(&host, claims::Event::TransactReply { transact, outcome });
+}
+
+/// Reads rows and tells the reducer what they hold.
+pub(crate) async fn read(host: Arc<Host>, read: u64, rows: Vec<String>) {
+    let found = host.platform.get(claims::TABLE, &rows).await;
+    let rows = found
+        .ok()
+        .and_then(|rows| rows.into_iter().map(present_row).collect());
+    tell(&host, claims::Event::ReadReply { read, rows });
+}
+
+/// Stores a large answer and tells the reducer whether it is kept.
+pub(crate) async fn put_answer(
+    host: Arc<Host>,
+    request: RequestId,
+    name: String,
+    body: Vec<u8>,
+) {
+    let stored = host
+        .platform
+        .put_object(&name, Bytes::from(body))
+        .await
+        .is_ok();
+    tell(&host, claims::Event::ObjectStored { request, stored });
+}
+
+fn tell(host: &Host, event: claims::Event) {
+    host.tell(Input::Event(Event::Claims(event)));
+}
+
+fn condition(write: &ConditionalWrite) -> Condition {
+    Condition {
+        table: claims::TABLE.to_owned(),
+        row: write.row.clone(),
+        version: write.version,
+    }
+}
+
+fn write(write: &ConditionalWrite) -> Write {
+    let value = serde_json::to_value(&write.value).expect("a claim's row is JSON");
+    Write {
+        table: claims::TABLE.to_owned(),
+        row: write.row.clone(),
+        value: Some(value),
+    }
+}
+
+/// N.B. a row that can't be read says nothing about the transaction, so it counts as lost.
+fn conflict(rows: Vec<Row>) -> TransactOutcome {
+    let rows: Option<Vec<ConflictRow>> = rows.into_iter().map(conflict_row).collect();
+    match rows {
+        Some(rows) => TransactOutcome::Conflict { rows },
+        None => TransactOutcome::Unknown,
+    }
+}
+
+fn conflict_row(row: Row) -> Option<ConflictRow> {
+    let present = match row.version {
+        Some(version) => Some((version, serde_json::from_value(row.value).ok()?)),
+        None => None,
+    };
+    Some(ConflictRow {
+        row: row.row,
+        present,
+    })
+}
+
+fn present_row(row: Row) -> Option<PresentRow> {
+    let value = serde_json::from_value(row.value).ok()?;
+    Some(PresentRow {
+        row: row.row,
+        version: row.version?,
+        value,
+    })
+}
--- a/crates/toucancleat-entry/src/clock.rs
+++ b/crates/toucancleat-entry/src/clock.rs
@@ -15,7 +15,9 @@
 impl Clock {
     /// Starts the clock.
     pub fn start() -> Self {
-        Clock { started: Instant::now() }
+        Clock {
+            started: Instant::now(),
+        }
     }
 
     /// Returns the milliseconds since the start, beginning at 1.
--- a/crates/toucancleat-entry/src/driver.rs
+++ b/crates/toucancleat-entry/src/driver.rs
@@ -6,17 +6,18 @@
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 use tokio::time::{MissedTickBehavior, interval};
+use toucancleat_core::claims::StoredAnswer;
 use toucancleat_core::prelude::*;
-use toucancleat_core::refusal::{Problem, Refusal};
+use toucancleat_core::refusal::Refusal;
 use toucancleat_core::requests::{self, Arrival};
 use toucancleat_core::{Effect, Event, State, reduce};
 
+use crate::claims;
+use crate::clock::now_unix_ms;
 use crate::host::Host;
 
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(50);
-/// Time to come back when the table is away.
-const RETRY_AFTER_CLAIMS_MS: u64 = 1_000;
 
 /// What the other tasks tell the driver.
 pub enum Input {
@@ -40,6 +41,8 @@
     Dispatch(Dispatch),
     /// Refuse the request, or end its stream where the answer has begun.
     Refuse(Refusal),
+    /// Give the answer that an earlier request with the same key got.
+    Replay(StoredAnswer),
 }
 
 /// One attempt at a target.
@@ -79,8 +82,17 @@
 impl Driver {
     /// Makes the driver of a host.
     pub fn new(host: Arc<Host>, inputs: mpsc::UnboundedReceiver<Input>) -> Self {
-        let state = State::new(host.config.host.clone(), host.config.zone.clone());
-        Driver { host, state, inputs, commands: IndexMap::new() }
+        let config = &host.config;
+        let incarnation = Incarnation(now_unix_ms());
+        let seed = rand::random();
+        let state =
+            State::new(config.host.clone(), config.zone.clone(), incarnation, seed);
+        Driver {
+            host,
+            state,
+            inputs,
+            commands: IndexMap::new(),
+        }
     }
 
     /// Runs until every sender of inputs is gone.
@@ -127,24 +139,43 @@
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Dispatch { request, target, address, attempt, priority, deadline_ms } => {
-                let dispatch =
-                    Dispatch { target, address, attempt, priority, deadline_ms };
+            Effect::Dispatch {
+                request,
+                target,
+                address,
+                attempt,
+                priority,
+                deadline_ms,
+            } => {
+                let dispatch = Dispatch {
+                    target,
+                    address,
+                    attempt,
+                    priority,
+                    deadline_ms,
+                };
                 self.command(request, Command::Dispatch(dispatch));
             }
             Effect::Refuse { request, refusal } => {
                 self.command(request, Command::Refuse(refusal));
                 self.commands.swap_remove(&request);
             }
-            Effect::Claim { arrival } => {
-                let refusal = Refusal::not_run(
-                    Problem::ClaimsUnavailable,
-                    "requests that may run once only can't be claimed",
-                )
-                .with_retry_after_ms(RETRY_AFTER_CLAIMS_MS);
-                let request = arrival.request;
-                let event = requests::Event::ClaimRefused { request, refusal };
-                self.host.tell(Input::Event(Event::Request(event)));
+            Effect::Replay { request, answer } => {
+                self.command(request, Command::Replay(answer));
+                self.commands.swap_remove(&request);
+            }
+            Effect::ClaimsTransact { transact, writes } => {
+                tokio::spawn(claims::transact(self.host.clone(), transact, writes));
+            }
+            Effect::ClaimsRead { read, rows } => {
+                tokio::spawn(claims::read(self.host.clone(), read, rows));
+            }
+            Effect::PutAnswer {
+                request,
+                name,
+                body,
+            } => {
+                tokio::spawn(claims::put_answer(self.host.clone(), request, name, body));
             }
             Effect::ApplySettings(settings) => {
                 log::info!(revision = settings.revision.0; "settings are in force");
@@ -155,7 +186,9 @@
     }
 
     fn command(&self, request: RequestId, command: Command) {
-        let Some(sender) = self.commands.get(&request) else { return };
+        let Some(sender) = self.commands.get(&request) else {
+            return;
+        };
         if sender.send(command).is_err() {
             let event = requests::Event::CallerGone { request };
             self.host.tell(Input::Event(Event::Request(event)));
--- a/crates/toucancleat-entry/src/engine.rs
+++ b/crates/toucancleat-entry/src/engine.rs
@@ -138,7 +138,9 @@
                 Ok(Some(event)) => event,
                 Ok(None) => return EngineEvent::Broken,
                 Err(error) if error.is::<EventTooLarge>() => {
-                    return EngineEvent::Unreadable { detail: error.to_string() };
+                    return EngineEvent::Unreadable {
+                        detail: error.to_string(),
+                    };
                 }
                 Err(_) => return EngineEvent::Broken,
             };
@@ -147,7 +149,11 @@
                 return EngineEvent::Done;
             }
             return match event.id.as_deref().and_then(parse_event_id) {
-                Some((generation, index)) => EngineEvent::Token { generation, index, data },
+                Some((generation, index)) => EngineEvent::Token {
+                    generation,
+                    index,
+                    data,
+                },
                 None => EngineEvent::Unreadable {
                     detail: "expected an event id of generation and index".to_owned(),
                 },
@@ -166,8 +172,14 @@
 pub async fn start(client: &HttpClient, call: StartCall<'_>) -> Start {
     let headers = vec![
         (CONTENT_TYPE, HeaderValue::from_static("application/json")),
-        (HeaderName::from_static("x-generation-id"), text(&call.generation.to_string())),
-        (HeaderName::from_static("x-priority"), HeaderValue::from(call.priority)),
+        (
+            HeaderName::from_static("x-generation-id"),
+            text(&call.generation.to_string()),
+        ),
+        (
+            HeaderName::from_static("x-priority"),
+            HeaderValue::from(u16::from(call.priority)),
+        ),
         (
             HeaderName::from_static("x-deadline-unix-ms"),
             HeaderValue::from(call.deadline_unix_ms),
@@ -184,8 +196,12 @@
         .await;
     match sent {
         Ok(response) => read_start(response).await,
-        Err(CallError::NotSent(_)) => Start::NotBegun { retry_after_ms: None },
-        Err(error) => Start::Unknown { detail: error.to_string() },
+        Err(CallError::NotSent(_)) => Start::NotBegun {
+            retry_after_ms: None,
+        },
+        Err(error) => Start::Unknown {
+            detail: error.to_string(),
+        },
     }
 }
 
@@ -215,7 +231,9 @@
 ) -> bool {
     let path = format!("/v1/generations/{generation}");
     let call = control_call(address, Method::DELETE, &path);
-    let reply = client.exchange(call, CONTROL_TIMEOUT_MS, CONTROL_REPLY_MAX_BYTES).await;
+    let reply = client
+        .exchange(call, CONTROL_TIMEOUT_MS, CONTROL_REPLY_MAX_BYTES)
+        .await;
     reply.is_ok_and(|reply| {
         reply.status().is_success() || reply.status() == StatusCode::NOT_FOUND
     })
@@ -232,7 +250,13 @@
 }
 
 fn control_call(address: SocketAddr, method: Method, path: &str) -> Call<'_> {
-    Call { address, method, path, headers: Vec::new(), body: Bytes::new() }
+    Call {
+        address,
+        method,
+        path,
+        headers: Vec::new(),
+        body: Bytes::new(),
+    }
 }
 
 async fn read_start(response: Response) -> Start {
@@ -247,16 +271,28 @@
     if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
         let body = Limited::new(response.into_body(), ERROR_BODY_MAX_BYTES);
         let body = body.collect().await.map(|collected| collected.to_bytes());
-        return Start::Rejected { status, body: body.unwrap_or_default() };
+        return Start::Rejected {
+            status,
+            body: body.unwrap_or_default(),
+        };
+    }
+    Start::Unknown {
+        detail: format!("the engine replied {status} without a verdict"),
     }
-    Start::Unknown { detail: format!("the engine replied {status} without a verdict") }
 }
 
 fn read_stream(response: Response) -> Start {
-    let bounded = response.map(|body| BoundedEvents { body, since_event_bytes: 0 });
+    let bounded = response.map(|body| BoundedEvents {
+        body,
+        since_event_bytes: 0,
+    });
     match SseReader::into_sse(bounded) {
-        Ok(reader) => Start::Streaming(EngineStream { reader: EventReader(reader) }),
-        Err(error) => Start::Unknown { detail: error.to_string() },
+        Ok(reader) => Start::Streaming(EngineStream {
+            reader: EventReader(reader),
+        }),
+        Err(error) => Start::Unknown {
+            detail: error.to_string(),
+        },
     }
 }
 
@@ -268,7 +304,9 @@
 
 /// Says whether a reply proves that the request did not run.
 pub fn says_not_run(headers: &HeaderMap) -> bool {
-    headers.get("x-verdict").is_some_and(|value| value == Verdict::NotRun.as_str())
+    headers
+        .get("x-verdict")
+        .is_some_and(|value| value == Verdict::NotRun.as_str())
 }
 
 /// Makes a header value of text that is known to be plain ASCII.
@@ -295,7 +333,11 @@
             Some(end) => self.since_event_bytes = data.len() - end - 2,
             None => self.since_event_bytes += data.len(),
         }
-        if self.since_event_bytes > EVENT_MAX_BYTES { Err(EventTooLarge) } else { Ok(()) }
+        if self.since_event_bytes > EVENT_MAX_BYTES {
+            Err(EventTooLarge)
+        } else {
+            Ok(())
+        }
     }
 }
 
--- a/crates/toucancleat-entry/src/error.rs
+++ b/crates/toucancleat-entry/src/error.rs
@@ -13,7 +13,10 @@
     #[error("the configuration can't be used: {0}")]
     Config(String),
     #[error("{what} can't be opened: {source}")]
-    Listen { what: &'static str, source: io::Error },
+    Listen {
+        what: &'static str,
+        source: io::Error,
+    },
     #[error("{what}: {detail}")]
     Platform { what: &'static str, detail: String },
 }
--- a/crates/toucancleat-entry/src/host.rs
+++ b/crates/toucancleat-entry/src/host.rs
@@ -3,7 +3,9 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, RwLock};
 
+use sha2::{Digest, Sha256};
 use tokio::sync::{Notify, mpsc};
+use toucancleat_core::generation::CursorKeys;
 use toucancleat_core::settings::InForce;
 
 use crate::clock::Clock;
@@ -29,6 +31,8 @@
     pub fresh: HttpClient,
     /// The platform.
     pub platform: Platform,
+    /// The keys under which cursors are sealed.
+    pub cursor_keys: CursorKeys,
     /// Counters and histograms.
     pub metrics: Metrics,
     inputs: mpsc::UnboundedSender<Input>,
@@ -50,6 +54,7 @@
             pooled: HttpClient::pooled(),
             fresh: HttpClient::fresh(),
             platform: Platform::new(config.platform_address),
+            cursor_keys: cursor_keys(&config.cursor_key),
             metrics: Metrics::default(),
             config,
             inputs,
@@ -69,13 +74,18 @@
 
     /// Returns the settings in force; `None` until the first revision is known.
     pub fn settings(&self) -> Option<Arc<InForce>> {
-        self.settings.read().unwrap_or_else(|poisoned| poisoned.into_inner()).clone()
+        self.settings
+            .read()
+            .unwrap_or_else(|poisoned| poisoned.into_inner())
+            .clone()
     }
 
     /// Puts settings in force for requests that arrive from now on.
     pub fn apply_settings(&self, settings: Arc<InForce>) {
-        let mut current =
-            self.settings.write().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut current = self
+            .settings
+            .write()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
         *current = Some(settings);
     }
 
@@ -127,3 +137,9 @@
         }
     }
 }
+
+/// Derives a key of full length from the configured text.
+fn cursor_keys(text: &str) -> CursorKeys {
+    let key = Sha256::digest(text.as_bytes()).to_vec();
+    CursorKeys::new(&[key]).expect("a SHA-256 has 32 bytes")
+}
--- a/crates/toucancleat-entry/src/http/client.rs
+++ b/crates/toucancleat-entry/src/http/client.rs
@@ -94,7 +94,9 @@
         }
         let sent = builder.body(Body::from(call.body)).send().await;
         sent.map_err(|error| match error.kind() {
-            ErrorKind::Connect | ErrorKind::Builder => CallError::NotSent(error.to_string()),
+            ErrorKind::Connect | ErrorKind::Builder => {
+                CallError::NotSent(error.to_string())
+            }
             _ => CallError::NoReply(error.to_string()),
         })
     }
--- a/crates/toucancleat-entry/src/http/listener.rs
+++ b/crates/toucancleat-entry/src/http/listener.rs
@@ -30,7 +30,11 @@
     pub async fn bind(address: SocketAddr, stop: CancellationToken) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        Ok(Listener { listener: Some(listener), address, stop })
+        Ok(Listener {
+            listener: Some(listener),
+            address,
+            stop,
+        })
     }
 
     /// Returns the address in use.
--- a/crates/toucancleat-entry/src/lib.rs
+++ b/crates/toucancleat-entry/src/lib.rs
@@ -1,1 +1,31 @@
 //! The daemon of an entry host: sockets and timers around the reducers.
+//!
+//! [`EntryHost::start`] opens the ports, reads the settings from the platform and serves
+//! until it is told to stop. Every decision is taken by [`toucancleat_core::reduce`]; this
+//! crate only feeds events in and carries effects out.
+//!
+//! A process may run several entry hosts, which is how tests and the demonstration do it;
+//! the binary `toucancleat-entry` runs one.
+
+pub mod callers;
+mod claims;
+pub mod clock;
+mod config;
+mod driver;
+pub mod engine;
+mod error;
+mod host;
+pub mod http;
+pub mod logging;
+mod metrics;
+mod operators;
+pub mod platform;
+mod problem;
+mod relay;
+pub mod service;
+mod serving;
+mod settings;
+
+pub use self::config::Config;
+pub use self::error::Error;
+pub use self::serving::EntryHost;
--- a/crates/toucancleat-entry/src/logging.rs
+++ b/crates/toucancleat-entry/src/logging.rs
@@ -35,7 +35,11 @@
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+    fn visit_pair(
+        &mut self,
+        key: Key<'kvs>,
+        value: Value<'kvs>,
+    ) -> Result<(), kv::Error> {
         let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
             (Some(number), _, _) => json!(number),
             (_, Some(number), _) => json!(number),
--- a/crates/toucancleat-entry/src/metrics.rs
+++ b/crates/toucancleat-entry/src/metrics.rs
@@ -70,11 +70,21 @@
 
 impl Metrics {
     fn register(&self) {
-        let mut registry =
-            self.registry.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut registry = self
+            .registry
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
         registry.register("refusals", "Refused requests", self.refusals.clone());
-        registry.register("requests", "Requests that were authorised", self.requests.clone());
-        registry.register("attempts", "Attempts given to targets", self.attempts.clone());
+        registry.register(
+            "requests",
+            "Requests that were authorised",
+            self.requests.clone(),
+        );
+        registry.register(
+            "attempts",
+            "Attempts given to targets",
+            self.attempts.clone(),
+        );
         registry.register("tokens", "Tokens delivered to callers", self.tokens.clone());
         registry.register(
             "streams_resumed",
@@ -117,7 +127,10 @@
 
     /// Returns all metrics as text.
     pub fn encode(&self) -> String {
-        let registry = self.registry.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let registry = self
+            .registry
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
         let mut text = String::new();
         if encode(&mut text, &registry).is_err() {
             text.clear();
--- a/crates/toucancleat-entry/src/platform.rs
+++ b/crates/toucancleat-entry/src/platform.rs
@@ -132,11 +132,18 @@
 impl Platform {
     /// Makes a client of the platform at an address.
     pub fn new(address: SocketAddr) -> Self {
-        Platform { client: HttpClient::pooled(), address }
+        Platform {
+            client: HttpClient::pooled(),
+            address,
+        }
     }
 
     /// Applies all writes, or none.
-    pub async fn transact(&self, conditions: &[Condition], writes: &[Write]) -> TransactReply {
+    pub async fn transact(
+        &self,
+        conditions: &[Condition],
+        writes: &[Write],
+    ) -> TransactReply {
         #[derive(Serialize)]
         struct Body<'a> {
             conditions: &'a [Condition],
@@ -144,7 +151,11 @@
         }
         let body = to_json(&Body { conditions, writes });
         let call = self.json_call(Method::POST, "/v1/table/transact", body);
-        match self.client.exchange(call, CALL_TIMEOUT_MS, REPLY_MAX_BYTES).await {
+        match self
+            .client
+            .exchange(call, CALL_TIMEOUT_MS, REPLY_MAX_BYTES)
+            .await
+        {
             Ok(reply) => read_transact_reply(&reply),
             Err(CallError::NotSent(_)) => TransactReply::Unreachable,
             Err(_) => TransactReply::Unknown,
@@ -246,7 +257,13 @@
     fn json_call<'a>(&self, method: Method, path: &'a str, body: Bytes) -> Call<'a> {
         let json = HeaderValue::from_static("application/json");
         let headers = vec![(CONTENT_TYPE, json)];
-        Call { address: self.address, method, path, headers, body }
+        Call {
+            address: self.address,
+            method,
+            path,
+            headers,
+            body,
+        }
     }
 
     async fn reply(
@@ -274,7 +291,8 @@
         call: Call<'_>,
     ) -> Result<T, Error> {
         let body = self.success(what, call).await?;
-        serde_json::from_slice(&body).map_err(|error| Error::platform(what, error.to_string()))
+        serde_json::from_slice(&body)
+            .map_err(|error| Error::platform(what, error.to_string()))
     }
 }
 
@@ -282,15 +300,20 @@
     let body = reply.body();
     match reply.status() {
         StatusCode::OK => match serde_json::from_slice::<Versions>(body) {
-            Ok(found) => TransactReply::Applied { versions: found.versions },
+            Ok(found) => TransactReply::Applied {
+                versions: found.versions,
+            },
             Err(_) => TransactReply::Unknown,
         },
         StatusCode::CONFLICT => match serde_json::from_slice::<Conflicts>(body) {
-            Ok(found) => TransactReply::Conflict { rows: found.conflicts },
+            Ok(found) => TransactReply::Conflict {
+                rows: found.conflicts,
+            },
             Err(_) => TransactReply::Unknown,
         },
         StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
-            let retry_after_ms = retry_after_ms(reply.headers()).unwrap_or(RETRY_AFTER_MS);
+            let retry_after_ms =
+                retry_after_ms(reply.headers()).unwrap_or(RETRY_AFTER_MS);
             TransactReply::Rejected { retry_after_ms }
         }
         _ => TransactReply::Unknown,
--- a/crates/toucancleat-entry/src/problem.rs
+++ b/crates/toucancleat-entry/src/problem.rs
@@ -58,7 +58,10 @@
     let verdict = HeaderValue::from_static(refusal.verdict.as_str());
     headers.insert("x-verdict", verdict);
     if let Some(retry_after_ms) = refusal.retry_after_ms {
-        headers.insert(RETRY_AFTER, HeaderValue::from(retry_after_ms.div_ceil(1_000)));
+        headers.insert(
+            RETRY_AFTER,
+            HeaderValue::from(retry_after_ms.div_ceil(1_000)),
+        );
     }
     response
 }
--- a/crates/toucancleat-entry/src/relay/answer.rs
+++ b/crates/toucancleat-entry/src/relay/answer.rs
@@ -41,13 +41,19 @@
 /// Assembles the JSON body of an answer from its chunks.
 ///
 /// `None` when a chunk isn't one of the engine's protocol.
-pub(super) fn assemble(request: RequestId, path: &str, chunks: &[String]) -> Option<String> {
+pub(super) fn assemble(
+    request: RequestId,
+    path: &str,
+    chunks: &[String],
+) -> Option<String> {
     let mut text = String::new();
     let mut finish_reason = None;
     for chunk in chunks {
         let chunk: Chunk = serde_json::from_str(chunk).ok()?;
         let choice = chunk.choices.into_iter().next()?;
-        let piece = choice.text.or_else(|| choice.delta.and_then(|delta| delta.content));
+        let piece = choice
+            .text
+            .or_else(|| choice.delta.and_then(|delta| delta.content));
         text.push_str(&piece.unwrap_or_default());
         finish_reason = choice.finish_reason.or(finish_reason);
     }
@@ -112,7 +118,9 @@
     let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
     let content_type = HeaderValue::from_str(&stored.content_type).ok();
     let mut response = response(status, content_type, Verdict::Ran, body);
-    response.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
+    response
+        .headers_mut()
+        .insert(REPLAYED, HeaderValue::from_static("true"));
     // A caller that is gone may repeat its key once more.
     let _ = caller.respond(response);
 }
--- a/crates/toucancleat-entry/src/relay/caller.rs
+++ b/crates/toucancleat-entry/src/relay/caller.rs
@@ -51,7 +51,13 @@
     /// Makes both sides; `buffer_tokens` bounds what a slow caller can keep waiting.
     pub fn new(buffer_tokens: usize) -> (Caller, Waiting) {
         let (sender, receiver) = oneshot::channel();
-        (Caller { state: State::Owed(sender), buffer_tokens }, Waiting(receiver))
+        (
+            Caller {
+                state: State::Owed(sender),
+                buffer_tokens,
+            },
+            Waiting(receiver),
+        )
     }
 
     /// Waits until the caller has gone away.
--- a/crates/toucancleat-entry/src/relay/mod.rs
+++ b/crates/toucancleat-entry/src/relay/mod.rs
@@ -13,7 +13,7 @@
 use toucancleat_core::prelude::*;
 use toucancleat_core::requests::{Arrival, Event as RequestEvent, Outcome};
 
-pub use self::caller::{Caller, Waiting};
+pub use self::caller::Caller;
 use crate::driver::{Command, Dispatch, Input};
 use crate::host::{Host, InProgress};
 use crate::service::ServiceRequest;
@@ -59,7 +59,10 @@
     /// Runs the request to its end.
     pub async fn run(mut self) {
         let (sender, mut commands) = mpsc::unbounded_channel();
-        self.host.tell(Input::Open { arrival: self.arrival.clone(), commands: sender });
+        self.host.tell(Input::Open {
+            arrival: self.arrival.clone(),
+            commands: sender,
+        });
         loop {
             let command = tokio::select! {
                 command = commands.recv() => command,
@@ -71,7 +74,8 @@
             match command {
                 Some(Command::Dispatch(dispatch)) => {
                     let outcome = self.attempt(&dispatch).await;
-                    let over = matches!(outcome, Outcome::Finished { .. } | Outcome::CallerGone);
+                    let over =
+                        matches!(outcome, Outcome::Finished { .. } | Outcome::CallerGone);
                     self.tell(RequestEvent::AttemptEnded {
                         request: self.request(),
                         attempt: dispatch.attempt,
@@ -87,7 +91,8 @@
                     return;
                 }
                 Some(Command::Replay(stored)) => {
-                    answer::replay(&self.host, self.request(), stored, &mut self.caller).await;
+                    answer::replay(&self.host, self.request(), stored, &mut self.caller)
+                        .await;
                     return;
                 }
                 None => return,
@@ -99,7 +104,9 @@
         self.host.metrics.attempts.inc();
         let Ok(address) = dispatch.address.parse() else {
             log::error!(target_name = dispatch.target.as_str(); "the target's address is not IP and port");
-            return Outcome::NotBegun { retry_after_ms: None };
+            return Outcome::NotBegun {
+                retry_after_ms: None,
+            };
         };
         match &self.work {
             Work::Generation(work) => {
--- a/crates/toucancleat-entry/src/relay/plain.rs
+++ b/crates/toucancleat-entry/src/relay/plain.rs
@@ -36,13 +36,23 @@
     };
     match reply {
         ServiceReply::NotRun { retry_after_ms } => Outcome::NotBegun { retry_after_ms },
-        ServiceReply::Unknown(cause) => Outcome::Lost { cause, delivered_tokens: 0 },
+        ServiceReply::Unknown(cause) => Outcome::Lost {
+            cause,
+            delivered_tokens: 0,
+        },
         ServiceReply::Answered { status, .. }
             if status.is_server_error() && context.arrival.values.idempotent =>
         {
-            Outcome::Lost { cause: LossCause::Disconnected, delivered_tokens: 0 }
+            Outcome::Lost {
+                cause: LossCause::Disconnected,
+                delivered_tokens: 0,
+            }
         }
-        ServiceReply::Answered { status, content_type, body } => {
+        ServiceReply::Answered {
+            status,
+            content_type,
+            body,
+        } => {
             let stored = claimed.then(|| {
                 Arc::new(Answer {
                     status: status.as_u16(),
@@ -54,10 +64,14 @@
                     body: body.to_vec(),
                 })
             });
-            let response = answer::response(status, content_type, verdict_of(status), body);
+            let response =
+                answer::response(status, content_type, verdict_of(status), body);
             // N.B. the request ran whether or not its caller still listens.
             let _ = caller.respond(response);
-            Outcome::Finished { tokens: 0, answer: stored }
+            Outcome::Finished {
+                tokens: 0,
+                answer: stored,
+            }
         }
     }
 }
@@ -69,7 +83,10 @@
         &context.host.fresh
     };
     let values = &context.arrival.values;
-    let left_ms = context.dispatch.deadline_ms.saturating_sub(context.host.clock.now_ms());
+    let left_ms = context
+        .dispatch
+        .deadline_ms
+        .saturating_sub(context.host.clock.now_ms());
     service::call(
         client,
         context.address,
@@ -83,5 +100,9 @@
 
 /// A server error does not say whether the request took effect.
 fn verdict_of(status: StatusCode) -> Verdict {
-    if status.is_server_error() { Verdict::MayHaveRun } else { Verdict::Ran }
+    if status.is_server_error() {
+        Verdict::MayHaveRun
+    } else {
+        Verdict::Ran
+    }
 }
--- a/crates/toucancleat-entry/src/service.rs
+++ b/crates/toucancleat-entry/src/service.rs
@@ -68,7 +68,9 @@
     };
     match client.exchange(call, timeout_ms, answer_max_bytes).await {
         Ok(reply) => read_reply(reply),
-        Err(CallError::NotSent(_)) => ServiceReply::NotRun { retry_after_ms: None },
+        Err(CallError::NotSent(_)) => ServiceReply::NotRun {
+            retry_after_ms: None,
+        },
         Err(CallError::TimedOut(_)) => ServiceReply::Unknown(LossCause::TimedOut),
         Err(_) => ServiceReply::Unknown(LossCause::Disconnected),
     }
@@ -76,7 +78,9 @@
 
 fn read_reply(reply: http::Response<Bytes>) -> ServiceReply {
     if says_not_run(reply.headers()) {
-        return ServiceReply::NotRun { retry_after_ms: retry_after_ms(reply.headers()) };
+        return ServiceReply::NotRun {
+            retry_after_ms: retry_after_ms(reply.headers()),
+        };
     }
     ServiceReply::Answered {
         status: reply.status(),
--- /dev/null
+++ b/crates/toucancleat-entry/src/serving.rs
@@ -0,0 +1,179 @@
+//! An entry host from its start to its planned stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+use toucancleat_core::Event;
+use volo_http::server::{Router, Server};
+
+use crate::callers;
+use crate::config::Config;
+use crate::driver::{Driver, Input};
+use crate::error::Error;
+use crate::host::Host;
+use crate::http::Listener;
+use crate::operators;
+use crate::platform::ListedHost;
+use crate::settings;
+
+/// Time in which the host list is told of a stop, which may not be reachable.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time between two attempts to get on the host list.
+const REGISTER_RETRY: Duration = Duration::from_secs(1);
+
+/// A running entry host.
+#[derive(Debug)]
+pub struct EntryHost {
+    host: Arc<Host>,
+    callers_address: SocketAddr,
+    operators_address: SocketAddr,
+    stop_callers: CancellationToken,
+    stop_operators: CancellationToken,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl EntryHost {
+    /// Opens the ports and starts serving.
+    ///
+    /// The host is ready only when it has settings, so it may start while the platform is
+    /// away.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a port can't be opened.
+    pub async fn start(config: Config) -> Result<Self, Error> {
+        let stop_callers = CancellationToken::new();
+        let stop_operators = CancellationToken::new();
+        let callers = Listener::bind(config.callers_address, stop_callers.clone())
+            .await
+            .map_err(|error| Error::listen("the callers' port", error))?;
+        let operators = Listener::bind(config.operators_address, stop_operators.clone())
+            .await
+            .map_err(|error| Error::listen("the operators' port", error))?;
+        let callers_address = callers.address();
+        let operators_address = operators.address();
+        let (sender, inputs) = mpsc::unbounded_channel();
+        let host = Arc::new(Host::new(config, sender));
+        let tasks = vec![
+            tokio::spawn(Driver::new(host.clone(), inputs).run()),
+            tokio::spawn(serve(callers, callers::router(host.clone()))),
+            tokio::spawn(serve(operators, operators::router(host.clone()))),
+            tokio::spawn(settings::poll(host.clone())),
+            tokio::spawn(register(host.clone(), operators_address)),
+        ];
+        log::info!(
+            host = host.config.host.as_str(),
+            zone = host.config.zone.as_str(),
+            callers_address = callers_address.to_string();
+            "the entry host has started"
+        );
+        Ok(EntryHost {
+            host,
+            callers_address,
+            operators_address,
+            stop_callers,
+            stop_operators,
+            tasks,
+        })
+    }
+
+    /// Returns where callers connect.
+    pub fn callers_address(&self) -> SocketAddr {
+        self.callers_address
+    }
+
+    /// Returns where operators connect.
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators_address
+    }
+
+    /// Says whether a request that came now would be taken.
+    pub fn is_ready(&self) -> bool {
+        self.host.is_ready()
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn requests_in_progress(&self) -> usize {
+        self.host.in_progress()
+    }
+
+    /// Stops as planned: takes no new requests, finishes those in progress, then ends.
+    ///
+    /// Returns whether every request was finished within the configured bound.
+    pub async fn drain(mut self) -> bool {
+        log::info!(
+            requests_in_progress = self.host.in_progress();
+            "the entry host is stopping and takes no new requests"
+        );
+        self.host.drain();
+        self.host.tell(Input::Event(Event::Drain));
+        self.leave().await;
+        let bound = Duration::from_millis(self.host.config.drain_timeout_ms);
+        let finished = tokio::time::timeout(bound, self.host.wait_idle())
+            .await
+            .is_ok();
+        if !finished {
+            log::warn!(
+                requests_in_progress = self.host.in_progress();
+                "the bound of the planned stop has passed with requests in progress"
+            );
+        }
+        self.end();
+        finished
+    }
+
+    /// Ends at once, as if the process were killed.
+    pub fn abort(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.stop_callers.cancel();
+        self.stop_operators.cancel();
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+
+    /// Tells the host list, so that the balancer looks elsewhere.
+    async fn leave(&self) {
+        let name = self.host.config.host.as_str();
+        let left = self.host.platform.delete_host(name);
+        match tokio::time::timeout(LEAVE_TIMEOUT, left).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => {
+                log::warn!("the host list was not told of the stop: {error}")
+            }
+            Err(_) => log::warn!("the host list was not told of the stop in time"),
+        }
+    }
+}
+
+async fn serve(listener: Listener, router: Router) {
+    let served = Server::new(router).run(listener).await;
+    if let Err(error) = served {
+        log::error!("a server ended: {error}");
+    }
+}
+
+/// Puts the host on the host list, however long the platform is away.
+async fn register(host: Arc<Host>, operators_address: SocketAddr) {
+    let config = &host.config;
+    let listed = ListedHost {
+        name: config.host.to_string(),
+        zone: config.zone.to_string(),
+        role: "entry".to_owned(),
+        state: "live".to_owned(),
+        peer_address: Some(config.peers_address),
+        operator_address: Some(operators_address),
+        address: None,
+    };
+    while let Err(error) = host.platform.put_host(&listed).await {
+        log::warn!("the host could not be put on the host list: {error}");
+        tokio::time::sleep(REGISTER_RETRY).await;
+    }
+}
