--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod accounts;
 pub mod claims;
+pub mod generation;
 pub mod homes;
 pub mod ids;
 pub mod lengths;
