--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claims;
 mod effect;
 mod event;
+pub mod generation;
 pub mod homes;
 pub mod ids;
 pub mod lengths;
--- a/crates/toucancleat-entry/src/relay/mod.rs
+++ b/crates/toucancleat-entry/src/relay/mod.rs
@@ -52,7 +52,7 @@
     /// Where the answer goes.
     pub caller: Caller,
     /// Keeps the host from stopping while the request runs.
-    pub in_progress: InProgress,
+    pub _in_progress: InProgress,
 }
 
 impl Relay {
