Serve drafts, checks, rosters and bookings end to end through real processes

Cause: nothing could be measured or proved before a request passed through separate processes. Ruled out: testing the daemon in-process only, since signals, kills and exit codes are part of the promises.

--- a/crates/toucancleat-entry/src/callers/mod.rs
+++ b/crates/toucancleat-entry/src/callers/mod.rs
@@ -155,7 +155,7 @@
         arrival: Arc::new(arrival),
         work,
         caller,
-        in_progress,
+        _in_progress: in_progress,
     };
     tokio::spawn(relay.run());
     match waiting.response().await {
--- /dev/null
+++ b/crates/toucancleat-entry/tests/support/client.rs
@@ -0,0 +1,170 @@
+//! A caller of an entry host.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use http_body_util::BodyExt;
+use serde_json::Value;
+use toucancleat_entry::http::{Call, CallError, HttpClient};
+use volo_http::body::Body;
+use volo_http::client::sse::{SseEvent, SseReader};
+
+use super::settings::UL_KEY;
+
+/// A request that a test sends.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub method: Method,
+    pub path: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: String,
+}
+
+/// A whole reply.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    pub text: String,
+}
+
+/// A streamed answer that is being read.
+pub struct Stream {
+    reader: SseReader<Body>,
+}
+
+impl Ask {
+    /// Asks for a generation with a number of tokens that only the stand-in knows.
+    pub fn draft(kind: &str, prompt: &str, tokens: u32) -> Ask {
+        let body = serde_json::json!({
+            "prompt": prompt, "stream": true, "standin_output_tokens": tokens,
+        });
+        Ask::post("/v1/completions", &body.to_string()).header("x-request-kind", kind)
+    }
+
+    /// Asks a plain service.
+    pub fn service(kind: &str, path: &str, body: &str) -> Ask {
+        Ask::post(&format!("/services/{kind}/{path}"), body)
+    }
+
+    /// Makes a POST of the organisation `ul`.
+    pub fn post(path: &str, body: &str) -> Ask {
+        Ask {
+            method: Method::POST,
+            path: path.to_owned(),
+            headers: vec![
+                ("authorization", format!("Bearer {UL_KEY}")),
+                ("content-type", "application/json".to_owned()),
+            ],
+            body: body.to_owned(),
+        }
+    }
+
+    /// Sets a header.
+    pub fn header(mut self, name: &'static str, value: &str) -> Ask {
+        self.headers.retain(|(known, _)| *known != name);
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+
+    /// Sends the request and reads the whole reply.
+    pub async fn send(&self, address: SocketAddr) -> Result<Reply, CallError> {
+        let client = HttpClient::fresh();
+        let reply = client
+            .exchange(self.call(address), 60_000, usize::MAX)
+            .await?;
+        let (head, body) = reply.into_parts();
+        Ok(Reply {
+            status: head.status,
+            headers: head.headers,
+            text: String::from_utf8_lossy(&body).into_owned(),
+        })
+    }
+
+    /// Sends the request and returns its stream of events, or the refusal.
+    pub async fn stream(&self, address: SocketAddr) -> Result<Stream, Reply> {
+        let client = HttpClient::fresh();
+        let response = client
+            .send(self.call(address))
+            .await
+            .expect("the host answers");
+        if response.status() != StatusCode::OK {
+            let (head, body) = response.into_parts();
+            let body = body.collect().await.expect("a whole body").to_bytes();
+            return Err(Reply {
+                status: head.status,
+                headers: head.headers,
+                text: String::from_utf8_lossy(&body).into_owned(),
+            });
+        }
+        let reader = SseReader::into_sse(response).expect("a stream of events");
+        Ok(Stream { reader })
+    }
+
+    fn call(&self, address: SocketAddr) -> Call<'_> {
+        let headers = self.headers.iter().map(|(name, value)| {
+            let value = HeaderValue::from_str(value).expect("a plain header");
+            (HeaderName::from_static(name), value)
+        });
+        Call {
+            address,
+            method: self.method.clone(),
+            path: &self.path,
+            headers: headers.collect(),
+            body: Bytes::from(self.body.clone()),
+        }
+    }
+}
+
+impl Reply {
+    /// Returns a member of the JSON body.
+    pub fn member(&self, name: &str) -> Value {
+        let body: Value = serde_json::from_str(&self.text).unwrap_or_default();
+        body.get(name).cloned().unwrap_or_default()
+    }
+}
+
+impl Stream {
+    /// Reads the next event; `None` when the stream ended or broke.
+    pub async fn next(&mut self) -> Option<SseEvent> {
+        self.reader.read().await.ok().flatten()
+    }
+
+    /// Reads up to a number of token events, and returns their cursors and texts.
+    pub async fn read_tokens(&mut self, count: usize) -> Vec<(String, String)> {
+        let mut tokens = Vec::new();
+        while tokens.len() < count {
+            match self.next().await {
+                Some(event) if event.data() != Some("[DONE]") => {
+                    tokens.push(token(&event))
+                }
+                _ => break,
+            }
+        }
+        tokens
+    }
+
+    /// Reads to the end; returns the texts of the tokens and whether the answer was whole.
+    pub async fn read_all(&mut self) -> (Vec<String>, bool) {
+        let mut texts = Vec::new();
+        while let Some(event) = self.next().await {
+            match event.data() {
+                Some("[DONE]") => return (texts, true),
+                _ if event.event() == "error" => return (texts, false),
+                _ => texts.push(token(&event).1),
+            }
+        }
+        (texts, false)
+    }
+}
+
+fn token(event: &SseEvent) -> (String, String) {
+    let data = event.data().unwrap_or_default();
+    let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+    let text = chunk["choices"][0]["text"]
+        .as_str()
+        .unwrap_or_default()
+        .to_owned();
+    (event.id().unwrap_or_default().to_owned(), text)
+}
--- /dev/null
+++ b/crates/toucancleat-entry/tests/support/settings.rs
@@ -0,0 +1,136 @@
+//! The settings that the tests run under.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use toucancleat_core::prelude::*;
+use toucancleat_core::settings::store::{self, SeenHead};
+use toucancleat_core::settings::{Change, Edit, Tree};
+use toucancleat_entry::platform::{Condition, Platform, Row, TransactReply, Write};
+
+/// The key of the organisation `ul`.
+pub const UL_KEY: &str = "key-of-ul";
+/// The key of the organisation `xt`.
+pub const XT_KEY: &str = "key-of-xt";
+
+static CHANGES: AtomicU64 = AtomicU64::new(1);
+
+/// Makes the tree: a pool of engines, a pool of services, and two organisations.
+pub fn tree(
+    engines: &[(String, String, SocketAddr)],
+    services: &[(String, String, SocketAddr)],
+) -> Tree {
+    let targets = |list: &[(String, String, SocketAddr)]| -> serde_json::Value {
+        list.iter()
+            .map(|(name, zone, address)| {
+                let target = json!({
+                    "zone": zone, "address": address.to_string(),
+                    "memory_tokens": 65_536, "max_batch": 32,
+                });
+                (name.clone(), target)
+            })
+            .collect::<serde_json::Map<_, _>>()
+            .into()
+    };
+    serde_json::from_value(json!({
+        "zones": ["upp-a", "upp-b"],
+        "pools": {
+            "plan-llm": { "class": "model_engine", "targets": targets(engines) },
+            "roster-api": { "class": "service", "targets": targets(services) },
+        },
+        "fleet": {
+            "values": { "first_token_timeout_ms": 20_000 },
+            "kinds": {
+                "draft": { "pool": "plan-llm" },
+                "whole-draft": { "pool": "plan-llm", "delivery": "whole" },
+                "check": { "pool": "plan-llm", "max_output_tokens": 64 },
+                "roster": { "pool": "roster-api" },
+                "booking": { "pool": "roster-api", "idempotent": false },
+            },
+        },
+        "live_events": {
+            "closure-w49": {
+                "starts_at_unix_ms": 4_000_000_000_000_u64,
+                "ends_at_unix_ms": 4_000_100_000_000_u64,
+                "organisations": {
+                    "ul": { "api_key_sha256": [hash(UL_KEY)] },
+                    "xt": { "api_key_sha256": [hash(XT_KEY)] },
+                },
+            },
+        },
+    }))
+    .expect("the tree is well formed")
+}
+
+/// Commits a tree as the next revision and returns that revision.
+pub async fn commit(platform: &Platform, current: &Tree, wanted: &Tree) -> Revision {
+    commit_edits(platform, current.diff(wanted)).await
+}
+
+/// Commits edits as the next revision and returns that revision.
+pub async fn commit_edits(platform: &Platform, edits: Vec<Edit>) -> Revision {
+    let rows = platform
+        .get(store::TABLE, &[store::HEAD_ROW.to_owned()])
+        .await;
+    let rows: Vec<_> = rows
+        .expect("the table answers")
+        .into_iter()
+        .map(store_row)
+        .collect();
+    let seen = store::read_head(&rows).expect("the head is readable");
+    let change = Change {
+        revision: Revision(seen.head.revision.0 + 1),
+        change_id: ChangeId(u128::from(CHANGES.fetch_add(1, Ordering::Relaxed))),
+        author: "test".to_owned(),
+        at_unix_ms: 1_000,
+        edits,
+    };
+    let reply = send_commit(platform, &change, &seen).await;
+    assert!(matches!(reply, TransactReply::Applied { .. }), "{reply:?}");
+    change.revision
+}
+
+/// Sends the transaction of a commit.
+pub async fn send_commit(
+    platform: &Platform,
+    change: &Change,
+    seen: &SeenHead,
+) -> TransactReply {
+    let request = store::commit_request(change, seen);
+    let conditions: Vec<_> = request
+        .conditions
+        .into_iter()
+        .map(|c| Condition {
+            table: c.table,
+            row: c.row,
+            version: c.version,
+        })
+        .collect();
+    let writes: Vec<_> = request
+        .writes
+        .into_iter()
+        .map(|w| Write {
+            table: w.table,
+            row: w.row,
+            value: Some(w.value),
+        })
+        .collect();
+    platform.transact(&conditions, &writes).await
+}
+
+fn store_row(row: Row) -> store::Row {
+    store::Row {
+        row: row.row,
+        version: row.version,
+        value: row.value,
+    }
+}
+
+fn hash(key: &str) -> String {
+    Sha256::digest(key.as_bytes())
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect()
+}
