--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod routing;
 pub mod settings;
 mod state;
+pub mod timeline;
 pub mod verdict;
 
 pub use self::effect::Effect;
