--- a/crates/toucancleat-core/src/peer.rs
+++ b/crates/toucancleat-core/src/peer.rs
@@ -1,5 +1,6 @@
 //! What entry hosts say to each other, over all concerns.
 
+use crate::accounts;
 use crate::membership;
 use crate::prelude::*;
 
@@ -12,6 +13,8 @@
 pub enum Message {
     /// Who lives.
     Membership(membership::Message),
+    /// Reservations at the homes of targets, and how they go on.
+    Accounts(accounts::Message),
 }
 
 /// A message with its sender, as it travels.
@@ -32,3 +35,9 @@
         Message::Membership(message)
     }
 }
+
+impl From<accounts::Message> for Message {
+    fn from(message: accounts::Message) -> Self {
+        Message::Accounts(message)
+    }
+}
--- a/crates/toucancleat-core/src/rng.rs
+++ b/crates/toucancleat-core/src/rng.rs
@@ -38,6 +38,12 @@
     }
 }
 
+/// Offset basis of the 64-bit FNV-1a hash.
+pub(crate) const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+
+/// Prime of the 64-bit FNV-1a hash.
+pub(crate) const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
 /// Spreads the bits of a number evenly over 64 bits.
 pub(crate) fn mix64(value: u64) -> u64 {
     let mut z = value;
@@ -48,8 +54,6 @@
 
 /// Hashes bytes in the same way on every host and in every release.
 pub(crate) fn stable_hash(bytes: &[u8]) -> u64 {
-    const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
     let mut hash = FNV_OFFSET;
     for &byte in bytes {
         hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
