Add judgement of targets and crash marks

Both are reducers whose messages may be lost, repeated or reordered: leaving is sticky within a target's epoch, a crash counts once whoever reports it, and cleared marks are remembered as such.

--- a/crates/toucancleat-core/src/homes.rs
+++ b/crates/toucancleat-core/src/homes.rs
@@ -46,6 +46,8 @@
     SettingsReader,
     /// Sends orders to engines.
     Orders,
+    /// Gives requests that crash targets their turn, one at a time.
+    Isolation,
     /// Batches the claims of requests that may run only once.
     Claims,
 }
@@ -153,6 +155,7 @@
             ZoneRole::Delegate => "delegate",
             ZoneRole::SettingsReader => "settings_reader",
             ZoneRole::Orders => "orders",
+            ZoneRole::Isolation => "isolation",
             ZoneRole::Claims => "claims",
         }
     }
--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod accounts;
 pub mod claims;
+pub mod crash_marks;
 pub mod homes;
 pub mod ids;
 pub mod lengths;
@@ -16,4 +17,5 @@
 pub mod rng;
 pub mod routing;
 pub mod settings;
+pub mod targets;
 pub mod verdict;
