--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod accounts;
 pub mod claims;
+pub mod crash_marks;
 mod effect;
 mod event;
 pub mod generation;
@@ -23,6 +24,7 @@
 pub mod routing;
 pub mod settings;
 mod state;
+pub mod targets;
 pub mod timeline;
 pub mod verdict;
 
