Add the TCP fault proxy

It refuses, cuts, stalls, delays, half-closes and loses bytes of either direction, and cuts a reply after its request has arrived.

--- a/crates/toucancleat-standin/src/lib.rs
+++ b/crates/toucancleat-standin/src/lib.rs
@@ -10,6 +10,7 @@
 mod faults;
 mod fingerprint;
 mod platform;
+mod proxy;
 mod reply;
 mod server;
 mod service;
@@ -23,6 +24,10 @@
     Platform, PlatformConfig, PlatformFaults, PlatformRecords, TransactionOutcome,
     TransactionRecord,
 };
+pub use crate::proxy::{
+    CutReply, Direction, FaultProxy, FaultProxyConfig, LinkFaults, ProxyFaults,
+    ProxyRecords,
+};
 pub use crate::service::{
     RunRecord, Service, ServiceConfig, ServiceFaults, ServiceRecords,
 };
--- a/crates/toucancleat-standin/src/main.rs
+++ b/crates/toucancleat-standin/src/main.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 
 use bpaf::{Bpaf, Parser};
+use serde_json::{Map, Value, json};
 use tokio::signal::unix::{SignalKind, signal};
 use toucancleat_standin::{
-    Engine, EngineConfig, Platform, PlatformConfig, Service, ServiceConfig,
+    Engine, EngineConfig, FaultProxy, FaultProxyConfig, Platform, PlatformConfig,
+    Service, ServiceConfig,
 };
 
 /// Stand-ins of the platform, engines and services for tests.
@@ -48,6 +50,16 @@
         #[bpaf(argument("MS"), fallback(0))]
         run_ms: u64,
     },
+    /// Runs a TCP proxy that breaks its links on demand.
+    #[bpaf(command)]
+    Proxy {
+        /// Address to bind; port 0 takes a free port.
+        #[bpaf(external(bind_address))]
+        bind: SocketAddr,
+        /// Address to forward to.
+        #[bpaf(argument("ADDRESS"))]
+        upstream: SocketAddr,
+    },
 }
 
 fn bind_address() -> impl Parser<SocketAddr> {
@@ -114,6 +126,15 @@
             announce("service", service.address())?;
             service.stopped().await;
         }
+        Command::Proxy { bind, upstream } => {
+            let config = FaultProxyConfig {
+                bind,
+                ..FaultProxyConfig::new(upstream)
+            };
+            let proxy = FaultProxy::start(config).await?;
+            announce_proxy(&proxy)?;
+            proxy.stopped().await;
+        }
     }
     Ok(())
 }
@@ -121,7 +142,20 @@
 /// Prints the bound address, for which whoever started the process waits.
 fn announce(standin: &str, address: SocketAddr) -> io::Result<()> {
     log::info!(standin, address = address.to_string().as_str(); "listening");
-    let line = serde_json::json!({ "standin": standin, "address": address });
+    print_line(&json!({ "standin": standin, "address": address }))
+}
+
+fn announce_proxy(proxy: &FaultProxy) -> io::Result<()> {
+    let address = proxy.address().to_string();
+    log::info!(standin = "proxy", address = address.as_str(); "listening");
+    print_line(&json!({
+        "standin": "proxy",
+        "address": address,
+        "control_address": proxy.control_address(),
+    }))
+}
+
+fn print_line(line: &Value) -> io::Result<()> {
     let mut stdout = io::stdout().lock();
     writeln!(stdout, "{line}")?;
     stdout.flush()
@@ -131,19 +165,19 @@
 fn init_log() {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format(|out, record| {
-            let mut line = serde_json::Map::new();
+            let mut line = Map::new();
             line.insert("level".into(), record.level().as_str().into());
             line.insert("message".into(), record.args().to_string().into());
             let mut fields = Fields(&mut line);
             // The visitor never fails.
             let _ = record.key_values().visit(&mut fields);
-            writeln!(out, "{}", serde_json::Value::Object(line))
+            writeln!(out, "{}", Value::Object(line))
         })
         .init();
 }
 
 /// Copies a record's typed fields into a line.
-struct Fields<'a>(&'a mut serde_json::Map<String, serde_json::Value>);
+struct Fields<'a>(&'a mut Map<String, Value>);
 
 impl<'kvs> log::kv::VisitSource<'kvs> for Fields<'_> {
     fn visit_pair(
