Prove that each request has one fate under loss, repeats and delay

The wait of a new request now counts others' queues only up to its own turn: a test showed a small organisation refused as late behind a crowd's queue that would not have started before it (queue of 18, one request; refused before, started next now).

--- a/crates/toucancleat-core/src/accounts/account.rs
+++ b/crates/toucancleat-core/src/accounts/account.rs
@@ -174,37 +174,33 @@
             forecast: Forecast::default(),
         }
     }
-
-    /// Returns the expected number of tokens still to come.
-    pub(super) fn remaining_tokens(&self, lengths: &Store) -> f64 {
-        match self.known_length_tokens {
-            Some(length) => f64::from(length.saturating_sub(self.tokens)),
-            None => lengths
-                .distribution(&self.reserve.organisation, &self.reserve.kind)
-                .expected_remaining(self.tokens, self.reserve.max_output_tokens),
-        }
-    }
 }
 
 /// Forecasts what a reservation holds.
 pub(super) fn forecast_of(entry: &Entry, lengths: &Store) -> Forecast {
     let reserve = &entry.reserve;
+    let distribution = lengths.distribution(&reserve.organisation, &reserve.kind);
+    let (prompt_tokens, generated) = (reserve.prompt_tokens, entry.tokens);
+    let max_output_tokens = reserve.max_output_tokens;
     if reserve.limits.policy == RoutingPolicy::ReserveMaximum {
-        let tokens =
-            u64::from(reserve.prompt_tokens) + u64::from(reserve.max_output_tokens);
-        return Forecast::of(Footprint::Fixed { tokens });
+        return Forecast::of(Footprint::Fixed {
+            held_tokens: u64::from(prompt_tokens) + u64::from(max_output_tokens),
+            generated,
+            max_output_tokens,
+            distribution,
+        });
     }
     let footprint = match entry.known_length_tokens {
         Some(length_tokens) => Footprint::Known {
-            prompt_tokens: reserve.prompt_tokens,
-            generated: entry.tokens,
+            prompt_tokens,
+            generated,
             length_tokens,
         },
         None => Footprint::Unknown {
-            prompt_tokens: reserve.prompt_tokens,
-            generated: entry.tokens,
-            max_output_tokens: reserve.max_output_tokens,
-            distribution: lengths.distribution(&reserve.organisation, &reserve.kind),
+            prompt_tokens,
+            generated,
+            max_output_tokens,
+            distribution,
         },
     };
     Forecast::of(footprint)
--- a/crates/toucancleat-core/src/accounts/admission.rs
+++ b/crates/toucancleat-core/src/accounts/admission.rs
@@ -3,6 +3,7 @@
 use crate::accounts::account::{Account, Entry, Standing, forecast_of};
 use crate::accounts::config::Config;
 use crate::accounts::event::RefuseReason;
+use crate::accounts::forecast::Forecast;
 use crate::accounts::message::Reserve;
 use crate::accounts::queue::Waiting;
 use crate::lengths::Store;
@@ -43,10 +44,11 @@
     if f64::from(reserve.prompt_tokens) >= account.memory_tokens() {
         return refuse(RefuseReason::TooLarge, RETRY_AFTER_MIN_MS);
     }
-    let run_ms = run_time_ms(account, entry, lengths);
+    let one = forecast_of(entry, lengths);
+    let run_ms = run_time_ms(account, &one);
     let left_ms = reserve.deadline_unix_ms.saturating_sub(now_ms);
-    let wait_ms = wait_ms(account, lengths);
-    if account.queue.is_empty() && admits(account, now_ms, entry, lengths, config) {
+    let wait_ms = own_wait_ms(account, entry, &one);
+    if account.queue.is_empty() && admits(account, now_ms, entry, &one, config) {
         return if run_ms > left_ms {
             late(wait_ms)
         } else {
@@ -67,7 +69,7 @@
     account: &Account,
     now_ms: u64,
     entry: &Entry,
-    lengths: &Store,
+    one: &Forecast,
     config: &Config,
 ) -> bool {
     let limits = &entry.reserve.limits;
@@ -75,11 +77,10 @@
     if account.standing != Standing::Serving || batch > account.spec.max_batch.max(1) {
         return false;
     }
-    let one = forecast_of(entry, lengths);
     let memory_tokens =
         account.memory_tokens() * share_of_memory(account, now_ms, config);
     if limits.policy == RoutingPolicy::ReserveMaximum {
-        return account.batch() == 0 || account.forecast().fits(&one, memory_tokens, 0.5);
+        return account.batch() == 0 || account.forecast().fits(one, memory_tokens, 0.5);
     }
     // An empty target takes anything that its memory can hold at the start.
     if account.batch() == 0 {
@@ -88,32 +89,41 @@
     account.step_ms(batch) <= limits.step_time_max_ms
         && account
             .forecast()
-            .fits(&one, memory_tokens, limits.outgrow_chance_max)
+            .fits(one, memory_tokens, limits.outgrow_chance_max)
 }
 
 /// Returns the time that a new request may have to wait at the account.
-pub(super) fn wait_ms(account: &Account, lengths: &Store) -> u64 {
+pub(super) fn wait_ms(account: &Account) -> u64 {
+    wait_behind_ms(account, account.queue.expected_tokens())
+}
+
+/// Returns the time that this request may have to wait behind its fair turn.
+fn own_wait_ms(account: &Account, entry: &Entry, one: &Forecast) -> u64 {
+    let reserve = &entry.reserve;
+    let expected_tokens = one.remaining_tokens();
+    let ahead_tokens = account.queue.tokens_ahead(
+        &reserve.organisation,
+        reserve.weight,
+        expected_tokens,
+    );
+    wait_behind_ms(account, ahead_tokens)
+}
+
+/// Returns the time until `ahead_tokens` of queued work and the next running one are done.
+fn wait_behind_ms(account: &Account, ahead_tokens: f64) -> u64 {
     let batch = account.batch().max(1);
     let step_ms = account.step_ms(batch);
-    let ahead = account.queue.expected_tokens();
-    let queue_ms = ahead * step_ms / f64::from(batch);
-    let next_end_ms = match account.entries.is_empty() {
-        true => 0.0,
-        false => {
-            let remaining = account
-                .entries
-                .values()
-                .map(|e| e.remaining_tokens(lengths));
-            remaining.sum::<f64>() / f64::from(batch * batch) * step_ms
-        }
-    };
+    let queue_ms = ahead_tokens * step_ms / f64::from(batch);
+    // With `n` running, one ends after about an n-th of their mean remaining time.
+    let remaining_tokens = account.forecast().remaining_tokens();
+    let next_end_ms = remaining_tokens * step_ms / f64::from(batch * batch);
     (queue_ms + next_end_ms) as u64
 }
 
 /// Returns the time that the answer is expected to take once it starts.
-pub(super) fn run_time_ms(account: &Account, entry: &Entry, lengths: &Store) -> u64 {
+pub(super) fn run_time_ms(account: &Account, one: &Forecast) -> u64 {
     let step_ms = account.step_ms(account.batch() + 1);
-    (entry.remaining_tokens(lengths) * step_ms) as u64
+    (one.remaining_tokens() * step_ms) as u64
 }
 
 /// Puts a request into the form in which it waits.
@@ -123,14 +133,15 @@
     entry: &Entry,
     lengths: &Store,
 ) -> Waiting {
-    let run_ms = run_time_ms(account, entry, lengths);
+    let one = forecast_of(entry, lengths);
+    let run_ms = run_time_ms(account, &one);
     let reserve = &entry.reserve;
     Waiting {
         reserve: reserve.clone(),
         host: entry.host.clone(),
         since_ms: now_ms,
         start_by_ms: reserve.deadline_unix_ms.saturating_sub(run_ms),
-        expected_tokens: entry.remaining_tokens(lengths),
+        expected_tokens: one.remaining_tokens(),
     }
 }
 
--- a/crates/toucancleat-core/src/accounts/client.rs
+++ b/crates/toucancleat-core/src/accounts/client.rs
@@ -107,6 +107,7 @@
     pending.asked.push(Asked {
         target,
         at_ms: now_ms,
+        sent_ms: now_ms,
         answer: Answer::None,
     });
     true
@@ -250,6 +251,7 @@
         for asked in &mut one.asked {
             if moved(&state.zone.homes, &asked.target) {
                 asked.at_ms = now_ms;
+                asked.sent_ms = now_ms;
                 asked.answer = Answer::None;
                 send_reserve(state, &one.request, &asked.target, outbox);
             }
--- a/crates/toucancleat-core/src/accounts/config.rs
+++ b/crates/toucancleat-core/src/accounts/config.rs
@@ -22,6 +22,8 @@
     pub loads_fanout: usize,
     /// Time without an answer of the home after which a request goes elsewhere.
     pub reserve_timeout_ms: u64,
+    /// Time after which a home is reminded of a request that waits in its queue.
+    pub queue_repeat_ms: u64,
     /// Wait in a queue after which one more target is asked.
     pub widen_interval_ms: u64,
     /// Most targets that a request waits for at once.
@@ -52,12 +54,13 @@
             loads_interval_ms: 1_000,
             loads_fanout: 6,
             reserve_timeout_ms: 150,
+            queue_repeat_ms: 1_000,
             widen_interval_ms: 100,
             candidates_max: 4,
             reservation_timeout_ms: 3_000,
             rebuild_timeout_ms: 1_000,
             caution_share: 0.5,
-            fairness_slack_tokens: 2_048.0,
+            fairness_slack_tokens: 256.0,
             bypass_max: 4,
             length_oracle: None,
         }
--- a/crates/toucancleat-core/src/accounts/forecast.rs
+++ b/crates/toucancleat-core/src/accounts/forecast.rs
@@ -19,6 +19,7 @@
 pub struct Forecast {
     mean_tokens: [f64; CHECKPOINTS],
     variance_tokens2: [f64; CHECKPOINTS],
+    remaining_tokens: f64,
 }
 
 /// What is known of one generation's memory.
@@ -44,17 +45,26 @@
         /// Length of the whole answer.
         length_tokens: u32,
     },
-    /// A fixed amount is held from the start to the end.
+    /// The longest possible answer is reserved from the start to the end.
     Fixed {
         /// Tokens held.
-        tokens: u64,
+        held_tokens: u64,
+        /// Tokens generated so far.
+        generated: u32,
+        /// Most tokens that the answer may have.
+        max_output_tokens: u32,
+        /// Distribution of the length, which the reservation leaves aside.
+        distribution: &'a Distribution,
     },
 }
 
 impl Forecast {
     /// Forecasts one generation.
     pub fn of(footprint: Footprint<'_>) -> Self {
-        let mut forecast = Forecast::default();
+        let mut forecast = Forecast {
+            remaining_tokens: remaining_tokens(footprint),
+            ..Forecast::default()
+        };
         for (index, &ahead) in CHECKPOINTS_TOKENS.iter().enumerate() {
             let (held, chance) = held_at(footprint, ahead);
             forecast.mean_tokens[index] = held * chance;
@@ -69,6 +79,7 @@
             self.mean_tokens[index] += one.mean_tokens[index];
             self.variance_tokens2[index] += one.variance_tokens2[index];
         }
+        self.remaining_tokens += one.remaining_tokens;
     }
 
     /// Takes a generation out of the batch.
@@ -79,6 +90,8 @@
             self.mean_tokens[index] = mean.max(0.0);
             self.variance_tokens2[index] = variance.max(0.0);
         }
+        let remaining = self.remaining_tokens - one.remaining_tokens;
+        self.remaining_tokens = remaining.max(0.0);
     }
 
     /// Returns the memory held now.
@@ -86,6 +99,11 @@
         self.mean_tokens[0]
     }
 
+    /// Returns the expected number of tokens still to be generated.
+    pub fn remaining_tokens(&self) -> f64 {
+        self.remaining_tokens
+    }
+
     /// Says whether, with `one` more, the chance of outgrowing `memory_tokens` stays
     /// under `chance_max` at every checkpoint.
     pub fn fits(&self, one: &Forecast, memory_tokens: f64, chance_max: f64) -> bool {
@@ -98,6 +116,28 @@
     }
 }
 
+fn remaining_tokens(footprint: Footprint<'_>) -> f64 {
+    match footprint {
+        Footprint::Unknown {
+            generated,
+            max_output_tokens,
+            distribution,
+            ..
+        }
+        | Footprint::Fixed {
+            generated,
+            max_output_tokens,
+            distribution,
+            ..
+        } => distribution.expected_remaining(generated, max_output_tokens),
+        Footprint::Known {
+            generated,
+            length_tokens,
+            ..
+        } => f64::from(length_tokens.saturating_sub(generated)),
+    }
+}
+
 /// Returns the memory that a generation holds if it still runs, and the chance that it does.
 fn held_at(footprint: Footprint<'_>, ahead: u32) -> (f64, f64) {
     match footprint {
@@ -124,7 +164,7 @@
             let held = f64::from(prompt_tokens) + f64::from(total);
             (held, f64::from(u8::from(total <= length_tokens)))
         }
-        Footprint::Fixed { tokens } => (tokens as f64, 1.0),
+        Footprint::Fixed { held_tokens, .. } => (held_tokens as f64, 1.0),
     }
 }
 
--- a/crates/toucancleat-core/src/accounts/home.rs
+++ b/crates/toucancleat-core/src/accounts/home.rs
@@ -37,7 +37,7 @@
     pub(super) fn loads(&self) -> Vec<Load> {
         let accounts = self.accounts.values();
         accounts
-            .map(|account| account.load(admission::wait_ms(account, &self.lengths)))
+            .map(|account| account.load(admission::wait_ms(account)))
             .collect()
     }
 }
@@ -310,7 +310,7 @@
     let home = &mut state.home;
     for account in home.accounts.values_mut() {
         expire(account, now_ms, &state.config);
-        shed_late(account, now_ms, &home.lengths, outbox);
+        shed_late(account, now_ms, outbox);
         serve_queue(account, now_ms, &home.lengths, &state.config, outbox);
     }
     send_loads(state, now_ms, outbox);
--- a/crates/toucancleat-core/src/accounts/pending.rs
+++ b/crates/toucancleat-core/src/accounts/pending.rs
@@ -17,7 +17,10 @@
 #[derive(Clone, Debug)]
 pub(super) struct Asked {
     pub(super) target: TargetName,
+    /// When it was first asked, or asked anew after a change of home.
     pub(super) at_ms: u64,
+    /// When the question was last sent.
+    pub(super) sent_ms: u64,
     pub(super) answer: Answer,
 }
 
@@ -62,6 +65,29 @@
         best
     }
 
+    /// Returns the targets whose homes should be asked again: a question or its answer may
+    /// have been lost, and so may a home's queue.
+    pub(super) fn due_again(
+        &mut self,
+        now_ms: u64,
+        timeout_ms: u64,
+        repeat_ms: u64,
+    ) -> Vec<TargetName> {
+        let mut due = Vec::new();
+        for asked in &mut self.asked {
+            let interval_ms = match asked.answer {
+                Answer::None => timeout_ms,
+                Answer::Queued => repeat_ms,
+                Answer::Refused { .. } => continue,
+            };
+            if now_ms >= asked.sent_ms + interval_ms {
+                asked.sent_ms = now_ms;
+                due.push(asked.target.clone());
+            }
+        }
+        due
+    }
+
     /// Says whether no home has given an answer that counts within the timeout.
     pub(super) fn is_unanswered(&self, now_ms: u64, timeout_ms: u64) -> bool {
         self.asked.iter().all(|asked| match asked.answer {
--- a/crates/toucancleat-core/src/accounts/queue.rs
+++ b/crates/toucancleat-core/src/accounts/queue.rs
@@ -5,8 +5,8 @@
 use crate::accounts::message::Reserve;
 use crate::prelude::*;
 
-/// Counters at which idle organisations are forgotten.
-const COUNTERS_MAX: usize = 1_024;
+/// Organisations at which idle ones are forgotten.
+const LANES_MAX: usize = 1_024;
 
 /// A request in the queue.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,10 +35,21 @@
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     waiting: IndexMap<RequestId, Waiting>,
-    service_tokens: IndexMap<OrganisationName, f64>,
+    lanes: IndexMap<OrganisationName, Lane>,
     virtual_time_tokens: f64,
 }
 
+/// One organisation's part of the queue.
+#[derive(Clone, Debug, Default)]
+struct Lane {
+    /// Service given so far, divided by the weight.
+    service_tokens: f64,
+    /// Expected tokens of what waits.
+    waiting_tokens: f64,
+    waiting: usize,
+    weight: f64,
+}
+
 impl Queue {
     /// Adds a request; a repeat of one that waits already changes nothing.
     pub fn push(&mut self, waiting: Waiting) {
@@ -46,13 +57,21 @@
         if self.waiting.contains_key(&request) {
             return;
         }
-        self.lift(&waiting.reserve.organisation);
+        let lane = self.lift(&waiting.reserve.organisation);
+        lane.waiting += 1;
+        lane.waiting_tokens += waiting.expected_tokens;
+        lane.weight = waiting.reserve.weight;
         self.waiting.insert(request, waiting);
     }
 
     /// Takes a request out.
     pub fn remove(&mut self, request: RequestId) -> Option<Waiting> {
-        self.waiting.shift_remove(&request)
+        let waiting = self.waiting.swap_remove(&request)?;
+        if let Some(lane) = self.lanes.get_mut(&waiting.reserve.organisation) {
+            lane.waiting -= 1;
+            lane.waiting_tokens -= waiting.expected_tokens;
+        }
+        Some(waiting)
     }
 
     /// Takes out every request that `leaves` says so of.
@@ -74,42 +93,69 @@
         self.waiting.get(&request)
     }
 
-    /// Returns the requests in the order in which they should start.
-    pub fn in_order(&self, fairness_slack_tokens: f64) -> Vec<&Waiting> {
+    /// Returns the first `count` requests in the order in which they should start.
+    pub fn first(&self, count: usize, fairness_slack_tokens: f64) -> Vec<&Waiting> {
         let least = self.least_service();
-        let mut order: Vec<&Waiting> = self.waiting.values().collect();
-        order.sort_by(|a, b| {
-            let rank = |w: &Waiting| self.rank(w, least, fairness_slack_tokens);
-            rank(a)
-                .total_cmp(&rank(b))
-                .then(a.start_by_ms.cmp(&b.start_by_ms))
-                .then(a.reserve.request.cmp(&b.reserve.request))
-        });
-        order
+        let slack = fairness_slack_tokens.max(1.0);
+        let mut order: Vec<(u64, u64, RequestId)> = self
+            .waiting
+            .values()
+            .map(|w| {
+                let ahead = self.service_of(&w.reserve.organisation) - least;
+                // Counters within one slack of each other rank the same.
+                let rank = (ahead / slack) as u64;
+                (rank, w.start_by_ms, w.reserve.request)
+            })
+            .collect();
+        if order.len() > count {
+            order.select_nth_unstable(count);
+            order.truncate(count);
+        }
+        order.sort_unstable();
+        let requests = order.iter().map(|(_, _, request)| request);
+        requests.filter_map(|r| self.waiting.get(r)).collect()
     }
 
     /// Charges an organisation for a request that starts.
     pub fn charge(&mut self, organisation: &OrganisationName, weight: f64, tokens: f64) {
-        self.lift(organisation);
-        let counter = self.service_tokens.entry(organisation.clone()).or_default();
-        self.virtual_time_tokens = self.virtual_time_tokens.max(*counter);
-        *counter += tokens / weight.max(f64::MIN_POSITIVE);
+        let virtual_time = self.virtual_time_tokens;
+        let lane = self.lift(organisation);
+        let start = lane.service_tokens;
+        lane.service_tokens += tokens / weight.max(f64::MIN_POSITIVE);
+        self.virtual_time_tokens = virtual_time.max(start);
         self.forget_idle();
     }
 
     /// Corrects a charge once the true length is known.
     pub fn correct(&mut self, organisation: &OrganisationName, weight: f64, tokens: f64) {
-        if let Some(counter) = self.service_tokens.get_mut(organisation) {
-            *counter += tokens / weight.max(f64::MIN_POSITIVE);
+        if let Some(lane) = self.lanes.get_mut(organisation) {
+            lane.service_tokens += tokens / weight.max(f64::MIN_POSITIVE);
         }
     }
 
+    /// Returns the expected tokens that start before a new request of an organisation.
+    ///
+    /// Others are served in turn with it, so a long queue of theirs counts only up to what
+    /// the organisation's own queue amounts to.
+    pub fn tokens_ahead(
+        &self,
+        organisation: &OrganisationName,
+        weight: f64,
+        expected_tokens: f64,
+    ) -> f64 {
+        let own = self
+            .lanes
+            .get(organisation)
+            .map_or(0.0, |l| l.waiting_tokens);
+        let turn = (own + expected_tokens) / weight.max(f64::MIN_POSITIVE);
+        let others = self.lanes.iter().filter(|(name, _)| *name != organisation);
+        let ahead = others.map(|(_, lane)| lane.waiting_tokens.min(turn * lane.weight));
+        own + ahead.sum::<f64>()
+    }
+
     /// Returns the expected tokens of all requests that wait.
     pub fn expected_tokens(&self) -> f64 {
-        self.waiting
-            .values()
-            .map(|waiting| waiting.expected_tokens)
-            .sum()
+        self.lanes.values().map(|lane| lane.waiting_tokens).sum()
     }
 
     /// Returns the number of requests that wait.
@@ -122,47 +168,36 @@
         self.waiting.is_empty()
     }
 
-    fn rank(&self, waiting: &Waiting, least: f64, slack_tokens: f64) -> f64 {
-        let service = self.service_of(&waiting.reserve.organisation);
-        // Counters within one slack of each other rank the same.
-        ((service - least) / slack_tokens.max(1.0)).floor().max(0.0)
-    }
-
     fn service_of(&self, organisation: &OrganisationName) -> f64 {
-        self.service_tokens
+        self.lanes
             .get(organisation)
-            .copied()
-            .unwrap_or(0.0)
+            .map_or(0.0, |l| l.service_tokens)
     }
 
     fn least_service(&self) -> f64 {
-        let waiting = self.waiting.values();
-        let services = waiting.map(|w| self.service_of(&w.reserve.organisation));
-        let least = services.fold(f64::INFINITY, f64::min);
+        let lanes = self.lanes.values().filter(|lane| lane.waiting > 0);
+        let least = lanes
+            .map(|lane| lane.service_tokens)
+            .fold(f64::INFINITY, f64::min);
         if least.is_finite() { least } else { 0.0 }
     }
 
     /// Raises the counter of an organisation that had nothing waiting to the virtual time.
-    fn lift(&mut self, organisation: &OrganisationName) {
-        let mut others = self.waiting.values();
-        if others.any(|w| &w.reserve.organisation == organisation) {
-            return;
+    fn lift(&mut self, organisation: &OrganisationName) -> &mut Lane {
+        let lane = self.lanes.entry(organisation.clone()).or_default();
+        if lane.waiting == 0 {
+            lane.service_tokens = lane.service_tokens.max(self.virtual_time_tokens);
         }
-        let counter = self.service_tokens.entry(organisation.clone()).or_default();
-        *counter = counter.max(self.virtual_time_tokens);
+        lane
     }
 
     /// Drops counters that a lift would restore, so that the memory stays bounded.
     fn forget_idle(&mut self) {
-        if self.service_tokens.len() < COUNTERS_MAX {
+        if self.lanes.len() < LANES_MAX {
             return;
         }
         let virtual_time = self.virtual_time_tokens;
-        let waiting = &self.waiting;
-        self.service_tokens.retain(|organisation, counter| {
-            let mut all = waiting.values();
-            *counter > virtual_time
-                || all.any(|w| &w.reserve.organisation == organisation)
-        });
+        self.lanes
+            .retain(|_, lane| lane.waiting > 0 || lane.service_tokens > virtual_time);
     }
 }
--- a/crates/toucancleat-core/src/accounts/service.rs
+++ b/crates/toucancleat-core/src/accounts/service.rs
@@ -1,6 +1,6 @@
 //! Work on one account: what starts, what is dropped, what is refused.
 
-use crate::accounts::account::{Account, Entry};
+use crate::accounts::account::{Account, Entry, forecast_of};
 use crate::accounts::admission;
 use crate::accounts::config::Config;
 use crate::accounts::event::RefuseReason;
@@ -24,19 +24,14 @@
 }
 
 /// Refuses what waits but can no longer be on time.
-pub(super) fn shed_late(
-    account: &mut Account,
-    now_ms: u64,
-    lengths: &lengths::Store,
-    outbox: &mut Outbox,
-) {
+pub(super) fn shed_late(account: &mut Account, now_ms: u64, outbox: &mut Outbox) {
     let late = account
         .queue
         .remove_where(|waiting| admission::is_too_late(waiting, now_ms));
     if late.is_empty() {
         return;
     }
-    let retry_after_ms = admission::retry_after(admission::wait_ms(account, lengths));
+    let retry_after_ms = admission::retry_after(admission::wait_ms(account));
     for waiting in late {
         let reason = admission::reason_of_lateness(&waiting, now_ms);
         send_refused(
@@ -73,13 +68,15 @@
     if account.queue.is_empty() || account.batch() >= account.spec.max_batch.max(1) {
         return None;
     }
-    let order = account.queue.in_order(config.fairness_slack_tokens);
-    let mut first = order.into_iter().take(1 + config.bypass_max);
+    let first = account
+        .queue
+        .first(1 + config.bypass_max, config.fairness_slack_tokens);
     let fits = |waiting: &&Waiting| {
         let entry = entry_of((*waiting).clone(), now_ms, config);
-        admission::admits(account, now_ms, &entry, lengths, config)
+        let one = forecast_of(&entry, lengths);
+        admission::admits(account, now_ms, &entry, &one, config)
     };
-    first.find(fits).cloned()
+    first.into_iter().find(fits).cloned()
 }
 
 fn entry_of(waiting: Waiting, now_ms: u64, config: &Config) -> Entry {
@@ -98,10 +95,11 @@
     lengths: &lengths::Store,
     outbox: &mut Outbox,
 ) {
-    let run_ms = admission::run_time_ms(account, &entry, lengths);
+    let one = forecast_of(&entry, lengths);
+    let run_ms = admission::run_time_ms(account, &one);
     entry.priority = admission::engine_priority(now_ms, run_ms, &entry.reserve);
     entry.charged_tokens =
-        f64::from(entry.reserve.prompt_tokens) + entry.remaining_tokens(lengths);
+        f64::from(entry.reserve.prompt_tokens) + one.remaining_tokens();
     let reserve = &entry.reserve;
     account
         .queue
--- a/crates/toucancleat-core/src/accounts/widen.rs
+++ b/crates/toucancleat-core/src/accounts/widen.rs
@@ -4,12 +4,15 @@
     NO_TARGET_RETRY_MS, ask_next, refuse, send_reserve, withdraw_others,
 };
 use crate::accounts::event::RefuseReason;
-use crate::accounts::pending::{Answer, Pending};
+use crate::accounts::pending::Pending;
 use crate::accounts::running::dispatch;
 use crate::accounts::state::{Outbox, State};
 use crate::accounts::views;
 use crate::prelude::*;
 
+/// Time that the homes are given to refuse a request themselves.
+const EXPIRY_GRACE_MS: u64 = 500;
+
 /// Moves one waiting request on; tells whether it still waits.
 pub(super) fn advance(
     state: &mut State,
@@ -17,47 +20,43 @@
     pending: &mut Pending,
     outbox: &mut Outbox,
 ) -> bool {
-    let config = &state.config;
-    let widen_at_ms = pending.widened_ms + config.widen_interval_ms;
+    let widen_at_ms = pending.widened_ms + state.config.widen_interval_ms;
     if now_ms >= widen_at_ms && ask_next(state, now_ms, pending, outbox) {
         return true;
     }
-    let timeout_ms = state.config.reserve_timeout_ms;
-    if !pending.is_unanswered(now_ms, timeout_ms) {
-        return true;
-    }
-    if let Some(target) = safe_target(state, pending) {
+    if pending.is_unanswered(now_ms, state.config.reserve_timeout_ms)
+        && let Some(target) = safe_target(state, pending)
+    {
         withdraw_others(state, pending, Some(&target), outbox);
         let priority = pending.request.priority;
         dispatch(state, now_ms, &pending.request, target, priority, outbox);
         return false;
     }
-    let waited_ms = now_ms.saturating_sub(pending.since_ms);
-    if waited_ms > pending.request.limits.queue_timeout_ms {
+    if has_expired(pending, now_ms) {
         withdraw_others(state, pending, None, outbox);
-        refuse(
-            &pending.request,
-            RefuseReason::QueueTimeout,
-            NO_TARGET_RETRY_MS,
-            outbox,
-        );
+        let reason = RefuseReason::QueueTimeout;
+        refuse(&pending.request, reason, NO_TARGET_RETRY_MS, outbox);
         return false;
     }
-    for asked in &mut pending.asked {
-        asked.at_ms = now_ms;
-        asked.answer = Answer::None;
-        send_reserve(state, &pending.request, &asked.target, outbox);
+    let timeout_ms = state.config.reserve_timeout_ms;
+    let repeat_ms = state.config.queue_repeat_ms;
+    for target in pending.due_again(now_ms, timeout_ms, repeat_ms) {
+        send_reserve(state, &pending.request, &target, outbox);
     }
     true
 }
 
+/// Says whether a request has waited past what its homes should have refused it at.
+fn has_expired(pending: &Pending, now_ms: u64) -> bool {
+    let waited_ms = now_ms.saturating_sub(pending.since_ms);
+    waited_ms > pending.request.limits.queue_timeout_ms + EXPIRY_GRACE_MS
+}
+
 /// Returns a target that may be used without its home's word.
 fn safe_target(state: &State, pending: &Pending) -> Option<TargetName> {
     let request = &pending.request;
-    let distribution = state
-        .home
-        .lengths
-        .distribution(&request.organisation, &request.kind);
+    let lengths = &state.home.lengths;
+    let distribution = lengths.distribution(&request.organisation, &request.kind);
     let expected = distribution.expected_remaining(0, request.max_output_tokens);
     let safe = |target: &&TargetName| {
         let view = state.client.views.get(*target).cloned().unwrap_or_default();
--- /dev/null
+++ b/crates/toucancleat-core/tests/accounts.rs
@@ -0,0 +1,306 @@
+//! Admission through the accounts of targets.
+
+#[allow(dead_code, reason = "each test file uses a part of the zone")]
+mod zone;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use toucancleat_core::accounts::{Event, RefuseReason, Request};
+use toucancleat_core::prelude::*;
+use toucancleat_core::settings::RoutingPolicy;
+use zone::{Faults, Zone, report, request, target};
+
+struct Case {
+    name: &'static str,
+    memory_tokens: u64,
+    max_batch: u32,
+    change: fn(&mut Request),
+    requests: u128,
+    dispatched: usize,
+    queued: u32,
+    refused: Option<RefuseReason>,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "an idle target takes a request at once",
+        memory_tokens: 10_000,
+        max_batch: 8,
+        change: |_| {},
+        requests: 1,
+        dispatched: 1,
+        queued: 0,
+        refused: None,
+    },
+    Case {
+        name: "the batch bounds what runs",
+        memory_tokens: 1_000_000,
+        max_batch: 3,
+        change: |_| {},
+        requests: 5,
+        dispatched: 3,
+        queued: 2,
+        refused: None,
+    },
+    Case {
+        name: "the full maximum is reserved",
+        memory_tokens: 2_500,
+        max_batch: 8,
+        change: |r| r.limits.policy = RoutingPolicy::ReserveMaximum,
+        requests: 3,
+        dispatched: 2,
+        queued: 1,
+        refused: None,
+    },
+    Case {
+        name: "a prompt larger than the memory",
+        memory_tokens: 1_000,
+        max_batch: 8,
+        change: |r| r.prompt_tokens = 1_000,
+        requests: 1,
+        dispatched: 0,
+        queued: 0,
+        refused: Some(RefuseReason::TooLarge),
+    },
+    Case {
+        name: "an answer that can't be on time",
+        memory_tokens: 10_000,
+        max_batch: 8,
+        change: |r| r.deadline_unix_ms = 1_000_300,
+        requests: 1,
+        dispatched: 0,
+        queued: 0,
+        refused: Some(RefuseReason::Late),
+    },
+    Case {
+        name: "a kind that no target serves",
+        memory_tokens: 10_000,
+        max_batch: 8,
+        change: |r| r.pool = PoolName::new("other"),
+        requests: 1,
+        dispatched: 0,
+        queued: 0,
+        refused: Some(RefuseReason::NoTarget),
+    },
+    Case {
+        name: "a wait beyond the queue's timeout",
+        memory_tokens: 1_000_000,
+        max_batch: 1,
+        change: |r| r.limits.queue_timeout_ms = 1,
+        requests: 2,
+        dispatched: 1,
+        queued: 0,
+        refused: Some(RefuseReason::QueueTimeout),
+    },
+];
+
+#[test]
+fn one_target() {
+    for case in CASES {
+        let targets = [target("t0", case.memory_tokens, case.max_batch)];
+        let mut zone = Zone::new(2, &targets, 1);
+        for id in 0..case.requests {
+            let mut request = request(id, "org", zone.now_ms);
+            (case.change)(&mut request);
+            zone.event(&HostName::new("h1"), Event::Arrived(request));
+        }
+        zone.run_ms(20);
+        assert_eq!(zone.dispatched.len(), case.dispatched, "{}", case.name);
+        assert_eq!(zone.queued(), case.queued, "{}", case.name);
+        let reason = zone.refused.values().next().map(|r| r.0);
+        assert_eq!(reason, case.refused, "{}", case.name);
+    }
+}
+
+#[test]
+fn memory_is_kept_for_growth() {
+    // Eighteen prompts fit, but what they would grow to doesn't.
+    let mut zone = Zone::new(1, &[target("t0", 2_000, 64)], 1);
+    for id in 0..18 {
+        let request = request(id, "org", zone.now_ms);
+        zone.event(&HostName::new("h0"), Event::Arrived(request));
+    }
+    let started = zone.dispatched.len();
+    assert!((1..9).contains(&started), "{started} were started");
+}
+
+#[test]
+fn a_step_time_over_the_bound_stops_admission() {
+    let mut zone = Zone::new(1, &[target("t0", 1_000_000, 64)], 1);
+    let host = HostName::new("h0");
+    for batch in [2, 4, 6, 8, 10, 12] {
+        let event = Event::LoadReported {
+            target: TargetName::new("t0"),
+            report: report(batch, 10.0 + 2.9 * f64::from(batch)),
+        };
+        zone.event(&host, event);
+    }
+    for id in 0..20 {
+        let request = request(id, "org", zone.now_ms);
+        zone.event(&host, Event::Arrived(request));
+    }
+    assert_eq!(
+        zone.dispatched.len(),
+        7,
+        "a batch of 7 takes 30.3 ms, one of 8 takes 33.2"
+    );
+}
+
+#[test]
+fn an_organisation_within_its_share_does_not_wait_for_a_crowd() {
+    let mut zone = Zone::new(2, &[target("t0", 1_000_000, 2)], 1);
+    let host = HostName::new("h1");
+    for id in 0..20 {
+        let request = request(id, "crowd", zone.now_ms);
+        zone.event(&host, Event::Arrived(request));
+    }
+    zone.run_ms(20);
+    let late = request(100, "small", zone.now_ms);
+    zone.event(&host, Event::Arrived(late));
+    zone.run_ms(20);
+    let first = zone.dispatched[0].clone();
+    zone.finish(&first, 200);
+    zone.run_ms(20);
+    assert_eq!(zone.dispatched[2].request, RequestId(100));
+}
+
+#[test]
+fn among_one_organisation_the_least_slack_goes_first() {
+    let mut zone = Zone::new(1, &[target("t0", 1_000_000, 1)], 1);
+    let host = HostName::new("h0");
+    for (id, due_ms) in [(0, 90_000), (1, 90_000), (2, 80_000), (3, 85_000)] {
+        let mut request = request(id, "org", zone.now_ms);
+        request.deadline_unix_ms = zone.now_ms + due_ms;
+        zone.event(&host, Event::Arrived(request));
+    }
+    for index in 0..3 {
+        let running = zone.dispatched[index].clone();
+        zone.finish(&running, 10);
+    }
+    let order: Vec<u128> = zone.dispatched.iter().map(|d| d.request.0).collect();
+    assert_eq!(order, [0, 2, 3, 1]);
+}
+
+#[test]
+fn a_leaving_target_gets_nothing_and_its_queue_moves() {
+    let mut zone = Zone::new(2, &[target("t0", 9_000, 1), target("t1", 9_000, 1)], 1);
+    let host = HostName::new("h1");
+    for id in 0..4 {
+        let request = request(id, "org", zone.now_ms);
+        zone.event(&host, Event::Arrived(request));
+    }
+    zone.run_ms(500);
+    assert_eq!(zone.dispatched.len(), 2);
+    let leaving = TargetName::new("t0");
+    zone.everywhere(&Event::TargetLeaving {
+        target: leaving.clone(),
+    });
+    for running in zone.dispatched.clone() {
+        zone.finish(&running, 10);
+    }
+    zone.run_ms(500);
+    let later = &zone.dispatched[2..];
+    assert!(!later.is_empty(), "the queue moved on");
+    assert!(later.iter().all(|d| d.target != leaving), "{later:?}");
+}
+
+#[test]
+fn a_lost_home_is_rebuilt_from_holdings() {
+    let mut zone = Zone::new(3, &[target("t0", 1_000_000, 4)], 1);
+    zone.homes = vec![(TargetName::new("t0"), HostName::new("h2"))];
+    zone.announce_homes();
+    zone.run_ms(100);
+    for id in 0..4 {
+        let request = request(id, "org", zone.now_ms);
+        zone.event(&HostName::new("h1"), Event::Arrived(request));
+    }
+    zone.run_ms(100);
+    assert_eq!(zone.dispatched.len(), 4);
+    zone.lose_host("h2");
+    zone.announce_homes();
+    zone.run_ms(100);
+    assert_eq!(zone.accounted(), 4, "the new home knows what runs");
+    let next = request(9, "org", zone.now_ms);
+    zone.event(&HostName::new("h0"), Event::Arrived(next));
+    zone.run_ms(100);
+    assert_eq!(
+        zone.dispatched.len(),
+        4,
+        "the batch was full before and still is"
+    );
+}
+
+#[test]
+fn without_a_home_each_host_is_cautious() {
+    let mut zone = Zone::new(2, &[target("t0", 100_000, 8)], 1);
+    zone.lose_host("h0");
+    for id in 0..20 {
+        let request = request(id, "org", zone.now_ms);
+        zone.event(&HostName::new("h1"), Event::Arrived(request));
+    }
+    zone.run_ms(1_000);
+    let started = zone.dispatched.len();
+    assert!(
+        (1..=4).contains(&started),
+        "{started} of a batch of 8 started"
+    );
+}
+
+#[test]
+fn retries_are_bounded_by_their_budget() {
+    let mut zone = Zone::new(1, &[target("t0", 1_000_000, 1_000)], 1);
+    let host = HostName::new("h0");
+    for id in 0..100 {
+        let mut request = request(id, "org", zone.now_ms);
+        request.attempt = 1;
+        zone.event(&host, Event::Arrived(request));
+    }
+    let reasons: Vec<_> = zone.refused.values().map(|r| r.0).collect();
+    assert_eq!(reasons, vec![RefuseReason::RetryBudget; 90]);
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 48,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Whatever the network does, each request is sent to one target or refused, once,
+    /// and nothing stays in an account that no host runs.
+    #[test]
+    fn each_request_has_one_fate(
+        seed in 0u64..1_000_000,
+        lost_percent in 0usize..40,
+        repeated_percent in 0usize..40,
+        delay_max_ms in 0usize..300,
+        gaps_ms in prop::collection::vec(0u64..200, 1..40),
+    ) {
+        let targets = [target("t0", 4_000, 3), target("t1", 4_000, 3)];
+        let mut zone = Zone::new(3, &targets, seed);
+        zone.faults = Faults { lost_percent, repeated_percent, delay_max_ms };
+        for (id, &gap_ms) in gaps_ms.iter().enumerate() {
+            zone.run_ms(gap_ms);
+            let host = HostName::new(&format!("h{}", id % 3));
+            let mut request = request(id as u128, "org", zone.now_ms);
+            request.limits.queue_timeout_ms = 5_000;
+            zone.event(&host, Event::Arrived(request));
+        }
+        zone.run_ms(6_000);
+        let mut fates: Vec<RequestId> = zone.dispatched.iter().map(|d| d.request).collect();
+        fates.extend(zone.refused.keys());
+        fates.sort();
+        let all: Vec<RequestId> = (0..gaps_ms.len()).map(|i| RequestId(i as u128)).collect();
+        prop_assert_eq!(fates, all);
+        for running in zone.dispatched.clone() {
+            zone.finish(&running, 50);
+        }
+        zone.run_ms(8_000);
+        prop_assert_eq!((zone.accounted(), zone.queued()), (0, 0));
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-core/tests/routing.rs
@@ -0,0 +1,172 @@
+//! The choice of targets.
+
+use indexmap::IndexMap;
+use toucancleat_core::prelude::*;
+use toucancleat_core::rng::Rng;
+use toucancleat_core::routing::{
+    Candidate, Choice, RetryBudget, ZoneSummary, affinity_key, candidates, prefix_hashes,
+    spill_zone,
+};
+use toucancleat_core::settings::RoutingPolicy;
+
+fn names(count: usize) -> Vec<TargetName> {
+    (0..count)
+        .map(|i| TargetName::new(&format!("t{i}")))
+        .collect()
+}
+
+fn idle(names: &[TargetName]) -> Vec<Candidate<'_>> {
+    let idle = |name| Candidate {
+        name,
+        outstanding: 0,
+        reported_load: 0,
+        used_share: 0.0,
+        wait_ms: 0,
+    };
+    names.iter().map(idle).collect()
+}
+
+struct Case {
+    name: &'static str,
+    policy: RoutingPolicy,
+    change: fn(&mut [Candidate<'_>]),
+    /// The share of 1,000 choices whose first target is `t0`.
+    first_share: std::ops::RangeInclusive<f64>,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "each in turn",
+        policy: RoutingPolicy::RoundRobin,
+        change: |targets| targets[0].outstanding = 99,
+        first_share: 0.25..=0.25,
+    },
+    Case {
+        name: "the one with the fewest outstanding",
+        policy: RoutingPolicy::LeastOutstanding,
+        change: |targets| targets[1..].iter_mut().for_each(|t| t.outstanding = 1),
+        first_share: 1.0..=1.0,
+    },
+    Case {
+        name: "the lesser loaded of two, when drawn",
+        policy: RoutingPolicy::TwoChoices,
+        change: |targets| targets[1..].iter_mut().for_each(|t| t.reported_load = 1),
+        first_share: 0.45..=0.55,
+    },
+    Case {
+        name: "never the most loaded of two",
+        policy: RoutingPolicy::TwoChoices,
+        change: |targets| targets[0].reported_load = 1,
+        first_share: 0.0..=0.0,
+    },
+    Case {
+        name: "a crowded target loses its affinity",
+        policy: RoutingPolicy::HomeAccounts,
+        change: |targets| targets.iter_mut().for_each(|t| t.wait_ms = 5_000),
+        first_share: 0.2..=0.3,
+    },
+];
+
+#[test]
+fn first_choices() {
+    for case in CASES {
+        let names = names(4);
+        let mut targets = idle(&names);
+        (case.change)(&mut targets);
+        let (mut turn, mut random) = (0, Rng::new(1));
+        let mut first = 0;
+        for _ in 0..1_000 {
+            let choice = Choice {
+                policy: case.policy,
+                affinity_key: Some(7),
+                turn: &mut turn,
+                random: &mut random,
+                candidates_max: 2,
+            };
+            first += u32::from(candidates(&targets, choice)[0] == names[0]);
+        }
+        let share = f64::from(first) / 1_000.0;
+        assert!(case.first_share.contains(&share), "{}: {share}", case.name);
+    }
+}
+
+#[test]
+fn equal_prefixes_meet_and_others_spread() {
+    let names = names(12);
+    let targets = idle(&names);
+    let mut firsts: IndexMap<TargetName, u32> = IndexMap::new();
+    let (mut turn, mut random) = (0, Rng::new(1));
+    for line in 0..240 {
+        let shared = format!("line {line:04} ").repeat(60);
+        let mut of_line = Vec::new();
+        for stop in 0..3 {
+            let hashes = prefix_hashes(format!("{shared} stop {stop}").as_bytes());
+            let choice = Choice {
+                policy: RoutingPolicy::HomeAccounts,
+                affinity_key: affinity_key(&hashes),
+                turn: &mut turn,
+                random: &mut random,
+                candidates_max: 2,
+            };
+            of_line.push(candidates(&targets, choice).remove(0));
+        }
+        assert!(
+            of_line.iter().all(|t| *t == of_line[0]),
+            "line {line} was split"
+        );
+        *firsts.entry(of_line.remove(0)).or_default() += 1;
+    }
+    assert_eq!(firsts.len(), 12);
+    assert!(
+        firsts.values().all(|&n| (8..=36).contains(&n)),
+        "{firsts:?}"
+    );
+}
+
+#[test]
+fn prefix_hashes_stay_short_and_tell_prompts_apart() {
+    let long = vec![b'a'; 1_000_000];
+    let hashes = prefix_hashes(&long);
+    assert!(hashes.len() <= 16);
+    let mut other = long.clone();
+    other[999_999] = b'b';
+    let others = prefix_hashes(&other);
+    let shared = hashes.len() - 1;
+    assert_eq!(hashes[..shared], others[..shared]);
+    assert_ne!(hashes[shared], others[shared]);
+    assert_eq!(prefix_hashes(b"").len(), 1);
+}
+
+#[test]
+fn a_retry_budget_bounds_amplification() {
+    let mut budget = RetryBudget::default();
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.deposit(0.1);
+        retries += u32::from(budget.withdraw());
+    }
+    assert!((100..=110).contains(&retries), "{retries}");
+}
+
+#[test]
+fn spill_goes_to_a_zone_with_room() {
+    let summary = |zone: &str, wait_ms, used_share, measured_unix_ms| ZoneSummary {
+        zone: ZoneName::new(zone),
+        pool: PoolName::new("plan-llm"),
+        wait_ms,
+        used_share,
+        measured_unix_ms,
+    };
+    let summaries = [
+        summary("full", 100, 0.95, 10_000),
+        summary("slow", 5_000, 0.2, 10_000),
+        summary("old", 0, 0.1, 1_000),
+        summary("room", 100, 0.5, 10_000),
+    ];
+    let pool = PoolName::new("plan-llm");
+    let zone = |own_wait_ms| {
+        spill_zone(&summaries, &pool, own_wait_ms, 10_100, 7).map(ZoneName::as_str)
+    };
+    assert_eq!(zone(5_000), Some("room"));
+    assert_eq!(zone(150), None, "a short wait isn't worth the way");
+}
--- /dev/null
+++ b/crates/toucancleat-core/tests/zone/mod.rs
@@ -0,0 +1,277 @@
+//! Entry hosts of one zone in memory, with a network that loses and repeats messages.
+
+use indexmap::IndexMap;
+use toucancleat_core::accounts::{
+    Config, Effect, Event, Limits, LoadReport, Message, Outcome, RefuseReason, Request,
+    State, TargetSpec, reduce,
+};
+use toucancleat_core::prelude::*;
+use toucancleat_core::rng::Rng;
+use toucancleat_core::settings::RoutingPolicy;
+
+/// Time between ticks of a host.
+const TICK_MS: u64 = 50;
+
+/// What the network does to messages.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub lost_percent: usize,
+    pub repeated_percent: usize,
+    pub delay_max_ms: usize,
+}
+
+/// The hosts, the messages under way and what became of requests.
+#[derive(Debug)]
+pub struct Zone {
+    pub now_ms: u64,
+    pub hosts: IndexMap<HostName, State>,
+    pub homes: Vec<(TargetName, HostName)>,
+    pub faults: Faults,
+    pub dispatched: Vec<Dispatched>,
+    pub refused: IndexMap<RequestId, (RefuseReason, u64)>,
+    rng: Rng,
+    flying: Vec<Flying>,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dispatched {
+    pub host: HostName,
+    pub request: RequestId,
+    pub generation: GenerationId,
+    pub target: TargetName,
+    pub priority: u8,
+    pub at_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Flying {
+    due_ms: u64,
+    from: HostName,
+    to: HostName,
+    message: Message,
+}
+
+impl Zone {
+    /// Makes a zone whose target `t<i>` has its home at host `h<i modulo hosts>`.
+    pub fn new(hosts: usize, targets: &[TargetSpec], seed: u64) -> Self {
+        let names: Vec<HostName> = (0..hosts)
+            .map(|i| HostName::new(&format!("h{i}")))
+            .collect();
+        let homes = targets
+            .iter()
+            .enumerate()
+            .map(|(i, spec)| (spec.name.clone(), names[i % hosts].clone()))
+            .collect();
+        let mut zone = Zone {
+            now_ms: 1_000_000,
+            hosts: IndexMap::new(),
+            homes,
+            faults: Faults::default(),
+            dispatched: Vec::new(),
+            refused: IndexMap::new(),
+            rng: Rng::new(seed),
+            flying: Vec::new(),
+        };
+        for (i, name) in names.iter().enumerate() {
+            let config = Config {
+                seed: seed + i as u64,
+                ..Config::default()
+            };
+            zone.hosts
+                .insert(name.clone(), State::new(name.clone(), config));
+        }
+        for name in &names {
+            zone.event(name, Event::TargetsChanged(targets.to_vec()));
+        }
+        zone.announce_homes();
+        zone.run_ms(200);
+        zone
+    }
+
+    /// Tells every host the homes in force.
+    pub fn announce_homes(&mut self) {
+        let hosts: Vec<HostName> = self.hosts.keys().cloned().collect();
+        for name in &hosts {
+            let event = Event::HomesChanged {
+                hosts: hosts.clone(),
+                homes: self.homes.clone(),
+            };
+            self.event(name, event);
+        }
+    }
+
+    /// Loses a host; its homes go to the first host that is left.
+    pub fn lose_host(&mut self, name: &str) {
+        let lost = HostName::new(name);
+        self.hosts.shift_remove(&lost);
+        self.flying.retain(|f| f.to != lost);
+        let hosts: Vec<HostName> = self.hosts.keys().cloned().collect();
+        for host in &hosts {
+            self.event(host, Event::HostLost { host: lost.clone() });
+        }
+        for (_, home) in &mut self.homes {
+            if *home == lost {
+                *home = hosts[0].clone();
+            }
+        }
+    }
+
+    /// Hands one event to one host.
+    pub fn event(&mut self, host: &HostName, event: Event) {
+        let Some(state) = self.hosts.get_mut(host) else {
+            return;
+        };
+        let mut effects = Vec::new();
+        reduce(state, self.now_ms, event, &mut effects);
+        for effect in effects {
+            self.carry_out(host, effect);
+        }
+    }
+
+    /// Hands an event to every host.
+    pub fn everywhere(&mut self, event: &Event) {
+        let hosts: Vec<HostName> = self.hosts.keys().cloned().collect();
+        for host in &hosts {
+            self.event(host, event.clone());
+        }
+    }
+
+    /// Lets time pass, with ticks and messages.
+    pub fn run_ms(&mut self, duration_ms: u64) {
+        let end_ms = self.now_ms + duration_ms;
+        while self.now_ms < end_ms {
+            self.now_ms += 1;
+            self.deliver();
+            if self.now_ms.is_multiple_of(TICK_MS) {
+                self.everywhere(&Event::Tick);
+            }
+        }
+    }
+
+    /// Ends a generation that was dispatched.
+    pub fn finish(&mut self, dispatched: &Dispatched, tokens: u32) {
+        let event = Event::Finished {
+            generation: dispatched.generation,
+            tokens,
+            outcome: Outcome::Completed,
+        };
+        self.event(&dispatched.host, event);
+    }
+
+    /// Returns the number of generations that the accounts hold.
+    pub fn accounted(&self) -> u32 {
+        let loads = self.hosts.values().flat_map(|state| state.loads());
+        loads.map(|load| load.running).sum()
+    }
+
+    /// Returns the number of requests that the accounts have in their queues.
+    pub fn queued(&self) -> u32 {
+        let loads = self.hosts.values().flat_map(|state| state.loads());
+        loads.map(|load| load.queued).sum()
+    }
+
+    fn deliver(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later) = std::mem::take(&mut self.flying)
+            .into_iter()
+            .partition(|f| f.due_ms <= now_ms);
+        self.flying = later;
+        let due: Vec<Flying> = due;
+        for Flying {
+            from, to, message, ..
+        } in due
+        {
+            self.event(&to, Event::Received { from, message });
+        }
+    }
+
+    fn carry_out(&mut self, host: &HostName, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => self.send(host, to, message),
+            Effect::Dispatch {
+                request,
+                generation,
+                target,
+                priority,
+            } => self.dispatched.push(Dispatched {
+                host: host.clone(),
+                request,
+                generation,
+                target,
+                priority,
+                at_ms: self.now_ms,
+            }),
+            Effect::Refuse {
+                request,
+                reason,
+                retry_after_ms,
+            } => {
+                let earlier = self.refused.insert(request, (reason, retry_after_ms));
+                assert_eq!(earlier, None, "{request} was refused twice");
+            }
+            other => panic!("an unknown effect: {other:?}"),
+        }
+    }
+
+    fn send(&mut self, from: &HostName, to: HostName, message: Message) {
+        let faults = self.faults;
+        if self.rng.below(100) < faults.lost_percent {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.below(100) < faults.repeated_percent);
+        for _ in 0..copies {
+            let delay_ms = 1 + self.rng.below(faults.delay_max_ms) as u64;
+            self.flying.push(Flying {
+                due_ms: self.now_ms + delay_ms,
+                from: from.clone(),
+                to: to.clone(),
+                message: message.clone(),
+            });
+        }
+    }
+}
+
+/// Describes a target.
+pub fn target(name: &str, memory_tokens: u64, max_batch: u32) -> TargetSpec {
+    TargetSpec {
+        name: TargetName::new(name),
+        pool: PoolName::new("plan-llm"),
+        memory_tokens,
+        max_batch,
+    }
+}
+
+/// Makes a request of 100 prompt tokens, due a minute from `now_ms`.
+pub fn request(id: u128, organisation: &str, now_ms: u64) -> Request {
+    Request {
+        request: RequestId(id),
+        generation: GenerationId(id + (1 << 64)),
+        pool: PoolName::new("plan-llm"),
+        organisation: OrganisationName::new(organisation),
+        kind: KindName::new("draft"),
+        prompt_tokens: 100,
+        max_output_tokens: 1_000,
+        prefix_hashes: vec![id as u64],
+        deadline_unix_ms: now_ms + 120_000,
+        priority: 5,
+        weight: 1.0,
+        limits: Limits {
+            outgrow_chance_max: 0.05,
+            step_time_max_ms: 31.0,
+            queue_timeout_ms: 60_000,
+            policy: RoutingPolicy::HomeAccounts,
+        },
+        attempt: 0,
+        retry_budget_ratio: 0.1,
+        excluded: Vec::new(),
+    }
+}
+
+/// Makes a load report of a batch.
+pub fn report(running: u32, step_ms: f64) -> LoadReport {
+    LoadReport {
+        running,
+        step_ms,
+        ..LoadReport::default()
+    }
+}
