--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -6,6 +6,7 @@
 //! that serves requests.
 
 pub mod accounts;
+pub mod claims;
 pub mod homes;
 pub mod ids;
 pub mod lengths;
