--- a/crates/toucancleat-core/src/claims/message.rs
+++ b/crates/toucancleat-core/src/claims/message.rs
@@ -128,7 +128,7 @@
 }
 
 /// The answer of a request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Answer {
     /// HTTP status.
     pub status: u16,
--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -7,14 +7,28 @@
 
 pub mod accounts;
 pub mod claims;
+pub mod crash_marks;
+mod effect;
+mod event;
+pub mod generation;
 pub mod homes;
 pub mod ids;
 pub mod lengths;
 pub mod membership;
 pub mod peer;
 pub mod prelude;
+mod reduce;
+pub mod refusal;
+pub mod requests;
 pub mod rng;
 pub mod routing;
 pub mod settings;
+mod state;
+pub mod targets;
 pub mod timeline;
 pub mod verdict;
+
+pub use self::effect::Effect;
+pub use self::event::Event;
+pub use self::reduce::reduce;
+pub use self::state::State;
