Look up callers through the directory of API keys

Cause: the entry host kept a second index of key hashes with a plain hash map. The settings' directory compares in constant time and serves the same purpose, so the map went.

--- a/crates/toucancleat-core/src/settings/in_force.rs
+++ b/crates/toucancleat-core/src/settings/in_force.rs
@@ -1,9 +1,8 @@
 //! One revision of the settings, prepared for the path of a request.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::{Effective, TargetClass, Tree};
+use super::{Directory, Effective, TargetClass, Tree};
 use crate::prelude::*;
 use crate::refusal::{Problem, Refusal};
 
@@ -14,8 +13,7 @@
     pub revision: Revision,
     /// The whole tree.
     pub tree: Tree,
-    /// Live events and organisations by the SHA-256 of an API key.
-    credentials: HashMap<String, Vec<(LiveEventName, OrganisationName)>>,
+    directory: Directory,
 }
 
 /// What the settings say about one request.
@@ -38,22 +36,11 @@
 impl InForce {
     /// Prepares a tree that was checked before.
     pub fn new(revision: Revision, tree: Tree) -> Self {
-        let mut credentials: HashMap<String, Vec<_>> = HashMap::new();
-        for (event_name, event) in &tree.live_events {
-            for (name, organisation) in &event.organisations {
-                for hash in &organisation.api_key_sha256 {
-                    let place = (event_name.clone(), name.clone());
-                    credentials
-                        .entry(hash.to_lowercase())
-                        .or_default()
-                        .push(place);
-                }
-            }
-        }
+        let directory = Directory::new(&tree);
         InForce {
             revision,
             tree,
-            credentials,
+            directory,
         }
     }
 
@@ -65,14 +52,21 @@
     /// kind, or a live event that is missing or unknown.
     pub fn admit(
         &self,
-        key_sha256_hex: &str,
+        api_key: &str,
         live_event: Option<&str>,
         kind: &KindName,
     ) -> Result<Admission, Refusal> {
-        let places = self.credentials.get(key_sha256_hex).ok_or_else(|| {
+        let membership = self.directory.authenticate(api_key).ok_or_else(|| {
             Refusal::not_run(Problem::Unauthorised, "the API key is not in the settings")
         })?;
-        let (event_name, organisation) = choose_place(places, live_event)?;
+        let event_name = membership.live_event(live_event).map_err(|error| {
+            let problem = match live_event {
+                Some(_) => Problem::Unknown,
+                None => Problem::LiveEventNeeded,
+            };
+            Refusal::not_run(problem, error.to_string())
+        })?;
+        let organisation = membership.organisation();
         let values = self.tree.effective(event_name, organisation, kind);
         let values = values.ok_or_else(|| {
             let detail = format!("request kind {kind} is not in the settings");
@@ -93,23 +87,3 @@
         })
     }
 }
-
-fn choose_place<'a>(
-    places: &'a [(LiveEventName, OrganisationName)],
-    live_event: Option<&str>,
-) -> Result<&'a (LiveEventName, OrganisationName), Refusal> {
-    match (live_event, places) {
-        (Some(name), _) => {
-            let found = places.iter().find(|(event, _)| event.as_str() == name);
-            found.ok_or_else(|| {
-                let detail = format!("the organisation does not take part in {name}");
-                Refusal::not_run(Problem::Unknown, detail)
-            })
-        }
-        (None, [place]) => Ok(place),
-        (None, _) => Err(Refusal::not_run(
-            Problem::LiveEventNeeded,
-            "the organisation takes part in several live events; name one in X-Live-Event",
-        )),
-    }
-}
--- a/crates/toucancleat-core/src/settings/mod.rs
+++ b/crates/toucancleat-core/src/settings/mod.rs
@@ -7,13 +7,10 @@
 mod directory;
 pub mod document;
 mod edit;
-<<<<<<< HEAD
-mod in_force;
-=======
 mod explain;
+mod in_force;
 mod limits;
 mod problem;
->>>>>>> settings
 pub mod store;
 mod tree;
 mod values;
@@ -22,12 +19,9 @@
 pub use self::check::{check, parse};
 pub use self::directory::{Directory, LiveEventError, Membership, api_key_sha256};
 pub use self::edit::{Applied, EditError, join_pointer, pointer_segments};
-<<<<<<< HEAD
-pub use self::in_force::{Admission, InForce};
-=======
 pub use self::explain::{Explained, LevelName, Source};
+pub use self::in_force::{Admission, InForce};
 pub use self::limits::{LIMITS, Limits};
 pub use self::problem::{Position, Problem, Problems};
->>>>>>> settings
 pub use self::tree::{Level, LiveEvent, Organisation, Pool, Target, TargetClass, Tree};
 pub use self::values::{Delivery, Effective, RoutingPolicy, Values};
--- a/crates/toucancleat-entry/src/callers/mod.rs
+++ b/crates/toucancleat-entry/src/callers/mod.rs
@@ -85,10 +85,10 @@
     let settings = host
         .settings()
         .ok_or_else(|| not_ready("has no settings yet"))?;
-    let key_sha256 = credential::key_sha256_hex(headers)?;
+    let api_key = credential::api_key(headers)?;
     let live_event = text_header(headers, "x-live-event")?;
     let kind = KindName::new(kind);
-    let admission = settings.admit(&key_sha256, live_event, &kind)?;
+    let admission = settings.admit(api_key, live_event, &kind)?;
     let idempotency_key = idempotency_key(headers)?;
     host.metrics.requests.inc();
     Ok(Admitted {
