Add the operators' command: settings, hosts, targets, drain, time line

A commit is sent again while its outcome is open; a conflict shows the change that came first. Exit codes tell apart a sound refusal, a conflict and an unreachable platform.

The host list came in the order of registration, so that two of the fleet's tests depended on which host was quicker; the command now sorts by name.

Shown failing first: without the comparison of change ids, a_lost_reply_is_found_again; without the conditions of the commit, racing_operators_never_lose_a_change.

--- /dev/null
+++ b/crates/toucancleat-cli/src/connection.rs
@@ -0,0 +1,140 @@
+//! Reaching the platform and the operators' ports of the entry hosts.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use futures::future::join_all;
+use http::header::AUTHORIZATION;
+use http::{HeaderValue, Method, StatusCode};
+use serde::de::DeserializeOwned;
+use toucancleat_entry::http::{Call, HttpClient};
+use toucancleat_entry::platform::{ListedHost, Platform};
+
+use crate::error::Error;
+use crate::options::{Connection, KEY_VARIABLE};
+
+/// Longest time for one call to an operators' port.
+const CALL_TIMEOUT_MS: u64 = 3_000;
+/// Largest reply of an operators' port.
+const REPLY_MAX_BYTES: usize = 256 * 1_024 * 1_024;
+/// The role of entry hosts in the host list.
+const ENTRY_ROLE: &str = "entry";
+
+/// The operators' port of one entry host.
+#[derive(Clone, Debug)]
+pub(crate) struct HostPort {
+    /// The name and state in the host list; `None` for an address given by hand.
+    pub listed: Option<ListedHost>,
+    /// Where operators connect.
+    pub address: SocketAddr,
+    operator_key: Option<String>,
+    client: HttpClient,
+}
+
+impl Connection {
+    /// Returns the platform.
+    pub(crate) fn platform(&self) -> Result<Platform, Error> {
+        let address = self.platform.ok_or_else(|| {
+            let message = "expected --platform or TOUCANCLEAT_PLATFORM with an IP address and a \
+                           port, such as 127.0.0.1:7900";
+            Error::usage(message.to_owned())
+        })?;
+        Ok(Platform::new(address))
+    }
+
+    /// Returns the operators' ports given by hand, or else those on the host list.
+    pub(crate) async fn hosts(&self) -> Result<Vec<HostPort>, Error> {
+        if !self.host_address.is_empty() {
+            let addresses = self.host_address.iter();
+            return Ok(addresses.map(|address| self.port(*address, None)).collect());
+        }
+        let listed = self.platform()?.hosts().await.map_err(|error| {
+            Error::unreachable(format!(
+                "{error}; entry hosts can be given by --host-address"
+            ))
+        })?;
+        let entry_hosts = listed.into_iter().filter(|host| host.role == ENTRY_ROLE);
+        let ports = entry_hosts.filter_map(|host| Some((host.operator_address?, host)));
+        let mut hosts: Vec<HostPort> = ports
+            .map(|(address, host)| self.port(address, Some(host)))
+            .collect();
+        hosts.sort_by_key(HostPort::label);
+        Ok(hosts)
+    }
+
+    fn port(&self, address: SocketAddr, listed: Option<ListedHost>) -> HostPort {
+        HostPort {
+            listed,
+            address,
+            operator_key: self
+                .operator_key
+                .clone()
+                .or_else(|| std::env::var(KEY_VARIABLE).ok()),
+            client: HttpClient::fresh(),
+        }
+    }
+}
+
+impl HostPort {
+    /// Returns the name in the host list, or else the address.
+    pub fn label(&self) -> String {
+        match &self.listed {
+            Some(listed) => listed.name.clone(),
+            None => self.address.to_string(),
+        }
+    }
+
+    /// Reads JSON from a path.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.call(Method::GET, path).await
+    }
+
+    /// Posts an empty body to a path.
+    pub async fn post<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
+        self.call(Method::POST, path).await
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+    ) -> Result<T, Error> {
+        let failed =
+            |detail: String| Error::unreachable(format!("{}: {detail}", self.label()));
+        let mut headers = Vec::new();
+        if let Some(key) = &self.operator_key {
+            let value = HeaderValue::from_str(&format!("Bearer {key}"));
+            let value = value
+                .map_err(|_| Error::usage("the operators' key is no header".into()))?;
+            headers.push((AUTHORIZATION, value));
+        }
+        let call = Call {
+            address: self.address,
+            method,
+            path,
+            headers,
+            body: Bytes::new(),
+        };
+        let reply = self
+            .client
+            .exchange(call, CALL_TIMEOUT_MS, REPLY_MAX_BYTES)
+            .await;
+        let reply = reply.map_err(|error| failed(error.to_string()))?;
+        match reply.status() {
+            StatusCode::OK => serde_json::from_slice(reply.body())
+                .map_err(|error| failed(format!("the reply can't be read: {error}"))),
+            StatusCode::UNAUTHORIZED => Err(failed(
+                "expected the operators' key in --operator-key".to_owned(),
+            )),
+            status => Err(failed(format!("replied {status}"))),
+        }
+    }
+}
+
+/// Reads the same path from all hosts at once.
+pub(crate) async fn get_all<T: DeserializeOwned>(
+    hosts: &[HostPort],
+    path: &str,
+) -> Vec<Result<T, Error>> {
+    join_all(hosts.iter().map(|host| host.get(path))).await
+}
--- /dev/null
+++ b/crates/toucancleat-cli/src/options.rs
@@ -0,0 +1,304 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bpaf::Bpaf;
+use toucancleat_core::prelude::*;
+use toucancleat_core::timeline::{Filter, RecordKind};
+
+const PLATFORM_VARIABLE: &str = "TOUCANCLEAT_PLATFORM";
+/// N.B. Not given to bpaf, whose help prints the values of variables.
+pub(crate) const KEY_VARIABLE: &str = "TOUCANCLEAT_OPERATOR_KEY";
+const AUTHOR_VARIABLE: &str = "USER";
+
+const EXIT_CODES: &str = "Exit codes: 0 done; 1 the command line or a file can't be understood; \
+2 the settings have problems; 3 another change came first; 4 the platform or a host couldn't be \
+reached; 5 not found; 6 it isn't known whether a change was accepted.";
+
+/// Operates a fleet of toucancleat's entry hosts.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version, footer(EXIT_CODES), generate(options))]
+pub struct Options {
+    #[bpaf(external)]
+    pub(crate) command: Command,
+}
+
+// N.B. A doc comment here would replace the heading of the list of commands.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) enum Command {
+    /// Reads, checks and changes the settings tree
+    #[bpaf(command)]
+    Settings(#[bpaf(external(settings_command))] SettingsCommand),
+    /// Lists the entry hosts with the revision that is in force at each
+    #[bpaf(command)]
+    Hosts {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+    },
+    /// Lists the targets with the requests in progress at each
+    #[bpaf(command)]
+    Targets {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+    },
+    /// Stops an entry host as planned: no new work, running requests finish
+    #[bpaf(command)]
+    Drain {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// The entry host's name
+        #[bpaf(positional("HOST"))]
+        host: String,
+    },
+    /// Merges what all entry hosts recorded into one order
+    #[bpaf(command)]
+    Timeline {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        #[bpaf(external(timeline_view))]
+        view: TimelineView,
+    },
+    /// Tells one request's way with the reason of each decision
+    #[bpaf(command)]
+    Explain {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// The request's id, as in the answer's X-Request-Id header
+        #[bpaf(positional::<String>("REQUEST"), parse(parse_request))]
+        request: RequestId,
+    },
+}
+
+/// Where the platform and the entry hosts are.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) struct Connection {
+    /// IP address and port of the platform
+    #[bpaf(long, env(PLATFORM_VARIABLE), argument("ADDRESS"), optional)]
+    pub platform: Option<SocketAddr>,
+    /// IP address and port of an entry host's operators' port; may be given several
+    /// times, in place of the platform's host list
+    #[bpaf(long, argument("ADDRESS"))]
+    pub host_address: Vec<SocketAddr>,
+    /// Key of the operators' ports, in place of TOUCANCLEAT_OPERATOR_KEY
+    #[bpaf(long, argument("KEY"), optional)]
+    pub operator_key: Option<String>,
+}
+
+/// How the result is written.
+#[derive(Bpaf, Clone, Copy, Debug)]
+pub(crate) struct Format {
+    /// Write JSON for programs
+    pub json: bool,
+}
+
+/// Which records of the time line to show, and how.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) struct TimelineView {
+    /// Only records of this request, and of those that went on with its stream
+    #[bpaf(long, argument::<String>("REQUEST"), parse(parse_request), optional)]
+    pub request: Option<RequestId>,
+    /// Only records of this target
+    #[bpaf(long, argument::<String>("TARGET"), map(|name: String| TargetName::new(&name)), optional)]
+    pub target: Option<TargetName>,
+    /// Only records of this organisation
+    #[bpaf(
+        long,
+        argument::<String>("ORGANISATION"),
+        map(|name: String| OrganisationName::new(&name)),
+        optional
+    )]
+    pub organisation: Option<OrganisationName>,
+    /// Only records of this kind, such as request_refused; may be given several times
+    #[bpaf(long, argument::<String>("KIND"), parse(parse_kind), many)]
+    pub kind: Vec<RecordKind>,
+    /// Go on showing records as they come
+    pub follow: bool,
+    /// Draw the records into this file, one lane for each host
+    #[bpaf(long, argument("FILE"), optional)]
+    pub svg: Option<PathBuf>,
+}
+
+// N.B. A doc comment here would replace the heading of the list of commands.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) enum SettingsCommand {
+    /// Checks a file and tells every problem with its line and column
+    #[bpaf(command)]
+    Check {
+        #[bpaf(external)]
+        format: Format,
+        /// Settings, as JSON with comments
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Shows the accepted tree, or the values in force for one kind of request
+    #[bpaf(command)]
+    Show {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// Show this file in place of the accepted tree
+        #[bpaf(long, argument("FILE"), optional)]
+        file: Option<PathBuf>,
+        /// Show the values in force for a live event, an organisation and a kind
+        #[bpaf(
+            long,
+            argument::<String>("EVENT/ORGANISATION/KIND"),
+            parse(parse_scope),
+            optional
+        )]
+        effective: Option<Scope>,
+        /// Tell the level that each value comes from
+        why: bool,
+    },
+    /// Shows what stands at a path, such as /fleet/values/priority
+    #[bpaf(command)]
+    Get {
+        #[bpaf(external)]
+        connection: Connection,
+        /// A JSON pointer into the tree
+        #[bpaf(positional("PATH"))]
+        path: String,
+    },
+    /// Sets what stands at a path, for the whole fleet
+    #[bpaf(command)]
+    Set {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        commit: Commit,
+        /// A JSON pointer into the tree
+        #[bpaf(positional("PATH"))]
+        path: String,
+        /// JSON, or a plain word for a text
+        #[bpaf(positional("VALUE"))]
+        value: String,
+    },
+    /// Removes what stands at a path, so that it is inherited
+    #[bpaf(command)]
+    Unset {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        commit: Commit,
+        /// A JSON pointer into the tree
+        #[bpaf(positional("PATH"))]
+        path: String,
+    },
+    /// Makes the accepted tree equal to a file
+    #[bpaf(command)]
+    Apply {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        commit: Commit,
+        /// Settings, as JSON with comments
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Shows what apply would change, or what changed between two revisions
+    #[bpaf(command)]
+    Diff {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// Start from this revision in place of the latest
+        #[bpaf(long, argument("REVISION"), optional)]
+        from: Option<u64>,
+        /// Compare with this file in place of the latest revision
+        #[bpaf(positional("FILE"), optional)]
+        file: Option<PathBuf>,
+    },
+    /// Lists the accepted changes, latest first
+    #[bpaf(command)]
+    Log {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        format: Format,
+        /// Most changes to list
+        #[bpaf(long, argument("COUNT"), fallback(20), display_fallback)]
+        limit: u64,
+    },
+    /// Takes a change back by a new one
+    #[bpaf(command)]
+    Undo {
+        #[bpaf(external)]
+        connection: Connection,
+        #[bpaf(external)]
+        commit: Commit,
+        /// The revision to take back; the latest unless given
+        #[bpaf(positional("REVISION"), optional)]
+        revision: Option<u64>,
+    },
+}
+
+/// How a change is committed.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) struct Commit {
+    /// Who makes the change
+    #[bpaf(long, env(AUTHOR_VARIABLE), argument("NAME"), fallback("unknown".to_owned()))]
+    pub author: String,
+    /// Only tell what would change
+    pub dry_run: bool,
+    /// Wait until the change is in force at every entry host
+    pub wait: bool,
+}
+
+/// One kind of request of one organisation in one live event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Scope {
+    /// The live event.
+    pub live_event: LiveEventName,
+    /// The organisation.
+    pub organisation: OrganisationName,
+    /// The request kind.
+    pub kind: KindName,
+}
+
+impl TimelineView {
+    /// Returns what the records are filtered by, but for the request.
+    pub(crate) fn filter(&self) -> Filter {
+        Filter {
+            request: None,
+            target: self.target.clone(),
+            organisation: self.organisation.clone(),
+            kinds: self.kind.clone(),
+        }
+    }
+}
+
+fn parse_request(text: String) -> Result<RequestId, String> {
+    RequestId::parse(&text)
+        .ok_or_else(|| format!("expected 32 hexadecimal digits, found {text}"))
+}
+
+fn parse_kind(text: String) -> Result<RecordKind, String> {
+    RecordKind::parse(&text).ok_or_else(|| {
+        let names: Vec<&str> = RecordKind::ALL.iter().map(|kind| kind.as_str()).collect();
+        format!("expected one of {}", names.join(", "))
+    })
+}
+
+fn parse_scope(text: String) -> Result<Scope, String> {
+    match text.split('/').collect::<Vec<&str>>().as_slice() {
+        [event, organisation, kind] => Ok(Scope {
+            live_event: (*event).into(),
+            organisation: (*organisation).into(),
+            kind: (*kind).into(),
+        }),
+        _ => Err(format!("expected EVENT/ORGANISATION/KIND, found {text}")),
+    }
+}
