Add the spreading of settings between entry hosts

One reader per zone polls the head together with the next change rows; news goes to a few random peers of the zone, which pass it on once. An announcement carries the age of the sender's knowledge of the head, so each host knows how old its own is and a silent host asks: its zone, then another zone, then the platform within a budget. No message can lower a revision, and a tree that is still read from its first change on isn't in force.

Ruled out: the reader sending to every host (its bytes would grow with the zone), round numbers (two readers for a while would clash; an age needs no agreement).

--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod rng;
 pub mod routing;
 pub mod settings;
+pub mod spread;
 pub mod verdict;
