--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rng;
 pub mod routing;
 pub mod settings;
+pub mod spread;
 mod state;
 pub mod targets;
 pub mod timeline;
