--- a/crates/toucancleat-cli/src/error.rs
+++ b/crates/toucancleat-cli/src/error.rs
@@ -25,6 +25,8 @@
     NotFound = 5,
     /// It isn't known whether the change was accepted.
     Unknown = 6,
+    /// The demonstration saw an answer that breaks a promise.
+    Broken = 7,
 }
 
 /// Why a command failed.
@@ -48,6 +50,8 @@
     NotFound(String),
     #[error("{0}")]
     Unknown(String),
+    #[error("{0}")]
+    Broken(String),
     #[error("can't write the output: {0}")]
     Output(#[from] io::Error),
 }
@@ -62,6 +66,7 @@
             Kind::Unreachable(_) => Exit::Unreachable,
             Kind::NotFound(_) => Exit::NotFound,
             Kind::Unknown(_) => Exit::Unknown,
+            Kind::Broken(_) => Exit::Broken,
         }
     }
 
@@ -110,6 +115,10 @@
         Error(Kind::NotFound(message))
     }
 
+    pub(crate) fn broken(message: String) -> Self {
+        Error(Kind::Broken(message))
+    }
+
     pub(crate) fn unknown(message: String) -> Self {
         Error(Kind::Unknown(message))
     }
--- a/crates/toucancleat-cli/src/lib.rs
+++ b/crates/toucancleat-cli/src/lib.rs
@@ -4,6 +4,7 @@
 //! turns the error into the exit code. See docs/OPERATING.md, "The command".
 
 mod connection;
+mod demo;
 mod error;
 mod fleet;
 mod options;
@@ -41,6 +42,9 @@
             format,
             view,
         } => timeline::show(&connection, &Output::stdout(&format), &view).await,
+        Command::Demo { format, view } => {
+            demo::run(&Output::stdout(&format), &view).await
+        }
         Command::Explain {
             connection,
             format,
--- a/crates/toucancleat-cli/src/options.rs
+++ b/crates/toucancleat-cli/src/options.rs
@@ -14,7 +14,8 @@
 
 const EXIT_CODES: &str = "Exit codes: 0 done; 1 the command line or a file can't be understood; \
 2 the settings have problems; 3 another change came first; 4 the platform or a host couldn't be \
-reached; 5 not found; 6 it isn't known whether a change was accepted.";
+reached; 5 not found; 6 it isn't known whether a change was accepted; 7 the \
+demonstration saw a promise broken.";
 
 /// Operates a fleet of toucancleat's entry hosts.
 #[derive(Bpaf, Clone, Debug)]
@@ -78,6 +79,21 @@
         #[bpaf(positional::<String>("REQUEST"), parse(parse_request))]
         request: RequestId,
     },
+    /// Runs a whole deployment on loopback, sends a short rush and tells what came of it
+    #[bpaf(command)]
+    Demo {
+        #[bpaf(external)]
+        format: Format,
+        #[bpaf(external(demo_view))]
+        view: DemoView,
+    },
+}
+
+/// How the demonstration runs.
+#[derive(Bpaf, Clone, Debug)]
+pub(crate) struct DemoView {
+    /// Leave everything running afterwards, to try the other commands on it
+    pub keep: bool,
 }
 
 /// Where the platform and the entry hosts are.
--- a/crates/toucancleat-cli/src/output.rs
+++ b/crates/toucancleat-cli/src/output.rs
@@ -8,6 +8,7 @@
 
 /// Turns colours off, as is customary; see <https://no-color.org>.
 const NO_COLOR_VARIABLE: &str = "NO_COLOR";
+const CLEAR_LINE: &str = "\r\x1b[2K";
 const BOLD: &str = "\x1b[1m";
 const PLAIN: &str = "\x1b[0m";
 
@@ -47,6 +48,16 @@
         writeln!(io::stderr().lock(), "{text}")
     }
 
+    /// Shows how far a command has come, on a terminal alone.
+    pub fn progress(&self, text: &str) -> io::Result<()> {
+        let mut stderr = io::stderr().lock();
+        if stderr.is_terminal() {
+            write!(stderr, "{CLEAR_LINE}{text}")?;
+            stderr.flush()?;
+        }
+        Ok(())
+    }
+
     /// Writes a value as JSON over several lines.
     pub fn json<T: Serialize>(&self, value: &T) -> io::Result<()> {
         let text = serde_json::to_string_pretty(value)?;
--- a/crates/toucancleat-cli/src/settings/commit.rs
+++ b/crates/toucancleat-cli/src/settings/commit.rs
@@ -56,26 +56,39 @@
         output.line(&edit_lines(&edits).join("\n"))?;
         return Ok(());
     }
+    let platform = connection.platform()?;
+    let revision = accept(&platform, &commit.author, &latest, edits, tree).await?;
+    output.line(&format!("revision {revision} accepted"))?;
+    if commit.wait {
+        wait_in_force(connection, &output, revision).await?;
+    }
+    Ok(())
+}
+
+/// Commits edits whose outcome is a checked tree, and returns their revision.
+pub(super) async fn accept(
+    platform: &Platform,
+    author: &str,
+    latest: &Latest,
+    edits: Vec<Edit>,
+    tree: Tree,
+) -> Result<Revision, Error> {
+    let revision = Revision(latest.seen.head.revision.0 + 1);
     let change = Change {
-        revision: Revision(latest.seen.head.revision.0 + 1),
+        revision,
         change_id: ChangeId(rand::random()),
-        author: commit.author.clone(),
+        author: author.to_owned(),
         at_unix_ms: now_unix_ms(),
         edits,
     };
-    let platform = connection.platform()?;
     send(
-        &platform,
+        platform,
         &change,
         &store::commit_request(&change, &latest.seen),
     )
     .await?;
-    output.line(&format!("revision {} accepted", change.revision))?;
-    keep_snapshot(&platform, change.revision, tree).await;
-    if commit.wait {
-        wait_in_force(connection, &output, change.revision).await?;
-    }
-    Ok(())
+    keep_snapshot(platform, revision, tree).await;
+    Ok(revision)
 }
 
 fn refuse_unsound(tree: &Tree) -> Result<(), Error> {
--- a/crates/toucancleat-cli/src/settings/mod.rs
+++ b/crates/toucancleat-cli/src/settings/mod.rs
@@ -9,6 +9,7 @@
 use serde_json::{Value, json};
 use toucancleat_core::prelude::*;
 use toucancleat_core::settings::{Edit, Problems, Tree, parse};
+use toucancleat_entry::platform::Platform;
 
 use self::commit::Proposal;
 use self::read::Accepted;
@@ -86,6 +87,19 @@
     }
 }
 
+/// Makes the accepted tree equal to a checked one.
+pub(crate) async fn accept(
+    platform: &Platform,
+    author: &str,
+    tree: Tree,
+) -> Result<(), Error> {
+    let latest = read::latest(platform).await?;
+    let edits = latest.tree.diff(&tree);
+    commit::accept(platform, author, &latest, edits, tree)
+        .await
+        .map(|_| ())
+}
+
 /// Returns a line for each edit.
 pub(crate) fn edit_lines(edits: &[Edit]) -> Vec<String> {
     let line = |edit: &Edit| match &edit.value {
