Join membership, homes, accounts, targets, crash marks, settings and the time line in one reducer

Cause: each concern stood alone; a request needs them to feed each other. Ruled out: one task for each concern with channels between, since order would then depend on the scheduler and no trace could be replayed.

--- a/crates/toucancleat-core/src/effect.rs
+++ b/crates/toucancleat-core/src/effect.rs
@@ -1,31 +1,20 @@
 //! What an entry host is to do.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use crate::claims::{ConditionalWrite, StoredAnswer};
+use crate::peer::Envelope;
 use crate::prelude::*;
 use crate::refusal::Refusal;
-use crate::settings::InForce;
+use crate::settings::{InForce, TargetClass, Tree};
 
 /// An effect, as the daemon carries it out.
 #[derive(Clone, Debug)]
 #[non_exhaustive]
 pub enum Effect {
     /// Give a request to a target.
-    Dispatch {
-        /// The request.
-        request: RequestId,
-        /// The target.
-        target: TargetName,
-        /// Address of the target, IP and port.
-        address: String,
-        /// Number of the attempt, from 1.
-        attempt: u32,
-        /// Priority towards the engine.
-        priority: u8,
-        /// When the answer must be whole.
-        deadline_ms: u64,
-    },
+    Dispatch(Dispatch),
     /// Refuse a request, or end its stream where the answer has begun.
     Refuse {
         /// The request.
@@ -63,6 +52,64 @@
         /// Content.
         body: Vec<u8>,
     },
+    /// Read rows of the table of the settings.
+    SettingsRead {
+        /// Number to reply with.
+        read: u64,
+        /// Names of the rows.
+        rows: Vec<String>,
+    },
+    /// Read the first of these snapshots that exists.
+    SnapshotRead {
+        /// Number to reply with.
+        read: u64,
+        /// Names of the objects, the newest first.
+        objects: Vec<String>,
+    },
+    /// Store the tree as the snapshot of its revision.
+    SnapshotStore {
+        /// Revision of the tree.
+        revision: Revision,
+        /// The tree.
+        tree: Arc<Tree>,
+    },
     /// Let new requests be read under these settings.
     ApplySettings(Arc<InForce>),
+    /// Send a message to a peer.
+    Send {
+        /// Address of the receiver's peers' port.
+        to: SocketAddr,
+        /// The message.
+        envelope: Box<Envelope>,
+    },
+    /// Read the platform's host list.
+    ListHosts,
+    /// Ask a target how it is.
+    Observe {
+        /// The target.
+        target: TargetName,
+        /// What it is.
+        class: TargetClass,
+        /// Its address, IP and port.
+        address: String,
+    },
+}
+
+/// One attempt at a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dispatch {
+    /// The request.
+    pub request: RequestId,
+    /// The target.
+    pub target: TargetName,
+    /// Address of the target, IP and port.
+    pub address: String,
+    /// Number of the attempt, from 1.
+    pub attempt: u32,
+    /// The attempt's generation.
+    pub generation: GenerationId,
+    /// Priority towards the engine.
+    pub priority: u8,
+    /// When the answer must be whole.
+    pub deadline_ms: u64,
 }
--- a/crates/toucancleat-core/src/event.rs
+++ b/crates/toucancleat-core/src/event.rs
@@ -1,22 +1,53 @@
 //! What can happen to an entry host.
 
-use std::sync::Arc;
+use std::net::SocketAddr;
 
-use crate::settings::InForce;
-use crate::{claims, requests};
+use crate::membership::ListedHost;
+use crate::observation::Observation;
+use crate::peer::Envelope;
+use crate::prelude::*;
+use crate::{claims, requests, spread};
 
 /// An event, as the daemon feeds it to [`crate::reduce`].
 #[derive(Clone, Debug)]
 #[non_exhaustive]
 pub enum Event {
-    /// Time passed.
+    /// Time passed; expected every 50 ms.
     Tick,
-    /// A newer revision of the settings is known.
-    Settings(Arc<InForce>),
     /// Something happened to a request.
     Request(requests::Event),
+    /// A generation of this host has come so far.
+    Progressed {
+        /// The generation.
+        generation: GenerationId,
+        /// Tokens so far.
+        tokens: u32,
+    },
     /// The platform answered the claims, or something happened to one.
     Claims(claims::Event),
+    /// The platform answered the reader of the settings.
+    Spread(spread::Event),
+    /// A peer sent a message.
+    Received(Box<Envelope>),
+    /// Messages could not be delivered.
+    Undelivered {
+        /// The address that was not reached.
+        to: SocketAddr,
+    },
+    /// The platform's host list was read.
+    Listed {
+        /// Entry hosts of all zones.
+        hosts: Vec<ListedHost>,
+        /// Targets that the list says are leaving.
+        leaving_targets: Vec<TargetName>,
+    },
+    /// A target was looked at.
+    Observed {
+        /// The target.
+        target: TargetName,
+        /// What was seen.
+        observation: Observation,
+    },
     /// The host was told to stop: it takes no new requests and finishes those it has.
     Drain,
 }
--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ids;
 pub mod lengths;
 pub mod membership;
+pub mod observation;
 pub mod peer;
 pub mod prelude;
 mod reduce;
@@ -29,7 +30,7 @@
 pub mod timeline;
 pub mod verdict;
 
-pub use self::effect::Effect;
+pub use self::effect::{Dispatch, Effect};
 pub use self::event::Event;
 pub use self::reduce::reduce;
-pub use self::state::State;
+pub use self::state::{Identity, State};
--- a/crates/toucancleat-core/src/peer.rs
+++ b/crates/toucancleat-core/src/peer.rs
@@ -1,8 +1,7 @@
 //! What entry hosts say to each other, over all concerns.
 
-use crate::accounts;
-use crate::membership;
 use crate::prelude::*;
+use crate::{accounts, crash_marks, membership, spread, targets};
 
 /// A one-way message from one entry host to another.
 ///
@@ -15,6 +14,12 @@
     Membership(membership::Message),
     /// Reservations at the homes of targets, and how they go on.
     Accounts(accounts::Message),
+    /// Settings on their way to every host.
+    Spread(spread::Message),
+    /// Which targets may take new work.
+    Targets(targets::Message),
+    /// Requests that crash targets.
+    CrashMarks(crash_marks::Message),
 }
 
 /// A message with its sender, as it travels.
@@ -30,14 +35,20 @@
     pub message: Message,
 }
 
-impl From<membership::Message> for Message {
-    fn from(message: membership::Message) -> Self {
-        Message::Membership(message)
-    }
+macro_rules! from_concern {
+    ($($concern:ident => $variant:ident,)*) => {
+        $(impl From<$concern::Message> for Message {
+            fn from(message: $concern::Message) -> Self {
+                Message::$variant(message)
+            }
+        })*
+    };
 }
 
-impl From<accounts::Message> for Message {
-    fn from(message: accounts::Message) -> Self {
-        Message::Accounts(message)
-    }
+from_concern! {
+    membership => Membership,
+    accounts => Accounts,
+    spread => Spread,
+    targets => Targets,
+    crash_marks => CrashMarks,
 }
--- /dev/null
+++ b/crates/toucancleat-core/src/reduce/crash_marks.rs
@@ -0,0 +1,88 @@
+//! Effects of the marks on requests that crash targets.
+
+use super::{membership, peers, requests};
+use crate::crash_marks::{self, Message};
+use crate::effect::Effect;
+use crate::prelude::*;
+use crate::refusal::{Problem, Refusal};
+use crate::requests::Event as RequestEvent;
+use crate::state::State;
+use crate::timeline::{Entry, RecordKind};
+
+/// Applies an event of the marks.
+pub(super) fn apply(
+    state: &mut State,
+    now_ms: u64,
+    event: crash_marks::Event,
+    effects: &mut Vec<Effect>,
+) {
+    let mut wanted = Vec::new();
+    crash_marks::reduce(&mut state.crash_marks, now_ms, event, &mut wanted);
+    for effect in wanted {
+        carry_out(state, now_ms, effect, effects);
+    }
+}
+
+fn carry_out(
+    state: &mut State,
+    now_ms: u64,
+    effect: crash_marks::Effect,
+    effects: &mut Vec<Effect>,
+) {
+    match effect {
+        crash_marks::Effect::Send { to, message } => {
+            send(state, now_ms, &to, message, effects);
+        }
+        crash_marks::Effect::Broadcast { message } => {
+            for to in membership::other_hosts(state) {
+                send(state, now_ms, &to, message.clone(), effects);
+            }
+        }
+        crash_marks::Effect::SendToZones { message } => {
+            for to in membership::delegates_elsewhere(state) {
+                send(state, now_ms, &to, message.clone(), effects);
+            }
+        }
+        crash_marks::Effect::Turn { attempt } => {
+            if let Some(request) = state.isolated.get(&attempt).copied() {
+                requests::run_isolated(state, now_ms, request, attempt, effects);
+            }
+        }
+        crash_marks::Effect::NoTurn {
+            attempt,
+            retry_after_ms,
+        } => {
+            let Some(request) = state.isolated.swap_remove(&attempt) else {
+                return;
+            };
+            let detail = "another request that may crash targets runs alone just now";
+            let refusal = Refusal::not_run(Problem::Crowded, detail)
+                .with_retry_after_ms(retry_after_ms);
+            let event = RequestEvent::NotGranted { request, refusal };
+            requests::apply(state, now_ms, event, effects);
+        }
+        crash_marks::Effect::Marked { marks, .. } => {
+            let entry = Entry::new(RecordKind::RequestIsolated)
+                .field("marks", marks as u64)
+                .reason("the target that ran a request crashed");
+            state.timeline.record(now_ms, entry);
+        }
+    }
+}
+
+/// Sends a message, which may be for this host itself.
+fn send(
+    state: &mut State,
+    now_ms: u64,
+    to: &HostName,
+    message: Message,
+    effects: &mut Vec<Effect>,
+) {
+    if *to != state.identity.host {
+        peers::send(state, now_ms, to, message, effects);
+        return;
+    }
+    let from = to.clone();
+    let event = crash_marks::Event::Received { from, message };
+    apply(state, now_ms, event, effects);
+}
--- a/crates/toucancleat-core/src/reduce/mod.rs
+++ b/crates/toucancleat-core/src/reduce/mod.rs
@@ -3,39 +3,73 @@
 //! The reducers of the single concerns feed each other through here, until only effects
 //! remain that need the outside. Each submodule carries out the effects of one concern.
 
+mod accounts;
 mod claims;
+mod crash_marks;
+mod membership;
+mod observations;
+mod peers;
 mod requests;
-
-use std::sync::Arc;
+mod settings;
+mod targets;
 
 use crate::effect::Effect;
 use crate::event::Event;
-use crate::settings::InForce;
 use crate::state::State;
+use crate::timeline::{Entry, RecordKind};
 
 /// Applies one event and appends what is to be done.
+///
+/// The time is in milliseconds since the Unix epoch and never goes back while the process
+/// runs.
 pub fn reduce(state: &mut State, now_ms: u64, event: Event, effects: &mut Vec<Effect>) {
     match event {
         Event::Tick => tick(state, now_ms, effects),
-        Event::Settings(settings) => apply_settings(state, settings, effects),
         Event::Request(event) => requests::apply(state, now_ms, event, effects),
+        Event::Progressed { generation, tokens } => {
+            let event = crate::accounts::Event::Progressed { generation, tokens };
+            accounts::apply(state, now_ms, event, effects);
+        }
         Event::Claims(event) => claims::apply(state, now_ms, event, effects),
-        Event::Drain => state.draining = true,
+        Event::Spread(event) => settings::apply(state, now_ms, event, effects),
+        Event::Received(envelope) => peers::receive(state, now_ms, *envelope, effects),
+        Event::Undelivered { to } => peers::undelivered(state, now_ms, to, effects),
+        Event::Listed {
+            hosts,
+            leaving_targets,
+        } => {
+            let event = crate::membership::Event::Listed { hosts };
+            membership::apply(state, now_ms, event, effects);
+            for target in leaving_targets {
+                targets::leaving(state, now_ms, target, effects);
+            }
+        }
+        Event::Observed {
+            target,
+            observation,
+        } => observations::observed(state, now_ms, target, observation, effects),
+        Event::Drain => drain(state, now_ms, effects),
     }
 }
 
 fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
-    requests::apply(state, now_ms, crate::requests::Event::Tick, effects);
+    membership::apply(state, now_ms, crate::membership::Event::Tick, effects);
+    settings::apply(state, now_ms, crate::spread::Event::Tick, effects);
+    targets::apply(state, now_ms, crate::targets::Event::Tick, effects);
+    crash_marks::apply(state, now_ms, crate::crash_marks::Event::Tick, effects);
     claims::apply(state, now_ms, crate::claims::Event::Tick, effects);
+    accounts::apply(state, now_ms, crate::accounts::Event::Tick, effects);
+    requests::apply(state, now_ms, crate::requests::Event::Tick, effects);
+    observations::tick(state, now_ms, effects);
 }
 
-fn apply_settings(state: &mut State, settings: Arc<InForce>, effects: &mut Vec<Effect>) {
-    let newer = state
-        .settings
-        .as_ref()
-        .is_none_or(|current| current.revision < settings.revision);
-    if newer {
-        state.settings = Some(settings.clone());
-        effects.push(Effect::ApplySettings(settings));
+fn drain(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    if state.draining {
+        return;
     }
+    state.draining = true;
+    state
+        .timeline
+        .record(now_ms, Entry::new(RecordKind::HostDraining));
+    membership::apply(state, now_ms, crate::membership::Event::Leave, effects);
 }
--- /dev/null
+++ b/crates/toucancleat-core/src/reduce/observations.rs
@@ -0,0 +1,183 @@
+//! Looking at targets and at the host list.
+//!
+//! The home of a target looks at it often, so that the load on a target doesn't grow with
+//! the number of entry hosts. A target that this host holds for leaving or out is looked
+//! at by this host too, since only that shows that it was replaced.
+
+use super::{accounts, crash_marks, targets};
+use crate::crash_marks::Crash;
+use crate::effect::Effect;
+use crate::homes::HomeKey;
+use crate::observation::Observation;
+use crate::prelude::*;
+use crate::state::State;
+use crate::targets::{Admission, Event as TargetEvent, Outcome as TargetOutcome};
+
+/// Time between two looks at a target by its home.
+const OBSERVE_HOME_MS: u64 = 500;
+/// Time between two looks at a target that takes no work.
+const OBSERVE_OUT_MS: u64 = 2_000;
+/// Time between two reads of the host list by a host that knows no other.
+const LIST_ALONE_MS: u64 = 1_000;
+/// Time between two reads of the host list.
+const LIST_MS: u64 = 10_000;
+
+/// Asks for the looks that are due.
+pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    if now_ms >= state.list_at_ms {
+        let alone = state.membership.live_hosts().count() < 2;
+        state.list_at_ms = now_ms + if alone { LIST_ALONE_MS } else { LIST_MS };
+        effects.push(Effect::ListHosts);
+    }
+    let Some(settings) = state.settings.clone() else {
+        return;
+    };
+    for (_, class, name, target) in settings.targets() {
+        if target.zone != state.identity.zone {
+            continue;
+        }
+        let due = state.observe_at_ms.get(name).is_none_or(|at| *at <= now_ms);
+        if !due {
+            continue;
+        }
+        let Some(interval_ms) = observe_interval_ms(state, now_ms, name) else {
+            continue;
+        };
+        let at_ms = now_ms + interval_ms;
+        state.observe_at_ms.insert(name.clone(), at_ms);
+        effects.push(Effect::Observe {
+            target: name.clone(),
+            class,
+            address: target.address.clone(),
+        });
+    }
+}
+
+fn observe_interval_ms(
+    state: &mut State,
+    now_ms: u64,
+    target: &TargetName,
+) -> Option<u64> {
+    let key = HomeKey::Target(target.clone());
+    if state.homes.is_home(&key, &state.identity.host) {
+        return Some(OBSERVE_HOME_MS);
+    }
+    match state.targets.peek(now_ms, target) {
+        Admission::Leaving | Admission::Out { .. } | Admission::Trial => {
+            Some(OBSERVE_OUT_MS)
+        }
+        _ => None,
+    }
+}
+
+/// Asks for a look at a target at once, such as after its connection broke.
+pub(super) fn observe_now(
+    state: &mut State,
+    now_ms: u64,
+    target: &TargetName,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(settings) = state.settings.clone() else {
+        return;
+    };
+    let Some((_, pool, found)) = settings.target(target) else {
+        return;
+    };
+    let at_ms = now_ms + OBSERVE_HOME_MS;
+    state.observe_at_ms.insert(target.clone(), at_ms);
+    effects.push(Effect::Observe {
+        target: target.clone(),
+        class: pool.class,
+        address: found.address.clone(),
+    });
+}
+
+/// Takes in what a look at a target showed.
+pub(super) fn observed(
+    state: &mut State,
+    now_ms: u64,
+    target: TargetName,
+    observation: Observation,
+    effects: &mut Vec<Effect>,
+) {
+    match observation {
+        Observation::Serving {
+            started_unix_ms,
+            load,
+        } => {
+            seen(state, now_ms, &target, started_unix_ms, effects);
+            if let Some(report) = load {
+                let event = crate::accounts::Event::LoadReported { target, report };
+                accounts::apply(state, now_ms, event, effects);
+            }
+        }
+        Observation::Leaving { started_unix_ms } => {
+            seen(state, now_ms, &target, started_unix_ms, effects);
+            targets::leaving(state, now_ms, target, effects);
+        }
+        Observation::Gone => {
+            crashed(state, now_ms, &target, effects);
+            failed(state, now_ms, target, effects);
+        }
+        Observation::Silent => failed(state, now_ms, target, effects),
+    }
+}
+
+/// Notes the start of a target; a later one than known means that it was replaced.
+fn seen(
+    state: &mut State,
+    now_ms: u64,
+    target: &TargetName,
+    started_unix_ms: u64,
+    effects: &mut Vec<Effect>,
+) {
+    let known = state.targets.epoch_of(target).unwrap_or(0);
+    if started_unix_ms <= known {
+        return;
+    }
+    if known > 0 {
+        crashed(state, now_ms, target, effects);
+    }
+    let Some(settings) = state.settings.clone() else {
+        return;
+    };
+    if let Some((pool, _, _)) = settings.target(target) {
+        let event = TargetEvent::Seen {
+            target: target.clone(),
+            pool: pool.clone(),
+            epoch: started_unix_ms,
+        };
+        targets::apply(state, now_ms, event, effects);
+    }
+}
+
+/// Marks what ran at a target whose process is gone without having announced it.
+fn crashed(
+    state: &mut State,
+    now_ms: u64,
+    target: &TargetName,
+    effects: &mut Vec<Effect>,
+) {
+    if state.targets.peek(now_ms, target) == Admission::Leaving {
+        return;
+    }
+    if let Some(epoch) = state.targets.epoch_of(target) {
+        let crash = Crash {
+            target: target.clone(),
+            epoch,
+        };
+        let event = crate::crash_marks::Event::Crashed { crash };
+        crash_marks::apply(state, now_ms, event, effects);
+    }
+}
+
+fn failed(state: &mut State, now_ms: u64, target: TargetName, effects: &mut Vec<Effect>) {
+    if let Some(epoch) = state.targets.epoch_of(&target) {
+        let event = TargetEvent::Ended {
+            target,
+            epoch,
+            outcome: TargetOutcome::Failed,
+        };
+        targets::apply(state, now_ms, event, effects);
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-core/src/reduce/settings.rs
@@ -0,0 +1,91 @@
+//! Effects of the spreading of settings.
+
+use std::sync::Arc;
+
+use super::{accounts, membership, peers, targets};
+use crate::accounts::TargetSpec;
+use crate::effect::Effect;
+use crate::prelude::*;
+use crate::settings::{InForce, TargetClass, Tree};
+use crate::spread;
+use crate::state::State;
+use crate::timeline::{Entry, RecordKind};
+
+/// Applies an event of the spreading.
+pub(super) fn apply(
+    state: &mut State,
+    now_ms: u64,
+    event: spread::Event,
+    effects: &mut Vec<Effect>,
+) {
+    let mut wanted = Vec::new();
+    spread::reduce(&mut state.spread, now_ms, event, &mut wanted);
+    for effect in wanted {
+        carry_out(state, now_ms, effect, effects);
+    }
+}
+
+fn carry_out(
+    state: &mut State,
+    now_ms: u64,
+    effect: spread::Effect,
+    effects: &mut Vec<Effect>,
+) {
+    match effect {
+        spread::Effect::Send { to, message } => {
+            peers::send(state, now_ms, &to, message, effects);
+        }
+        spread::Effect::ReadRows { read, rows } => {
+            effects.push(Effect::SettingsRead { read, rows });
+        }
+        spread::Effect::ReadSnapshot { read, objects } => {
+            effects.push(Effect::SnapshotRead { read, objects });
+        }
+        spread::Effect::StoreSnapshot { revision, tree } => {
+            effects.push(Effect::SnapshotStore { revision, tree });
+        }
+        spread::Effect::InForce { revision, tree } => {
+            put_in_force(state, now_ms, revision, tree, effects);
+        }
+        spread::Effect::Unreadable { revision } => {
+            let entry = Entry::new(RecordKind::Other)
+                .field("revision", revision.0)
+                .reason("a committed change does not fit the tree it was made on");
+            state.timeline.record(now_ms, entry);
+        }
+    }
+}
+
+fn put_in_force(
+    state: &mut State,
+    now_ms: u64,
+    revision: Revision,
+    tree: Arc<Tree>,
+    effects: &mut Vec<Effect>,
+) {
+    let settings = Arc::new(InForce::new(revision, tree));
+    let entry = Entry::new(RecordKind::SettingsApplied).field("revision", revision.0);
+    state.timeline.record(now_ms, entry);
+    state.settings = Some(settings.clone());
+    effects.push(Effect::ApplySettings(settings.clone()));
+    targets::take_settings(state, now_ms, &settings, effects);
+    let event = crate::accounts::Event::TargetsChanged(engines_of_zone(state, &settings));
+    accounts::apply(state, now_ms, event, effects);
+    membership::tell_accounts(state, now_ms, effects);
+}
+
+/// Describes the engines of the host's own zone.
+fn engines_of_zone(state: &State, settings: &InForce) -> Vec<TargetSpec> {
+    let mut specs = Vec::new();
+    for (pool, class, name, target) in settings.targets() {
+        if class == TargetClass::ModelEngine && target.zone == state.identity.zone {
+            specs.push(TargetSpec {
+                name: name.clone(),
+                pool: pool.clone(),
+                memory_tokens: target.memory_tokens,
+                max_batch: target.max_batch,
+            });
+        }
+    }
+    specs
+}
--- /dev/null
+++ b/crates/toucancleat-core/src/reduce/targets.rs
@@ -0,0 +1,98 @@
+//! Effects of the judgement of targets.
+
+use super::{accounts, peers};
+use crate::effect::Effect;
+use crate::prelude::*;
+use crate::settings::InForce;
+use crate::state::State;
+use crate::targets::{self, Reason};
+use crate::timeline::{Entry, RecordKind};
+
+/// Applies an event of the judgement of targets.
+pub(super) fn apply(
+    state: &mut State,
+    now_ms: u64,
+    event: targets::Event,
+    effects: &mut Vec<Effect>,
+) {
+    let mut wanted = Vec::new();
+    targets::reduce(&mut state.targets, now_ms, event, &mut wanted);
+    for effect in wanted {
+        carry_out(state, now_ms, effect, effects);
+    }
+}
+
+/// Notes that a target was said to be leaving.
+pub(super) fn leaving(
+    state: &mut State,
+    now_ms: u64,
+    target: TargetName,
+    effects: &mut Vec<Effect>,
+) {
+    if let Some(epoch) = state.targets.epoch_of(&target) {
+        let event = targets::Event::Leaving { target, epoch };
+        apply(state, now_ms, event, effects);
+    }
+}
+
+/// Takes in the targets that the settings name.
+pub(super) fn take_settings(
+    state: &mut State,
+    now_ms: u64,
+    settings: &InForce,
+    effects: &mut Vec<Effect>,
+) {
+    let known: Vec<TargetName> = state.targets.targets().cloned().collect();
+    for target in known {
+        if settings.target(&target).is_none() {
+            state.observe_at_ms.swap_remove(&target);
+            let event = targets::Event::Removed { target };
+            apply(state, now_ms, event, effects);
+        }
+    }
+    for (pool, _, name, _) in settings.targets() {
+        if state.targets.epoch_of(name).is_none() {
+            let event = targets::Event::Seen {
+                target: name.clone(),
+                pool: pool.clone(),
+                epoch: 0,
+            };
+            apply(state, now_ms, event, effects);
+        }
+    }
+}
+
+fn carry_out(
+    state: &mut State,
+    now_ms: u64,
+    effect: targets::Effect,
+    effects: &mut Vec<Effect>,
+) {
+    match effect {
+        targets::Effect::Send { to, message } => {
+            peers::send(state, now_ms, &to, message, effects);
+        }
+        targets::Effect::TakenOut { target, reason } => {
+            let leaves = reason == Reason::Leaving;
+            let kind = match leaves {
+                true => RecordKind::TargetLeaving,
+                false => RecordKind::TargetDown,
+            };
+            let entry = Entry::new(kind)
+                .target(&target)
+                .reason(format!("{reason:?}").to_lowercase());
+            state.timeline.record(now_ms, entry);
+            let event = match leaves {
+                true => crate::accounts::Event::TargetLeaving { target },
+                false => crate::accounts::Event::TargetLost { target },
+            };
+            accounts::apply(state, now_ms, event, effects);
+        }
+        targets::Effect::PutBack { target } => {
+            let entry = Entry::new(RecordKind::TargetUp).target(&target);
+            state.timeline.record(now_ms, entry);
+            let event = crate::accounts::Event::TargetReturned { target };
+            accounts::apply(state, now_ms, event, effects);
+        }
+    }
+}
--- a/crates/toucancleat-core/src/requests/mod.rs
+++ b/crates/toucancleat-core/src/requests/mod.rs
@@ -128,10 +128,10 @@
     Reserve {
         /// The request.
         arrival: Arc<Arrival>,
+        /// Number of the attempt, from 1; the retry budget counts those after the first.
+        attempt: u32,
         /// Targets that an earlier attempt has tried.
         excluded: Vec<TargetName>,
-        /// Whether this is another attempt, which the retry budget counts.
-        is_retry: bool,
     },
     /// Stop looking for a target.
     Withdraw {
@@ -141,7 +141,7 @@
     /// Give the request to a target.
     Dispatch {
         /// The request.
-        request: RequestId,
+        arrival: Arc<Arrival>,
         /// The target.
         target: TargetName,
         /// Number of the attempt, from 1.
@@ -154,9 +154,11 @@
     /// Tell the accounts how the attempt at a target ended.
     Settle {
         /// The request.
-        request: RequestId,
+        arrival: Arc<Arrival>,
         /// The target.
         target: TargetName,
+        /// Number of the attempt, from 1.
+        attempt: u32,
         /// How the attempt ended.
         outcome: Outcome,
     },
@@ -185,6 +187,12 @@
         self.active.get(&request).map(|found| &found.arrival)
     }
 
+    /// Returns the targets that a request has tried.
+    pub fn excluded(&self, request: RequestId) -> &[TargetName] {
+        let found = self.active.get(&request);
+        found.map_or(&[], |found| found.excluded.as_slice())
+    }
+
     fn remove(&mut self, request: RequestId) -> Option<Request> {
         let removed = self.active.swap_remove(&request)?;
         let key = (removed.dispatch_deadline_ms(), request);
@@ -244,6 +252,13 @@
     }
 }
 
+/// Returns the generation of an attempt.
+///
+/// Request ids are random, so that the ids of two requests' attempts can't meet.
+pub fn generation_of(request: RequestId, attempt: u32) -> GenerationId {
+    GenerationId(request.0.wrapping_add(u128::from(attempt)))
+}
+
 /// Applies one event.
 pub fn reduce(
     state: &mut Requests,
@@ -312,8 +327,8 @@
     } else {
         Effect::Reserve {
             arrival,
+            attempt: 1,
             excluded: Vec::new(),
-            is_retry: false,
         }
     });
 }
@@ -331,8 +346,8 @@
     found.stage = Stage::Reserving;
     effects.push(Effect::Reserve {
         arrival: found.arrival.clone(),
+        attempt: 1,
         excluded: Vec::new(),
-        is_retry: false,
     });
 }
 
@@ -344,14 +359,6 @@
     effects: &mut Vec<Effect>,
 ) {
     let Some(found) = state.active.get_mut(&request) else {
-        let outcome = Outcome::NotBegun {
-            retry_after_ms: None,
-        };
-        effects.push(Effect::Settle {
-            request,
-            target,
-            outcome,
-        });
         return;
     };
     if found.stage != Stage::Reserving {
@@ -362,7 +369,7 @@
         target: target.clone(),
     };
     effects.push(Effect::Dispatch {
-        request,
+        arrival: found.arrival.clone(),
         target,
         attempt: found.attempts,
         priority,
@@ -403,8 +410,9 @@
         return;
     }
     effects.push(Effect::Settle {
-        request,
+        arrival: found.arrival.clone(),
         target: target.clone(),
+        attempt,
         outcome: outcome.clone(),
     });
     found.verdict = found.verdict.max(outcome.verdict());
@@ -429,8 +437,8 @@
         found.stage = Stage::Reserving;
         effects.push(Effect::Reserve {
             arrival: found.arrival.clone(),
+            attempt: found.attempts + 1,
             excluded: found.excluded.clone(),
-            is_retry: true,
         });
         return;
     }
--- a/crates/toucancleat-core/src/requests/outcome.rs
+++ b/crates/toucancleat-core/src/requests/outcome.rs
@@ -13,6 +13,8 @@
     Finished {
         /// Tokens of the answer; 0 for a plain service.
         tokens: u32,
+        /// Time from the dispatch to the first token or byte.
+        first_token_ms: u64,
         /// The answer, where its claim keeps it for a repeat of the key.
         answer: Option<Arc<Answer>>,
     },
--- a/crates/toucancleat-core/src/settings/in_force.rs
+++ b/crates/toucancleat-core/src/settings/in_force.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Directory, Effective, TargetClass, Tree};
+use super::{Directory, Effective, Pool, Target, TargetClass, Tree};
 use crate::prelude::*;
 use crate::refusal::{Problem, Refusal};
 
@@ -12,7 +12,7 @@
     /// The revision.
     pub revision: Revision,
     /// The whole tree.
-    pub tree: Tree,
+    pub tree: Arc<Tree>,
     directory: Directory,
 }
 
@@ -35,7 +35,7 @@
 
 impl InForce {
     /// Prepares a tree that was checked before.
-    pub fn new(revision: Revision, tree: Tree) -> Self {
+    pub fn new(revision: Revision, tree: Arc<Tree>) -> Self {
         let directory = Directory::new(&tree);
         InForce {
             revision,
@@ -44,6 +44,24 @@
         }
     }
 
+    /// Returns a target and the pool that it belongs to.
+    pub fn target(&self, name: &TargetName) -> Option<(&PoolName, &Pool, &Target)> {
+        self.tree.pools.iter().find_map(|(pool_name, pool)| {
+            let target = pool.targets.get(name)?;
+            Some((pool_name, pool, target))
+        })
+    }
+
+    /// Returns every target of every pool.
+    pub fn targets(
+        &self,
+    ) -> impl Iterator<Item = (&PoolName, TargetClass, &TargetName, &Target)> {
+        self.tree.pools.iter().flat_map(|(pool_name, pool)| {
+            let targets = pool.targets.iter();
+            targets.map(move |(name, target)| (pool_name, pool.class, name, target))
+        })
+    }
+
     /// Finds the organisation, live event and values of a request.
     ///
     /// # Errors
--- a/crates/toucancleat-core/src/state.rs
+++ b/crates/toucancleat-core/src/state.rs
@@ -1,13 +1,35 @@
 //! Everything that an entry host knows.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 
-use crate::claims;
+use crate::homes::Homes;
 use crate::prelude::*;
 use crate::requests::Requests;
 use crate::settings::InForce;
+use crate::timeline::Timeline;
+use crate::{accounts, claims, crash_marks, membership, spread, targets};
+
+/// Bound on the memory of the time line's ring.
+const TIMELINE_MAX_BYTES: usize = 4 * 1_024 * 1_024;
+
+/// What a host is told of itself at its start.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name, unique in the fleet.
+    pub host: HostName,
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Where other entry hosts connect.
+    pub peers_address: SocketAddr,
+    /// Higher at each start of the host.
+    pub incarnation: Incarnation,
+    /// A random number, which tells this host's claims from those of its earlier
+    /// incarnations.
+    pub seed: u128,
+}
 
 /// The state of one entry host.
 ///
@@ -15,41 +37,83 @@
 #[derive(Debug)]
 pub struct State {
     /// The host itself.
-    pub host: HostName,
-    /// Availability zone of the host.
-    pub zone: ZoneName,
+    pub identity: Identity,
     /// The settings in force here; `None` until the first revision is known.
     pub settings: Option<Arc<InForce>>,
     /// Requests in progress.
     pub requests: Requests,
     /// Claims of keys in the platform's table.
     pub claims: claims::State,
+    /// Which entry hosts live.
+    pub membership: membership::State,
+    /// Which of them keeps what.
+    pub homes: Homes,
+    /// Reservations at targets.
+    pub accounts: accounts::State,
+    /// Which targets may take new work.
+    pub targets: targets::State,
+    /// Requests that crash targets.
+    pub crash_marks: crash_marks::State,
+    /// How the settings reach this host and go on from it.
+    pub spread: spread::State,
+    /// What was done, for operators.
+    pub timeline: Timeline,
     /// Requests that this host has given to each target and that are still running.
     pub outstanding: IndexMap<TargetName, u32>,
+    /// Requests that run alone, or wait for their turn to, by attempt.
+    pub(crate) isolated: IndexMap<GenerationId, RequestId>,
+    /// When each target is to be looked at again.
+    pub(crate) observe_at_ms: IndexMap<TargetName, u64>,
+    /// When the host list is to be read again.
+    pub(crate) list_at_ms: u64,
     /// Whether the host was told to stop.
     pub draining: bool,
 }
 
 impl State {
     /// Makes the state of a host that has just started.
-    ///
-    /// The seed has to be random: it tells this host's claims from those of its earlier
-    /// incarnations.
-    pub fn new(
-        host: HostName,
-        zone: ZoneName,
-        incarnation: Incarnation,
-        seed: u128,
-    ) -> Self {
-        let claims_config = claims::Config::default();
+    pub fn new(identity: Identity) -> Self {
+        let own = membership::Host {
+            name: identity.host.clone(),
+            zone: identity.zone.clone(),
+            address: identity.peers_address,
+            incarnation: identity.incarnation,
+        };
+        let seed = identity.seed as u64;
+        let mut homes = Homes::new();
+        homes.update(0, [&own]);
         State {
-            claims: claims::State::new(claims_config, &host, incarnation, seed),
-            host,
-            zone,
             settings: None,
             requests: Requests::default(),
+            claims: claims::State::new(
+                claims::Config::default(),
+                &identity.host,
+                identity.incarnation,
+                identity.seed,
+            ),
+            membership: membership::State::new(membership::Config::default(), own, seed),
+            homes,
+            accounts: accounts::State::new(
+                identity.host.clone(),
+                accounts::Config {
+                    seed,
+                    ..accounts::Config::default()
+                },
+            ),
+            targets: targets::State::new(targets::Config::default(), seed),
+            crash_marks: crash_marks::State::new(crash_marks::Config::default()),
+            spread: spread::State::new(spread::Config::default(), seed),
+            timeline: Timeline::new(
+                identity.host.clone(),
+                identity.incarnation,
+                TIMELINE_MAX_BYTES,
+            ),
             outstanding: IndexMap::new(),
+            isolated: IndexMap::new(),
+            observe_at_ms: IndexMap::new(),
+            list_at_ms: 0,
             draining: false,
+            identity,
         }
     }
 }
--- a/crates/toucancleat-core/src/timeline/clock.rs
+++ b/crates/toucancleat-core/src/timeline/clock.rs
@@ -55,7 +55,27 @@
     }
 }
 
+/// Bits of a packed stamp that hold the counter.
+const COUNTER_BITS: u32 = 20;
+
 impl Stamp {
+    /// Packs the stamp into one number of the same order, for a message's envelope.
+    ///
+    /// N.B. A counter beyond its 20 bits is cut to the largest, which can only make two
+    /// records of one millisecond look simultaneous.
+    pub fn to_u64(self) -> u64 {
+        let counter = u64::from(self.counter).min((1 << COUNTER_BITS) - 1);
+        (self.at_unix_ms << COUNTER_BITS) | counter
+    }
+
+    /// Unpacks a stamp.
+    pub fn from_u64(packed: u64) -> Self {
+        Stamp {
+            at_unix_ms: packed >> COUNTER_BITS,
+            counter: (packed & ((1 << COUNTER_BITS) - 1)) as u32,
+        }
+    }
+
     /// Returns the next later stamp.
     fn next(self) -> Stamp {
         match self.counter.checked_add(1) {
