--- a/crates/toucancleat-entry/src/callers/generations.rs
+++ b/crates/toucancleat-entry/src/callers/generations.rs
@@ -15,7 +15,6 @@
 use volo_http::response::Response;
 
 use super::{Admitted, admit, body, refuse, relay, text_header};
-use crate::clock::now_unix_ms;
 use crate::host::Host;
 use crate::relay::{GenerationWork, Work};
 
@@ -60,7 +59,8 @@
         body::read(incoming, values.max_body_bytes, host.config.body_timeout_ms).await?;
     let asked = Asked::parse(path, &bytes, values.max_output_tokens)?;
     let whole = values.delivery == Delivery::Whole || !values.idempotent;
-    let arrival = arrival(id, path, &bytes, &asked, &admitted);
+    let arrived_unix_ms = host.clock.now_ms();
+    let arrival = arrival(id, arrived_unix_ms, path, &bytes, &asked, &admitted);
     let work = GenerationWork {
         path,
         body: asked.body,
@@ -76,6 +76,7 @@
 
 fn arrival(
     id: RequestId,
+    arrived_unix_ms: u64,
     path: &str,
     bytes: &[u8],
     asked: &Asked,
@@ -87,7 +88,7 @@
     content.extend_from_slice(bytes);
     Arrival {
         request: id,
-        arrived_unix_ms: now_unix_ms(),
+        arrived_unix_ms,
         live_event: admission.live_event.clone(),
         live_event_starts_unix_ms: admission.starts_at_unix_ms,
         live_event_ends_unix_ms: admission.ends_at_unix_ms,
--- a/crates/toucancleat-entry/src/callers/mod.rs
+++ b/crates/toucancleat-entry/src/callers/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod credential;
 mod generations;
+mod guarded;
 mod services;
 
 use std::sync::Arc;
@@ -149,17 +150,18 @@
     in_progress: InProgress,
 ) -> Response {
     let request = arrival.request;
+    let in_progress = Arc::new(in_progress);
     let (caller, waiting) = Caller::new(host.config.stream_buffer_tokens);
     let relay = Relay {
         host,
         arrival: Arc::new(arrival),
         work,
         caller,
-        _in_progress: in_progress,
+        _in_progress: in_progress.clone(),
     };
     tokio::spawn(relay.run());
     match waiting.response().await {
-        Some(response) => response,
+        Some(response) => guarded::guard(response, in_progress),
         None => {
             let refusal = Refusal::not_run(
                 Problem::TargetFault,
--- a/crates/toucancleat-entry/src/callers/services.rs
+++ b/crates/toucancleat-entry/src/callers/services.rs
@@ -14,7 +14,6 @@
 use volo_http::response::Response;
 
 use super::{Admitted, admit, body, refuse, relay};
-use crate::clock::now_unix_ms;
 use crate::host::Host;
 use crate::relay::Work;
 use crate::service::ServiceRequest;
@@ -48,7 +47,7 @@
     let max_bytes = admitted.admission.values.max_body_bytes;
     let bytes = body::read(incoming, max_bytes, host.config.body_timeout_ms).await?;
     let request = service_request(&head, bytes, admitted.idempotency_key.as_deref());
-    let arrival = arrival(id, &request, &admitted);
+    let arrival = arrival(id, host.clock.now_ms(), &request, &admitted);
     Ok((arrival, request, admitted))
 }
 
@@ -88,7 +87,12 @@
     }
 }
 
-fn arrival(id: RequestId, request: &ServiceRequest, admitted: &Admitted) -> Arrival {
+fn arrival(
+    id: RequestId,
+    arrived_unix_ms: u64,
+    request: &ServiceRequest,
+    admitted: &Admitted,
+) -> Arrival {
     let admission = &admitted.admission;
     let mut content = request.method.as_str().as_bytes().to_vec();
     content.push(b' ');
@@ -97,7 +101,7 @@
     content.extend_from_slice(&request.body);
     Arrival {
         request: id,
-        arrived_unix_ms: now_unix_ms(),
+        arrived_unix_ms,
         live_event: admission.live_event.clone(),
         live_event_starts_unix_ms: admission.starts_at_unix_ms,
         live_event_ends_unix_ms: admission.ends_at_unix_ms,
--- a/crates/toucancleat-entry/src/driver.rs
+++ b/crates/toucancleat-entry/src/driver.rs
@@ -10,11 +10,11 @@
 use toucancleat_core::prelude::*;
 use toucancleat_core::refusal::Refusal;
 use toucancleat_core::requests::{self, Arrival};
-use toucancleat_core::{Effect, Event, State, reduce};
+use toucancleat_core::{Dispatch, Effect, Event, Identity, State, reduce};
 
-use crate::claims;
-use crate::clock::now_unix_ms;
 use crate::host::Host;
+use crate::peers::Peers;
+use crate::{claims, observe, settings};
 
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(50);
@@ -45,27 +45,13 @@
     Replay(StoredAnswer),
 }
 
-/// One attempt at a target.
-#[derive(Clone, Debug)]
-pub struct Dispatch {
-    /// The target.
-    pub target: TargetName,
-    /// Address of the target, IP and port.
-    pub address: String,
-    /// Number of the attempt, from 1.
-    pub attempt: u32,
-    /// Priority towards the engine.
-    pub priority: u8,
-    /// When the answer must be whole.
-    pub deadline_ms: u64,
-}
-
 /// The driver of one entry host.
 #[derive(Debug)]
 pub struct Driver {
     host: Arc<Host>,
     state: State,
     inputs: mpsc::UnboundedReceiver<Input>,
+    peers: Peers,
     commands: IndexMap<RequestId, mpsc::UnboundedSender<Command>>,
 }
 
@@ -81,16 +67,23 @@
 
 impl Driver {
     /// Makes the driver of a host.
-    pub fn new(host: Arc<Host>, inputs: mpsc::UnboundedReceiver<Input>) -> Self {
-        let config = &host.config;
-        let incarnation = Incarnation(now_unix_ms());
-        let seed = rand::random();
-        let state =
-            State::new(config.host.clone(), config.zone.clone(), incarnation, seed);
+    pub(crate) fn new(
+        host: Arc<Host>,
+        peers: Peers,
+        inputs: mpsc::UnboundedReceiver<Input>,
+    ) -> Self {
+        let state = State::new(Identity {
+            host: host.config.host.clone(),
+            zone: host.config.zone.clone(),
+            peers_address: peers.address(),
+            incarnation: Incarnation(host.clock.started_unix_ms()),
+            seed: rand::random(),
+        });
         Driver {
             host,
             state,
             inputs,
+            peers,
             commands: IndexMap::new(),
         }
     }
@@ -102,6 +95,7 @@
         loop {
             let input = tokio::select! {
                 input = self.inputs.recv() => input,
+                input = self.peers.next() => input,
                 _ = ticks.tick() => Some(Input::Event(Event::Tick)),
             };
             match input {
@@ -139,22 +133,8 @@
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::Dispatch {
-                request,
-                target,
-                address,
-                attempt,
-                priority,
-                deadline_ms,
-            } => {
-                let dispatch = Dispatch {
-                    target,
-                    address,
-                    attempt,
-                    priority,
-                    deadline_ms,
-                };
-                self.command(request, Command::Dispatch(dispatch));
+            Effect::Dispatch(dispatch) => {
+                self.command(dispatch.request, Command::Dispatch(dispatch));
             }
             Effect::Refuse { request, refusal } => {
                 self.command(request, Command::Refuse(refusal));
@@ -177,8 +157,31 @@
             } => {
                 tokio::spawn(claims::put_answer(self.host.clone(), request, name, body));
             }
+            Effect::SettingsRead { read, rows } => {
+                tokio::spawn(settings::read_rows(self.host.clone(), read, rows));
+            }
+            Effect::SnapshotRead { read, objects } => {
+                tokio::spawn(settings::read_snapshot(self.host.clone(), read, objects));
+            }
+            Effect::SnapshotStore { revision, tree } => {
+                tokio::spawn(settings::store_snapshot(self.host.clone(), revision, tree));
+            }
+            Effect::Send { to, envelope } => self.peers.send(to, *envelope),
+            Effect::ListHosts => {
+                tokio::spawn(observe::list_hosts(self.host.clone()));
+            }
+            Effect::Observe {
+                target,
+                class,
+                address,
+            } => {
+                let host = self.host.clone();
+                tokio::spawn(observe::observe(host, target, class, address));
+            }
             Effect::ApplySettings(settings) => {
                 log::info!(revision = settings.revision.0; "settings are in force");
+                let revision = i64::try_from(settings.revision.0).unwrap_or(i64::MAX);
+                self.host.metrics.settings_revision.set(revision);
                 self.host.apply_settings(settings);
             }
             _ => {}
--- a/crates/toucancleat-entry/src/engine.rs
+++ b/crates/toucancleat-entry/src/engine.rs
@@ -10,12 +10,14 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
+use toucancleat_core::accounts;
+use toucancleat_core::observation::Observation;
 use toucancleat_core::prelude::*;
 use volo_http::client::sse::SseReader;
 use volo_http::error::BoxError;
 use volo_http::response::Response;
 
-use crate::http::{Call, CallError, HttpClient};
+use crate::http::{Call, HttpClient};
 
 /// Largest event of an engine's stream.
 const EVENT_MAX_BYTES: usize = 256 * 1_024;
@@ -25,6 +27,8 @@
 const CONTROL_TIMEOUT_MS: u64 = 3_000;
 /// Largest reply of such a call.
 const CONTROL_REPLY_MAX_BYTES: usize = 1_024 * 1_024;
+/// State of an engine that takes no new work.
+const LEAVING: &str = "leaving";
 /// The data of the event that closes a whole answer.
 const DONE: &str = "[DONE]";
 
@@ -110,6 +114,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct LoadReport {
+    /// When the engine was started; 0 where it doesn't say.
+    pub started_unix_ms: u64,
     /// When the engine measured it.
     pub measured_unix_ms: u64,
     /// Sequences in the batch.
@@ -196,7 +202,7 @@
         .await;
     match sent {
         Ok(response) => read_start(response).await,
-        Err(CallError::NotSent(_)) => Start::NotBegun {
+        Err(error) if error.is_not_sent() => Start::NotBegun {
             retry_after_ms: None,
         },
         Err(error) => Start::Unknown {
@@ -239,14 +245,44 @@
     })
 }
 
-/// Reads the load report of an engine.
-pub async fn load(client: &HttpClient, address: SocketAddr) -> Option<LoadReport> {
+/// Asks an engine how it is.
+pub async fn observe(client: &HttpClient, address: SocketAddr) -> Observation {
     let call = control_call(address, Method::GET, "/v1/load");
     let reply = client
         .exchange(call, CONTROL_TIMEOUT_MS, CONTROL_REPLY_MAX_BYTES)
-        .await
-        .ok()?;
-    serde_json::from_slice(reply.body()).ok()
+        .await;
+    match reply {
+        Ok(reply) if reply.status().is_success() => {
+            match serde_json::from_slice::<LoadReport>(reply.body()) {
+                Ok(report) => report.observation(),
+                Err(_) => Observation::Silent,
+            }
+        }
+        Err(error) if error.is_refused() => Observation::Gone,
+        _ => Observation::Silent,
+    }
+}
+
+impl LoadReport {
+    fn observation(&self) -> Observation {
+        let started_unix_ms = self.started_unix_ms;
+        if self.state == LEAVING {
+            return Observation::Leaving { started_unix_ms };
+        }
+        let block_tokens = u64::from(self.block_tokens);
+        Observation::Serving {
+            started_unix_ms,
+            load: Some(accounts::LoadReport {
+                measured_unix_ms: self.measured_unix_ms,
+                running: self.running,
+                waiting: self.waiting,
+                used_tokens: self.blocks_used * block_tokens,
+                memory_tokens: self.blocks_total * block_tokens,
+                preemptions_total: self.preemptions_total,
+                step_ms: self.step_ms,
+            }),
+        }
+    }
 }
 
 fn control_call(address: SocketAddr, method: Method, path: &str) -> Call<'_> {
--- a/crates/toucancleat-entry/src/error.rs
+++ b/crates/toucancleat-entry/src/error.rs
@@ -17,6 +17,8 @@
         what: &'static str,
         source: io::Error,
     },
+    #[error(transparent)]
+    Peers(toucancleat_wire::StartError),
     #[error("{what}: {detail}")]
     Platform { what: &'static str, detail: String },
 }
@@ -32,6 +34,11 @@
         Error(Kind::Listen { what, source })
     }
 
+    /// Makes an error about the peers' port.
+    pub(crate) fn peers(error: toucancleat_wire::StartError) -> Self {
+        Error(Kind::Peers(error))
+    }
+
     /// Makes an error about the platform.
     pub fn platform(what: &'static str, detail: String) -> Self {
         Error(Kind::Platform { what, detail })
--- a/crates/toucancleat-entry/src/http/client.rs
+++ b/crates/toucancleat-entry/src/http/client.rs
@@ -1,5 +1,7 @@
 //! A client for the outside protocols.
 
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -39,6 +41,10 @@
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
 pub enum CallError {
+    /// No byte of the request left, since the other side's host refused the connection:
+    /// nothing listens there.
+    #[error("the connection was refused: {0}")]
+    Refused(String),
     /// No byte of the request left, since no connection could be opened.
     #[error("no connection could be opened: {0}")]
     NotSent(String),
@@ -53,6 +59,18 @@
     Body(String),
 }
 
+impl CallError {
+    /// Says whether it is proved that no byte of the request left.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, CallError::Refused(_) | CallError::NotSent(_))
+    }
+
+    /// Says whether nothing listens at the address.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, CallError::Refused(_))
+    }
+}
+
 impl std::fmt::Debug for HttpClient {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("HttpClient").finish_non_exhaustive()
@@ -85,7 +103,7 @@
     ///
     /// # Errors
     ///
-    /// Returns [`CallError::NotSent`] only where no byte can have left.
+    /// Returns an error that [`CallError::is_not_sent`] only where no byte can have left.
     pub async fn send(&self, call: Call<'_>) -> Result<Response, CallError> {
         let uri = format!("http://{}{}", call.address, call.path);
         let mut builder = self.client.request(call.method, uri);
@@ -94,6 +112,9 @@
         }
         let sent = builder.body(Body::from(call.body)).send().await;
         sent.map_err(|error| match error.kind() {
+            ErrorKind::Connect | ErrorKind::Builder if is_refused(&error) => {
+                CallError::Refused(error.to_string())
+            }
             ErrorKind::Connect | ErrorKind::Builder => {
                 CallError::NotSent(error.to_string())
             }
@@ -126,3 +147,18 @@
             .unwrap_or(Err(CallError::TimedOut(timeout_ms)))
     }
 }
+
+/// Looks for a refused connection among an error's sources.
+fn is_refused(error: &(dyn Error + 'static)) -> bool {
+    let mut source = Some(error);
+    while let Some(current) = source {
+        let refused = current
+            .downcast_ref::<io::Error>()
+            .is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
+        if refused {
+            return true;
+        }
+        source = current.source();
+    }
+    false
+}
--- a/crates/toucancleat-entry/src/lib.rs
+++ b/crates/toucancleat-entry/src/lib.rs
@@ -18,13 +18,16 @@
 pub mod http;
 pub mod logging;
 mod metrics;
+mod observe;
 mod operators;
+mod peers;
 pub mod platform;
 mod problem;
 mod relay;
 pub mod service;
 mod serving;
 mod settings;
+mod views;
 
 pub use self::config::Config;
 pub use self::error::Error;
--- a/crates/toucancleat-entry/src/logging.rs
+++ b/crates/toucancleat-entry/src/logging.rs
@@ -5,7 +5,7 @@
 use log::kv::{self, Key, Value, VisitSource};
 use serde_json::{Map, json};
 
-use crate::clock::now_unix_ms;
+use crate::clock::wall_unix_ms;
 
 /// Name of the environment variable that sets the level, such as `info` or
 /// `toucancleat_entry=debug`.
@@ -18,7 +18,7 @@
     let started = env_logger::Builder::from_env(env)
         .format(move |out, record| {
             let mut line = Map::new();
-            line.insert("at_unix_ms".to_owned(), json!(now_unix_ms()));
+            line.insert("at_unix_ms".to_owned(), json!(wall_unix_ms()));
             line.insert("level".to_owned(), json!(record.level().as_str()));
             line.insert("process".to_owned(), json!(process));
             line.insert("module".to_owned(), json!(record.target()));
--- /dev/null
+++ b/crates/toucancleat-entry/src/observe.rs
@@ -0,0 +1,74 @@
+//! Looking at targets and at the host list.
+
+use std::sync::Arc;
+
+use toucancleat_core::Event;
+use toucancleat_core::membership;
+use toucancleat_core::observation::Observation;
+use toucancleat_core::prelude::*;
+use toucancleat_core::settings::TargetClass;
+
+use crate::driver::Input;
+use crate::host::Host;
+use crate::platform::ListedHost;
+use crate::{engine, service};
+
+/// Role of an entry host in the list.
+pub(crate) const ROLE_ENTRY: &str = "entry";
+/// Role of a target in the list.
+const ROLE_TARGET: &str = "target";
+/// State of a host that leaves.
+const STATE_LEAVING: &str = "leaving";
+
+/// Asks a target how it is, and tells the reducer.
+pub(crate) async fn observe(
+    host: Arc<Host>,
+    target: TargetName,
+    class: TargetClass,
+    address: String,
+) {
+    let observation = match address.parse() {
+        Ok(address) if class == TargetClass::ModelEngine => {
+            engine::observe(&host.pooled, address).await
+        }
+        Ok(address) => service::observe(&host.pooled, address).await,
+        Err(_) => Observation::Silent,
+    };
+    host.tell(Input::Event(Event::Observed {
+        target,
+        observation,
+    }));
+}
+
+/// Reads the host list, and tells the reducer.
+pub(crate) async fn list_hosts(host: Arc<Host>) {
+    let listed = match host.platform.hosts().await {
+        Ok(listed) => listed,
+        Err(error) => {
+            log::debug!("the host list could not be read: {error}");
+            return;
+        }
+    };
+    let leaving_targets = listed
+        .iter()
+        .filter(|listed| listed.role == ROLE_TARGET && listed.state == STATE_LEAVING)
+        .map(|listed| TargetName::new(&listed.name))
+        .collect();
+    let hosts = listed.iter().filter_map(entry_host).collect();
+    host.tell(Input::Event(Event::Listed {
+        hosts,
+        leaving_targets,
+    }));
+}
+
+fn entry_host(listed: &ListedHost) -> Option<membership::ListedHost> {
+    if listed.role != ROLE_ENTRY {
+        return None;
+    }
+    Some(membership::ListedHost {
+        name: HostName::new(&listed.name),
+        zone: ZoneName::new(&listed.zone),
+        address: listed.peer_address?,
+        leaving: listed.state == STATE_LEAVING,
+    })
+}
--- a/crates/toucancleat-entry/src/operators.rs
+++ b/crates/toucancleat-entry/src/operators.rs
@@ -4,6 +4,8 @@
 
 use http::header::{AUTHORIZATION, CONTENT_TYPE};
 use http::{HeaderValue, StatusCode};
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use subtle::ConstantTimeEq;
 use tokio::sync::oneshot;
@@ -16,15 +18,36 @@
 
 use crate::driver::Input;
 use crate::host::Host;
+use crate::views;
 
 /// Media type of the Prometheus text format.
 const OPENMETRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// Most records of the time line in one reply.
+const TIMELINE_PAGE_MAX: usize = 10_000;
+/// Records in one reply when the operator names no number.
+const TIMELINE_PAGE: usize = 1_000;
+
+/// The part of the time line that is asked for.
+#[derive(Deserialize)]
+struct TimelineQuery {
+    #[serde(default)]
+    after: u64,
+    #[serde(default = "timeline_page")]
+    limit: usize,
+}
+
+fn timeline_page() -> usize {
+    TIMELINE_PAGE
+}
+
 /// Makes the routes of the operators' port.
 pub fn router(host: Arc<Host>) -> Router {
     let metrics = host.clone();
     let settings = host.clone();
     let targets = host.clone();
+    let hosts = host.clone();
+    let timeline = host.clone();
     let status = host.clone();
     let drain = host;
     Router::new()
@@ -40,6 +63,14 @@
             "/targets",
             get(move |request: Request| read_targets(targets, request)),
         )
+        .route(
+            "/hosts",
+            get(move |request: Request| read_hosts(hosts, request)),
+        )
+        .route(
+            "/timeline",
+            get(move |request: Request| read_timeline(timeline, request)),
+        )
         .route(
             "/status",
             get(move |request: Request| read_status(status, request)),
@@ -74,24 +105,52 @@
     if let Some(refused) = unauthorised(&host, &request) {
         return refused;
     }
-    inspect(&host, |state| json!({ "outstanding": state.outstanding })).await
+    let now_ms = host.clock.now_ms();
+    inspect(&host, move |state| views::targets(state, now_ms)).await
+}
+
+async fn read_hosts(host: Arc<Host>, request: Request) -> Response {
+    if let Some(refused) = unauthorised(&host, &request) {
+        return refused;
+    }
+    inspect(&host, views::hosts).await
+}
+
+async fn read_timeline(host: Arc<Host>, request: Request) -> Response {
+    if let Some(refused) = unauthorised(&host, &request) {
+        return refused;
+    }
+    let query: TimelineQuery = match parse_query(request.uri().query()) {
+        Ok(query) => query,
+        Err(error) => return reply(StatusCode::BAD_REQUEST, "text/plain", error),
+    };
+    inspect(&host, move |state| {
+        let limit = query.limit.min(TIMELINE_PAGE_MAX);
+        serde_json::to_value(state.timeline.page(query.after, limit)).unwrap_or_default()
+    })
+    .await
 }
 
 async fn read_status(host: Arc<Host>, request: Request) -> Response {
     if let Some(refused) = unauthorised(&host, &request) {
         return refused;
     }
+    let now_ms = host.clock.now_ms();
     let in_progress = host.in_progress();
     let ready = host.is_ready();
     inspect(&host, move |state| {
         json!({
-            "host": state.host,
-            "zone": state.zone,
+            "host": state.identity.host,
+            "zone": state.identity.zone,
             "revision": state.settings.as_ref().map(|settings| settings.revision),
+            "settings_age_ms": state.spread.age_ms(now_ms),
             "ready": ready,
             "draining": state.draining,
             "requests_in_progress": in_progress,
+            "waiting_for_target": state.accounts.waiting(),
             "claims": state.claims.len(),
+            "marked_requests": state.crash_marks.marked(),
+            "timeline_bytes": state.timeline.bytes(),
         })
     })
     .await
@@ -139,6 +198,11 @@
     })
 }
 
+fn parse_query<T: DeserializeOwned>(query: Option<&str>) -> Result<T, String> {
+    serde_urlencoded::from_str(query.unwrap_or_default())
+        .map_err(|error| format!("expected a query with numbers: {error}"))
+}
+
 fn json_reply(value: Value) -> Response {
     reply(StatusCode::OK, "application/json", value.to_string())
 }
--- /dev/null
+++ b/crates/toucancleat-entry/src/peers.rs
@@ -0,0 +1,63 @@
+//! The way from and to other entry hosts.
+
+use std::net::SocketAddr;
+
+use tokio::sync::mpsc;
+use toucancleat_core::Event;
+use toucancleat_core::peer::Envelope;
+use toucancleat_wire::{Config, PeerNode, Undelivered};
+
+use crate::driver::Input;
+use crate::error::Error;
+
+/// Messages from peers that wait for the driver.
+const INCOMING_MAX: usize = 1_024;
+/// Reports of undelivered messages that wait for the driver.
+const UNDELIVERED_MAX: usize = 256;
+
+/// The peers' port and the messages that come through it.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    node: PeerNode,
+    incoming: mpsc::Receiver<Envelope>,
+    undelivered: mpsc::Receiver<Undelivered>,
+}
+
+impl Peers {
+    /// Opens the peers' port.
+    pub(crate) fn start(key: &str, address: SocketAddr) -> Result<Self, Error> {
+        let (incoming_sender, incoming) = mpsc::channel(INCOMING_MAX);
+        let (undelivered_sender, undelivered) = mpsc::channel(UNDELIVERED_MAX);
+        let config = Config::new(key.as_bytes());
+        let node = PeerNode::start(config, address, incoming_sender, undelivered_sender)
+            .map_err(Error::peers)?;
+        Ok(Peers {
+            node,
+            incoming,
+            undelivered,
+        })
+    }
+
+    /// Returns the address of the peers' port.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.node.address()
+    }
+
+    /// Sends a message; a full queue drops it, which every concern bears.
+    pub(crate) fn send(&self, to: SocketAddr, envelope: Envelope) {
+        if self.node.send(to, envelope).is_err() {
+            log::debug!(to = to.to_string(); "the queue to a peer is full");
+        }
+    }
+
+    /// Waits for the next event from a peer.
+    pub(crate) async fn next(&mut self) -> Option<Input> {
+        let event = tokio::select! {
+            envelope = self.incoming.recv() => Event::Received(Box::new(envelope?)),
+            undelivered = self.undelivered.recv() => {
+                Event::Undelivered { to: undelivered?.to }
+            }
+        };
+        Some(Input::Event(event))
+    }
+}
--- a/crates/toucancleat-entry/src/platform.rs
+++ b/crates/toucancleat-entry/src/platform.rs
@@ -11,7 +11,7 @@
 
 use crate::engine::retry_after_ms;
 use crate::error::Error;
-use crate::http::{Call, CallError, HttpClient};
+use crate::http::{Call, HttpClient};
 
 /// Time for one call to the platform, after which its outcome is unknown.
 const CALL_TIMEOUT_MS: u64 = 2_000;
@@ -157,7 +157,7 @@
             .await
         {
             Ok(reply) => read_transact_reply(&reply),
-            Err(CallError::NotSent(_)) => TransactReply::Unreachable,
+            Err(error) if error.is_not_sent() => TransactReply::Unreachable,
             Err(_) => TransactReply::Unknown,
         }
     }
--- a/crates/toucancleat-entry/src/relay/generation.rs
+++ b/crates/toucancleat-entry/src/relay/generation.rs
@@ -12,6 +12,7 @@
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use tokio::time::{Instant, timeout_at};
+use toucancleat_core::Dispatch;
 use toucancleat_core::claims::Answer;
 use toucancleat_core::generation::{self as guard, Cursor, CursorSeal, Ending};
 use toucancleat_core::prelude::*;
@@ -20,8 +21,7 @@
 
 use super::caller::Caller;
 use super::{GenerationWork, answer};
-use crate::clock::now_unix_ms;
-use crate::driver::Dispatch;
+use crate::driver::Input;
 use crate::engine::{self, EngineEvent, EngineStream, Start, StartCall};
 use crate::host::Host;
 
@@ -29,6 +29,8 @@
 const RESUMES_MAX: u32 = 2;
 /// Silence within a stream that counts as stall time.
 const STALL_THRESHOLD: Duration = Duration::from_millis(250);
+/// Least time between two reports of progress.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
 /// Data of the event that closes a whole answer.
 const DONE: &str = "[DONE]";
 
@@ -66,6 +68,9 @@
     chunks: Vec<String>,
     chunks_bytes: u64,
     delivered_tokens: u32,
+    first_token_ms: u64,
+    /// When the progress was told last.
+    told: Instant,
     /// When the last token came, or the attempt began.
     heard: Instant,
     deadline: Instant,
@@ -103,7 +108,7 @@
             attempts_max: 1,
             resumes_max: RESUMES_MAX,
         };
-        let generation = GenerationId(rand::random());
+        let generation = context.dispatch.generation;
         let cursor = Cursor {
             target: context.dispatch.target.clone(),
             kind: context.arrival.kind.clone(),
@@ -129,6 +134,8 @@
             chunks: Vec::new(),
             chunks_bytes: 0,
             delivered_tokens: 0,
+            first_token_ms: 0,
+            told: Instant::now(),
             heard: Instant::now(),
             deadline,
             cause: LossCause::Disconnected,
@@ -140,14 +147,13 @@
         let generation = self.generation;
         self.guard_event(guard::Event::Started { generation });
         self.guard_event(guard::Event::Sent);
-        let left = self.deadline.saturating_duration_since(Instant::now());
         let call = StartCall {
             address: self.context.address,
             path: self.context.work.path,
             body: self.context.work.body.clone(),
             generation: self.generation,
             priority: self.context.dispatch.priority,
-            deadline_unix_ms: now_unix_ms() + left.as_millis() as u64,
+            deadline_unix_ms: self.context.dispatch.deadline_ms,
         };
         let until = self.first_token_deadline();
         let client = if self.config.idempotent {
@@ -185,6 +191,7 @@
         match self.caller.respond(response) {
             Ok(()) => Outcome::Finished {
                 tokens: 0,
+                first_token_ms: 0,
                 answer: None,
             },
             Err(_) => Outcome::CallerGone,
@@ -299,6 +306,7 @@
     /// Closes a whole answer towards the caller.
     async fn finish(&mut self) -> Outcome {
         let tokens = self.guard.next_index() as u32;
+        let first_token_ms = self.first_token_ms;
         self.context.host.metrics.tokens.inc_by(u64::from(tokens));
         let claimed = self.context.arrival.needs_claim();
         let result = if self.context.work.streamed {
@@ -309,11 +317,13 @@
         match result {
             Ok(answer) => Outcome::Finished {
                 tokens,
+                first_token_ms,
                 answer: answer.filter(|_| claimed),
             },
             // The answer of a claimed request counts, whether its caller listens or not.
             Err(_) if claimed => Outcome::Finished {
                 tokens,
+                first_token_ms,
                 answer: self.stored_answer(),
             },
             Err(outcome) => outcome,
@@ -462,10 +472,25 @@
             .min(self.heard + Duration::from_millis(timeout_ms))
     }
 
-    fn measure_gap(&self) {
+    /// Tells the accounts how far the generation has come, now and then.
+    fn tell_progress(&mut self) {
+        if self.told.elapsed() < PROGRESS_INTERVAL {
+            return;
+        }
+        self.told = Instant::now();
+        let event = toucancleat_core::Event::Progressed {
+            generation: self.generation,
+            tokens: self.guard.next_index() as u32,
+        };
+        self.context.host.tell(Input::Event(event));
+    }
+
+    fn measure_gap(&mut self) {
+        self.tell_progress();
         let gap = self.heard.elapsed();
         let metrics = &self.context.host.metrics;
         if self.guard.next_index() <= 1 {
+            self.first_token_ms = gap.as_millis() as u64;
             metrics.first_token_seconds.observe(gap.as_secs_f64());
             return;
         }
--- a/crates/toucancleat-entry/src/relay/mod.rs
+++ b/crates/toucancleat-entry/src/relay/mod.rs
@@ -9,12 +9,12 @@
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
-use toucancleat_core::Event;
 use toucancleat_core::prelude::*;
 use toucancleat_core::requests::{Arrival, Event as RequestEvent, Outcome};
+use toucancleat_core::{Dispatch, Event};
 
 pub use self::caller::Caller;
-use crate::driver::{Command, Dispatch, Input};
+use crate::driver::{Command, Input};
 use crate::host::{Host, InProgress};
 use crate::service::ServiceRequest;
 
@@ -52,7 +52,7 @@
     /// Where the answer goes.
     pub caller: Caller,
     /// Keeps the host from stopping while the request runs.
-    pub _in_progress: InProgress,
+    pub _in_progress: Arc<InProgress>,
 }
 
 impl Relay {
--- a/crates/toucancleat-entry/src/relay/plain.rs
+++ b/crates/toucancleat-entry/src/relay/plain.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 
 use http::StatusCode;
+use toucancleat_core::Dispatch;
 use toucancleat_core::claims::Answer;
 use toucancleat_core::prelude::*;
 use toucancleat_core::requests::{Arrival, LossCause, Outcome};
 
 use super::answer;
 use super::caller::Caller;
-use crate::driver::Dispatch;
 use crate::host::Host;
 use crate::service::{self, ServiceReply, ServiceRequest};
 
@@ -30,6 +30,7 @@
 /// will ask for the answer again by its key.
 pub(super) async fn attempt(context: Context<'_>, caller: &mut Caller) -> Outcome {
     let claimed = context.arrival.needs_claim();
+    let began_ms = context.host.clock.now_ms();
     let reply = tokio::select! {
         reply = call(&context) => reply,
         () = caller.gone(), if !claimed => return Outcome::CallerGone,
@@ -70,6 +71,7 @@
             let _ = caller.respond(response);
             Outcome::Finished {
                 tokens: 0,
+                first_token_ms: context.host.clock.now_ms() - began_ms,
                 answer: stored,
             }
         }
--- a/crates/toucancleat-entry/src/service.rs
+++ b/crates/toucancleat-entry/src/service.rs
@@ -4,12 +4,18 @@
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Method, StatusCode};
+use toucancleat_core::observation::Observation;
 use toucancleat_core::prelude::*;
 use toucancleat_core::requests::LossCause;
 
 use crate::engine::{retry_after_ms, says_not_run};
 use crate::http::{Call, CallError, HttpClient};
 
+/// Time for a service to say how it is.
+const OBSERVE_TIMEOUT_MS: u64 = 2_000;
+/// Largest such reply.
+const OBSERVE_REPLY_MAX_BYTES: usize = 64 * 1_024;
+
 /// A request to a plain service, as the caller sent it.
 #[derive(Clone, Debug)]
 pub struct ServiceRequest {
@@ -68,7 +74,7 @@
     };
     match client.exchange(call, timeout_ms, answer_max_bytes).await {
         Ok(reply) => read_reply(reply),
-        Err(CallError::NotSent(_)) => ServiceReply::NotRun {
+        Err(error) if error.is_not_sent() => ServiceReply::NotRun {
             retry_after_ms: None,
         },
         Err(CallError::TimedOut(_)) => ServiceReply::Unknown(LossCause::TimedOut),
@@ -76,6 +82,32 @@
     }
 }
 
+/// Asks a plain service how it is.
+pub async fn observe(client: &HttpClient, address: SocketAddr) -> Observation {
+    let call = Call {
+        address,
+        method: Method::GET,
+        path: "/healthz",
+        headers: Vec::new(),
+        body: Bytes::new(),
+    };
+    let started_unix_ms = 0;
+    match client
+        .exchange(call, OBSERVE_TIMEOUT_MS, OBSERVE_REPLY_MAX_BYTES)
+        .await
+    {
+        Ok(reply) if reply.status().is_success() => Observation::Serving {
+            started_unix_ms,
+            load: None,
+        },
+        Ok(reply) if reply.status() == StatusCode::SERVICE_UNAVAILABLE => {
+            Observation::Leaving { started_unix_ms }
+        }
+        Err(error) if error.is_refused() => Observation::Gone,
+        _ => Observation::Silent,
+    }
+}
+
 fn read_reply(reply: http::Response<Bytes>) -> ServiceReply {
     if says_not_run(reply.headers()) {
         return ServiceReply::NotRun {
--- a/crates/toucancleat-entry/src/serving.rs
+++ b/crates/toucancleat-entry/src/serving.rs
@@ -16,21 +16,28 @@
 use crate::error::Error;
 use crate::host::Host;
 use crate::http::Listener;
+use crate::observe;
 use crate::operators;
+use crate::peers::Peers;
 use crate::platform::ListedHost;
-use crate::settings;
 
 /// Time in which the host list is told of a stop, which may not be reachable.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time between two attempts to get on the host list.
 const REGISTER_RETRY: Duration = Duration::from_secs(1);
 
+/// Time in which the callers' connections may write their last bytes.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(3);
+/// Place of the callers' server among the tasks.
+const CALLERS_SERVER: usize = 1;
+
 /// A running entry host.
 #[derive(Debug)]
 pub struct EntryHost {
     host: Arc<Host>,
     callers_address: SocketAddr,
     operators_address: SocketAddr,
+    peers_address: SocketAddr,
     stop_callers: CancellationToken,
     stop_operators: CancellationToken,
     tasks: Vec<JoinHandle<()>>,
@@ -54,16 +61,17 @@
         let operators = Listener::bind(config.operators_address, stop_operators.clone())
             .await
             .map_err(|error| Error::listen("the operators' port", error))?;
+        let peers = Peers::start(&config.peer_key, config.peers_address)?;
+        let peers_address = peers.address();
         let callers_address = callers.address();
         let operators_address = operators.address();
         let (sender, inputs) = mpsc::unbounded_channel();
         let host = Arc::new(Host::new(config, sender));
         let tasks = vec![
-            tokio::spawn(Driver::new(host.clone(), inputs).run()),
+            tokio::spawn(Driver::new(host.clone(), peers, inputs).run()),
             tokio::spawn(serve(callers, callers::router(host.clone()))),
             tokio::spawn(serve(operators, operators::router(host.clone()))),
-            tokio::spawn(settings::poll(host.clone())),
-            tokio::spawn(register(host.clone(), operators_address)),
+            tokio::spawn(register(host.clone(), peers_address, operators_address)),
         ];
         log::info!(
             host = host.config.host.as_str(),
@@ -75,6 +83,7 @@
             host,
             callers_address,
             operators_address,
+            peers_address,
             stop_callers,
             stop_operators,
             tasks,
@@ -91,6 +100,11 @@
         self.operators_address
     }
 
+    /// Returns where other entry hosts connect.
+    pub fn peers_address(&self) -> SocketAddr {
+        self.peers_address
+    }
+
     /// Says whether a request that came now would be taken.
     pub fn is_ready(&self) -> bool {
         self.host.is_ready()
@@ -122,10 +136,23 @@
                 "the bound of the planned stop has passed with requests in progress"
             );
         }
+        self.stop_callers.cancel();
+        self.flush().await;
         self.end();
         finished
     }
 
+    /// Waits for the callers' server to write what it still holds.
+    ///
+    /// N.B. the server ends by itself on the signal that asked for the stop. A stop that
+    /// was asked for otherwise only gives it this time.
+    async fn flush(&mut self) {
+        let server = &mut self.tasks[CALLERS_SERVER];
+        if tokio::time::timeout(FLUSH_TIMEOUT, server).await.is_err() {
+            log::info!("connections were still open at the end of the planned stop");
+        }
+    }
+
     /// Ends at once, as if the process were killed.
     pub fn abort(mut self) {
         self.end();
@@ -161,14 +188,18 @@
 }
 
 /// Puts the host on the host list, however long the platform is away.
-async fn register(host: Arc<Host>, operators_address: SocketAddr) {
+async fn register(
+    host: Arc<Host>,
+    peers_address: SocketAddr,
+    operators_address: SocketAddr,
+) {
     let config = &host.config;
     let listed = ListedHost {
         name: config.host.to_string(),
         zone: config.zone.to_string(),
-        role: "entry".to_owned(),
+        role: observe::ROLE_ENTRY.to_owned(),
         state: "live".to_owned(),
-        peer_address: Some(config.peers_address),
+        peer_address: Some(peers_address),
         operator_address: Some(operators_address),
         address: None,
     };
--- a/crates/toucancleat-entry/src/settings.rs
+++ b/crates/toucancleat-entry/src/settings.rs
@@ -1,108 +1,61 @@
-//! Reading the settings from the platform.
+//! The spreading's dealings with the platform.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use toucancleat_core::Event;
+use bytes::Bytes;
 use toucancleat_core::prelude::*;
-use toucancleat_core::settings::store::{self, ReadPlan, Snapshot};
-use toucancleat_core::settings::{InForce, Tree};
+use toucancleat_core::settings::Tree;
+use toucancleat_core::settings::store::{self, Snapshot};
+use toucancleat_core::{Event, spread};
 
 use crate::driver::Input;
-use crate::error::Error;
 use crate::host::Host;
-use crate::platform::{Platform, Row};
+use crate::platform::Row;
 
-/// Time between two looks at the head.
-const POLL: Duration = Duration::from_millis(500);
-
-/// Reads the settings again and again, and tells the driver each newer revision.
-pub(crate) async fn poll(host: Arc<Host>) {
-    let mut have: Option<(Revision, Tree)> = None;
-    loop {
-        match read_newer(&host.platform, &mut have).await {
-            Ok(true) => {
-                if let Some((revision, tree)) = &have {
-                    let settings = Arc::new(InForce::new(*revision, tree.clone()));
-                    host.tell(Input::Event(Event::Settings(settings)));
-                }
-            }
-            Ok(false) => {}
-            Err(error) if have.is_none() => {
-                log::warn!("no settings yet, so no request is taken: {error}");
-            }
-            Err(error) => log::warn!("the settings could not be read: {error}"),
-        }
-        tokio::time::sleep(POLL).await;
+/// Reads rows and tells the reducer what they hold.
+pub(crate) async fn read_rows(host: Arc<Host>, read: u64, rows: Vec<String>) {
+    let found = host.platform.get(store::TABLE, &rows).await;
+    if let Err(error) = &found
+        && host.settings().is_none()
+    {
+        log::warn!("there are no settings yet, so no request is taken: {error}");
     }
+    let rows = found
+        .ok()
+        .map(|rows| rows.into_iter().map(store_row).collect());
+    tell(&host, spread::Event::RowsRead { read, rows });
 }
 
-async fn read_newer(
-    platform: &Platform,
-    have: &mut Option<(Revision, Tree)>,
-) -> Result<bool, Error> {
-    let rows = platform
-        .get(store::TABLE, &[store::HEAD_ROW.to_owned()])
-        .await?;
-    let rows: Vec<_> = rows.into_iter().map(store_row).collect();
-    let unusable = || Error::platform("settings", "the head can't be read".to_owned());
-    let head = store::read_head(&rows).ok_or_else(unusable)?.head.revision;
-    let mut newer = false;
-    loop {
-        let had = have.as_ref().map(|(revision, _)| *revision);
-        let reached = match store::read_plan(had, head) {
-            ReadPlan::UpToDate => return Ok(newer),
-            ReadPlan::Changes(names) => read_changes(platform, &names, have).await?,
-            ReadPlan::Snapshots(names) => read_snapshot(platform, &names, have).await?,
-            _ => false,
-        };
-        if !reached {
-            let detail = format!("revision {head} can't be reached");
-            return Err(Error::platform("settings", detail));
+/// Reads the first snapshot that exists and tells the reducer.
+pub(crate) async fn read_snapshot(host: Arc<Host>, read: u64, objects: Vec<String>) {
+    let mut snapshot = None;
+    for name in objects {
+        let found = host.platform.get_object(&name).await.ok().flatten();
+        snapshot =
+            found.and_then(|bytes| serde_json::from_slice::<Snapshot>(&bytes).ok());
+        if snapshot.is_some() {
+            break;
         }
-        newer = true;
     }
+    let snapshot = snapshot.map(Box::new);
+    tell(&host, spread::Event::SnapshotRead { read, snapshot });
 }
 
-async fn read_changes(
-    platform: &Platform,
-    names: &[String],
-    have: &mut Option<(Revision, Tree)>,
-) -> Result<bool, Error> {
-    let rows = platform.get(store::TABLE, names).await?;
-    let rows: Vec<_> = rows.into_iter().map(store_row).collect();
-    let (mut revision, mut tree) = have.take().unwrap_or_default();
-    let changes = store::read_changes(revision, &rows);
-    let reached = !changes.is_empty();
-    for change in changes {
-        match tree.apply(&change.edits) {
-            Ok(applied) => tree = applied.tree,
-            Err(error) => log::error!(
-                revision = change.revision.0; "a change can't be applied: {error}"
-            ),
-        }
-        revision = change.revision;
+/// Stores a tree, so that a host that starts needs few reads.
+pub(crate) async fn store_snapshot(host: Arc<Host>, revision: Revision, tree: Arc<Tree>) {
+    let snapshot = Snapshot {
+        revision,
+        tree: tree.as_ref().clone(),
+    };
+    let body = serde_json::to_vec(&snapshot).expect("settings have string keys");
+    let name = store::snapshot_object(revision);
+    if let Err(error) = host.platform.put_object(&name, Bytes::from(body)).await {
+        log::warn!(revision = revision.0; "the snapshot could not be stored: {error}");
     }
-    *have = Some((revision, tree));
-    Ok(reached)
 }
 
-async fn read_snapshot(
-    platform: &Platform,
-    names: &[String],
-    have: &mut Option<(Revision, Tree)>,
-) -> Result<bool, Error> {
-    for name in names {
-        let Some(bytes) = platform.get_object(name).await? else {
-            continue;
-        };
-        if let Ok(snapshot) = serde_json::from_slice::<Snapshot>(&bytes) {
-            *have = Some((snapshot.revision, snapshot.tree));
-            return Ok(true);
-        }
-    }
-    *have = Some((Revision(0), Tree::default()));
-    Ok(true)
+fn tell(host: &Host, event: spread::Event) {
+    host.tell(Input::Event(Event::Spread(event)));
 }
 
 fn store_row(row: Row) -> store::Row {
--- a/crates/toucancleat-wire/schema/peer.capnp
+++ b/crates/toucancleat-wire/schema/peer.capnp
@@ -2,7 +2,10 @@
 
 # What entry hosts say to each other.
 
+using Accounts = import "accounts.capnp";
 using Membership = import "membership.capnp";
+using Spread = import "spread.capnp";
+using Targets = import "targets.capnp";
 
 struct Envelope {
   from @0 :Text;
@@ -12,6 +15,10 @@
     # N.B. Further concerns get further numbers; none is ever used again.
     none @3 :Void;
     membership @4 :Membership.Message;
+    accounts @5 :Accounts.Message;
+    spread @6 :Spread.Message;
+    targets @7 :Targets.Message;
+    crashMarks @8 :Targets.MarkMessage;
   }
 }
 
--- a/crates/toucancleat-wire/src/codec/mod.rs
+++ b/crates/toucancleat-wire/src/codec/mod.rs
@@ -3,8 +3,12 @@
 //! A reader takes nothing on trust: texts and lists have bounds, and a message that
 //! breaks one is refused whole.
 
+mod accounts;
+mod crash_marks;
 mod membership;
 mod peer;
+mod spread;
+mod targets;
 mod value;
 
 use capnp::message::{Builder, ReaderOptions};
--- a/crates/toucancleat-wire/src/codec/peer.rs
+++ b/crates/toucancleat-wire/src/codec/peer.rs
@@ -3,8 +3,8 @@
 use toucancleat_core::peer::{Envelope, Message};
 use toucancleat_core::prelude::*;
 
-use super::membership;
 use super::value::{read_list, read_name};
+use super::{accounts, crash_marks, membership, spread, targets};
 use crate::error::DecodeError;
 use crate::peer_capnp::{batch, envelope};
 
@@ -30,6 +30,18 @@
         Message::Membership(message) => {
             membership::write(message, out.reborrow().init_membership());
         }
+        Message::Accounts(message) => {
+            accounts::write(message, out.reborrow().init_accounts());
+        }
+        Message::Spread(message) => {
+            spread::write(message, out.reborrow().init_spread());
+        }
+        Message::Targets(message) => {
+            targets::write(message, out.reborrow().init_targets());
+        }
+        Message::CrashMarks(message) => {
+            crash_marks::write(message, out.reborrow().init_crash_marks());
+        }
         // N.B. `Message` is open to additions; one without an encoding goes out as `none`
         // and is refused by its receiver. The property test covers every variant.
         _ => out.set_none(()),
@@ -53,5 +65,9 @@
     {
         Which::None(()) => Err(DecodeError::value("message", "a message")),
         Which::Membership(message) => Ok(membership::read(message?)?.into()),
+        Which::Accounts(message) => Ok(accounts::read(message?)?.into()),
+        Which::Spread(message) => Ok(spread::read(message?)?.into()),
+        Which::Targets(message) => Ok(targets::read(message?)?.into()),
+        Which::CrashMarks(message) => Ok(crash_marks::read(message?)?.into()),
     }
 }
--- a/crates/toucancleat-wire/src/codec/value.rs
+++ b/crates/toucancleat-wire/src/codec/value.rs
@@ -4,6 +4,7 @@
 
 use capnp::text;
 
+use crate::accounts_capnp::id;
 use crate::error::DecodeError;
 
 /// Longest name in bytes.
@@ -59,3 +60,35 @@
     check_length(field, list.len() as u32)?;
     list.map(read).collect()
 }
+
+/// Reads a list of names with a bounded number of entries.
+pub(crate) fn read_names<T>(
+    field: &'static str,
+    list: capnp::text_list::Reader<'_>,
+) -> Result<Vec<T>, DecodeError>
+where
+    T: for<'a> From<&'a str>,
+{
+    read_list(field, list.iter(), |text| read_name(field, text))
+}
+
+/// Writes a number of 128 bits.
+pub(crate) fn write_id(number: u128, mut out: id::Builder<'_>) {
+    out.set_high((number >> 64) as u64);
+    out.set_low(number as u64);
+}
+
+/// Reads a number of 128 bits.
+pub(crate) fn read_id(id: id::Reader<'_>) -> u128 {
+    (u128::from(id.get_high()) << 64) | u128::from(id.get_low())
+}
+
+/// Reads long UTF-8 text, whose length the bound on the whole message limits.
+pub(crate) fn read_text<'a>(
+    field: &'static str,
+    text: capnp::Result<text::Reader<'a>>,
+) -> Result<&'a str, DecodeError> {
+    text?
+        .to_str()
+        .map_err(|_| DecodeError::value(field, "UTF-8 text"))
+}
--- a/crates/toucancleat-wire/src/lib.rs
+++ b/crates/toucancleat-wire/src/lib.rs
@@ -19,8 +19,11 @@
 }
 
 generated! {
+    accounts_capnp = "generated/accounts_capnp.rs",
     membership_capnp = "generated/membership_capnp.rs",
     peer_capnp = "generated/peer_capnp.rs",
+    spread_capnp = "generated/spread_capnp.rs",
+    targets_capnp = "generated/targets_capnp.rs",
 }
 
 pub use self::codec::{decode_batch, encode_batch};
--- /dev/null
+++ b/crates/toucancleat-wire/tests/strategy/concerns.rs
@@ -0,0 +1,307 @@
+//! Arbitrary messages of the accounts, settings, targets and crash marks.
+
+use std::sync::Arc;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use toucancleat_core::accounts::{
+    self, Finished, Granted, Holding, Limits, Load, Outcome, Progress, Queued,
+    RefuseReason, Refused, Reserve,
+};
+use toucancleat_core::crash_marks::{self, Crash, CrashMarks, Fingerprint};
+use toucancleat_core::prelude::*;
+use toucancleat_core::settings::{Change, Edit, RoutingPolicy, Tree};
+use toucancleat_core::spread;
+use toucancleat_core::targets::{self, LeavingTarget, Report};
+
+use super::name;
+
+pub fn accounts() -> impl Strategy<Value = accounts::Message> {
+    use accounts::Message;
+    let entries = vec((id(), name(), any::<u32>()), 0..4);
+    let loads = vec(
+        (name(), any::<u32>(), any::<u32>(), any::<u64>(), 0.0..1.0),
+        0..4,
+    );
+    prop_oneof![
+        reserve().prop_map(Message::Reserve),
+        (id(), id(), name(), any::<u8>()).prop_map(
+            |(request, generation, target, priority)| {
+                Message::Granted(Granted {
+                    request: RequestId(request),
+                    generation: GenerationId(generation),
+                    target,
+                    priority,
+                })
+            }
+        ),
+        (id(), name(), any::<u64>()).prop_map(|(request, target, wait_ms)| {
+            Message::Queued(Queued {
+                request: RequestId(request),
+                target,
+                wait_ms,
+            })
+        }),
+        (id(), name(), reason(), any::<u64>()).prop_map(
+            |(request, target, reason, retry_after_ms)| {
+                let request = RequestId(request);
+                Message::Refused(Refused {
+                    request,
+                    target,
+                    reason,
+                    retry_after_ms,
+                })
+            }
+        ),
+        (id(), id(), name()).prop_map(|(request, generation, target)| {
+            Message::Withdraw {
+                request: RequestId(request),
+                generation: GenerationId(generation),
+                target,
+            }
+        }),
+        entries.prop_map(|entries| Message::Progress {
+            entries: entries
+                .into_iter()
+                .map(|(generation, target, tokens)| Progress {
+                    generation: GenerationId(generation),
+                    target,
+                    tokens,
+                })
+                .collect(),
+        }),
+        (id(), name(), any::<u32>(), outcome()).prop_map(
+            |(generation, target, tokens, outcome)| {
+                let generation = GenerationId(generation);
+                Message::Finished(Finished {
+                    generation,
+                    target,
+                    tokens,
+                    outcome,
+                })
+            }
+        ),
+        vec(name(), 0..4).prop_map(|targets| Message::Rebuild { targets }),
+        (vec(name(), 0..4), vec((reserve(), any::<u32>()), 0..3)).prop_map(
+            |(targets, entries)| Message::Holdings {
+                targets,
+                entries: entries
+                    .into_iter()
+                    .map(|(reserve, tokens)| Holding { reserve, tokens })
+                    .collect(),
+            }
+        ),
+        loads.prop_map(|entries| Message::Loads {
+            entries: entries
+                .into_iter()
+                .map(|(target, running, queued, wait_ms, used_share)| Load {
+                    target,
+                    running,
+                    queued,
+                    wait_ms,
+                    used_share,
+                })
+                .collect(),
+        }),
+    ]
+}
+
+pub fn spread() -> impl Strategy<Value = spread::Message> {
+    use spread::Message;
+    prop_oneof![
+        (revision(), any::<u64>())
+            .prop_map(|(revision, age_ms)| Message::Announce { revision, age_ms }),
+        prop::option::of(revision()).prop_map(|have| Message::Pull { have }),
+        (vec(change(), 0..3), revision(), any::<u64>()).prop_map(
+            |(changes, revision, age_ms)| Message::Delta {
+                changes,
+                revision,
+                age_ms
+            }
+        ),
+        (revision(), vec(name(), 0..3), any::<u64>()).prop_map(
+            |(revision, zones, age_ms)| {
+                let tree = Arc::new(Tree {
+                    zones,
+                    ..Tree::default()
+                });
+                Message::Snapshot {
+                    revision,
+                    tree,
+                    age_ms,
+                }
+            }
+        ),
+    ]
+}
+
+pub fn targets() -> impl Strategy<Value = targets::Message> {
+    use targets::Message;
+    prop_oneof![
+        leaving().prop_map(Message::Leaving),
+        (leaving(), any::<u64>(), any::<u64>()).prop_map(
+            |(target, version, out_for_ms)| {
+                let LeavingTarget { target, epoch } = target;
+                Message::Report(Report {
+                    target,
+                    epoch,
+                    version,
+                    out_for_ms,
+                })
+            }
+        ),
+        (any::<bool>(), vec(leaving(), 0..4))
+            .prop_map(|(reply, leaving)| Message::Views { reply, leaving }),
+    ]
+}
+
+pub fn crash_marks() -> impl Strategy<Value = crash_marks::Message> {
+    use crash_marks::Message;
+    let marks =
+        (id(), vec(crash(), 0..3)).prop_map(|(fingerprint, crashes)| CrashMarks {
+            fingerprint: Fingerprint(fingerprint),
+            crashes,
+        });
+    prop_oneof![
+        (any::<bool>(), crash(), vec(id(), 0..4)).prop_map(|(relay, crash, ids)| {
+            let fingerprints = ids.into_iter().map(Fingerprint).collect();
+            Message::Marked {
+                relay,
+                crash,
+                fingerprints,
+            }
+        }),
+        (any::<bool>(), vec(marks, 0..3))
+            .prop_map(|(relay, cleared)| Message::Cleared { relay, cleared }),
+        (id(), id()).prop_map(|(fingerprint, attempt)| Message::AskTurn {
+            fingerprint: Fingerprint(fingerprint),
+            attempt: GenerationId(attempt),
+        }),
+        id().prop_map(|attempt| Message::Turn {
+            attempt: GenerationId(attempt)
+        }),
+        (id(), any::<u64>()).prop_map(|(attempt, retry_after_ms)| Message::NoTurn {
+            attempt: GenerationId(attempt),
+            retry_after_ms,
+        }),
+        id().prop_map(|attempt| Message::EndTurn {
+            attempt: GenerationId(attempt)
+        }),
+    ]
+}
+
+fn id() -> impl Strategy<Value = u128> {
+    any::<u128>()
+}
+
+fn revision() -> impl Strategy<Value = Revision> {
+    // The highest revision has no successor, which a pull encodes.
+    (0..u64::MAX).prop_map(Revision)
+}
+
+fn reserve() -> impl Strategy<Value = Reserve> {
+    let names = (name(), name(), name());
+    let numbers = (
+        any::<u32>(),
+        any::<u32>(),
+        any::<u64>(),
+        any::<u8>(),
+        any::<u64>(),
+    );
+    let ratios = (0.0..10.0, 0.0..1.0, 0.0..100.0);
+    (
+        id(),
+        id(),
+        names,
+        numbers,
+        ratios,
+        vec(any::<u64>(), 0..5),
+        policy(),
+    )
+        .prop_map(
+            |(request, generation, names, numbers, ratios, prefix_hashes, policy)| {
+                Reserve {
+                    request: RequestId(request),
+                    generation: GenerationId(generation),
+                    target: names.0,
+                    organisation: names.1,
+                    kind: names.2,
+                    prompt_tokens: numbers.0,
+                    max_output_tokens: numbers.1,
+                    prefix_hashes,
+                    deadline_unix_ms: numbers.2,
+                    priority: numbers.3,
+                    weight: ratios.0,
+                    limits: Limits {
+                        outgrow_chance_max: ratios.1,
+                        step_time_max_ms: ratios.2,
+                        queue_timeout_ms: numbers.4,
+                        policy,
+                    },
+                }
+            },
+        )
+}
+
+fn policy() -> impl Strategy<Value = RoutingPolicy> {
+    prop::sample::select(vec![
+        RoutingPolicy::HomeAccounts,
+        RoutingPolicy::RoundRobin,
+        RoutingPolicy::LeastOutstanding,
+        RoutingPolicy::TwoChoices,
+        RoutingPolicy::ReserveMaximum,
+    ])
+}
+
+fn reason() -> impl Strategy<Value = RefuseReason> {
+    prop::sample::select(vec![
+        RefuseReason::Late,
+        RefuseReason::QueueTimeout,
+        RefuseReason::TooLarge,
+        RefuseReason::NoTarget,
+        RefuseReason::RetryBudget,
+        RefuseReason::NotHome,
+    ])
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    prop::sample::select(vec![
+        Outcome::Completed,
+        Outcome::Truncated,
+        Outcome::Cancelled,
+        Outcome::Failed,
+        Outcome::NotRun,
+    ])
+}
+
+fn leaving() -> impl Strategy<Value = LeavingTarget> {
+    (name(), any::<u64>()).prop_map(|(target, epoch)| LeavingTarget { target, epoch })
+}
+
+fn crash() -> impl Strategy<Value = Crash> {
+    (name(), any::<u64>()).prop_map(|(target, epoch)| Crash { target, epoch })
+}
+
+fn change() -> impl Strategy<Value = Change> {
+    let value = prop::option::of(prop_oneof![
+        Just(serde_json::Value::Null),
+        any::<u64>().prop_map(serde_json::Value::from),
+        "[a-z]{0,4}".prop_map(serde_json::Value::from),
+    ]);
+    let edit =
+        ("(/[a-z]{1,4}){1,3}", value).prop_map(|(path, value)| Edit { path, value });
+    (
+        revision(),
+        id(),
+        "[a-zå]{0,5}",
+        any::<u64>(),
+        vec(edit, 0..3),
+    )
+        .prop_map(|(revision, change_id, author, at_unix_ms, edits)| Change {
+            revision,
+            change_id: ChangeId(change_id),
+            author,
+            at_unix_ms,
+            edits,
+        })
+}
--- a/crates/toucancleat-wire/tests/strategy/mod.rs
+++ b/crates/toucancleat-wire/tests/strategy/mod.rs
@@ -1,5 +1,6 @@
 //! Arbitrary messages of every concern.
 
+mod concerns;
 mod membership;
 
 use proptest::prelude::*;
@@ -44,5 +45,11 @@
 }
 
 fn message() -> impl Strategy<Value = Message> {
-    prop_oneof![membership::message().prop_map(Message::from)]
+    prop_oneof![
+        membership::message().prop_map(Message::from),
+        concerns::accounts().prop_map(Message::from),
+        concerns::spread().prop_map(Message::from),
+        concerns::targets().prop_map(Message::from),
+        concerns::crash_marks().prop_map(Message::from),
+    ]
 }
