--- a/crates/toucancleat-core/src/membership/probe.rs
+++ b/crates/toucancleat-core/src/membership/probe.rs
@@ -1,5 +1,6 @@
 //! Probes: direct, through others, and on behalf of others.
 
+use super::view::Member;
 use super::{Effect, Message, State, Status};
 use crate::prelude::*;
 
@@ -42,6 +43,7 @@
         if let Some(missed) = self.probe.take() {
             self.set_status(now_ms, &missed.subject, Status::Suspect, effects);
         }
+        self.ping_suspect(now_ms, effects);
         if let Some(subject) = self.next_subject() {
             let sequence = self.send_ping(now_ms, subject.clone(), effects);
             let probe = Probe {
@@ -54,6 +56,23 @@
         }
     }
 
+    /// Tells a suspect what is believed of it, so that it can refute it in time even when
+    /// messages are lost.
+    fn ping_suspect(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let suspected =
+            |(_, member): &(&HostName, &Member)| member.entry.status == Status::Suspect;
+        let suspects: Vec<HostName> = self
+            .members
+            .iter()
+            .filter(suspected)
+            .map(|(name, _)| name.clone())
+            .collect();
+        if !suspects.is_empty() {
+            let i = self.rng.below(suspects.len());
+            self.send_ping(now_ms, suspects[i].clone(), effects);
+        }
+    }
+
     /// Goes on to indirect probes at once when the direct one could not be delivered.
     pub(super) fn probe_failed(
         &mut self,
--- a/crates/toucancleat-core/src/membership/view.rs
+++ b/crates/toucancleat-core/src/membership/view.rs
@@ -39,6 +39,37 @@
             .chain(self.members.values().map(|member| &member.entry))
     }
 
+    /// Returns the hosts of the zone that have announced their stop and may still finish
+    /// streams.
+    pub fn leaving_hosts(&self) -> impl Iterator<Item = &Host> {
+        let left = self.entries().filter(|entry| entry.status == Status::Left);
+        left.map(|entry| &entry.host)
+    }
+
+    /// Returns how many hosts of the zone may run without being in reach, or `None` while
+    /// the host list has not been read: dead ones that the list may still show, and
+    /// listed ones that were never met.
+    pub fn missing_hosts(&self) -> Option<usize> {
+        if self.listed_at_ms == 0 {
+            return None;
+        }
+        let dead = self
+            .members
+            .values()
+            .filter(|m| m.entry.status == Status::Dead);
+        let unmet = self
+            .seeds
+            .keys()
+            .filter(|name| !self.members.contains_key(*name));
+        Some(dead.count() + unmet.count())
+    }
+
+    /// Returns a digest of the live hosts and their incarnations, by which two hosts find
+    /// out that they see the same.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// Returns the status of a host of the zone, or `None` for one that isn't known.
     pub fn status_of(&self, name: &HostName) -> Option<Status> {
         if *name == self.own.host.name {
