--- /dev/null
+++ b/crates/toucancleat-core/src/reduce/claims.rs
@@ -0,0 +1,86 @@
+//! Effects of the claims.
+
+use super::requests;
+use crate::claims::{self, RefuseReason};
+use crate::effect::Effect;
+use crate::refusal::{Problem, Refusal};
+use crate::requests::Event as RequestEvent;
+use crate::state::State;
+
+/// Applies an event of the claims.
+pub(super) fn apply(
+    state: &mut State,
+    now_ms: u64,
+    event: claims::Event,
+    effects: &mut Vec<Effect>,
+) {
+    let mut wanted = Vec::new();
+    claims::reduce(&mut state.claims, now_ms, event, &mut wanted);
+    for effect in wanted {
+        carry_out(state, now_ms, effect, effects);
+    }
+}
+
+fn carry_out(
+    state: &mut State,
+    now_ms: u64,
+    effect: claims::Effect,
+    effects: &mut Vec<Effect>,
+) {
+    match effect {
+        claims::Effect::PermitDispatch { request } => {
+            requests::apply(state, now_ms, RequestEvent::Claimed { request }, effects);
+        }
+        claims::Effect::Refuse {
+            request,
+            verdict,
+            reason,
+            retry_after_ms,
+        } => {
+            let refusal = Refusal {
+                problem: problem_of(reason),
+                verdict,
+                retry_after_ms,
+                detail: reason.detail().to_owned(),
+            };
+            let event = RequestEvent::ClaimRefused { request, refusal };
+            requests::apply(state, now_ms, event, effects);
+        }
+        claims::Effect::Replay { request, answer } => {
+            let event = RequestEvent::ClaimReplayed { request };
+            requests::apply(state, now_ms, event, effects);
+            effects.push(Effect::Replay { request, answer });
+        }
+        claims::Effect::Transact { transact, writes } => {
+            effects.push(Effect::ClaimsTransact { transact, writes });
+        }
+        claims::Effect::Read { read, rows } => {
+            effects.push(Effect::ClaimsRead { read, rows });
+        }
+        claims::Effect::PutObject {
+            request,
+            name,
+            body,
+        } => {
+            effects.push(Effect::PutAnswer {
+                request,
+                name,
+                body,
+            });
+        }
+    }
+}
+
+fn problem_of(reason: RefuseReason) -> Problem {
+    match reason {
+        RefuseReason::TableUnavailable | RefuseReason::TooManyClaims => {
+            Problem::ClaimsUnavailable
+        }
+        RefuseReason::KeyInUse
+        | RefuseReason::KeyBeingReleased
+        | RefuseReason::AnswerNotKept => Problem::KeyInUse,
+        RefuseReason::KeyUsedWithOtherBody | RefuseReason::KeyExpired => {
+            Problem::KeyReused
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-core/src/settings/in_force.rs
@@ -0,0 +1,89 @@
+//! One revision of the settings, prepared for the path of a request.
+
+use std::sync::Arc;
+
+use super::{Directory, Effective, TargetClass, Tree};
+use crate::prelude::*;
+use crate::refusal::{Problem, Refusal};
+
+/// A revision of the settings with what each request looks up in it.
+#[derive(Debug)]
+pub struct InForce {
+    /// The revision.
+    pub revision: Revision,
+    /// The whole tree.
+    pub tree: Tree,
+    directory: Directory,
+}
+
+/// What the settings say about one request.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// The live event the request belongs to.
+    pub live_event: LiveEventName,
+    /// When the live event begins.
+    pub starts_at_unix_ms: u64,
+    /// When the live event ends.
+    pub ends_at_unix_ms: u64,
+    /// Whose request it is.
+    pub organisation: OrganisationName,
+    /// What kind of target serves it.
+    pub class: TargetClass,
+    /// The values in force for it.
+    pub values: Arc<Effective>,
+}
+
+impl InForce {
+    /// Prepares a tree that was checked before.
+    pub fn new(revision: Revision, tree: Tree) -> Self {
+        let directory = Directory::new(&tree);
+        InForce {
+            revision,
+            tree,
+            directory,
+        }
+    }
+
+    /// Finds the organisation, live event and values of a request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal that the caller is to be given: unknown credential, unknown
+    /// kind, or a live event that is missing or unknown.
+    pub fn admit(
+        &self,
+        api_key: &str,
+        live_event: Option<&str>,
+        kind: &KindName,
+    ) -> Result<Admission, Refusal> {
+        let membership = self.directory.authenticate(api_key).ok_or_else(|| {
+            Refusal::not_run(Problem::Unauthorised, "the API key is not in the settings")
+        })?;
+        let event_name = membership.live_event(live_event).map_err(|error| {
+            let problem = match live_event {
+                Some(_) => Problem::Unknown,
+                None => Problem::LiveEventNeeded,
+            };
+            Refusal::not_run(problem, error.to_string())
+        })?;
+        let organisation = membership.organisation();
+        let values = self.tree.effective(event_name, organisation, kind);
+        let values = values.ok_or_else(|| {
+            let detail = format!("request kind {kind} is not in the settings");
+            Refusal::not_run(Problem::Unknown, detail)
+        })?;
+        let pool = self.tree.pools.get(&values.pool).ok_or_else(|| {
+            let detail = format!("request kind {kind} has no pool of targets");
+            Refusal::not_run(Problem::Unknown, detail)
+        })?;
+        let event = &self.tree.live_events[event_name];
+        Ok(Admission {
+            live_event: event_name.clone(),
+            starts_at_unix_ms: event.starts_at_unix_ms,
+            ends_at_unix_ms: event.ends_at_unix_ms,
+            organisation: organisation.clone(),
+            class: pool.class,
+            values: Arc::new(values),
+        })
+    }
+}
