--- a/crates/toucancleat-core/src/peer.rs
+++ b/crates/toucancleat-core/src/peer.rs
@@ -1,8 +1,8 @@
 //! What entry hosts say to each other, over all concerns.
 
 use crate::accounts;
-use crate::membership;
 use crate::prelude::*;
+use crate::{crash_marks, membership, targets};
 
 /// A one-way message from one entry host to another.
 ///
@@ -13,6 +13,10 @@
 pub enum Message {
     /// Who lives.
     Membership(membership::Message),
+    /// Which targets may take new work.
+    Targets(targets::Message),
+    /// Which requests crash targets.
+    CrashMarks(crash_marks::Message),
     /// Reservations at the homes of targets, and how they go on.
     Accounts(accounts::Message),
 }
@@ -30,14 +34,18 @@
     pub message: Message,
 }
 
-impl From<membership::Message> for Message {
-    fn from(message: membership::Message) -> Self {
-        Message::Membership(message)
-    }
+macro_rules! from_concern {
+    ($($concern:ident => $variant:ident,)*) => {$(
+        impl From<$concern::Message> for Message {
+            fn from(message: $concern::Message) -> Self {
+                Message::$variant(message)
+            }
+        }
+    )*};
 }
 
-impl From<accounts::Message> for Message {
-    fn from(message: accounts::Message) -> Self {
-        Message::Accounts(message)
-    }
+from_concern! {
+    membership => Membership,
+    targets => Targets,
+    crash_marks => CrashMarks,
 }
--- a/crates/toucancleat-wire/schema/peer.capnp
+++ b/crates/toucancleat-wire/schema/peer.capnp
@@ -2,7 +2,9 @@
 
 # What entry hosts say to each other.
 
+using CrashMarks = import "crash_marks.capnp";
 using Membership = import "membership.capnp";
+using Targets = import "targets.capnp";
 
 struct Envelope {
   from @0 :Text;
@@ -12,6 +14,8 @@
     # N.B. Further concerns get further numbers; none is ever used again.
     none @3 :Void;
     membership @4 :Membership.Message;
+    targets @5 :Targets.Message;
+    crashMarks @6 :CrashMarks.Message;
   }
 }
 
--- /dev/null
+++ b/crates/toucancleat-wire/schema/targets.capnp
@@ -0,0 +1,28 @@
+@0xfe1ea12ed599309a;
+
+# Which targets may take new work; see toucancleat-core's targets module.
+
+struct LeavingTarget {
+  target @0 :Text;
+  epoch @1 :UInt64;
+}
+
+struct Report {
+  target @0 :Text;
+  epoch @1 :UInt64;
+  version @2 :UInt64;
+  outForMs @3 :UInt64;
+}
+
+struct Views {
+  reply @0 :Bool;
+  leaving @1 :List(LeavingTarget);
+}
+
+struct Message {
+  union {
+    leaving @0 :LeavingTarget;
+    report @1 :Report;
+    views @2 :Views;
+  }
+}
--- a/crates/toucancleat-wire/src/codec/mod.rs
+++ b/crates/toucancleat-wire/src/codec/mod.rs
@@ -3,8 +3,10 @@
 //! A reader takes nothing on trust: texts and lists have bounds, and a message that
 //! breaks one is refused whole.
 
+mod crash_marks;
 mod membership;
 mod peer;
+mod targets;
 mod value;
 
 use capnp::message::{Builder, ReaderOptions};
--- a/crates/toucancleat-wire/src/codec/peer.rs
+++ b/crates/toucancleat-wire/src/codec/peer.rs
@@ -3,8 +3,8 @@
 use toucancleat_core::peer::{Envelope, Message};
 use toucancleat_core::prelude::*;
 
-use super::membership;
 use super::value::{read_list, read_name};
+use super::{crash_marks, membership, targets};
 use crate::error::DecodeError;
 use crate::peer_capnp::{batch, envelope};
 
@@ -30,6 +30,12 @@
         Message::Membership(message) => {
             membership::write(message, out.reborrow().init_membership());
         }
+        Message::Targets(message) => {
+            targets::write(message, out.reborrow().init_targets());
+        }
+        Message::CrashMarks(message) => {
+            crash_marks::write(message, out.reborrow().init_crash_marks());
+        }
         // N.B. `Message` is open to additions; one without an encoding goes out as `none`
         // and is refused by its receiver. The property test covers every variant.
         _ => out.set_none(()),
@@ -53,5 +59,7 @@
     {
         Which::None(()) => Err(DecodeError::value("message", "a message")),
         Which::Membership(message) => Ok(membership::read(message?)?.into()),
+        Which::Targets(message) => Ok(targets::read(message?)?.into()),
+        Which::CrashMarks(message) => Ok(crash_marks::read(message?)?.into()),
     }
 }
--- a/crates/toucancleat-wire/src/lib.rs
+++ b/crates/toucancleat-wire/src/lib.rs
@@ -19,8 +19,10 @@
 }
 
 generated! {
+    crash_marks_capnp = "generated/crash_marks_capnp.rs",
     membership_capnp = "generated/membership_capnp.rs",
     peer_capnp = "generated/peer_capnp.rs",
+    targets_capnp = "generated/targets_capnp.rs",
 }
 
 pub use self::codec::{decode_batch, encode_batch};
--- a/crates/toucancleat-wire/tests/strategy/mod.rs
+++ b/crates/toucancleat-wire/tests/strategy/mod.rs
@@ -1,6 +1,8 @@
 //! Arbitrary messages of every concern.
 
+mod crash_marks;
 mod membership;
+mod targets;
 
 use proptest::prelude::*;
 use toucancleat_core::membership::Message as MembershipMessage;
@@ -44,5 +46,9 @@
 }
 
 fn message() -> impl Strategy<Value = Message> {
-    prop_oneof![membership::message().prop_map(Message::from)]
+    prop_oneof![
+        membership::message().prop_map(Message::from),
+        targets::message().prop_map(Message::from),
+        crash_marks::message().prop_map(Message::from),
+    ]
 }
--- /dev/null
+++ b/crates/toucancleat-wire/tests/strategy/targets.rs
@@ -0,0 +1,30 @@
+//! Arbitrary messages about targets.
+
+use proptest::prelude::*;
+use toucancleat_core::targets::{LeavingTarget, Message, Report};
+
+use super::name;
+
+pub fn message() -> impl Strategy<Value = Message> {
+    let views = (any::<bool>(), prop::collection::vec(leaving(), 0..4));
+    prop_oneof![
+        leaving().prop_map(Message::Leaving),
+        report().prop_map(Message::Report),
+        views.prop_map(|(reply, leaving)| Message::Views { reply, leaving }),
+    ]
+}
+
+fn leaving() -> impl Strategy<Value = LeavingTarget> {
+    (name(), any::<u64>()).prop_map(|(target, epoch)| LeavingTarget { target, epoch })
+}
+
+fn report() -> impl Strategy<Value = Report> {
+    (name(), any::<u64>(), any::<u64>(), any::<u64>()).prop_map(
+        |(target, epoch, version, out_for_ms)| Report {
+            target,
+            epoch,
+            version,
+            out_for_ms,
+        },
+    )
+}
