--- a/crates/toucancleat-core/src/targets/mod.rs
+++ b/crates/toucancleat-core/src/targets/mod.rs
@@ -46,6 +46,10 @@
     pub slow_out_ratio_max: f64,
     /// Time between two exchanges of views with a random host.
     pub views_interval_ms: u64,
+    /// Time after news of a leaving target in which views are exchanged more often.
+    pub news_ms: u64,
+    /// Time between two exchanges in that time.
+    pub news_interval_ms: u64,
     /// Hosts that a newly heard leaving target is passed on to.
     pub forward_hosts: usize,
     /// Most entries in one message.
@@ -67,6 +71,8 @@
             slow_answers_min: 20,
             slow_out_ratio_max: 0.5,
             views_interval_ms: 10_000,
+            news_ms: 3_000,
+            news_interval_ms: 400,
             forward_hosts: 2,
             entries_per_message_max: 64,
         }
@@ -83,6 +89,8 @@
     rng: Rng,
     last_version: u64,
     next_views_ms: u64,
+    /// Until when views are exchanged more often, since a target leaves.
+    news_until_ms: u64,
 }
 
 #[derive(Debug)]
@@ -114,6 +122,7 @@
             rng: Rng::new(seed),
             last_version: 0,
             next_views_ms: 0,
+            news_until_ms: 0,
         }
     }
 
@@ -176,7 +185,12 @@
             state.targets.shift_remove(&target);
         }
         Event::Leaving { target, epoch } => {
-            state.leaving(LeavingTarget { target, epoch }, Heard::Directly, effects);
+            state.leaving(
+                now_ms,
+                LeavingTarget { target, epoch },
+                Heard::Directly,
+                effects,
+            );
         }
         Event::Ended {
             target,
--- a/crates/toucancleat-core/src/targets/spread.rs
+++ b/crates/toucancleat-core/src/targets/spread.rs
@@ -33,11 +33,13 @@
         effects: &mut Vec<Effect>,
     ) {
         match message {
-            Message::Leaving(leaving) => self.leaving(leaving, Heard::FromPeer, effects),
+            Message::Leaving(leaving) => {
+                self.leaving(now_ms, leaving, Heard::FromPeer, effects)
+            }
             Message::Report(report) => self.take_report(now_ms, &from, report, effects),
             Message::Views { reply, leaving } => {
                 for leaving in leaving {
-                    self.leaving(leaving, Heard::FromPeer, effects);
+                    self.leaving(now_ms, leaving, Heard::FromPeer, effects);
                 }
                 if reply {
                     let message = self.views(false);
@@ -53,6 +55,7 @@
     /// few, so that no single lost message leaves a host without it.
     pub(super) fn leaving(
         &mut self,
+        now_ms: u64,
         leaving: LeavingTarget,
         heard: Heard,
         effects: &mut Vec<Effect>,
@@ -69,6 +72,10 @@
             *known = Target::new(known.pool.clone(), leaving.epoch);
         }
         known.leaving = true;
+        self.news_until_ms = now_ms + self.config.news_ms;
+        self.next_views_ms = self
+            .next_views_ms
+            .min(now_ms + self.config.news_interval_ms);
         let (target, reason) = (leaving.target.clone(), Reason::Leaving);
         effects.push(Effect::TakenOut { target, reason });
         let receivers = match heard {
@@ -152,19 +159,25 @@
         }
     }
 
-    /// Exchanges views with a random host, which mends whatever messages were lost.
+    /// Exchanges views with random hosts, which mends whatever messages were lost.
+    ///
+    /// After news of a leaving target it does so more often for a while, so that also a
+    /// host that missed every word hears it within the time in which new work must end.
     pub(super) fn exchange_views(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
         if now_ms < self.next_views_ms {
             return;
         }
-        self.next_views_ms = now_ms + self.config.views_interval_ms;
+        let fresh = now_ms < self.news_until_ms;
+        let (interval_ms, receivers) = match fresh {
+            true => (self.config.news_interval_ms, self.config.forward_hosts),
+            false => (self.config.views_interval_ms, 1),
+        };
+        self.next_views_ms = now_ms + interval_ms;
         let message = self.views(false);
-        let empty =
-            matches!(&message, Message::Views { leaving, .. } if leaving.is_empty());
-        if empty {
+        if matches!(&message, Message::Views { leaving, .. } if leaving.is_empty()) {
             return;
         }
-        for to in self.random_peers(1) {
+        for to in self.random_peers(receivers) {
             effects.push(Effect::Send {
                 to,
                 message: message.clone(),
