--- a/crates/toucancleat-wire/src/codec/targets.rs
+++ b/crates/toucancleat-wire/src/codec/targets.rs
@@ -10,14 +10,7 @@
 pub(crate) fn write(message: &Message, out: wire::message::Builder<'_>) {
     match message {
         Message::Leaving(leaving) => write_leaving(leaving, out.init_leaving()),
-        Message::Report(report) => {
-            let mut out = out.init_report();
-            out.set_version(report.version);
-            out.set_out_for_ms(report.out_for_ms);
-            let mut target = out.init_target();
-            target.set_target(report.target.as_str());
-            target.set_epoch(report.epoch);
-        }
+        Message::Report(report) => write_report(report, out.init_report()),
         Message::Views { reply, leaving } => {
             let mut out = out.init_views();
             out.set_reply(*reply);
@@ -39,30 +32,45 @@
         .map_err(|e| DecodeError::number("targets", e))?;
     Ok(match which {
         Which::Leaving(leaving) => Message::Leaving(read_leaving(leaving?)?),
-        Which::Report(report) => {
-            let target = read_leaving(report.get_target()?)?;
-            Message::Report(Report {
-                target: target.target,
-                epoch: target.epoch,
-                version: report.get_version(),
-                out_for_ms: report.get_out_for_ms(),
-            })
+        Which::Report(report) => Message::Report(read_report(report?)?),
+        Which::Views(views) => {
+            let views = views?;
+            let leaving =
+                read_list("leaving", views.get_leaving()?.iter(), read_leaving)?;
+            Message::Views {
+                reply: views.get_reply(),
+                leaving,
+            }
         }
-        Which::Views(views) => Message::Views {
-            reply: views.get_reply(),
-            leaving: read_list("leaving", views.get_leaving()?.iter(), read_leaving)?,
-        },
     })
 }
 
-fn write_leaving(leaving: &LeavingTarget, mut out: wire::epoch::Builder<'_>) {
+fn write_leaving(leaving: &LeavingTarget, mut out: wire::leaving_target::Builder<'_>) {
     out.set_target(leaving.target.as_str());
     out.set_epoch(leaving.epoch);
 }
 
-fn read_leaving(epoch: wire::epoch::Reader<'_>) -> Result<LeavingTarget, DecodeError> {
+fn read_leaving(
+    leaving: wire::leaving_target::Reader<'_>,
+) -> Result<LeavingTarget, DecodeError> {
     Ok(LeavingTarget {
-        target: read_name("target", epoch.get_target())?,
-        epoch: epoch.get_epoch(),
+        target: read_name("target", leaving.get_target())?,
+        epoch: leaving.get_epoch(),
+    })
+}
+
+fn write_report(report: &Report, mut out: wire::report::Builder<'_>) {
+    out.set_target(report.target.as_str());
+    out.set_epoch(report.epoch);
+    out.set_version(report.version);
+    out.set_out_for_ms(report.out_for_ms);
+}
+
+fn read_report(report: wire::report::Reader<'_>) -> Result<Report, DecodeError> {
+    Ok(Report {
+        target: read_name("target", report.get_target())?,
+        epoch: report.get_epoch(),
+        version: report.get_version(),
+        out_for_ms: report.get_out_for_ms(),
     })
 }
--- a/crates/toucancleat-wire/tests/strategy/concerns.rs
+++ b/crates/toucancleat-wire/tests/strategy/concerns.rs
@@ -1,4 +1,4 @@
-//! Arbitrary messages of the accounts, settings, targets and crash marks.
+//! Arbitrary messages of the accounts and the settings.
 
 use std::sync::Arc;
 
@@ -8,11 +8,9 @@
     self, Finished, Granted, Holding, Limits, Load, Outcome, Progress, Queued,
     RefuseReason, Refused, Reserve,
 };
-use toucancleat_core::crash_marks::{self, Crash, CrashMarks, Fingerprint};
 use toucancleat_core::prelude::*;
 use toucancleat_core::settings::{Change, Edit, RoutingPolicy, Tree};
 use toucancleat_core::spread;
-use toucancleat_core::targets::{self, LeavingTarget, Report};
 
 use super::name;
 
@@ -135,61 +133,6 @@
     ]
 }
 
-pub fn targets() -> impl Strategy<Value = targets::Message> {
-    use targets::Message;
-    prop_oneof![
-        leaving().prop_map(Message::Leaving),
-        (leaving(), any::<u64>(), any::<u64>()).prop_map(
-            |(target, version, out_for_ms)| {
-                let LeavingTarget { target, epoch } = target;
-                Message::Report(Report {
-                    target,
-                    epoch,
-                    version,
-                    out_for_ms,
-                })
-            }
-        ),
-        (any::<bool>(), vec(leaving(), 0..4))
-            .prop_map(|(reply, leaving)| Message::Views { reply, leaving }),
-    ]
-}
-
-pub fn crash_marks() -> impl Strategy<Value = crash_marks::Message> {
-    use crash_marks::Message;
-    let marks =
-        (id(), vec(crash(), 0..3)).prop_map(|(fingerprint, crashes)| CrashMarks {
-            fingerprint: Fingerprint(fingerprint),
-            crashes,
-        });
-    prop_oneof![
-        (any::<bool>(), crash(), vec(id(), 0..4)).prop_map(|(relay, crash, ids)| {
-            let fingerprints = ids.into_iter().map(Fingerprint).collect();
-            Message::Marked {
-                relay,
-                crash,
-                fingerprints,
-            }
-        }),
-        (any::<bool>(), vec(marks, 0..3))
-            .prop_map(|(relay, cleared)| Message::Cleared { relay, cleared }),
-        (id(), id()).prop_map(|(fingerprint, attempt)| Message::AskTurn {
-            fingerprint: Fingerprint(fingerprint),
-            attempt: GenerationId(attempt),
-        }),
-        id().prop_map(|attempt| Message::Turn {
-            attempt: GenerationId(attempt)
-        }),
-        (id(), any::<u64>()).prop_map(|(attempt, retry_after_ms)| Message::NoTurn {
-            attempt: GenerationId(attempt),
-            retry_after_ms,
-        }),
-        id().prop_map(|attempt| Message::EndTurn {
-            attempt: GenerationId(attempt)
-        }),
-    ]
-}
-
 fn id() -> impl Strategy<Value = u128> {
     any::<u128>()
 }
@@ -274,14 +217,6 @@
     ])
 }
 
-fn leaving() -> impl Strategy<Value = LeavingTarget> {
-    (name(), any::<u64>()).prop_map(|(target, epoch)| LeavingTarget { target, epoch })
-}
-
-fn crash() -> impl Strategy<Value = Crash> {
-    (name(), any::<u64>()).prop_map(|(target, epoch)| Crash { target, epoch })
-}
-
 fn change() -> impl Strategy<Value = Change> {
     let value = prop::option::of(prop_oneof![
         Just(serde_json::Value::Null),
--- a/crates/toucancleat-wire/tests/strategy/mod.rs
+++ b/crates/toucancleat-wire/tests/strategy/mod.rs
@@ -1,7 +1,9 @@
 //! Arbitrary messages of every concern.
 
 mod concerns;
+mod crash_marks;
 mod membership;
+mod targets;
 
 use proptest::prelude::*;
 use toucancleat_core::membership::Message as MembershipMessage;
@@ -49,7 +51,7 @@
         membership::message().prop_map(Message::from),
         concerns::accounts().prop_map(Message::from),
         concerns::spread().prop_map(Message::from),
-        concerns::targets().prop_map(Message::from),
-        concerns::crash_marks().prop_map(Message::from),
+        targets::message().prop_map(Message::from),
+        crash_marks::message().prop_map(Message::from),
     ]
 }
