Add orders to engines under a fenced lease

One host of a zone holds a row of the table 'leases'; its term is the fencing number. The holder counts its lease from before the write, the others from when they first saw the row's version, so clocks aren't compared. A new holder waits out the lease and the deadline of the last holder's orders, unless the row says that it was given back with none open. Each order follows a read of the target and is followed by another, one at a time for each target; loads keep an interval; an order that would cut off running work waits until the target has drained. After a lost reply to the acquisition the row is waited out like another's, since no time is known for it.

Ruled out: expiry by the wall clock (hosts' clocks differ), takeover without the wait for engines that check no fencing number.

--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ids;
 pub mod lengths;
 pub mod membership;
+pub mod orders;
 pub mod peer;
 pub mod prelude;
 mod reduce;
--- /dev/null
+++ b/crates/toucancleat-core/tests/orders/main.rs
@@ -0,0 +1,206 @@
+//! Orders to engines from declared state, with one lease holder and with several.
+
+mod schedules;
+mod world;
+
+use indexmap::IndexMap;
+use toucancleat_core::orders::{
+    Config, Declared, Effect, Event, Order, OrderOutcome, TargetState,
+};
+use toucancleat_core::prelude::*;
+
+use self::world::{World, versions};
+
+fn declared(models: &[(&str, &str)], role: Option<&str>) -> Declared {
+    Declared {
+        models: Some(versions(models)),
+        adapters: None,
+        role: role.map(str::to_owned),
+    }
+}
+
+fn found(models: &[(&str, &str)], role: &str) -> TargetState {
+    TargetState {
+        models: versions(models),
+        role: role.to_owned(),
+        ..TargetState::default()
+    }
+}
+
+fn load(name: &str, version: &str) -> Order {
+    Order::LoadModel {
+        name: name.to_owned(),
+        version: version.to_owned(),
+    }
+}
+
+#[test]
+fn target_comes_to_what_is_declared() {
+    struct Case {
+        name: &'static str,
+        found: TargetState,
+        declared: Declared,
+        orders: Vec<Order>,
+        drained: bool,
+    }
+    let set_role = Order::SetRole {
+        role: "prefill".to_owned(),
+    };
+    let unload = Order::Unload {
+        name: "old".to_owned(),
+    };
+    let cases = [
+        Case {
+            name: "as declared",
+            found: found(&[("plan", "1")], "generate"),
+            declared: declared(&[("plan", "1")], Some("generate")),
+            orders: vec![],
+            drained: false,
+        },
+        Case {
+            name: "another model beside the running one",
+            found: found(&[("plan", "1")], "generate"),
+            declared: declared(&[("plan", "1"), ("check", "1")], None),
+            orders: vec![load("check", "1")],
+            drained: false,
+        },
+        Case {
+            name: "another version in place of the running one",
+            found: found(&[("plan", "1")], "generate"),
+            declared: declared(&[("plan", "2")], None),
+            orders: vec![load("plan", "2")],
+            drained: true,
+        },
+        Case {
+            name: "load, then role, then unload",
+            found: found(&[("old", "1")], "generate"),
+            declared: declared(&[("new", "1")], Some("prefill")),
+            orders: vec![load("new", "1"), set_role, unload],
+            drained: true,
+        },
+        Case {
+            name: "nothing declared",
+            found: found(&[("old", "1")], "generate"),
+            declared: Declared::default(),
+            orders: vec![],
+            drained: false,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(1, Config::default());
+        let target = TargetName::new("plan-llm-1");
+        world.targets.insert(target.clone(), case.found);
+        world.declare(&target, case.declared);
+        world.run(60_000);
+        let orders: Vec<_> = world.orders.iter().map(|sent| sent.order.clone()).collect();
+        assert_eq!(orders, case.orders, "{}", case.name);
+        assert_eq!(world.stops > 0, case.drained, "{}", case.name);
+        assert_eq!(world.stops, world.resumes, "{}", case.name);
+    }
+}
+
+#[test]
+fn loads_keep_the_interval_of_the_weight_store() {
+    let config = Config::default();
+    let mut world = World::new(1, config.clone());
+    for number in 0..6 {
+        let target = TargetName::new(&format!("plan-llm-{number}"));
+        world.targets.insert(target.clone(), found(&[], ""));
+        world.declare(&target, declared(&[("plan", "1")], None));
+    }
+    world.run(120_000);
+    assert_eq!(world.orders.len(), 6);
+    for pair in world.orders.windows(2) {
+        let interval_ms = pair[1].sent_ms - pair[0].sent_ms;
+        assert!(interval_ms >= config.load_interval_ms, "{interval_ms} ms");
+    }
+}
+
+#[test]
+fn order_without_a_reply_is_open_until_its_deadline() {
+    let config = Config::default();
+    let mut world = World::new(1, config.clone());
+    let target = TargetName::new("plan-llm-1");
+    world.targets.insert(target.clone(), found(&[], ""));
+    world.declare(&target, declared(&[("plan", "1"), ("check", "1")], None));
+    world.outcomes.push(OrderOutcome::Unknown);
+    world.run(120_000);
+    assert_eq!(world.orders.len(), 2);
+    let interval_ms = world.orders[1].sent_ms - world.orders[0].sent_ms;
+    assert!(interval_ms >= config.order_deadline_ms, "{interval_ms} ms");
+}
+
+#[test]
+fn next_holder_waits_out_the_lease_and_the_open_orders() {
+    let config = Config::default();
+    let mut world = World::new(2, config.clone());
+    let target = TargetName::new("plan-llm-1");
+    world.targets.insert(target.clone(), found(&[], ""));
+    world.declare(&target, declared(&[("plan", "1"), ("check", "1")], None));
+    world.candidates(&[0]);
+    world.outcomes.push(OrderOutcome::Unknown);
+    while world.orders.is_empty() {
+        world.step();
+    }
+    world.pause(0);
+    world.candidates(&[1]);
+    world.run(120_000);
+    assert_eq!(world.orders[1].host, 1);
+    assert!(world.orders[1].fencing_number > world.orders[0].fencing_number);
+    let interval_ms = world.orders[1].sent_ms - world.orders[0].sent_ms;
+    assert!(interval_ms >= config.order_deadline_ms, "{interval_ms} ms");
+}
+
+#[test]
+fn planned_hand_over_takes_less_than_a_lease() {
+    let mut world = World::new(2, Config::default());
+    world.candidates(&[0]);
+    world.run(20_000);
+    assert!(world.term(0).is_some());
+    world.candidates(&[1]);
+    let lease_ms = Config::default().lease_ms;
+    world.run(lease_ms / 2);
+    assert!(world.term(0).is_none());
+    assert!(world.term(1).is_some());
+}
+
+#[test]
+fn holder_that_sees_a_higher_fencing_number_stops() {
+    let mut world = World::new(1, Config::default());
+    let target = TargetName::new("plan-llm-1");
+    let newer = TargetState {
+        fencing_number: FencingNumber(9),
+        ..found(&[], "")
+    };
+    world.targets.insert(target.clone(), newer);
+    world.declare(&target, declared(&[("plan", "1")], None));
+    world.run(20_000);
+    assert_eq!(world.orders.len(), 0);
+}
+
+#[test]
+fn lapsed_lease_gives_work_back_to_a_drained_target() {
+    let mut world = World::new(1, Config::default());
+    let target = TargetName::new("plan-llm-1");
+    world
+        .targets
+        .insert(target.clone(), found(&[("plan", "1")], ""));
+    world.declare(&target, declared(&[("plan", "2")], None));
+    world.drains = false;
+    while world.stops == 0 {
+        world.step();
+    }
+    world.table_away = true;
+    world.run(Config::default().lease_ms);
+    assert_eq!(world.resumes, 1);
+    let mut effects = Vec::new();
+    world.feed_into(
+        0,
+        Event::Declared {
+            targets: IndexMap::new(),
+        },
+        &mut effects,
+    );
+    let sent = |effect: &Effect| matches!(effect, Effect::SendOrder { .. });
+    assert!(!effects.iter().any(sent));
+}
