Don't use a lease again once it may have been given back

Cause: a host that had sent the release of its lease, lost the reply and became the candidate again went on giving orders, while another host could take the released lease at once. The release is now final for the host, whatever the reply.

lease_that_may_be_given_back_is_not_used_again failed before (both hosts held a term) and passes now; the random schedules had not found it in 400 cases.

--- a/crates/toucancleat-core/src/orders/lease.rs
+++ b/crates/toucancleat-core/src/orders/lease.rs
@@ -76,6 +76,8 @@
     renewing: Option<Renewal>,
     /// Whether the lease is to be given back once no order is open.
     releasing: bool,
+    /// Whether a write that gives it back was sent; another may hold it from then on.
+    release_sent: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -150,7 +152,7 @@
                     self.watch(now_ms);
                     return;
                 }
-                held.releasing = !self.is_candidate;
+                held.releasing = !self.is_candidate || held.release_sent;
                 self.renew(config, now_ms, busy, effects);
             }
         }
@@ -256,7 +258,9 @@
 
     fn held(&self, now_ms: u64) -> Option<&Held> {
         match &self.step {
-            Step::Holding(held) if now_ms < held.valid_until_ms => Some(held),
+            Step::Holding(held) if now_ms < held.valid_until_ms && !held.release_sent => {
+                Some(held)
+            }
             _ => None,
         }
     }
@@ -303,6 +307,7 @@
             next_renew_ms: sent_ms + config.renew_ms,
             renewing: None,
             releasing: false,
+            release_sent: false,
         });
     }
 
@@ -331,6 +336,7 @@
         let (version, term) = (held.version, held.term);
         let write = self.write(config, Some(version), term, release, effects);
         if let Step::Holding(held) = &mut self.step {
+            held.release_sent |= release;
             held.renewing = Some(Renewal {
                 write,
                 sent_ms: now_ms,
--- a/crates/toucancleat-core/tests/orders/main.rs
+++ b/crates/toucancleat-core/tests/orders/main.rs
@@ -204,3 +204,23 @@
     let sent = |effect: &Effect| matches!(effect, Effect::SendOrder { .. });
     assert!(!effects.iter().any(sent));
 }
+
+#[test]
+fn lease_that_may_be_given_back_is_not_used_again() {
+    let mut world = World::new(2, Config::default());
+    let target = TargetName::new("plan-llm-1");
+    world.targets.insert(target.clone(), found(&[], ""));
+    world.run(20_000);
+    world.lose_reply = true;
+    world.candidates(&[1]);
+    world.pause(1);
+    world.step();
+    assert!(world.row.as_ref().is_some_and(|(_, row)| row.released));
+    world.wake(1);
+    world.candidates(&[0, 1]);
+    world.declare(&target, declared(&[("plan", "1")], None));
+    while world.term(1).is_none() {
+        world.step();
+    }
+    assert_eq!(world.term(0), None);
+}
