--- a/crates/toucancleat-standin/src/engine/records.rs
+++ b/crates/toucancleat-standin/src/engine/records.rs
@@ -9,6 +9,8 @@
     pub generations: Vec<GenerationRecord>,
     /// Orders in the order of their arrival.
     pub orders: Vec<OrderRecord>,
+    /// Times that a sequence lost its memory in the middle.
+    pub preemptions_total: u64,
     /// Requests refused as not run.
     pub refused: u64,
     /// Requests that carried the id of an earlier generation.
--- /dev/null
+++ b/crates/toucancleat-standin/src/engine/state.rs
@@ -0,0 +1,227 @@
+//! What an engine knows, behind one lock.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use super::arrival::Arrival;
+use super::config::EngineConfig;
+use super::faults::EngineFaults;
+use super::generation::Generation;
+use super::model::{EngineModel, SequenceId, SequenceRequest, Step};
+use super::orders::OrderState;
+use super::records::{EngineRecords, GenerationState};
+use super::reports::{CacheEvents, Delayed, LoadReport};
+use crate::clock::now_unix_ms;
+
+/// What an engine knows.
+#[derive(Debug)]
+pub(super) struct State {
+    pub(super) faults: EngineFaults,
+    pub(super) orders: OrderState,
+    pub(super) loads: Delayed<LoadReport>,
+    pub(super) cache_events: CacheEvents,
+    records: EngineRecords,
+    model: EngineModel,
+    started_unix_ms: u64,
+    blocks_total: u32,
+    block_tokens: u32,
+    generations: IndexMap<String, Arc<Generation>>,
+    active: IndexMap<SequenceId, Arc<Generation>>,
+}
+
+/// Why a generation is not begun.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Refusal {
+    /// A fault or the queue's limit refuses it.
+    NotRun,
+    /// The generation's id is known already.
+    Duplicate,
+    /// It could never fit into the memory.
+    TooLong,
+}
+
+impl State {
+    /// Makes the state of an idle engine.
+    pub(super) fn new(config: &EngineConfig) -> State {
+        let models = config.models.iter();
+        let mut state = State {
+            faults: EngineFaults::default(),
+            orders: OrderState {
+                models: models.map(|name| (name.clone(), String::new())).collect(),
+                adapters: IndexMap::new(),
+                role: config.role.clone(),
+                fencing_number: 0,
+            },
+            loads: Delayed::new(config.real(config.load_lag_ms)),
+            cache_events: CacheEvents::new(
+                config.real(config.cache_event_lag_ms),
+                config.cache_event_loss_per_1000,
+            ),
+            records: EngineRecords::default(),
+            model: EngineModel::new(config.model.clone()),
+            started_unix_ms: now_unix_ms(),
+            blocks_total: config.model.blocks_total,
+            block_tokens: config.model.block_tokens,
+            generations: IndexMap::new(),
+            active: IndexMap::new(),
+        };
+        state.report_load();
+        state
+    }
+
+    /// Queues a generation.
+    pub(super) fn accept(
+        &mut self,
+        arrival: &Arrival,
+        max_waiting: Option<u32>,
+    ) -> Result<Arc<Generation>, Refusal> {
+        let waiting = self.model.load().waiting;
+        if self.faults.reject || max_waiting.is_some_and(|most| waiting >= most) {
+            self.records.refused += 1;
+            return Err(Refusal::NotRun);
+        }
+        if self.generations.contains_key(&arrival.generation_id) {
+            self.records.duplicate_generations += 1;
+            return Err(Refusal::Duplicate);
+        }
+        let request = SequenceRequest {
+            priority: arrival.priority,
+            prompt_blocks: arrival.prompt_blocks(self.block_tokens),
+            prompt_tokens: arrival.prompt_tokens(),
+            output_tokens: arrival.length.tokens,
+        };
+        let sequence = self.model.add(request).ok_or(Refusal::TooLong)?;
+        let marker = self.faults.crash_marker.as_deref();
+        let generation = Arc::new(Generation::new(
+            arrival,
+            sequence,
+            self.records.generations.len(),
+            marker.is_some_and(|marker| arrival.prompt.contains(marker)),
+        ));
+        let record = arrival.record(self.records.leaving_unix_ms);
+        self.records.generations.push(record);
+        let id = generation.id.clone();
+        self.generations.insert(id, Arc::clone(&generation));
+        self.active.insert(sequence, Arc::clone(&generation));
+        Ok(generation)
+    }
+
+    /// Returns a known generation.
+    pub(super) fn generation(&self, id: &str) -> Option<Arc<Generation>> {
+        self.generations.get(id).cloned()
+    }
+
+    /// Notes that a stream of a generation was resumed.
+    pub(super) fn resumed(&mut self, generation: &Generation) {
+        self.records.generations[generation.record].resumes += 1;
+    }
+
+    /// Ends a generation early and frees its memory.
+    pub(super) fn end(&mut self, generation: &Generation, state: GenerationState) {
+        if generation.end(state) {
+            self.model.cancel(generation.sequence);
+            self.active.shift_remove(&generation.sequence);
+        }
+    }
+
+    /// Computes the next step; its tokens come out only when its time has passed.
+    pub(super) fn step(&mut self) -> Option<Step> {
+        let step = self.model.step()?;
+        for started in &step.started {
+            if let Some(generation) = self.active.get(&started.id) {
+                let record = &mut self.records.generations[generation.record];
+                record.cached_tokens = started.cached_tokens;
+            }
+        }
+        for preempted in &step.preempted {
+            if let Some(generation) = self.active.get(preempted) {
+                self.records.generations[generation.record].preemptions += 1;
+            }
+        }
+        self.cache_events.extend(self.model.take_cache_changes());
+        Some(step)
+    }
+
+    /// Says whether a request that crashes the engine begins in a step.
+    pub(super) fn starts_marked(&self, step: &Step) -> bool {
+        let started = step.started.iter().filter_map(|s| self.active.get(&s.id));
+        started.into_iter().any(|generation| generation.marked)
+    }
+
+    /// Brings the tokens of a step out.
+    pub(super) fn publish(&mut self, step: &Step) {
+        for id in &step.produced {
+            // A generation that was cancelled during the step is no longer active.
+            if let Some(generation) = self.active.get(id) {
+                generation.advance();
+            }
+        }
+        for id in &step.finished {
+            self.active.shift_remove(id);
+        }
+    }
+
+    /// Notes when the engine began to leave, or that it stays.
+    pub(super) fn note_leaving(&mut self) {
+        if !self.faults.leaving {
+            self.records.leaving_unix_ms = None;
+        } else if self.records.leaving_unix_ms.is_none() {
+            self.records.leaving_unix_ms = Some(now_unix_ms());
+        }
+    }
+
+    /// Returns the time until the engine dies, when it is leaving.
+    pub(super) fn leaving_in_ms(&self) -> Option<u64> {
+        let leaving_unix_ms = self.records.leaving_unix_ms?;
+        let dies_unix_ms = leaving_unix_ms + self.faults.dies_after_leaving_ms?;
+        Some(dies_unix_ms.saturating_sub(now_unix_ms()))
+    }
+
+    /// Measures the load for a report.
+    pub(super) fn report_load(&mut self) {
+        let load = self.model.load();
+        let report = LoadReport {
+            started_unix_ms: self.started_unix_ms,
+            measured_unix_ms: now_unix_ms(),
+            running: load.running,
+            waiting: load.waiting,
+            blocks_used: load.blocks_used,
+            blocks_total: self.blocks_total,
+            block_tokens: self.block_tokens,
+            preemptions_total: load.preemptions_total,
+            step_ms: load.step_ms,
+            state: if self.faults.leaving {
+                "leaving"
+            } else {
+                "serving"
+            },
+            leaving_in_ms: self.leaving_in_ms(),
+            role: self.orders.role.clone(),
+            models: self.orders.models.keys().cloned().collect(),
+            adapters: self.orders.adapters.keys().cloned().collect(),
+        };
+        self.loads.push(report);
+    }
+
+    /// Returns the records with the progress of each generation as of now.
+    pub(super) fn records(&self) -> EngineRecords {
+        let mut records = self.records.clone();
+        for (record, generation) in records
+            .generations
+            .iter_mut()
+            .zip(self.generations.values())
+        {
+            let progress = generation.progress();
+            record.produced_tokens = progress.produced_tokens;
+            record.state = progress.state;
+        }
+        records.preemptions_total = self.model.load().preemptions_total;
+        records
+    }
+
+    /// Records an order.
+    pub(super) fn record_order(&mut self, order: super::records::OrderRecord) {
+        self.records.orders.push(order);
+    }
+}
--- a/crates/toucancleat-standin/src/lib.rs
+++ b/crates/toucancleat-standin/src/lib.rs
@@ -15,6 +15,7 @@
 mod server;
 mod service;
 
+pub use crate::engine::model;
 pub use crate::engine::{
     AtToken, Engine, EngineConfig, EngineFaults, EngineRecords, GenerationRecord,
     GenerationState, Nonsense, NonsenseKind, OrderRecord,
--- a/crates/toucancleat-standin/src/main.rs
+++ b/crates/toucancleat-standin/src/main.rs
@@ -6,6 +6,7 @@
 use bpaf::{Bpaf, Parser};
 use serde_json::{Map, Value, json};
 use tokio::signal::unix::{SignalKind, signal};
+use toucancleat_standin::model::ModelConfig;
 use toucancleat_standin::{
     Engine, EngineConfig, FaultProxy, FaultProxyConfig, Platform, PlatformConfig,
     Service, ServiceConfig,
@@ -36,6 +37,12 @@
         model: Vec<String>,
         /// Carries out orders with an old fencing number too.
         ignores_fencing: bool,
+        /// How much faster than the clock the engine's time runs.
+        #[bpaf(argument("FACTOR"), fallback(1.0))]
+        time_scale: f64,
+        /// Blocks of cache memory.
+        #[bpaf(argument("BLOCKS"), fallback(ModelConfig::default().blocks_total))]
+        blocks_total: u32,
     },
     /// Runs a plain service.
     #[bpaf(command)]
@@ -102,10 +109,17 @@
             bind,
             model,
             ignores_fencing,
+            time_scale,
+            blocks_total,
         } => {
             let mut config = EngineConfig {
                 bind,
                 checks_fencing: !ignores_fencing,
+                time_scale,
+                model: ModelConfig {
+                    blocks_total,
+                    ..ModelConfig::default()
+                },
                 ..EngineConfig::default()
             };
             if !model.is_empty() {
--- a/crates/toucancleat-standin/src/server.rs
+++ b/crates/toucancleat-standin/src/server.rs
@@ -47,6 +47,7 @@
 pub(crate) struct ServerThread {
     address: SocketAddr,
     stop: Stop,
+    ended: watch::Receiver<bool>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -68,6 +69,7 @@
             .enable_all()
             .build()?;
         let stopped = stop.clone();
+        let (end, ended) = watch::channel(false);
         let thread = thread::Builder::new()
             .name(format!("standin-{}", address.port()))
             .spawn(move || {
@@ -82,10 +84,12 @@
                     }
                 });
                 runtime.shutdown_background();
+                end.send_replace(true);
             })?;
         Ok(ServerThread {
             address,
             stop,
+            ended,
             thread: Some(thread),
         })
     }
@@ -95,9 +99,10 @@
         self.address
     }
 
-    /// Waits until the server is told to end, by its owner or by a fault.
+    /// Waits until the server has ended by a fault, with all its sockets.
     pub(crate) async fn stopped(&self) {
-        self.stop.wait().await;
+        // A thread that is gone without a word has ended too.
+        let _ = self.ended.clone().wait_for(|ended| *ended).await;
     }
 }
 
