--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -7,13 +7,30 @@
 
 pub mod accounts;
 pub mod claims;
+pub mod crash_marks;
+mod effect;
+mod event;
+pub mod generation;
 pub mod homes;
 pub mod ids;
 pub mod lengths;
 pub mod membership;
+pub mod observation;
 pub mod peer;
 pub mod prelude;
+mod reduce;
+pub mod refusal;
+pub mod requests;
 pub mod rng;
 pub mod routing;
 pub mod settings;
+pub mod spread;
+mod state;
+pub mod targets;
+pub mod timeline;
 pub mod verdict;
+
+pub use self::effect::{Dispatch, Effect};
+pub use self::event::Event;
+pub use self::reduce::reduce;
+pub use self::state::{Identity, State};
--- /dev/null
+++ b/crates/toucancleat-core/tests/settings/main.rs
@@ -0,0 +1,8 @@
+//! The settings tree: documents, checks, edits, look-ups and the store.
+
+mod edit;
+mod lookup;
+mod parse;
+mod samples;
+mod store;
+mod trees;
