--- a/crates/toucancleat-wire/schema/peer.capnp
+++ b/crates/toucancleat-wire/schema/peer.capnp
@@ -3,6 +3,7 @@
 # What entry hosts say to each other.
 
 using Accounts = import "accounts.capnp";
+using CrashMarks = import "crash_marks.capnp";
 using Membership = import "membership.capnp";
 using Spread = import "spread.capnp";
 using Targets = import "targets.capnp";
@@ -15,10 +16,10 @@
     # N.B. Further concerns get further numbers; none is ever used again.
     none @3 :Void;
     membership @4 :Membership.Message;
-    accounts @5 :Accounts.Message;
-    spread @6 :Spread.Message;
-    targets @7 :Targets.Message;
-    crashMarks @8 :Targets.MarkMessage;
+    targets @5 :Targets.Message;
+    crashMarks @6 :CrashMarks.Message;
+    accounts @7 :Accounts.Message;
+    spread @8 :Spread.Message;
   }
 }
 
