--- a/crates/toucancleat-cli/src/connection.rs
+++ b/crates/toucancleat-cli/src/connection.rs
@@ -84,6 +84,14 @@
         }
     }
 
+    /// Says whether the host may be in an availability zone; an address given by hand may
+    /// be in any.
+    pub fn may_be_in_zone(&self, zone: &str) -> bool {
+        self.listed
+            .as_ref()
+            .is_none_or(|listed| listed.zone == zone)
+    }
+
     /// Reads JSON from a path.
     pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
         self.call(Method::GET, path).await
--- a/crates/toucancleat-cli/src/demo/rush.rs
+++ b/crates/toucancleat-cli/src/demo/rush.rs
@@ -19,7 +19,7 @@
 /// The callers begin within this time.
 const RUSH_MS: u64 = 2_500;
 const DRAFT_TOKENS_MIN: f64 = 60.0;
-const DRAFT_TOKENS_MAX: f64 = 1_500.0;
+const DRAFT_TOKENS_MAX: f64 = 600.0;
 
 /// Requests under way.
 pub(super) struct Rush {
--- a/crates/toucancleat-cli/src/fleet.rs
+++ b/crates/toucancleat-cli/src/fleet.rs
@@ -1,4 +1,4 @@
-//! The commands about entry hosts and targets.
+//! The commands about entry hosts.
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -9,6 +9,9 @@
 use crate::options::Connection;
 use crate::output::{Output, Table};
 
+/// What an entry host calls another that answers.
+const ALIVE: &str = "alive";
+
 /// What an entry host says of itself.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct Status {
@@ -16,6 +19,7 @@
     zone: String,
     /// The revision in force; `None` before the first.
     pub revision: Option<u64>,
+    settings_age_ms: Option<u64>,
     ready: bool,
     draining: bool,
     requests_in_progress: u64,
@@ -23,6 +27,18 @@
     further: IndexMap<String, Value>,
 }
 
+/// What an entry host says of the others.
+#[derive(Debug, Deserialize)]
+struct MembershipReply {
+    hosts: Vec<Member>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Member {
+    host: String,
+    status: String,
+}
+
 /// One entry host as the command shows it.
 #[derive(Debug, Serialize)]
 struct HostReport {
@@ -30,92 +46,39 @@
     list_state: Option<String>,
     #[serde(flatten)]
     status: Option<Status>,
+    /// Hosts that don't take this one to be alive.
+    doubted_by: Vec<String>,
     error: Option<String>,
 }
 
-#[derive(Debug, Deserialize)]
-struct TargetsReply {
-    #[serde(default)]
-    outstanding: IndexMap<String, u64>,
-}
-
-#[derive(Debug, Deserialize)]
-struct SettingsReply {
-    #[serde(default)]
-    tree: Option<toucancleat_core::settings::Tree>,
-}
-
-/// One target as the command shows it.
-#[derive(Debug, Serialize)]
-struct TargetReport {
-    target: String,
-    pool: String,
-    zone: String,
-    address: String,
-    outstanding: u64,
-}
-
 /// Lists the entry hosts.
 pub(crate) async fn hosts(connection: &Connection, output: &Output) -> Result<(), Error> {
     let hosts = connection.hosts().await?;
     let replies = get_all::<Status>(&hosts, "/status").await;
-    let reports: Vec<HostReport> = hosts
+    let mut reports: Vec<HostReport> = hosts
         .iter()
         .zip(replies)
         .map(|(host, reply)| host_report(host, reply))
         .collect();
-    if output.json {
-        output.json(&reports)?;
-    } else {
-        output.table(&host_table(&reports))?;
-    }
-    let missing = reports.iter().filter(|report| report.status.is_none());
-    complete(missing.map(|report| report.listed_as.clone()).collect())
-}
-
-/// Lists the targets of the tree with the requests in progress that the hosts know of.
-pub(crate) async fn targets(
-    connection: &Connection,
-    output: &Output,
-) -> Result<(), Error> {
-    let hosts = connection.hosts().await?;
-    let mut missing = Vec::new();
-    let mut outstanding: IndexMap<String, u64> = IndexMap::new();
-    let replies = get_all::<TargetsReply>(&hosts, "/targets").await;
-    for (host, reply) in hosts.iter().zip(replies) {
-        match reply {
-            Ok(reply) => {
-                for (target, count) in reply.outstanding {
-                    *outstanding.entry(target).or_default() += count;
-                }
+    let views = get_all::<MembershipReply>(&hosts, "/hosts").await;
+    for (observer, view) in hosts.iter().zip(views) {
+        let members = view.map_or(Vec::new(), |view| view.hosts);
+        for member in members.iter().filter(|member| member.status != ALIVE) {
+            let doubted = reports
+                .iter_mut()
+                .find(|report| report.listed_as == member.host);
+            if let Some(report) = doubted {
+                report.doubted_by.push(observer.label());
             }
-            Err(_) => missing.push(host.label()),
-        }
-    }
-    let trees = get_all::<SettingsReply>(&hosts, "/settings").await;
-    let tree = trees
-        .into_iter()
-        .flatten()
-        .find_map(|reply| reply.tree)
-        .unwrap_or_default();
-    let mut reports = Vec::new();
-    for (pool_name, pool) in &tree.pools {
-        for (name, target) in &pool.targets {
-            reports.push(TargetReport {
-                target: name.to_string(),
-                pool: pool_name.to_string(),
-                zone: target.zone.to_string(),
-                address: target.address.clone(),
-                outstanding: outstanding.get(name.as_str()).copied().unwrap_or(0),
-            });
         }
     }
     if output.json {
         output.json(&reports)?;
     } else {
-        output.table(&target_table(reports))?;
+        output.table(&host_table(&reports))?;
     }
-    complete(missing)
+    let missing = reports.iter().filter(|report| report.status.is_none());
+    complete(missing.map(|report| report.listed_as.clone()).collect())
 }
 
 /// Stops an entry host as planned.
@@ -163,32 +126,48 @@
         listed_as: host.label(),
         list_state: host.listed.as_ref().map(|listed| listed.state.clone()),
         status,
+        doubted_by: Vec::new(),
         error,
     }
 }
 
 fn host_table(reports: &[HostReport]) -> Table {
-    let mut table = Table::new(&["HOST", "ZONE", "STATE", "REVISION", "REQUESTS"]);
+    let mut table = Table::new(&[
+        "HOST",
+        "ZONE",
+        "STATE",
+        "REVISION",
+        "HEARD MS AGO",
+        "REQUESTS",
+        "DOUBTED BY",
+    ]);
     for report in reports {
-        let Some(status) = &report.status else {
-            let state = "unreachable".to_owned();
-            table.row(vec![report.listed_as.clone(), String::new(), state]);
-            continue;
+        let (host, doubted_by) = (report.listed_as.clone(), report.doubted_by.join(" "));
+        let cells = match &report.status {
+            Some(status) => [
+                status.zone.clone(),
+                state(status).to_owned(),
+                shown(status.revision),
+                shown(status.settings_age_ms),
+                status.requests_in_progress.to_string(),
+            ],
+            None => ["", "unreachable", "", "", ""].map(str::to_owned),
         };
-        let revision = status
-            .revision
-            .map_or("none".to_owned(), |revision| revision.to_string());
-        table.row(vec![
-            status.host.clone(),
-            status.zone.clone(),
-            state(status).to_owned(),
-            revision,
-            status.requests_in_progress.to_string(),
-        ]);
+        table.row(
+            [host]
+                .into_iter()
+                .chain(cells)
+                .chain([doubted_by])
+                .collect(),
+        );
     }
     table
 }
 
+fn shown(number: Option<u64>) -> String {
+    number.map_or("-".to_owned(), |number| number.to_string())
+}
+
 fn state(status: &Status) -> &'static str {
     match (status.draining, status.ready) {
         (true, _) => "draining",
@@ -196,18 +175,3 @@
         (false, false) => "not ready",
     }
 }
-
-fn target_table(reports: Vec<TargetReport>) -> Table {
-    let mut table = Table::new(&["TARGET", "POOL", "ZONE", "ADDRESS", "REQUESTS"]);
-    for report in reports {
-        let requests = report.outstanding.to_string();
-        table.row(vec![
-            report.target,
-            report.pool,
-            report.zone,
-            report.address,
-            requests,
-        ]);
-    }
-    table
-}
--- a/crates/toucancleat-cli/src/lib.rs
+++ b/crates/toucancleat-cli/src/lib.rs
@@ -10,6 +10,7 @@
 mod options;
 mod output;
 mod settings;
+mod targets;
 mod timeline;
 
 pub use self::error::{Error, Exit};
@@ -30,7 +31,7 @@
             fleet::hosts(&connection, &Output::stdout(&format)).await
         }
         Command::Targets { connection, format } => {
-            fleet::targets(&connection, &Output::stdout(&format)).await
+            targets::list(&connection, &Output::stdout(&format)).await
         }
         Command::Drain {
             connection,
--- a/crates/toucancleat-cli/src/timeline/fetch.rs
+++ b/crates/toucancleat-cli/src/timeline/fetch.rs
@@ -93,7 +93,8 @@
             }
         }
         place.after = page.next_after;
-        let is_last = page.records.len() < PAGE_RECORDS;
+        // A host may return fewer records than asked for, so only an empty page is the last.
+        let is_last = page.records.is_empty();
         pages.push(page);
         if is_last {
             return Ok((place, pages));
--- a/crates/toucancleat-cli/tests/support/mod.rs
+++ b/crates/toucancleat-cli/tests/support/mod.rs
@@ -64,7 +64,7 @@
     path.display().to_string()
 }
 
-/// Writes a file for one test.
+/// Writes a file for one test; tests run at once, so each needs names of its own.
 pub fn file(name: &str, text: &str) -> PathBuf {
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     std::fs::write(&path, text).expect("the target directory can be written");
--- /dev/null
+++ b/crates/toucancleat-cli/tests/timeline.rs
@@ -0,0 +1,201 @@
+//! The time line of running entry hosts.
+
+mod support;
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::header::AUTHORIZATION;
+use http::{HeaderName, HeaderValue, Method, StatusCode};
+use serde_json::Value;
+use support::{file, run};
+use toucancleat_core::settings::api_key_sha256;
+use toucancleat_entry::http::{Call, HttpClient};
+use toucancleat_entry::platform::{ListedHost, Platform as PlatformClient};
+use toucancleat_entry::{Config, EntryHost};
+use toucancleat_standin::{Engine, EngineConfig, Platform, PlatformConfig};
+
+/// One engine before two entry hosts.
+struct Fleet {
+    platform: Platform,
+    _engine: Engine,
+    hosts: [EntryHost; 2],
+}
+
+impl Fleet {
+    async fn start() -> Fleet {
+        let platform = Platform::start(PlatformConfig::default())
+            .await
+            .expect("a platform");
+        let engine = Engine::start(EngineConfig::default())
+            .await
+            .expect("an engine");
+        let settings = file(
+            &format!("timeline-{}.jsonc", platform.address().port()),
+            &format!(
+                r#"{{"zones": ["a", "b"], "pools": {{"llm": {{"class": "model_engine", "targets": {{
+                "llm-1": {{"zone": "a", "address": "{}", "memory_tokens": 65536, "max_batch": 8}}
+                }}}}}}, "fleet": {{"kinds": {{"check": {{"pool": "llm"}}}}}},
+                "live_events": {{"e": {{"starts_at_unix_ms": 1, "ends_at_unix_ms": 9000000000000,
+                "organisations": {{"sl": {{"api_key_sha256": ["{}"]}}}}}}}}}}"#,
+                engine.address(),
+                api_key_sha256("key"),
+            ),
+        );
+        let apply = ["settings", "apply", &settings.display().to_string()];
+        run(Some(platform.address()), &apply).await.expect(0);
+        let [one, two] = [("entry-1", "a"), ("entry-2", "b")].map(|(name, zone)| {
+            EntryHost::start(Config::loopback(name, zone, platform.address()))
+        });
+        let hosts = [one.await.expect("a host"), two.await.expect("a host")];
+        let fleet = Fleet {
+            platform,
+            _engine: engine,
+            hosts,
+        };
+        fleet.wait_listed_and_ready().await;
+        fleet
+    }
+
+    async fn wait_listed_and_ready(&self) {
+        let list = PlatformClient::new(self.platform.address());
+        while list.hosts().await.map_or(0, |hosts| hosts.len()) < 2
+            || !self.hosts.iter().all(EntryHost::is_ready)
+        {
+            tokio::task::yield_now().await;
+        }
+    }
+
+    fn platform(&self) -> Option<SocketAddr> {
+        Some(self.platform.address())
+    }
+
+    async fn ask(&self, host: usize) {
+        let header = HeaderValue::from_static;
+        let call = Call {
+            address: self.hosts[host].callers_address(),
+            method: Method::POST,
+            path: "/v1/completions",
+            headers: vec![
+                (AUTHORIZATION, header("Bearer key")),
+                (HeaderName::from_static("x-request-kind"), header("check")),
+            ],
+            body: Bytes::from_static(
+                br#"{"prompt": "stop 4", "standin_output_tokens": 3}"#,
+            ),
+        };
+        let reply = HttpClient::fresh().exchange(call, 30_000, usize::MAX).await;
+        let reply = reply.expect("a reply");
+        assert_eq!(reply.status(), StatusCode::OK, "{reply:?}");
+    }
+
+    /// Reads the records of a kind until each host has some: the answer may reach its
+    /// caller before its end is recorded.
+    async fn records_of_both(&self, kind: &str) -> Vec<Value> {
+        loop {
+            let run = run(self.platform(), &["timeline", "--kind", kind, "--json"]).await;
+            let lines = run.expect(0).stdout;
+            let records = lines
+                .lines()
+                .map(|line| serde_json::from_str(line).expect("JSON"));
+            let records: Vec<Value> = records.collect();
+            let has = |host: &str| records.iter().any(|record| record["host"] == host);
+            if has("entry-1") && has("entry-2") {
+                return records;
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_can_be_followed() {
+    let fleet = Fleet::start().await;
+    for host in 0..2 {
+        fleet.ask(host).await;
+    }
+    let finished = fleet.records_of_both("request_finished").await;
+    assert!(
+        finished
+            .iter()
+            .all(|record| record["kind"] == "request_finished")
+    );
+    let request = finished[0]["request"].as_str().expect("an id").to_owned();
+
+    let explained = run(fleet.platform(), &["explain", &request])
+        .await
+        .expect(0)
+        .stdout;
+    let kinds = ["request_admitted", "request_dispatched", "request_finished"];
+    let places = kinds.map(|kind| explained.find(kind));
+    assert!(places.is_sorted() && places[0].is_some(), "{explained}");
+    assert!(explained.contains("of sl"), "{explained}");
+
+    let svg = file("timeline.svg", "");
+    let svg_name = svg.display().to_string();
+    let draw = ["timeline", "--request", &request, "--svg", &svg_name];
+    run(fleet.platform(), &draw).await.expect(0);
+    let picture = std::fs::read_to_string(&svg).expect("a picture");
+    assert_eq!(
+        picture.matches("<circle").count(),
+        explained.lines().count() - 1
+    );
+    assert!(picture.contains("request_dispatched llm-1"), "{picture}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn filters_and_missing_hosts_are_told() {
+    let fleet = Fleet::start().await;
+    for host in 0..2 {
+        fleet.ask(host).await;
+    }
+    fleet.records_of_both("request_finished").await;
+    let lines = |arguments: &'static [&'static str]| async {
+        run(fleet.platform(), arguments)
+            .await
+            .expect(0)
+            .stdout
+            .lines()
+            .count()
+    };
+    assert_eq!(lines(&["timeline", "--organisation", "nobody"]).await, 0);
+    assert_eq!(
+        lines(&[
+            "timeline",
+            "--target",
+            "llm-1",
+            "--kind",
+            "request_dispatched"
+        ])
+        .await,
+        2
+    );
+
+    let unknown = ["explain", "00000000000000000000000000000000"];
+    run(fleet.platform(), &unknown).await.expect(5);
+    run(fleet.platform(), &["timeline", "--kind", "tea_time"])
+        .await
+        .expect(1);
+
+    let gone = ListedHost {
+        name: "entry-gone".to_owned(),
+        zone: "a".to_owned(),
+        role: "entry".to_owned(),
+        state: "live".to_owned(),
+        peer_address: None,
+        operator_address: Some("127.0.0.1:9".parse().expect("an address")),
+        address: None,
+    };
+    let list = PlatformClient::new(fleet.platform.address());
+    list.put_host(&gone).await.expect("the list takes it");
+    let shown = run(
+        fleet.platform(),
+        &["timeline", "--kind", "request_finished"],
+    )
+    .await
+    .expect(4);
+    assert_eq!(shown.stdout.lines().count(), 2);
+    assert!(
+        shown.stderr.contains("could not reach entry-gone"),
+        "{shown:?}"
+    );
+}
