Let a caller resume its stream at any entry host of the zone

Cause: a cursor was handed out but nothing took it back. Ruled out: engines that cancel orphaned streams by themselves, since the published protocol does not promise it.

--- a/crates/toucancleat-core/src/effect.rs
+++ b/crates/toucancleat-core/src/effect.rs
@@ -82,6 +82,13 @@
         /// The message.
         envelope: Box<Envelope>,
     },
+    /// Tell an engine to stop a generation.
+    Cancel {
+        /// The generation.
+        generation: GenerationId,
+        /// Address of the engine, IP and port.
+        address: String,
+    },
     /// Read the platform's host list.
     ListHosts,
     /// Ask a target how it is.
--- a/crates/toucancleat-core/src/event.rs
+++ b/crates/toucancleat-core/src/event.rs
@@ -6,7 +6,7 @@
 use crate::observation::Observation;
 use crate::peer::Envelope;
 use crate::prelude::*;
-use crate::{claims, requests, spread};
+use crate::{claims, requests, spread, streams};
 
 /// An event, as the daemon feeds it to [`crate::reduce`].
 #[derive(Clone, Debug)]
@@ -48,6 +48,8 @@
         /// What was seen.
         observation: Observation,
     },
+    /// The caller of a stream has gone, or came back.
+    Streams(streams::Event),
     /// The host was told to stop: it takes no new requests and finishes those it has.
     Drain,
 }
--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod settings;
 pub mod spread;
 mod state;
+pub mod streams;
 pub mod targets;
 pub mod timeline;
 pub mod verdict;
--- a/crates/toucancleat-core/src/peer.rs
+++ b/crates/toucancleat-core/src/peer.rs
@@ -1,7 +1,7 @@
 //! What entry hosts say to each other, over all concerns.
 
 use crate::prelude::*;
-use crate::{accounts, crash_marks, membership, spread, targets};
+use crate::{accounts, crash_marks, membership, spread, streams, targets};
 
 /// A one-way message from one entry host to another.
 ///
@@ -20,6 +20,8 @@
     Targets(targets::Message),
     /// Requests that crash targets.
     CrashMarks(crash_marks::Message),
+    /// Streams that came back at another host.
+    Streams(streams::Message),
 }
 
 /// A message with its sender, as it travels.
@@ -51,4 +53,5 @@
     spread => Spread,
     targets => Targets,
     crash_marks => CrashMarks,
+    streams => Streams,
 }
--- a/crates/toucancleat-core/src/reduce/mod.rs
+++ b/crates/toucancleat-core/src/reduce/mod.rs
@@ -11,6 +11,7 @@
 mod peers;
 mod requests;
 mod settings;
+mod streams;
 mod targets;
 
 use crate::effect::Effect;
@@ -48,6 +49,7 @@
             target,
             observation,
         } => observations::observed(state, now_ms, target, observation, effects),
+        Event::Streams(event) => streams::apply(state, now_ms, event, effects),
         Event::Drain => drain(state, now_ms, effects),
     }
 }
@@ -60,6 +62,7 @@
     claims::apply(state, now_ms, crate::claims::Event::Tick, effects);
     accounts::apply(state, now_ms, crate::accounts::Event::Tick, effects);
     requests::apply(state, now_ms, crate::requests::Event::Tick, effects);
+    streams::apply(state, now_ms, crate::streams::Event::Tick, effects);
     observations::tick(state, now_ms, effects);
 }
 
--- /dev/null
+++ b/crates/toucancleat-core/src/reduce/streams.rs
@@ -0,0 +1,68 @@
+//! Effects of streams whose caller has gone.
+
+use super::{membership, peers};
+use crate::effect::Effect;
+use crate::state::State;
+use crate::streams;
+use crate::timeline::{Entry, RecordKind};
+
+/// Applies an event of the streams.
+pub(super) fn apply(
+    state: &mut State,
+    now_ms: u64,
+    event: streams::Event,
+    effects: &mut Vec<Effect>,
+) {
+    record(state, now_ms, &event);
+    let mut wanted = Vec::new();
+    streams::reduce(&mut state.streams, now_ms, event, &mut wanted);
+    for effect in wanted {
+        carry_out(state, now_ms, effect, effects);
+    }
+}
+
+fn carry_out(
+    state: &mut State,
+    now_ms: u64,
+    effect: streams::Effect,
+    effects: &mut Vec<Effect>,
+) {
+    match effect {
+        streams::Effect::Broadcast { message } => {
+            for to in membership::other_hosts(state) {
+                peers::send(state, now_ms, &to, message.clone(), effects);
+            }
+        }
+        streams::Effect::Cancel { generation, target } => {
+            let entry = Entry::new(RecordKind::GenerationCancelled)
+                .generation(generation)
+                .target(&target)
+                .reason("its caller did not come back");
+            state.timeline.record(now_ms, entry);
+            let settings = state.settings.clone();
+            let found = settings.as_ref().and_then(|s| s.target(&target));
+            if let Some((_, _, found)) = found {
+                effects.push(Effect::Cancel {
+                    generation,
+                    address: found.address.clone(),
+                });
+            }
+        }
+    }
+}
+
+fn record(state: &mut State, now_ms: u64, event: &streams::Event) {
+    if let streams::Event::Resumed {
+        generation,
+        target,
+        from_index,
+    } = event
+    {
+        let entry = Entry::new(RecordKind::StreamResumed)
+            .generation(*generation)
+            .target(target)
+            .field("from_index", *from_index)
+            .reason("the caller came back with its cursor");
+        state.timeline.record(now_ms, entry);
+    }
+}
--- a/crates/toucancleat-core/src/state.rs
+++ b/crates/toucancleat-core/src/state.rs
@@ -10,7 +10,7 @@
 use crate::requests::Requests;
 use crate::settings::InForce;
 use crate::timeline::Timeline;
-use crate::{accounts, claims, crash_marks, membership, spread, targets};
+use crate::{accounts, claims, crash_marks, membership, spread, streams, targets};
 
 /// Bound on the memory of the time line's ring.
 const TIMELINE_MAX_BYTES: usize = 4 * 1_024 * 1_024;
@@ -54,6 +54,8 @@
     pub targets: targets::State,
     /// Requests that crash targets.
     pub crash_marks: crash_marks::State,
+    /// Streams whose caller has gone.
+    pub streams: streams::State,
     /// How the settings reach this host and go on from it.
     pub spread: spread::State,
     /// What was done, for operators.
@@ -102,6 +104,7 @@
             ),
             targets: targets::State::new(targets::Config::default(), seed),
             crash_marks: crash_marks::State::new(crash_marks::Config::default()),
+            streams: streams::State::default(),
             spread: spread::State::new(spread::Config::default(), seed),
             timeline: Timeline::new(
                 identity.host.clone(),
--- a/crates/toucancleat-entry/src/callers/generations.rs
+++ b/crates/toucancleat-entry/src/callers/generations.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Method};
 use serde_json::{Map, Value};
 use toucancleat_core::claims::BodyHash;
+use toucancleat_core::generation::Cursor;
 use toucancleat_core::prelude::*;
 use toucancleat_core::refusal::{Problem, Refusal};
 use toucancleat_core::requests::Arrival;
@@ -32,7 +33,7 @@
     let id = RequestId(rand::random());
     match prepare(&host, path, id, request).await {
         Ok((arrival, work, admitted)) => {
-            relay(host, arrival, Work::Generation(work), admitted.in_progress).await
+            relay(host, arrival, work, admitted.in_progress).await
         }
         Err(refusal) => refuse(&host, id, &refusal),
     }
@@ -43,7 +44,7 @@
     path: &'static str,
     id: RequestId,
     request: Request,
-) -> Result<(Arrival, GenerationWork, Admitted), Refusal> {
+) -> Result<(Arrival, Work, Admitted), Refusal> {
     let (head, incoming) = request.into_parts();
     if head.method != Method::POST {
         let detail = format!("expected POST at {path}");
@@ -67,9 +68,35 @@
         streamed: asked.streamed,
         whole,
     };
+    let work = match cursor(host, &head.headers, &admitted)? {
+        Some(cursor) => Work::Resume { work, cursor },
+        None => Work::Generation(work),
+    };
     Ok((arrival, work, admitted))
 }
 
+/// Opens the cursor of a caller that comes back.
+fn cursor(
+    host: &Host,
+    headers: &HeaderMap,
+    admitted: &Admitted,
+) -> Result<Option<Cursor>, Refusal> {
+    let Some(text) = text_header(headers, "last-event-id")? else {
+        return Ok(None);
+    };
+    let invalid = |detail: String| Refusal::not_run(Problem::CursorInvalid, detail);
+    let admission = &admitted.admission;
+    let cursor = host
+        .cursor_keys
+        .open(&admission.organisation, text)
+        .map_err(|error| invalid(error.to_string()))?;
+    if cursor.kind != admitted.kind || cursor.live_event != admission.live_event {
+        let detail = "the cursor belongs to another request kind or live event";
+        return Err(invalid(detail.to_owned()));
+    }
+    Ok(Some(cursor))
+}
+
 fn kind_of(headers: &HeaderMap) -> Result<&str, Refusal> {
     Ok(text_header(headers, "x-request-kind")?.unwrap_or(DEFAULT_KIND))
 }
--- a/crates/toucancleat-entry/src/driver.rs
+++ b/crates/toucancleat-entry/src/driver.rs
@@ -14,7 +14,7 @@
 
 use crate::host::Host;
 use crate::peers::Peers;
-use crate::{claims, observe, settings};
+use crate::{claims, engine, observe, settings};
 
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(50);
@@ -167,6 +167,10 @@
                 tokio::spawn(settings::store_snapshot(self.host.clone(), revision, tree));
             }
             Effect::Send { to, envelope } => self.peers.send(to, *envelope),
+            Effect::Cancel {
+                generation,
+                address,
+            } => self.cancel(generation, &address),
             Effect::ListHosts => {
                 tokio::spawn(observe::list_hosts(self.host.clone()));
             }
@@ -188,6 +192,16 @@
         }
     }
 
+    fn cancel(&self, generation: GenerationId, address: &str) {
+        let Ok(address) = address.parse() else {
+            return;
+        };
+        let host = self.host.clone();
+        tokio::spawn(async move {
+            engine::cancel(&host.pooled, address, generation).await;
+        });
+    }
+
     fn command(&self, request: RequestId, command: Command) {
         let Some(sender) = self.commands.get(&request) else {
             return;
--- a/crates/toucancleat-entry/src/operators.rs
+++ b/crates/toucancleat-entry/src/operators.rs
@@ -149,6 +149,7 @@
             "requests_in_progress": in_progress,
             "waiting_for_target": state.accounts.waiting(),
             "claims": state.claims.len(),
+            "abandoned_streams": state.streams.len(),
             "marked_requests": state.crash_marks.marked(),
             "timeline_bytes": state.timeline.bytes(),
         })
--- a/crates/toucancleat-entry/src/relay/generation.rs
+++ b/crates/toucancleat-entry/src/relay/generation.rs
@@ -1,519 +1,126 @@
-//! One attempt at a model engine.
-//!
-//! Which token goes out, and what follows a lost link, is decided by the guard in
-//! [`toucancleat_core::generation`]; this module only carries its effects out.
-
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
+//! One attempt at a model engine, or the rest of one.
 
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode};
-use serde::Deserialize;
-use serde::de::IgnoredAny;
-use tokio::time::{Instant, timeout_at};
-use toucancleat_core::Dispatch;
-use toucancleat_core::claims::Answer;
-use toucancleat_core::generation::{self as guard, Cursor, CursorSeal, Ending};
+use tokio::time::timeout_at;
+use toucancleat_core::generation::{self as guard, Cursor};
 use toucancleat_core::prelude::*;
-use toucancleat_core::requests::{Arrival, LossCause, Outcome};
-use volo_http::server::response::sse::Event;
+use toucancleat_core::requests::{LossCause, Outcome};
+use toucancleat_core::{Event, streams};
 
+use super::answer;
 use super::caller::Caller;
-use super::{GenerationWork, answer};
+use super::stream::{Context, Stream};
 use crate::driver::Input;
-use crate::engine::{self, EngineEvent, EngineStream, Start, StartCall};
-use crate::host::Host;
-
-/// Resumes in a row that bring no new token.
-const RESUMES_MAX: u32 = 2;
-/// Silence within a stream that counts as stall time.
-const STALL_THRESHOLD: Duration = Duration::from_millis(250);
-/// Least time between two reports of progress.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
-/// Data of the event that closes a whole answer.
-const DONE: &str = "[DONE]";
-
-/// What an attempt needs to know.
-#[derive(Debug)]
-pub(super) struct Context<'a> {
-    pub(super) host: &'a Arc<Host>,
-    pub(super) arrival: &'a Arrival,
-    pub(super) work: &'a GenerationWork,
-    pub(super) address: SocketAddr,
-    pub(super) dispatch: &'a Dispatch,
-}
-
-/// The part of a chunk that tells whether it is the last.
-#[derive(Deserialize)]
-struct Chunk {
-    choices: Vec<ChunkChoice>,
-}
-
-#[derive(Deserialize)]
-struct ChunkChoice {
-    finish_reason: Option<IgnoredAny>,
-}
-
-/// A stream under the guard's eye.
-struct Stream<'a> {
-    context: Context<'a>,
-    caller: &'a mut Caller,
-    config: guard::Config,
-    guard: guard::State,
-    generation: GenerationId,
-    seal: CursorSeal,
-    cursor: String,
-    /// Tokens held back, or kept for an answer in one body.
-    chunks: Vec<String>,
-    chunks_bytes: u64,
-    delivered_tokens: u32,
-    first_token_ms: u64,
-    /// When the progress was told last.
-    told: Instant,
-    /// When the last token came, or the attempt began.
-    heard: Instant,
-    deadline: Instant,
-    cause: LossCause,
-}
-
-/// What the relay does after an event.
-enum Next {
-    Read,
-    Resume(u64),
-    Over(Outcome),
-}
+use crate::engine::{self, EngineStream, Start, StartCall};
 
 /// Gives the request to an engine and its tokens to the caller.
 pub(super) async fn attempt(context: Context<'_>, caller: &mut Caller) -> Outcome {
     let mut stream = Stream::new(context, caller);
-    let started = stream.start().await;
-    let outcome = match started {
+    let outcome = match start(&mut stream).await {
         Ok(reader) => stream.relay(reader).await,
         Err(outcome) => outcome,
     };
-    if !matches!(outcome, Outcome::Finished { .. } | Outcome::NotBegun { .. }) {
-        stream.cancel();
-    }
+    leave(&stream, &outcome);
     outcome
 }
 
-impl<'a> Stream<'a> {
-    fn new(context: Context<'a>, caller: &'a mut Caller) -> Self {
-        let values = &context.arrival.values;
-        let config = guard::Config {
-            idempotent: values.idempotent,
-            whole: context.work.whole || !context.work.streamed,
-            // N.B. another attempt needs another target, so the reducer decides on it.
-            attempts_max: 1,
-            resumes_max: RESUMES_MAX,
-        };
-        let generation = context.dispatch.generation;
-        let cursor = Cursor {
-            target: context.dispatch.target.clone(),
-            kind: context.arrival.kind.clone(),
-            live_event: context.arrival.live_event.clone(),
-            generation,
-            attempt: context.dispatch.attempt,
-            revision: context.arrival.revision,
-            next_index: 0,
-        };
-        let seal = context
-            .host
-            .cursor_keys
-            .seal(&context.arrival.organisation, &cursor);
-        let deadline = context.host.clock.instant(context.dispatch.deadline_ms);
-        Stream {
-            guard: guard::State::new(&config),
-            context,
-            caller,
-            config,
-            generation,
-            seal,
-            cursor: String::new(),
-            chunks: Vec::new(),
-            chunks_bytes: 0,
-            delivered_tokens: 0,
-            first_token_ms: 0,
-            told: Instant::now(),
-            heard: Instant::now(),
-            deadline,
-            cause: LossCause::Disconnected,
-        }
-    }
-
-    async fn start(&mut self) -> Result<EngineStream, Outcome> {
-        let host = self.context.host;
-        let generation = self.generation;
-        self.guard_event(guard::Event::Started { generation });
-        self.guard_event(guard::Event::Sent);
-        let call = StartCall {
-            address: self.context.address,
-            path: self.context.work.path,
-            body: self.context.work.body.clone(),
-            generation: self.generation,
-            priority: self.context.dispatch.priority,
-            deadline_unix_ms: self.context.dispatch.deadline_ms,
-        };
-        let until = self.first_token_deadline();
-        let client = if self.config.idempotent {
-            &host.pooled
-        } else {
-            &host.fresh
-        };
-        let stays = self.context.arrival.needs_claim();
-        let start = tokio::select! {
-            start = timeout_at(until, engine::start(client, call)) => start,
-            () = self.caller.gone(), if !stays => return Err(Outcome::CallerGone),
-        };
-        match start {
-            Ok(Start::Streaming(stream)) => Ok(stream),
-            Ok(Start::NotBegun { retry_after_ms }) => {
-                Err(Outcome::NotBegun { retry_after_ms })
-            }
-            Ok(Start::Rejected { status, body }) => Err(self.pass_on(status, body)),
-            Ok(Start::Unknown { detail }) => {
-                log::warn!(
-                    request = self.context.arrival.request.to_string(),
-                    target_name = self.context.dispatch.target.as_str();
-                    "the engine gave no stream: {detail}"
-                );
-                Err(self.lost(LossCause::Disconnected))
-            }
-            Err(_) => Err(self.lost(self.timeout_cause())),
-        }
-    }
-
-    /// Gives the caller the engine's word that the request itself is wrong.
-    fn pass_on(&mut self, status: StatusCode, body: Bytes) -> Outcome {
-        let json = Some(HeaderValue::from_static(answer::JSON));
-        let response = answer::response(status, json, Verdict::NotRun, body);
-        match self.caller.respond(response) {
-            Ok(()) => Outcome::Finished {
-                tokens: 0,
-                first_token_ms: 0,
-                answer: None,
-            },
-            Err(_) => Outcome::CallerGone,
-        }
-    }
-
-    async fn relay(&mut self, mut reader: EngineStream) -> Outcome {
-        loop {
-            let until = self.silence_deadline();
-            // N.B. a claimed request goes on without its caller, who will ask for the answer
-            // by its key.
-            let stays = self.context.arrival.needs_claim();
-            let event = tokio::select! {
-                event = timeout_at(until, reader.next()) => event,
-                () = self.caller.gone(), if !stays => return Outcome::CallerGone,
-            };
-            let next = match event {
-                Ok(event) => self.take(event).await,
-                Err(_) if Instant::now() >= self.deadline => {
-                    Next::Over(self.lost(LossCause::TimedOut))
-                }
-                Err(_) => {
-                    self.cause = LossCause::Stalled;
-                    self.after_loss(guard::Event::LinkLost)
-                }
-            };
-            match next {
-                Next::Read => {}
-                Next::Over(outcome) => return outcome,
-                Next::Resume(from_index) => match self.resume(from_index).await {
-                    Some(resumed) => reader = resumed,
-                    None => return self.lost(self.cause),
-                },
-            }
-        }
-    }
-
-    async fn take(&mut self, event: EngineEvent) -> Next {
-        match event {
-            EngineEvent::Token {
-                generation,
-                index,
-                data,
-            } => self.token(generation, index, data).await,
-            EngineEvent::Done | EngineEvent::Broken => {
-                self.cause = LossCause::Disconnected;
-                self.after_loss(guard::Event::LinkLost)
-            }
-            EngineEvent::Unreadable { detail } => self.violation(&detail),
-        }
-    }
-
-    async fn token(
-        &mut self,
-        generation: GenerationId,
-        index: u32,
-        data: String,
-    ) -> Next {
-        let last = match is_last(&data) {
-            Some(last) => last,
-            None => return self.violation("expected a chunk with choices"),
-        };
-        let index = u64::from(index);
-        let effects = self.guard_event(guard::Event::Frame {
-            generation,
-            index,
-            last,
-        });
-        let mut next = Next::Read;
-        let mut data = Some(data);
-        for effect in effects {
-            match effect {
-                guard::Effect::Deliver { .. } => {
-                    self.measure_gap();
-                    let event = self.event(&data.take().unwrap_or_default());
-                    if self.caller.send(event).await.is_err() {
-                        return Next::Over(Outcome::CallerGone);
-                    }
-                    self.delivered_tokens += 1;
-                    self.heard = Instant::now();
-                }
-                guard::Effect::Hold { .. } => {
-                    self.measure_gap();
-                    self.heard = Instant::now();
-                    if let Err(outcome) = self.hold(data.take().unwrap_or_default()) {
-                        return Next::Over(outcome);
-                    }
-                }
-                guard::Effect::Resume { from_index, .. } => {
-                    next = Next::Resume(from_index)
-                }
-                guard::Effect::Reject(rejection) => self.log_rejection(rejection),
-                guard::Effect::End(Ending::Whole) => {
-                    return Next::Over(self.finish().await);
-                }
-                guard::Effect::End(_) => next = Next::Over(self.lost(self.cause)),
-                _ => {}
-            }
-        }
-        next
-    }
-
-    fn hold(&mut self, data: String) -> Result<(), Outcome> {
-        self.chunks_bytes += data.len() as u64;
-        if self.chunks_bytes > self.context.arrival.values.max_answer_bytes {
-            return Err(self.lost(LossCause::AnswerTooLarge));
-        }
-        self.chunks.push(data);
-        Ok(())
-    }
-
-    /// Closes a whole answer towards the caller.
-    async fn finish(&mut self) -> Outcome {
-        let tokens = self.guard.next_index() as u32;
-        let first_token_ms = self.first_token_ms;
-        self.context.host.metrics.tokens.inc_by(u64::from(tokens));
-        let claimed = self.context.arrival.needs_claim();
-        let result = if self.context.work.streamed {
-            self.finish_stream().await
-        } else {
-            self.finish_body()
-        };
-        match result {
-            Ok(answer) => Outcome::Finished {
-                tokens,
-                first_token_ms,
-                answer: answer.filter(|_| claimed),
-            },
-            // The answer of a claimed request counts, whether its caller listens or not.
-            Err(_) if claimed => Outcome::Finished {
-                tokens,
-                first_token_ms,
-                answer: self.stored_answer(),
-            },
-            Err(outcome) => outcome,
-        }
-    }
-
-    async fn finish_stream(&mut self) -> Result<Option<Arc<Answer>>, Outcome> {
-        let answer = self.stored_answer();
-        for (index, data) in std::mem::take(&mut self.chunks).into_iter().enumerate() {
-            let event = self.event_at(index as u64 + 1, &data);
-            self.caller
-                .send(event)
-                .await
-                .map_err(|_| Outcome::CallerGone)?;
-        }
-        let done = Event::new().data(DONE);
-        self.caller
-            .send(done)
-            .await
-            .map_err(|_| Outcome::CallerGone)?;
-        self.caller.finish();
-        Ok(answer)
-    }
-
-    fn finish_body(&mut self) -> Result<Option<Arc<Answer>>, Outcome> {
-        let answer = self.stored_answer();
-        let Some(answer) = answer else {
-            return Err(self.lost(LossCause::ProtocolViolation));
-        };
-        let json = Some(HeaderValue::from_static(answer::JSON));
-        let body = Bytes::from(answer.body.clone());
-        let response = answer::response(StatusCode::OK, json, Verdict::Ran, body);
-        self.caller
-            .respond(response)
-            .map_err(|_| Outcome::CallerGone)?;
-        Ok(Some(answer))
-    }
-
-    /// Assembles the answer in one body; `None` when nothing was held.
-    fn stored_answer(&self) -> Option<Arc<Answer>> {
-        if self.chunks.is_empty() {
-            return None;
-        }
-        let request = self.context.arrival.request;
-        let body = answer::assemble(request, self.context.work.path, &self.chunks)?;
-        Some(Arc::new(Answer {
-            status: StatusCode::OK.as_u16(),
-            content_type: answer::JSON.to_owned(),
-            body: body.into_bytes(),
-        }))
-    }
-
-    fn event(&mut self, data: &str) -> Event {
-        let next_index = self.guard.next_index();
-        self.event_at(next_index, data)
-    }
-
-    fn event_at(&mut self, next_index: u64, data: &str) -> Event {
-        self.cursor.clear();
-        self.seal.write(next_index, &mut self.cursor);
-        Event::new().id(&self.cursor).data(data)
-    }
-
-    async fn resume(&mut self, from_index: u64) -> Option<EngineStream> {
-        let host = self.context.host;
-        let from_index = u32::try_from(from_index).ok()?;
-        let resumed = tokio::select! {
-            resumed = timeout_at(
-                self.silence_deadline(),
-                engine::resume(&host.pooled, self.context.address, self.generation, from_index),
-            ) => resumed.ok().flatten(),
-            () = self.caller.gone(), if !self.context.arrival.needs_claim() => None,
-        }?;
-        self.guard_event(guard::Event::Resumed);
-        self.context.host.metrics.resumed.inc();
-        log::info!(
-            request = self.context.arrival.request.to_string(),
-            from_index = from_index;
-            "the stream was resumed after {}", self.cause.as_str()
-        );
-        Some(resumed)
-    }
-
-    fn violation(&mut self, detail: &str) -> Next {
-        log::warn!(
-            request = self.context.arrival.request.to_string(),
-            target_name = self.context.dispatch.target.as_str();
-            "the engine broke its protocol: {detail}"
-        );
-        self.cause = LossCause::ProtocolViolation;
-        self.after_loss(guard::Event::LinkLost)
-    }
-
-    fn after_loss(&mut self, event: guard::Event) -> Next {
-        for effect in self.guard_event(event) {
-            if let guard::Effect::Resume { from_index, .. } = effect {
-                return Next::Resume(from_index);
-            }
-        }
-        Next::Over(self.lost(self.cause))
-    }
-
-    fn lost(&self, cause: LossCause) -> Outcome {
-        Outcome::Lost {
-            cause,
-            delivered_tokens: self.delivered_tokens,
-        }
-    }
-
-    fn timeout_cause(&self) -> LossCause {
-        if Instant::now() >= self.deadline {
-            LossCause::TimedOut
-        } else {
-            LossCause::Stalled
-        }
-    }
-
-    /// Tells the engine to stop, without keeping the request waiting for it.
-    fn cancel(&self) {
-        let host = self.context.host.clone();
-        let address = self.context.address;
-        let generation = self.generation;
-        tokio::spawn(async move {
-            engine::cancel(&host.pooled, address, generation).await;
-        });
-    }
-
-    fn guard_event(&mut self, event: guard::Event) -> Vec<guard::Effect> {
-        let mut effects = Vec::new();
-        guard::reduce(&self.config, &mut self.guard, event, &mut effects);
-        effects
-    }
-
-    fn first_token_deadline(&self) -> Instant {
-        let timeout_ms = self.context.arrival.values.first_token_timeout_ms;
-        self.deadline
-            .min(self.heard + Duration::from_millis(timeout_ms))
-    }
+/// Gives a caller that has come back the rest of its stream; `None` when the engine no
+/// longer has it.
+pub(super) async fn resume(
+    context: Context<'_>,
+    caller: &mut Caller,
+    cursor: &Cursor,
+) -> Option<Outcome> {
+    let mut stream = Stream::resumed(context, caller, cursor);
+    let reader = stream.resume(cursor.next_index).await?;
+    let event = streams::Event::Resumed {
+        generation: cursor.generation,
+        target: cursor.target.clone(),
+        from_index: cursor.next_index,
+    };
+    let host = stream.context.host;
+    host.tell(Input::Event(Event::Streams(event)));
+    let outcome = stream.relay(reader).await;
+    leave(&stream, &outcome);
+    Some(outcome)
+}
 
-    fn silence_deadline(&self) -> Instant {
-        if self.guard.next_index() == 0 {
-            return self.first_token_deadline();
-        }
-        let timeout_ms = self.context.arrival.values.stall_timeout_ms;
-        self.deadline
-            .min(self.heard + Duration::from_millis(timeout_ms))
+/// Sees to it that a generation which nobody reads does not go on for long.
+fn leave(stream: &Stream<'_>, outcome: &Outcome) {
+    let ended = matches!(outcome, Outcome::Finished { .. } | Outcome::NotBegun { .. });
+    if ended {
+        return;
     }
-
-    /// Tells the accounts how far the generation has come, now and then.
-    fn tell_progress(&mut self) {
-        if self.told.elapsed() < PROGRESS_INTERVAL {
-            return;
-        }
-        self.told = Instant::now();
-        let event = toucancleat_core::Event::Progressed {
-            generation: self.generation,
-            tokens: self.guard.next_index() as u32,
+    if *outcome == Outcome::CallerGone && stream.is_resumable() {
+        let event = streams::Event::CallerLeft {
+            generation: stream.generation,
+            target: stream.context.dispatch.target.clone(),
         };
-        self.context.host.tell(Input::Event(event));
-    }
-
-    fn measure_gap(&mut self) {
-        self.tell_progress();
-        let gap = self.heard.elapsed();
-        let metrics = &self.context.host.metrics;
-        if self.guard.next_index() <= 1 {
-            self.first_token_ms = gap.as_millis() as u64;
-            metrics.first_token_seconds.observe(gap.as_secs_f64());
-            return;
-        }
-        metrics.between_tokens_seconds.observe(gap.as_secs_f64());
-        if gap > STALL_THRESHOLD {
-            metrics
-                .stall_seconds
-                .inc_by((gap - STALL_THRESHOLD).as_secs_f64());
-        }
-    }
+        let host = stream.context.host;
+        host.tell(Input::Event(Event::Streams(event)));
+        return;
+    }
+    let host = stream.context.host.clone();
+    let address = stream.context.address;
+    let generation = stream.generation;
+    tokio::spawn(async move {
+        engine::cancel(&host.pooled, address, generation).await;
+    });
+}
 
-    fn log_rejection(&self, rejection: guard::Rejection) {
-        log::warn!(
-            request = self.context.arrival.request.to_string(),
-            target_name = self.context.dispatch.target.as_str();
-            "a token was thrown away: {rejection:?}"
-        );
+async fn start(stream: &mut Stream<'_>) -> Result<EngineStream, Outcome> {
+    let host = stream.context.host;
+    let generation = stream.generation;
+    stream.guard_event(guard::Event::Started { generation });
+    stream.guard_event(guard::Event::Sent);
+    let call = StartCall {
+        address: stream.context.address,
+        path: stream.context.work.path,
+        body: stream.context.work.body.clone(),
+        generation: stream.generation,
+        priority: stream.context.dispatch.priority,
+        deadline_unix_ms: stream.context.dispatch.deadline_ms,
+    };
+    let until = stream.first_token_deadline();
+    let client = if stream.config.idempotent {
+        &host.pooled
+    } else {
+        &host.fresh
+    };
+    let stays = stream.context.arrival.needs_claim();
+    let start = tokio::select! {
+        start = timeout_at(until, engine::start(client, call)) => start,
+        () = stream.caller.gone(), if !stays => return Err(Outcome::CallerGone),
+    };
+    match start {
+        Ok(Start::Streaming(stream)) => Ok(stream),
+        Ok(Start::NotBegun { retry_after_ms }) => {
+            Err(Outcome::NotBegun { retry_after_ms })
+        }
+        Ok(Start::Rejected { status, body }) => Err(pass_on(stream, status, body)),
+        Ok(Start::Unknown { detail }) => {
+            log::warn!(
+                request = stream.context.arrival.request.to_string(),
+                target_name = stream.context.dispatch.target.as_str();
+                "the engine gave no stream: {detail}"
+            );
+            Err(stream.lost(LossCause::Disconnected))
+        }
+        Err(_) => Err(stream.lost(stream.timeout_cause())),
     }
 }
 
-/// Says whether a chunk is the last; `None` when it is no chunk.
-fn is_last(data: &str) -> Option<bool> {
-    let chunk: Chunk = serde_json::from_str(data).ok()?;
-    let choice = chunk.choices.first()?;
-    Some(choice.finish_reason.is_some())
+/// Gives the caller the engine's word that the request itself is wrong.
+fn pass_on(stream: &mut Stream<'_>, status: StatusCode, body: Bytes) -> Outcome {
+    let json = Some(HeaderValue::from_static(answer::JSON));
+    let response = answer::response(status, json, Verdict::NotRun, body);
+    match stream.caller.respond(response) {
+        Ok(()) => Outcome::Finished {
+            tokens: 0,
+            first_token_ms: 0,
+            answer: None,
+        },
+        Err(_) => Outcome::CallerGone,
+    }
 }
--- a/crates/toucancleat-entry/src/relay/mod.rs
+++ b/crates/toucancleat-entry/src/relay/mod.rs
@@ -4,12 +4,15 @@
 mod caller;
 mod generation;
 mod plain;
+mod stream;
 
 use std::sync::Arc;
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
+use toucancleat_core::generation::Cursor;
 use toucancleat_core::prelude::*;
+use toucancleat_core::refusal::{Problem, Refusal};
 use toucancleat_core::requests::{Arrival, Event as RequestEvent, Outcome};
 use toucancleat_core::{Dispatch, Event};
 
@@ -23,6 +26,13 @@
 pub enum Work {
     /// A generation by a model engine.
     Generation(GenerationWork),
+    /// The rest of a generation whose caller has come back.
+    Resume {
+        /// The generation, as the caller asks for it again.
+        work: GenerationWork,
+        /// The place that the caller has come to.
+        cursor: Cursor,
+    },
     /// A call to a plain service.
     Service(ServiceRequest),
 }
@@ -58,6 +68,15 @@
 impl Relay {
     /// Runs the request to its end.
     pub async fn run(mut self) {
+        if let Work::Resume { work, cursor } = &self.work {
+            let resumed =
+                resume(&self.host, &self.arrival, work, cursor, &mut self.caller);
+            if let Err(refusal) = resumed.await {
+                self.host.metrics.count_refusal(&refusal);
+                self.caller.refuse(self.request(), &refusal).await;
+            }
+            return;
+        }
         let (sender, mut commands) = mpsc::unbounded_channel();
         self.host.tell(Input::Open {
             arrival: self.arrival.clone(),
@@ -110,7 +129,7 @@
         };
         match &self.work {
             Work::Generation(work) => {
-                let context = generation::Context {
+                let context = stream::Context {
                     host: &self.host,
                     arrival: &self.arrival,
                     work,
@@ -119,6 +138,10 @@
                 };
                 generation::attempt(context, &mut self.caller).await
             }
+            // N.B. the rest of a generation never goes through the reducer's choice.
+            Work::Resume { .. } => Outcome::NotBegun {
+                retry_after_ms: None,
+            },
             Work::Service(request) => {
                 let context = plain::Context {
                     host: &self.host,
@@ -140,3 +163,51 @@
         self.host.tell(Input::Event(Event::Request(event)));
     }
 }
+
+/// Relays the rest of a generation.
+///
+/// # Errors
+///
+/// Returns what the caller is told when the rest can't be had: its repeat under the same
+/// key then starts a fresh answer.
+async fn resume(
+    host: &Arc<Host>,
+    arrival: &Arrival,
+    work: &GenerationWork,
+    cursor: &Cursor,
+    caller: &mut Caller,
+) -> Result<(), Refusal> {
+    let gone = |detail: &str| {
+        Refusal::not_run(Problem::GenerationGone, detail)
+            .with_verdict(Verdict::MayHaveRun)
+            .with_retry_after_ms(0)
+    };
+    let settings = host.settings();
+    let target = settings.as_ref().and_then(|s| s.target(&cursor.target));
+    let (_, _, target) = target.ok_or_else(|| gone("the target has left"))?;
+    let address = target
+        .address
+        .parse()
+        .map_err(|_| gone("the target has no usable address"))?;
+    let dispatch = Dispatch {
+        request: arrival.request,
+        target: cursor.target.clone(),
+        address: target.address.clone(),
+        attempt: cursor.attempt,
+        generation: cursor.generation,
+        priority: arrival.values.priority,
+        deadline_ms: host.clock.now_ms() + arrival.values.timeout_ms,
+    };
+    let context = stream::Context {
+        host,
+        arrival,
+        work,
+        address,
+        dispatch: &dispatch,
+    };
+    match generation::resume(context, caller, cursor).await {
+        Some(Outcome::Lost { cause, .. }) => Err(gone(cause.as_str())),
+        Some(_) => Ok(()),
+        None => Err(gone("the target no longer has the generation")),
+    }
+}
--- a/crates/toucancleat-entry/tests/support/deployment.rs
+++ b/crates/toucancleat-entry/tests/support/deployment.rs
@@ -96,6 +96,37 @@
         self.hosts[host].callers_address
     }
 
+    /// Waits until an entry host knows a number of live entry hosts in its zone.
+    pub async fn wait_for_members(&self, host: usize, count: usize) {
+        let ask = Ask {
+            method: Method::GET,
+            ..Ask::post("/hosts", "")
+        };
+        let address = self.hosts[host].operators_address;
+        wait_until("the entry hosts of the zone know each other", async || {
+            let Ok(reply) = ask.send(address).await else {
+                return false;
+            };
+            let hosts = reply.member("hosts");
+            let alive = |host: &&serde_json::Value| host["status"] == "alive";
+            hosts
+                .as_array()
+                .map_or(0, |list| list.iter().filter(alive).count())
+                == count
+        })
+        .await;
+    }
+
+    /// Returns a number of what an entry host says of itself; `None` when it is silent.
+    pub async fn status_number(&self, host: usize, name: &str) -> Option<u64> {
+        let ask = Ask {
+            method: Method::GET,
+            ..Ask::post("/status", "")
+        };
+        let reply = ask.send(self.hosts[host].operators_address).await.ok()?;
+        reply.member(name).as_u64()
+    }
+
     /// Returns the runs that the services recorded for a key.
     pub fn runs_of(&self, key: &str) -> usize {
         let of = |service: &Service| {
--- a/crates/toucancleat-wire/schema/peer.capnp
+++ b/crates/toucancleat-wire/schema/peer.capnp
@@ -6,6 +6,7 @@
 using CrashMarks = import "crash_marks.capnp";
 using Membership = import "membership.capnp";
 using Spread = import "spread.capnp";
+using Streams = import "streams.capnp";
 using Targets = import "targets.capnp";
 
 struct Envelope {
@@ -20,6 +21,7 @@
     crashMarks @6 :CrashMarks.Message;
     accounts @7 :Accounts.Message;
     spread @8 :Spread.Message;
+    streams @9 :Streams.Message;
   }
 }
 
--- a/crates/toucancleat-wire/src/codec/mod.rs
+++ b/crates/toucancleat-wire/src/codec/mod.rs
@@ -8,6 +8,7 @@
 mod membership;
 mod peer;
 mod spread;
+mod streams;
 mod targets;
 mod value;
 
--- a/crates/toucancleat-wire/src/lib.rs
+++ b/crates/toucancleat-wire/src/lib.rs
@@ -24,6 +24,7 @@
     membership_capnp = "generated/membership_capnp.rs",
     peer_capnp = "generated/peer_capnp.rs",
     spread_capnp = "generated/spread_capnp.rs",
+    streams_capnp = "generated/streams_capnp.rs",
     targets_capnp = "generated/targets_capnp.rs",
 }
 
--- a/crates/toucancleat-wire/tests/strategy/concerns.rs
+++ b/crates/toucancleat-wire/tests/strategy/concerns.rs
@@ -1,4 +1,4 @@
-//! Arbitrary messages of the accounts and the settings.
+//! Arbitrary messages of the accounts, the settings and the streams.
 
 use std::sync::Arc;
 
@@ -10,7 +10,7 @@
 };
 use toucancleat_core::prelude::*;
 use toucancleat_core::settings::{Change, Edit, RoutingPolicy, Tree};
-use toucancleat_core::spread;
+use toucancleat_core::{spread, streams};
 
 use super::name;
 
@@ -133,6 +133,12 @@
     ]
 }
 
+pub fn streams() -> impl Strategy<Value = streams::Message> {
+    id().prop_map(|generation| streams::Message::Resumed {
+        generation: GenerationId(generation),
+    })
+}
+
 fn id() -> impl Strategy<Value = u128> {
     any::<u128>()
 }
--- a/crates/toucancleat-wire/tests/strategy/mod.rs
+++ b/crates/toucancleat-wire/tests/strategy/mod.rs
@@ -52,6 +52,7 @@
         concerns::accounts().prop_map(Message::from),
         concerns::spread().prop_map(Message::from),
         targets::message().prop_map(Message::from),
+        concerns::streams().prop_map(Message::from),
         crash_marks::message().prop_map(Message::from),
     ]
 }
