--- /dev/null
+++ b/crates/toucancleat-load/src/engines.rs
@@ -0,0 +1,103 @@
+//! The stand-in engines of a run, on loopback.
+
+use std::io;
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use toucancleat_core::accounts::{LoadReport, TargetSpec};
+use toucancleat_core::prelude::*;
+use toucancleat_standin::{Engine, EngineConfig};
+use volo_http::client::Client;
+use volo_http::http::Method;
+
+use crate::spec::Spec;
+
+/// Pool of all engines of a run.
+pub const POOL: &str = "engines";
+
+/// The engines of a run.
+#[derive(Debug)]
+pub struct Engines {
+    engines: Vec<Option<Engine>>,
+    /// Where each engine listens.
+    pub addresses: Vec<SocketAddr>,
+    /// Each engine as the settings would describe it.
+    pub specs: Vec<TargetSpec>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Load {
+    measured_unix_ms: u64,
+    running: u32,
+    waiting: u32,
+    blocks_used: u64,
+    blocks_total: u64,
+    block_tokens: u64,
+    preemptions_total: u64,
+    step_ms: f64,
+}
+
+impl Engines {
+    /// Starts the engines that a run describes.
+    pub async fn start(spec: &Spec) -> io::Result<Engines> {
+        let mut started = Engines {
+            engines: Vec::new(),
+            addresses: Vec::new(),
+            specs: Vec::new(),
+        };
+        for index in 0..spec.engines.count {
+            let engine = Engine::start(config(spec)).await?;
+            started.addresses.push(engine.address());
+            started.engines.push(Some(engine));
+            started.specs.push(TargetSpec {
+                name: TargetName::new(&format!("engine-{index}")),
+                pool: PoolName::new(POOL),
+                memory_tokens: spec.engines.memory_tokens,
+                max_batch: spec.engines.max_batch,
+            });
+        }
+        Ok(started)
+    }
+
+    /// Ends an engine, with every stream that it had.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(engine) = self.engines.get_mut(index) {
+            *engine = None;
+        }
+    }
+
+    /// Returns the preemptions of the engines that live.
+    pub fn preemptions(&self) -> u64 {
+        let engines = self.engines.iter().flatten();
+        let records = engines.flat_map(|engine| engine.records().generations);
+        records.map(|record| u64::from(record.preemptions)).sum()
+    }
+}
+
+/// Reads an engine's load; `None` when it doesn't answer.
+pub async fn read_load(client: &Client, address: SocketAddr) -> Option<LoadReport> {
+    let uri = format!("http://{address}/v1/load");
+    let response = client.request(Method::GET, uri).send().await.ok()?;
+    let body = response.into_parts().1;
+    let bytes = http_body_util::BodyExt::collect(body)
+        .await
+        .ok()?
+        .to_bytes();
+    let load: Load = serde_json::from_slice(&bytes).ok()?;
+    Some(LoadReport {
+        measured_unix_ms: load.measured_unix_ms,
+        running: load.running,
+        waiting: load.waiting,
+        used_tokens: load.blocks_used * load.block_tokens,
+        memory_tokens: load.blocks_total * load.block_tokens,
+        preemptions_total: load.preemptions_total,
+        step_ms: load.step_ms,
+    })
+}
+
+fn config(spec: &Spec) -> EngineConfig {
+    EngineConfig {
+        step_ms: spec.engines.step_base_ms / spec.time_scale,
+        ..EngineConfig::default()
+    }
+}
