--- a/crates/toucancleat-cli/src/demo/deployment.rs
+++ b/crates/toucancleat-cli/src/demo/deployment.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::future::join_all;
 use serde_json::{Map, Value, json};
 use tokio::time::Instant;
 use toucancleat_core::settings::{Tree, api_key_sha256, check};
@@ -131,9 +132,7 @@
 
     /// Stops the entry hosts as planned, and then the stand-ins.
     pub(super) async fn stop(self) {
-        for host in self.hosts {
-            host.drain().await;
-        }
+        join_all(self.hosts.into_iter().map(EntryHost::drain)).await;
     }
 
     async fn wait_ready(&self) -> Result<(), Error> {
