--- a/crates/toucancleat-standin/src/engine/arrival.rs
+++ b/crates/toucancleat-standin/src/engine/arrival.rs
@@ -69,6 +69,7 @@
         GenerationRecord {
             generation_id: self.generation_id.clone(),
             body_fingerprint: self.body_fingerprint.clone(),
+            prompt_fingerprint: fingerprint(self.prompt.as_bytes()),
             priority: self.priority,
             deadline_unix_ms: self.deadline_unix_ms,
             arrived_unix_ms,
--- a/crates/toucancleat-standin/src/engine/faults.rs
+++ b/crates/toucancleat-standin/src/engine/faults.rs
@@ -16,6 +16,9 @@
     pub stall_at_token: Option<u32>,
     /// Produces no tokens; streams stay open and send comments.
     pub freeze_steps: bool,
+    /// Produces no tokens once a generation has this many, so that a test can act at a
+    /// known point of a stream.
+    pub freeze_at_token: Option<u32>,
     /// Sends an event that breaks the protocol.
     pub nonsense: Option<Nonsense>,
     /// Refuses every new request as not run.
--- a/crates/toucancleat-standin/src/engine/mod.rs
+++ b/crates/toucancleat-standin/src/engine/mod.rs
@@ -55,6 +55,12 @@
         self.server.address()
     }
 
+    /// Ends the engine as a kill would; its records stay readable.
+    pub async fn kill(&self) {
+        self.server.stop();
+        self.server.stopped().await;
+    }
+
     /// Waits until the engine has ended, by its owner or by a fault.
     pub async fn stopped(&self) {
         self.server.stopped().await;
--- a/crates/toucancleat-standin/src/engine/records.rs
+++ b/crates/toucancleat-standin/src/engine/records.rs
@@ -26,6 +26,8 @@
     pub generation_id: String,
     /// The body's [`fingerprint`](crate::fingerprint()).
     pub body_fingerprint: String,
+    /// The prompt's [`fingerprint`](crate::fingerprint()).
+    pub prompt_fingerprint: String,
     /// The `X-Priority`.
     pub priority: u8,
     /// The `X-Deadline-Unix-Ms`.
--- a/crates/toucancleat-standin/src/engine/state.rs
+++ b/crates/toucancleat-standin/src/engine/state.rs
@@ -125,6 +125,16 @@
         }
     }
 
+    /// Says whether a fault keeps the engine from computing steps.
+    pub(super) fn is_frozen(&self) -> bool {
+        let produced = self.active.values().map(|g| g.progress().produced_tokens);
+        let most_produced = produced.max();
+        let freeze_at_token = self.faults.freeze_at_token;
+        self.faults.freeze_steps
+            || freeze_at_token
+                .is_some_and(|at| most_produced.is_some_and(|most| most >= at))
+    }
+
     /// Computes the next step; its tokens come out only when its time has passed.
     pub(super) fn step(&mut self) -> Option<Step> {
         let step = self.model.step()?;
--- a/crates/toucancleat-standin/src/engine/stepper.rs
+++ b/crates/toucancleat-standin/src/engine/stepper.rs
@@ -34,7 +34,7 @@
 async fn step_once(shared: &Shared, step_end: &mut Instant) -> bool {
     let step = {
         let mut state = shared.state();
-        if state.faults.freeze_steps {
+        if state.is_frozen() {
             return false;
         }
         state.step()
--- a/crates/toucancleat-standin/src/platform/mod.rs
+++ b/crates/toucancleat-standin/src/platform/mod.rs
@@ -45,6 +45,12 @@
         self.server.address()
     }
 
+    /// Ends the platform as a kill would; its records stay readable.
+    pub async fn kill(&self) {
+        self.server.stop();
+        self.server.stopped().await;
+    }
+
     /// Waits until the platform has ended.
     pub async fn stopped(&self) {
         self.server.stopped().await;
--- a/crates/toucancleat-standin/src/server.rs
+++ b/crates/toucancleat-standin/src/server.rs
@@ -99,6 +99,11 @@
         self.address
     }
 
+    /// Tells the server to end.
+    pub(crate) fn stop(&self) {
+        self.stop.set();
+    }
+
     /// Waits until the server has ended by a fault, with all its sockets.
     pub(crate) async fn stopped(&self) {
         // A thread that is gone without a word has ended too.
--- a/crates/toucancleat-standin/src/service.rs
+++ b/crates/toucancleat-standin/src/service.rs
@@ -51,6 +51,12 @@
         self.server.address()
     }
 
+    /// Ends the service as a kill would; its records stay readable.
+    pub async fn kill(&self) {
+        self.server.stop();
+        self.server.stopped().await;
+    }
+
     /// Waits until the service has ended.
     pub async fn stopped(&self) {
         self.server.stopped().await;
--- a/crates/toucancleat-standin/tests/engine.rs
+++ b/crates/toucancleat-standin/tests/engine.rs
@@ -45,6 +45,7 @@
     let record = &records.generations[0];
     assert_eq!(record.generation_id, ID);
     assert_eq!(record.body_fingerprint, fingerprint(BODY.as_bytes()));
+    assert_eq!(record.prompt_fingerprint, fingerprint(b"plan"));
     assert_eq!(record.priority, 7);
     assert_eq!(record.produced_tokens, 6);
     assert_eq!(record.state, GenerationState::Finished);
@@ -433,3 +434,29 @@
     let recorded: u32 = records.generations.iter().map(|g| g.preemptions).sum();
     assert_eq!(u64::from(recorded), records.preemptions_total);
 }
+
+#[tokio::test]
+async fn a_frozen_engine_stops_at_a_known_token() {
+    let engine = engine().await;
+    engine.set_faults(|faults| faults.freeze_at_token = Some(3));
+    let address = engine.address();
+    let stream = tokio::spawn(async move { generate(address, ID, BODY).await });
+    while engine
+        .records()
+        .generations
+        .first()
+        .is_none_or(|record| record.produced_tokens < 3)
+    {
+        tokio::task::yield_now().await;
+    }
+    // The stepper looks again whenever the engine's thread has nothing else to do.
+    for _ in 0..20 {
+        get(address, "/v1/load").await.expect("a load");
+    }
+    assert_eq!(engine.records().generations[0].produced_tokens, 3);
+    engine.set_faults(|faults| faults.freeze_at_token = None);
+    let reply = stream.await.expect("joined").expect("a reply");
+    assert_eq!(reply.event_ids(), ids(0..6));
+    engine.kill().await;
+    assert_eq!(engine.records().generations.len(), 1);
+}
