--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod lengths;
 pub mod membership;
 pub mod observation;
+pub mod orders;
 pub mod peer;
 pub mod prelude;
 mod reduce;
