--- a/crates/toucancleat-standin/src/engine/mod.rs
+++ b/crates/toucancleat-standin/src/engine/mod.rs
@@ -61,6 +61,11 @@
         self.server.stopped().await;
     }
 
+    /// Says whether the engine has ended.
+    pub fn is_stopped(&self) -> bool {
+        self.server.is_stopped()
+    }
+
     /// Waits until the engine has ended, by its owner or by a fault.
     pub async fn stopped(&self) {
         self.server.stopped().await;
--- a/crates/toucancleat-standin/src/platform/mod.rs
+++ b/crates/toucancleat-standin/src/platform/mod.rs
@@ -51,6 +51,11 @@
         self.server.stopped().await;
     }
 
+    /// Says whether the platform has ended.
+    pub fn is_stopped(&self) -> bool {
+        self.server.is_stopped()
+    }
+
     /// Waits until the platform has ended.
     pub async fn stopped(&self) {
         self.server.stopped().await;
--- a/crates/toucancleat-standin/src/server.rs
+++ b/crates/toucancleat-standin/src/server.rs
@@ -104,6 +104,11 @@
         self.stop.set();
     }
 
+    /// Says whether the server has ended.
+    pub(crate) fn is_stopped(&self) -> bool {
+        *self.ended.borrow()
+    }
+
     /// Waits until the server has ended by a fault, with all its sockets.
     pub(crate) async fn stopped(&self) {
         // A thread that is gone without a word has ended too.
--- a/crates/toucancleat-standin/src/service.rs
+++ b/crates/toucancleat-standin/src/service.rs
@@ -57,6 +57,11 @@
         self.server.stopped().await;
     }
 
+    /// Says whether the service has ended.
+    pub fn is_stopped(&self) -> bool {
+        self.server.is_stopped()
+    }
+
     /// Waits until the service has ended.
     pub async fn stopped(&self) {
         self.server.stopped().await;
