Give a resume its own time and a connection of its own

Cause: after a stall the deadline of a resume was counted from the last token, so it had passed before the resume began; and the resume could take a pooled connection over the same stalled link. A stalled reply was therefore always lost, although the engine still had it. A failed resume now also uses the guard's remaining ones.

Ruled out: the guard (it asks for the resume) and the engine (it was never asked).

--- a/crates/toucancleat-entry/src/relay/generation.rs
+++ b/crates/toucancleat-entry/src/relay/generation.rs
@@ -73,6 +73,8 @@
     told: Instant,
     /// When the last token came, or the attempt began.
     heard: Instant,
+    /// When the stream was last asked for again.
+    resumed: Instant,
     deadline: Instant,
     cause: LossCause,
 }
@@ -137,6 +139,7 @@
             first_token_ms: 0,
             told: Instant::now(),
             heard: Instant::now(),
+            resumed: Instant::now(),
             deadline,
             cause: LossCause::Disconnected,
         }
@@ -221,9 +224,9 @@
             match next {
                 Next::Read => {}
                 Next::Over(outcome) => return outcome,
-                Next::Resume(from_index) => match self.resume(from_index).await {
-                    Some(resumed) => reader = resumed,
-                    None => return self.lost(self.cause),
+                Next::Resume(from_index) => match self.resume_any(from_index).await {
+                    Ok(resumed) => reader = resumed,
+                    Err(outcome) => return outcome,
                 },
             }
         }
@@ -387,13 +390,30 @@
         Event::new().id(&self.cursor).data(data)
     }
 
+    /// Asks for the rest of the stream as often as the guard allows.
+    async fn resume_any(&mut self, mut from_index: u64) -> Result<EngineStream, Outcome> {
+        loop {
+            if let Some(resumed) = self.resume(from_index).await {
+                return Ok(resumed);
+            }
+            match self.after_loss(guard::Event::LinkLost) {
+                Next::Resume(index) => from_index = index,
+                Next::Over(outcome) => return Err(outcome),
+                Next::Read => return Err(self.lost(self.cause)),
+            }
+        }
+    }
+
     async fn resume(&mut self, from_index: u64) -> Option<EngineStream> {
         let host = self.context.host;
         let from_index = u32::try_from(from_index).ok()?;
+        // N.B. after a stall the time since the last token has run out already, and the
+        // pool's connections to this target may be as dead as the one that was lost.
+        self.resumed = Instant::now();
         let resumed = tokio::select! {
             resumed = timeout_at(
                 self.silence_deadline(),
-                engine::resume(&host.pooled, self.context.address, self.generation, from_index),
+                engine::resume(&host.fresh, self.context.address, self.generation, from_index),
             ) => resumed.ok().flatten(),
             () = self.caller.gone(), if !self.context.arrival.needs_claim() => None,
         }?;
@@ -468,8 +488,9 @@
             return self.first_token_deadline();
         }
         let timeout_ms = self.context.arrival.values.stall_timeout_ms;
+        let silent_since = self.heard.max(self.resumed);
         self.deadline
-            .min(self.heard + Duration::from_millis(timeout_ms))
+            .min(silent_since + Duration::from_millis(timeout_ms))
     }
 
     /// Tells the accounts how far the generation has come, now and then.
