--- a/crates/toucancleat-entry/tests/support/client.rs
+++ b/crates/toucancleat-entry/tests/support/client.rs
@@ -84,22 +84,27 @@
 
     /// Sends the request and returns its stream of events, or the refusal.
     pub async fn stream(&self, address: SocketAddr) -> Result<Stream, Reply> {
+        self.try_stream(address).await.expect("the host answers")
+    }
+
+    /// Does the same where the host may give no reply at all.
+    pub async fn try_stream(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Result<Stream, Reply>, CallError> {
         let client = HttpClient::fresh();
-        let response = client
-            .send(self.call(address))
-            .await
-            .expect("the host answers");
-        if response.status() != StatusCode::OK {
-            let (head, body) = response.into_parts();
-            let body = body.collect().await.expect("a whole body").to_bytes();
-            return Err(Reply {
-                status: head.status,
-                headers: head.headers,
-                text: String::from_utf8_lossy(&body).into_owned(),
-            });
+        let response = client.send(self.call(address)).await?;
+        if response.status() == StatusCode::OK {
+            let reader = SseReader::into_sse(response).expect("a stream of events");
+            return Ok(Ok(Stream { reader }));
         }
-        let reader = SseReader::into_sse(response).expect("a stream of events");
-        Ok(Stream { reader })
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.expect("a whole body").to_bytes();
+        Ok(Err(Reply {
+            status: head.status,
+            headers: head.headers,
+            text: String::from_utf8_lossy(&body).into_owned(),
+        }))
     }
 
     fn call(&self, address: SocketAddr) -> Call<'_> {
@@ -159,7 +164,8 @@
     }
 }
 
-fn token(event: &SseEvent) -> (String, String) {
+/// Returns a token's cursor and text.
+pub fn token(event: &SseEvent) -> (String, String) {
     let data = event.data().unwrap_or_default();
     let chunk: Value = serde_json::from_str(data).unwrap_or_default();
     let text = chunk["choices"][0]["text"]
