--- a/crates/toucancleat-entry/src/callers/mod.rs
+++ b/crates/toucancleat-entry/src/callers/mod.rs
@@ -161,7 +161,7 @@
     };
     tokio::spawn(relay.run());
     match waiting.response().await {
-        Some(response) => guarded::guard(response, in_progress),
+        Some(response) => with_request_id(guarded::guard(response, in_progress), request),
         None => {
             let refusal = Refusal::not_run(
                 Problem::TargetFault,
@@ -173,10 +173,18 @@
     }
 }
 
+/// Names the request in a response, so that its caller can quote it.
+fn with_request_id(mut response: Response, request: RequestId) -> Response {
+    if let Ok(id) = HeaderValue::from_str(&request.to_string()) {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    response
+}
+
 /// Makes the response to a request that was refused before it reached the reducer.
 fn refuse(host: &Host, request: RequestId, refusal: &Refusal) -> Response {
     host.metrics.count_refusal(refusal);
-    let mut response = problem::response(request, refusal);
+    let mut response = with_request_id(problem::response(request, refusal), request);
     if refusal.problem == Problem::NotReady || refusal.problem == Problem::TooLarge {
         // N.B. what is left of the body is not read, and a host that stops wants its
         // connections to end.
--- a/crates/toucancleat-entry/src/relay/generation.rs
+++ b/crates/toucancleat-entry/src/relay/generation.rs
@@ -82,7 +82,7 @@
         priority: stream.context.dispatch.priority,
         deadline_unix_ms: stream.context.dispatch.deadline_ms,
     };
-    let until = stream.first_token_deadline();
+    let until = stream.silence_deadline(None);
     let client = if stream.config.idempotent {
         &host.pooled
     } else {
--- a/crates/toucancleat-entry/src/relay/stream.rs
+++ b/crates/toucancleat-entry/src/relay/stream.rs
@@ -73,6 +73,8 @@
     told: Instant,
     /// When the last token came, or the attempt began.
     heard: Instant,
+    /// When the stream was last asked for again.
+    resumed: Instant,
     deadline: Instant,
     pub(super) cause: LossCause,
 }
@@ -128,6 +130,7 @@
             first_token_ms: 0,
             told: Instant::now(),
             heard: Instant::now(),
+            resumed: Instant::now(),
             deadline,
             cause: LossCause::Disconnected,
         }
@@ -141,7 +144,7 @@
     /// Relays tokens until the answer is whole or lost.
     pub(super) async fn relay(&mut self, mut reader: EngineStream) -> Outcome {
         loop {
-            let until = self.silence_deadline();
+            let until = self.silence_deadline(Some(&reader));
             // N.B. a claimed request goes on without its caller, who will ask for the answer
             // by its key.
             let stays = self.context.arrival.needs_claim();
@@ -151,6 +154,10 @@
             };
             let next = match event {
                 Ok(event) => self.take(event).await,
+                // Comments came meanwhile, so the link is alive.
+                Err(_) if self.silence_deadline(Some(&reader)) > Instant::now() => {
+                    Next::Read
+                }
                 Err(_) if Instant::now() >= self.deadline => {
                     Next::Over(self.lost(LossCause::TimedOut))
                 }
@@ -162,9 +169,9 @@
             match next {
                 Next::Read => {}
                 Next::Over(outcome) => return outcome,
-                Next::Resume(from_index) => match self.resume(from_index).await {
-                    Some(resumed) => reader = resumed,
-                    None => return self.lost(self.cause),
+                Next::Resume(from_index) => match self.resume_any(from_index).await {
+                    Ok(resumed) => reader = resumed,
+                    Err(outcome) => return outcome,
                 },
             }
         }
@@ -328,14 +335,31 @@
         Event::new().id(&self.cursor).data(data)
     }
 
+    /// Asks for the rest of the stream as often as the guard allows.
+    async fn resume_any(&mut self, mut from_index: u64) -> Result<EngineStream, Outcome> {
+        loop {
+            if let Some(resumed) = self.resume(from_index).await {
+                return Ok(resumed);
+            }
+            match self.after_loss(guard::Event::LinkLost) {
+                Next::Resume(index) => from_index = index,
+                Next::Over(outcome) => return Err(outcome),
+                Next::Read => return Err(self.lost(self.cause)),
+            }
+        }
+    }
+
     /// Asks the engine for the rest of the generation.
     pub(super) async fn resume(&mut self, from_index: u64) -> Option<EngineStream> {
         let host = self.context.host;
         let from_index = u32::try_from(from_index).ok()?;
+        // N.B. after a stall the time since the last token has run out already, and the
+        // pool's connections to this target may be as dead as the one that was lost.
+        self.resumed = Instant::now();
         let resumed = tokio::select! {
             resumed = timeout_at(
-                self.silence_deadline(),
-                engine::resume(&host.pooled, self.context.address, self.generation, from_index),
+                self.silence_deadline(None),
+                engine::resume(&host.fresh, self.context.address, self.generation, from_index),
             ) => resumed.ok().flatten(),
             () = self.caller.gone(), if !self.context.arrival.needs_claim() => None,
         }?;
@@ -389,19 +413,19 @@
         effects
     }
 
-    pub(super) fn first_token_deadline(&self) -> Instant {
-        let timeout_ms = self.context.arrival.values.first_token_timeout_ms;
-        self.deadline
-            .min(self.heard + Duration::from_millis(timeout_ms))
-    }
-
-    fn silence_deadline(&self) -> Instant {
-        if self.guard.next_index() == 0 {
-            return self.first_token_deadline();
-        }
-        let timeout_ms = self.context.arrival.values.stall_timeout_ms;
-        self.deadline
-            .min(self.heard + Duration::from_millis(timeout_ms))
+    /// Returns when the present silence is too long: of tokens, or of the link itself.
+    ///
+    /// An engine that has nothing to say yet still sends comments, so that a link without
+    /// a byte for the stall timeout is broken however long the first token may take.
+    pub(super) fn silence_deadline(&self, reader: Option<&EngineStream>) -> Instant {
+        let values = &self.context.arrival.values;
+        let stall_timeout = Duration::from_millis(values.stall_timeout_ms);
+        let token_timeout = Duration::from_millis(values.first_token_timeout_ms);
+        let asked = self.heard.max(self.resumed);
+        let byte = reader.map_or(asked, |reader| asked.max(reader.last_byte()));
+        let silent_link = byte + stall_timeout;
+        let silent_target = self.heard.max(self.resumed) + token_timeout;
+        self.deadline.min(silent_link).min(silent_target)
     }
 
     /// Tells the accounts how far the generation has come, now and then.
