--- a/crates/toucancleat-cli/tests/fleet.rs
+++ b/crates/toucancleat-cli/tests/fleet.rs
@@ -3,9 +3,13 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::path::Path;
 
+use bytes::Bytes;
+use http::Method;
 use serde_json::Value;
 use support::{run, sample};
+use toucancleat_entry::http::{Call, HttpClient};
 use toucancleat_entry::platform::{ListedHost, Platform as PlatformClient};
 use toucancleat_entry::{Config, EntryHost};
 use toucancleat_standin::{Platform, PlatformConfig};
@@ -109,3 +113,41 @@
     assert_eq!(targets.as_array().map(Vec::len), Some(16));
     assert_eq!(targets[0]["pool"], "plan-llm");
 }
+
+/// Returns the names of a host's metrics, as the text format declares them.
+async fn metric_names(host: &EntryHost) -> Vec<String> {
+    let call = Call {
+        address: host.operators_address(),
+        method: Method::GET,
+        path: "/metrics",
+        headers: Vec::new(),
+        body: Bytes::new(),
+    };
+    let reply = HttpClient::fresh()
+        .exchange(call, 10_000, usize::MAX)
+        .await
+        .expect("a reply");
+    let text = String::from_utf8(reply.into_body().to_vec()).expect("text");
+    let names = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    names
+        .filter_map(|line| line.split(' ').next())
+        .map(str::to_owned)
+        .collect()
+}
+
+/// Each metric has its place in the operators' page, so that whoever adds one tells them
+/// what it means.
+#[tokio::test(flavor = "multi_thread")]
+async fn each_metric_is_in_the_operators_page() {
+    let (_platform, _address, hosts) = start().await;
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATING.md");
+    let page = std::fs::read_to_string(page).expect("the page");
+    let names = metric_names(&hosts[0]).await;
+    assert!(names.len() > 10, "{names:?}");
+    for name in names {
+        assert!(
+            page.contains(&format!("`{name}")),
+            "{name} isn't in docs/OPERATING.md"
+        );
+    }
+}
--- a/crates/toucancleat-core/src/settings/values.rs
+++ b/crates/toucancleat-core/src/settings/values.rs
@@ -5,24 +5,27 @@
 use crate::prelude::*;
 
 macro_rules! values {
-    ($($(#[$doc:meta])* $name:ident: $type:ty = $default:expr,)*) => {
+    ($($(#[doc = $doc:literal])* $name:ident: $type:ty = $default:expr,)*) => {
         /// The values one level sets; `None` inherits from the level above.
         #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
         #[serde(default, deny_unknown_fields)]
         pub struct Values {
-            $($(#[$doc])* #[serde(skip_serializing_if = "Option::is_none")] pub $name: Option<$type>,)*
+            $($(#[doc = $doc])* #[serde(skip_serializing_if = "Option::is_none")] pub $name: Option<$type>,)*
         }
 
         /// The values in force for one live event, organisation and request kind.
         #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
         pub struct Effective {
-            $($(#[$doc])* pub $name: $type,)*
+            $($(#[doc = $doc])* pub $name: $type,)*
         }
 
         impl Values {
             /// The name of each value, in the order of the documentation.
             pub const NAMES: &'static [&'static str] = &[$(stringify!($name)),*];
 
+            /// What each value means, in the order of [`Values::NAMES`].
+            pub const MEANINGS: &'static [&'static str] = &[$(concat!($($doc),*)),*];
+
             /// Returns the names of the values that are set.
             pub fn set_names(&self) -> impl Iterator<Item = &'static str> {
                 let set = [$(self.$name.is_some()),*];
--- a/crates/toucancleat-core/src/timeline/mod.rs
+++ b/crates/toucancleat-core/src/timeline/mod.rs
@@ -15,6 +15,8 @@
 pub use self::record::{Entry, Field, FieldValue, Record};
 pub use self::ring::{Page, Ring};
 
+use std::collections::BTreeMap;
+
 use crate::prelude::*;
 
 /// The time line of one entry host.
@@ -24,6 +26,7 @@
     incarnation: Incarnation,
     clock: HybridClock,
     ring: Ring,
+    counts: BTreeMap<RecordKind, u64>,
 }
 
 impl Timeline {
@@ -34,12 +37,14 @@
             incarnation,
             clock: HybridClock::default(),
             ring: Ring::new(bytes_max),
+            counts: BTreeMap::new(),
         }
     }
 
     /// Adds a record, stamped now.
     pub fn record(&mut self, now_unix_ms: u64, entry: Entry) {
         let stamp = self.clock.tick(now_unix_ms);
+        *self.counts.entry(entry.kind).or_default() += 1;
         self.ring.push(stamp, self.host.clone(), entry);
     }
 
@@ -60,6 +65,11 @@
             .page(self.host.clone(), self.incarnation, after, limit)
     }
 
+    /// Returns how many records of each kind there were, those dropped included.
+    pub fn counts(&self) -> impl Iterator<Item = (RecordKind, u64)> {
+        self.counts.iter().map(|(kind, count)| (*kind, *count))
+    }
+
     /// Returns how much memory the records hold.
     pub fn bytes(&self) -> usize {
         self.ring.bytes()
--- a/crates/toucancleat-entry/src/metrics.rs
+++ b/crates/toucancleat-entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and histograms, in the Prometheus text format.
 
+use std::collections::HashMap;
 use std::fmt::Write;
 use std::sync::Mutex;
 
@@ -10,8 +11,12 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::{Registry, Unit};
+use toucancleat_core::State;
+use toucancleat_core::prelude::*;
 use toucancleat_core::refusal::Refusal;
 
+mod figures;
+
 /// Everything that an entry host counts.
 pub struct Metrics {
     registry: Mutex<Registry>,
@@ -33,6 +38,16 @@
     pub stall_seconds: Counter<f64, std::sync::atomic::AtomicU64>,
     /// Settings revision in force.
     pub settings_revision: Gauge,
+    /// Preemptions that each engine reports.
+    preemptions: Family<TargetLabels, Counter>,
+    preemptions_seen: Mutex<HashMap<TargetName, u64>>,
+    figures: figures::Figures,
+}
+
+/// Labels of what belongs to one target.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TargetLabels {
+    target: String,
 }
 
 /// Labels of a refusal.
@@ -62,6 +77,9 @@
             between_tokens_seconds: latency(),
             stall_seconds: Counter::default(),
             settings_revision: Gauge::default(),
+            preemptions: Family::default(),
+            preemptions_seen: Mutex::default(),
+            figures: figures::Figures::default(),
         };
         metrics.register();
         metrics
@@ -114,6 +132,28 @@
             "Settings revision in force",
             self.settings_revision.clone(),
         );
+        registry.register(
+            "engine_preemptions",
+            "Preemptions that the engine reports",
+            self.preemptions.clone(),
+        );
+        self.figures.register(&mut registry);
+    }
+
+    /// Takes over the preemptions that an engine has counted; an engine that has started
+    /// anew counts from 0.
+    pub fn report_preemptions(&self, target: &TargetName, total: u64) {
+        let seen = self.preemptions_seen.lock();
+        let mut seen = seen.unwrap_or_else(|poisoned| poisoned.into_inner());
+        let before = seen.insert(target.clone(), total).unwrap_or(0);
+        let target = target.to_string();
+        let counter = self.preemptions.get_or_create(&TargetLabels { target });
+        counter.inc_by(total.checked_sub(before).unwrap_or(total));
+    }
+
+    /// Takes over what the reducer's state counts, before the metrics are read.
+    pub fn take_figures(&self, state: &State, now_ms: u64) {
+        self.figures.take(state, now_ms);
     }
 
     /// Counts a refusal.
--- a/crates/toucancleat-entry/src/observe.rs
+++ b/crates/toucancleat-entry/src/observe.rs
@@ -34,6 +34,13 @@
         Ok(address) => service::observe(&host.pooled, address).await,
         Err(_) => Observation::Silent,
     };
+    if let Observation::Serving {
+        load: Some(load), ..
+    } = &observation
+    {
+        host.metrics
+            .report_preemptions(&target, load.preemptions_total);
+    }
     host.tell(Input::Event(Event::Observed {
         target,
         observation,
--- a/crates/toucancleat-entry/src/operators.rs
+++ b/crates/toucancleat-entry/src/operators.rs
@@ -85,6 +85,15 @@
     if let Some(refused) = unauthorised(&host, &request) {
         return refused;
     }
+    let now_ms = host.clock.now_ms();
+    let shown = host.clone();
+    let taken = look(&host, move |state| {
+        shown.metrics.take_figures(state, now_ms)
+    })
+    .await;
+    if taken.is_none() {
+        log::debug!("the metrics are read while the host ends");
+    }
     reply(StatusCode::OK, OPENMETRICS, host.metrics.encode())
 }
 
@@ -166,19 +175,14 @@
     json_reply(json!({ "draining": true }))
 }
 
-/// Runs a function on the reducer's state, in the driver's task.
-async fn inspect<F>(host: &Host, look: F) -> Response
+/// Replies with what a function finds in the reducer's state.
+async fn inspect<F>(host: &Host, find: F) -> Response
 where
     F: FnOnce(&State) -> Value + Send + 'static,
 {
-    let (sender, receiver) = oneshot::channel();
-    host.tell(Input::Inspect(Box::new(move |state| {
-        // The operator may have gone away meanwhile.
-        let _ = sender.send(look(state));
-    })));
-    match receiver.await {
-        Ok(value) => json_reply(value),
-        Err(_) => reply(
+    match look(host, find).await {
+        Some(value) => json_reply(value),
+        None => reply(
             StatusCode::SERVICE_UNAVAILABLE,
             "text/plain",
             "stopping".to_owned(),
@@ -186,6 +190,21 @@
     }
 }
 
+/// Runs a function on the reducer's state, in the driver's task; `None` when that has
+/// ended.
+async fn look<T, F>(host: &Host, find: F) -> Option<T>
+where
+    T: Send + 'static,
+    F: FnOnce(&State) -> T + Send + 'static,
+{
+    let (sender, receiver) = oneshot::channel();
+    host.tell(Input::Inspect(Box::new(move |state| {
+        // The operator may have gone away meanwhile.
+        let _ = sender.send(find(state));
+    })));
+    receiver.await.ok()
+}
+
 fn unauthorised(host: &Host, request: &Request) -> Option<Response> {
     let expected = format!("Bearer {}", host.config.operator_key.as_ref()?);
     let given = request
