Specify the delivery of one stream and explore it exhaustively

Every frame a target has sent may arrive at any time and any number of times, also those of a cancelled generation and of another request; links, targets, and entry hosts fail, and the caller resumes with its cursor.

--- a/crates/toucancleat-model/src/lib.rs
+++ b/crates/toucancleat-model/src/lib.rs
@@ -7,6 +7,7 @@
 //! docs/PROOFS.md.
 
 pub mod claims;
+pub mod delivery;
 mod explore;
 
 pub use self::explore::{Counterexample, Exploration, explore, walk};
