--- a/crates/toucancleat-entry/src/callers/generations.rs
+++ b/crates/toucancleat-entry/src/callers/generations.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Method};
 use serde_json::{Map, Value};
 use toucancleat_core::claims::BodyHash;
+use toucancleat_core::generation::Cursor;
 use toucancleat_core::prelude::*;
 use toucancleat_core::refusal::{Problem, Refusal};
 use toucancleat_core::requests::Arrival;
@@ -15,7 +16,6 @@
 use volo_http::response::Response;
 
 use super::{Admitted, admit, body, refuse, relay, text_header};
-use crate::clock::now_unix_ms;
 use crate::host::Host;
 use crate::relay::{GenerationWork, Work};
 
@@ -33,7 +33,7 @@
     let id = RequestId(rand::random());
     match prepare(&host, path, id, request).await {
         Ok((arrival, work, admitted)) => {
-            relay(host, arrival, Work::Generation(work), admitted.in_progress).await
+            relay(host, arrival, work, admitted.in_progress).await
         }
         Err(refusal) => refuse(&host, id, &refusal),
     }
@@ -44,7 +44,7 @@
     path: &'static str,
     id: RequestId,
     request: Request,
-) -> Result<(Arrival, GenerationWork, Admitted), Refusal> {
+) -> Result<(Arrival, Work, Admitted), Refusal> {
     let (head, incoming) = request.into_parts();
     if head.method != Method::POST {
         let detail = format!("expected POST at {path}");
@@ -60,22 +60,50 @@
         body::read(incoming, values.max_body_bytes, host.config.body_timeout_ms).await?;
     let asked = Asked::parse(path, &bytes, values.max_output_tokens)?;
     let whole = values.delivery == Delivery::Whole || !values.idempotent;
-    let arrival = arrival(id, path, &bytes, &asked, &admitted);
+    let arrived_unix_ms = host.clock.now_ms();
+    let arrival = arrival(id, arrived_unix_ms, path, &bytes, &asked, &admitted);
     let work = GenerationWork {
         path,
         body: asked.body,
         streamed: asked.streamed,
         whole,
     };
+    let work = match cursor(host, &head.headers, &admitted)? {
+        Some(cursor) => Work::Resume { work, cursor },
+        None => Work::Generation(work),
+    };
     Ok((arrival, work, admitted))
 }
 
+/// Opens the cursor of a caller that comes back.
+fn cursor(
+    host: &Host,
+    headers: &HeaderMap,
+    admitted: &Admitted,
+) -> Result<Option<Cursor>, Refusal> {
+    let Some(text) = text_header(headers, "last-event-id")? else {
+        return Ok(None);
+    };
+    let invalid = |detail: String| Refusal::not_run(Problem::CursorInvalid, detail);
+    let admission = &admitted.admission;
+    let cursor = host
+        .cursor_keys
+        .open(&admission.organisation, text)
+        .map_err(|error| invalid(error.to_string()))?;
+    if cursor.kind != admitted.kind || cursor.live_event != admission.live_event {
+        let detail = "the cursor belongs to another request kind or live event";
+        return Err(invalid(detail.to_owned()));
+    }
+    Ok(Some(cursor))
+}
+
 fn kind_of(headers: &HeaderMap) -> Result<&str, Refusal> {
     Ok(text_header(headers, "x-request-kind")?.unwrap_or(DEFAULT_KIND))
 }
 
 fn arrival(
     id: RequestId,
+    arrived_unix_ms: u64,
     path: &str,
     bytes: &[u8],
     asked: &Asked,
@@ -87,7 +115,7 @@
     content.extend_from_slice(bytes);
     Arrival {
         request: id,
-        arrived_unix_ms: now_unix_ms(),
+        arrived_unix_ms,
         live_event: admission.live_event.clone(),
         live_event_starts_unix_ms: admission.starts_at_unix_ms,
         live_event_ends_unix_ms: admission.ends_at_unix_ms,
--- a/crates/toucancleat-entry/src/callers/mod.rs
+++ b/crates/toucancleat-entry/src/callers/mod.rs
@@ -3,6 +3,7 @@
 mod body;
 mod credential;
 mod generations;
+mod guarded;
 mod services;
 
 use std::sync::Arc;
@@ -149,17 +150,18 @@
     in_progress: InProgress,
 ) -> Response {
     let request = arrival.request;
+    let in_progress = Arc::new(in_progress);
     let (caller, waiting) = Caller::new(host.config.stream_buffer_tokens);
     let relay = Relay {
         host,
         arrival: Arc::new(arrival),
         work,
         caller,
-        _in_progress: in_progress,
+        _in_progress: in_progress.clone(),
     };
     tokio::spawn(relay.run());
     match waiting.response().await {
-        Some(response) => response,
+        Some(response) => with_request_id(guarded::guard(response, in_progress), request),
         None => {
             let refusal = Refusal::not_run(
                 Problem::TargetFault,
@@ -171,10 +173,18 @@
     }
 }
 
+/// Names the request in a response, so that its caller can quote it.
+fn with_request_id(mut response: Response, request: RequestId) -> Response {
+    if let Ok(id) = HeaderValue::from_str(&request.to_string()) {
+        response.headers_mut().insert("x-request-id", id);
+    }
+    response
+}
+
 /// Makes the response to a request that was refused before it reached the reducer.
 fn refuse(host: &Host, request: RequestId, refusal: &Refusal) -> Response {
     host.metrics.count_refusal(refusal);
-    let mut response = problem::response(request, refusal);
+    let mut response = with_request_id(problem::response(request, refusal), request);
     if refusal.problem == Problem::NotReady || refusal.problem == Problem::TooLarge {
         // N.B. what is left of the body is not read, and a host that stops wants its
         // connections to end.
--- a/crates/toucancleat-entry/src/engine.rs
+++ b/crates/toucancleat-entry/src/engine.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -10,12 +13,15 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
+use tokio::time::Instant;
+use toucancleat_core::accounts;
+use toucancleat_core::observation::Observation;
 use toucancleat_core::prelude::*;
 use volo_http::client::sse::SseReader;
 use volo_http::error::BoxError;
 use volo_http::response::Response;
 
-use crate::http::{Call, CallError, HttpClient};
+use crate::http::{Call, HttpClient};
 
 /// Largest event of an engine's stream.
 const EVENT_MAX_BYTES: usize = 256 * 1_024;
@@ -25,6 +31,8 @@
 const CONTROL_TIMEOUT_MS: u64 = 3_000;
 /// Largest reply of such a call.
 const CONTROL_REPLY_MAX_BYTES: usize = 1_024 * 1_024;
+/// State of an engine that takes no new work.
+const LEAVING: &str = "leaving";
 /// The data of the event that closes a whole answer.
 const DONE: &str = "[DONE]";
 
@@ -73,9 +81,17 @@
 #[derive(Debug)]
 pub struct EngineStream {
     reader: EventReader,
+    heard: Heard,
 }
 
-struct EventReader(SseReader<BoundedEvents<volo_http::body::Body>>);
+/// When the last byte of a stream came, as the body that reads it notes.
+#[derive(Clone, Debug)]
+struct Heard {
+    since: Instant,
+    after_ms: Arc<AtomicU64>,
+}
+
+struct EventReader(Box<SseReader<BoundedEvents<volo_http::body::Body>>>);
 
 impl std::fmt::Debug for EventReader {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -110,6 +126,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 #[serde(default)]
 pub struct LoadReport {
+    /// When the engine was started; 0 where it doesn't say.
+    pub started_unix_ms: u64,
     /// When the engine measured it.
     pub measured_unix_ms: u64,
     /// Sequences in the batch.
@@ -130,7 +148,30 @@
     pub state: String,
 }
 
+impl Heard {
+    fn now() -> Self {
+        Heard {
+            since: Instant::now(),
+            after_ms: Arc::new(AtomicU64::new(0)),
+        }
+    }
+
+    fn note(&self) {
+        let after_ms = self.since.elapsed().as_millis() as u64;
+        self.after_ms.store(after_ms, Ordering::Relaxed);
+    }
+
+    fn last(&self) -> Instant {
+        self.since + Duration::from_millis(self.after_ms.load(Ordering::Relaxed))
+    }
+}
+
 impl EngineStream {
+    /// Returns when the last byte came, be it of a token or of a comment.
+    pub fn last_byte(&self) -> Instant {
+        self.heard.last()
+    }
+
     /// Waits for the next event.
     pub async fn next(&mut self) -> EngineEvent {
         loop {
@@ -196,7 +237,7 @@
         .await;
     match sent {
         Ok(response) => read_start(response).await,
-        Err(CallError::NotSent(_)) => Start::NotBegun {
+        Err(error) if error.is_not_sent() => Start::NotBegun {
             retry_after_ms: None,
         },
         Err(error) => Start::Unknown {
@@ -239,14 +280,44 @@
     })
 }
 
-/// Reads the load report of an engine.
-pub async fn load(client: &HttpClient, address: SocketAddr) -> Option<LoadReport> {
+/// Asks an engine how it is.
+pub async fn observe(client: &HttpClient, address: SocketAddr) -> Observation {
     let call = control_call(address, Method::GET, "/v1/load");
     let reply = client
         .exchange(call, CONTROL_TIMEOUT_MS, CONTROL_REPLY_MAX_BYTES)
-        .await
-        .ok()?;
-    serde_json::from_slice(reply.body()).ok()
+        .await;
+    match reply {
+        Ok(reply) if reply.status().is_success() => {
+            match serde_json::from_slice::<LoadReport>(reply.body()) {
+                Ok(report) => report.observation(),
+                Err(_) => Observation::Silent,
+            }
+        }
+        Err(error) if error.is_refused() => Observation::Gone,
+        _ => Observation::Silent,
+    }
+}
+
+impl LoadReport {
+    fn observation(&self) -> Observation {
+        let started_unix_ms = self.started_unix_ms;
+        if self.state == LEAVING {
+            return Observation::Leaving { started_unix_ms };
+        }
+        let block_tokens = u64::from(self.block_tokens);
+        Observation::Serving {
+            started_unix_ms,
+            load: Some(accounts::LoadReport {
+                measured_unix_ms: self.measured_unix_ms,
+                running: self.running,
+                waiting: self.waiting,
+                used_tokens: self.blocks_used * block_tokens,
+                memory_tokens: self.blocks_total * block_tokens,
+                preemptions_total: self.preemptions_total,
+                step_ms: self.step_ms,
+            }),
+        }
+    }
 }
 
 fn control_call(address: SocketAddr, method: Method, path: &str) -> Call<'_> {
@@ -282,13 +353,16 @@
 }
 
 fn read_stream(response: Response) -> Start {
+    let heard = Heard::now();
     let bounded = response.map(|body| BoundedEvents {
         body,
+        heard: heard.clone(),
         since_event_bytes: 0,
     });
     match SseReader::into_sse(bounded) {
         Ok(reader) => Start::Streaming(EngineStream {
-            reader: EventReader(reader),
+            reader: EventReader(Box::new(reader)),
+            heard,
         }),
         Err(error) => Start::Unknown {
             detail: error.to_string(),
@@ -320,6 +394,7 @@
 /// line would otherwise take all memory.
 struct BoundedEvents<B> {
     body: B,
+    heard: Heard,
     since_event_bytes: usize,
 }
 
@@ -360,7 +435,10 @@
             Poll::Ready(Some(Ok(frame))) => frame,
         };
         let counted = match frame.data_ref() {
-            Some(data) => self.count(data),
+            Some(data) => {
+                self.heard.note();
+                self.count(data)
+            }
             None => Ok(()),
         };
         Poll::Ready(Some(counted.map(|()| frame).map_err(BoxError::from)))
--- a/crates/toucancleat-standin/src/service.rs
+++ b/crates/toucancleat-standin/src/service.rs
@@ -51,6 +51,17 @@
         self.server.address()
     }
 
+    /// Ends the service as a kill would; its records stay readable.
+    pub async fn kill(&self) {
+        self.server.stop();
+        self.server.stopped().await;
+    }
+
+    /// Says whether the service has ended.
+    pub fn is_stopped(&self) -> bool {
+        self.server.is_stopped()
+    }
+
     /// Waits until the service has ended.
     pub async fn stopped(&self) {
         self.server.stopped().await;
--- a/crates/toucancleat-wire/schema/peer.capnp
+++ b/crates/toucancleat-wire/schema/peer.capnp
@@ -2,7 +2,12 @@
 
 # What entry hosts say to each other.
 
+using Accounts = import "accounts.capnp";
+using CrashMarks = import "crash_marks.capnp";
 using Membership = import "membership.capnp";
+using Spread = import "spread.capnp";
+using Streams = import "streams.capnp";
+using Targets = import "targets.capnp";
 
 struct Envelope {
   from @0 :Text;
@@ -12,6 +17,11 @@
     # N.B. Further concerns get further numbers; none is ever used again.
     none @3 :Void;
     membership @4 :Membership.Message;
+    targets @5 :Targets.Message;
+    crashMarks @6 :CrashMarks.Message;
+    accounts @7 :Accounts.Message;
+    spread @8 :Spread.Message;
+    streams @9 :Streams.Message;
   }
 }
 
--- a/crates/toucancleat-wire/src/lib.rs
+++ b/crates/toucancleat-wire/src/lib.rs
@@ -19,8 +19,13 @@
 }
 
 generated! {
+    accounts_capnp = "generated/accounts_capnp.rs",
+    crash_marks_capnp = "generated/crash_marks_capnp.rs",
     membership_capnp = "generated/membership_capnp.rs",
     peer_capnp = "generated/peer_capnp.rs",
+    spread_capnp = "generated/spread_capnp.rs",
+    streams_capnp = "generated/streams_capnp.rs",
+    targets_capnp = "generated/targets_capnp.rs",
 }
 
 pub use self::codec::{decode_batch, encode_batch};
