Give engines orders from the declared state, under a lease and its fencing number

Cause: the reducer of the orders stood alone. An order holds its target in the whole zone first; holds are repeated and end by themselves. Ruled out: closing the target at its home only, since hosts with other views would go on sending work.

--- a/crates/toucancleat-core/src/effect.rs
+++ b/crates/toucancleat-core/src/effect.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::claims::{ConditionalWrite, StoredAnswer};
+use crate::orders::{LeaseRow, Order};
 use crate::peer::Envelope;
 use crate::prelude::*;
 use crate::refusal::Refusal;
@@ -89,6 +90,48 @@
         /// Address of the engine, IP and port.
         address: String,
     },
+    /// Read the zone's row of the table of leases.
+    LeaseRead {
+        /// Name of the row.
+        row: String,
+    },
+    /// Write the zone's row of the table of leases.
+    LeaseWrite {
+        /// Number to reply with.
+        write: u64,
+        /// Name of the row.
+        row: String,
+        /// Version that the row must have; `None` when it must not exist.
+        version: Option<u64>,
+        /// The new value.
+        value: LeaseRow,
+    },
+    /// Read what an engine has loaded.
+    TargetRead {
+        /// The engine.
+        target: TargetName,
+        /// Number to reply with.
+        read: u64,
+        /// Address of the engine, IP and port.
+        address: String,
+    },
+    /// Send an order to an engine.
+    OrderSend {
+        /// The engine.
+        target: TargetName,
+        /// Address of the engine, IP and port.
+        address: String,
+        /// Number to reply with.
+        order_id: u64,
+        /// The order.
+        order: Order,
+        /// The term of the lease.
+        fencing_number: FencingNumber,
+        /// Not to be sent from this time on.
+        valid_until_ms: u64,
+        /// When to give up waiting for the reply.
+        deadline_ms: u64,
+    },
     /// Read the platform's host list.
     ListHosts,
     /// Ask a target how it is.
--- a/crates/toucancleat-core/src/event.rs
+++ b/crates/toucancleat-core/src/event.rs
@@ -6,7 +6,7 @@
 use crate::observation::Observation;
 use crate::peer::Envelope;
 use crate::prelude::*;
-use crate::{claims, requests, spread, streams};
+use crate::{claims, orders, requests, spread, streams};
 
 /// An event, as the daemon feeds it to [`crate::reduce`].
 #[derive(Clone, Debug)]
@@ -50,6 +50,8 @@
     },
     /// The caller of a stream has gone, or came back.
     Streams(streams::Event),
+    /// The platform or a target answered the orders.
+    Orders(orders::Event),
     /// The host was told to stop: it takes no new requests and finishes those it has.
     Drain,
 }
--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -11,6 +11,7 @@
 mod effect;
 mod event;
 pub mod generation;
+pub mod holds;
 pub mod homes;
 pub mod ids;
 pub mod lengths;
--- a/crates/toucancleat-core/src/orders/mod.rs
+++ b/crates/toucancleat-core/src/orders/mod.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Says whether anything is declared for any target.
+    pub fn has_declared(&self) -> bool {
+        !self.targets.is_empty()
+    }
+
     /// Returns the term under which this host may give orders now.
     pub fn term(&self, now_ms: u64) -> Option<FencingNumber> {
         self.lease.term(now_ms)
--- a/crates/toucancleat-core/src/reduce/membership.rs
+++ b/crates/toucancleat-core/src/reduce/membership.rs
@@ -1,6 +1,6 @@
 //! Effects of membership: homes move, and every concern learns of it.
 
-use super::{accounts, peers, settings, targets};
+use super::{accounts, orders, peers, settings, targets};
 use crate::effect::Effect;
 use crate::homes::{HomeKey, ZoneRole};
 use crate::membership::{self, Host, Status};
@@ -97,6 +97,7 @@
     targets::apply(state, now_ms, event, effects);
     tell_accounts(state, now_ms, effects);
     tell_spread(state, now_ms, effects);
+    orders::tell_candidate(state, now_ms, effects);
 }
 
 /// Tells the accounts who is home of each engine of the zone.
--- a/crates/toucancleat-core/src/reduce/mod.rs
+++ b/crates/toucancleat-core/src/reduce/mod.rs
@@ -8,6 +8,7 @@
 mod crash_marks;
 mod membership;
 mod observations;
+mod orders;
 mod peers;
 mod requests;
 mod settings;
@@ -50,6 +51,7 @@
             observation,
         } => observations::observed(state, now_ms, target, observation, effects),
         Event::Streams(event) => streams::apply(state, now_ms, event, effects),
+        Event::Orders(event) => orders::apply(state, now_ms, event, effects),
         Event::Drain => drain(state, now_ms, effects),
     }
 }
@@ -63,6 +65,8 @@
     accounts::apply(state, now_ms, crate::accounts::Event::Tick, effects);
     requests::apply(state, now_ms, crate::requests::Event::Tick, effects);
     streams::apply(state, now_ms, crate::streams::Event::Tick, effects);
+    orders::apply(state, now_ms, crate::orders::Event::Tick, effects);
+    orders::apply_hold(state, now_ms, crate::holds::Event::Tick, effects);
     observations::tick(state, now_ms, effects);
 }
 
@@ -75,4 +79,5 @@
         .timeline
         .record(now_ms, Entry::new(RecordKind::HostDraining));
     membership::apply(state, now_ms, crate::membership::Event::Leave, effects);
+    orders::tell_candidate(state, now_ms, effects);
 }
--- a/crates/toucancleat-core/src/reduce/observations.rs
+++ b/crates/toucancleat-core/src/reduce/observations.rs
@@ -4,7 +4,7 @@
 //! the number of entry hosts. A target that this host holds for leaving or out is looked
 //! at by this host too, since only that shows that it was replaced.
 
-use super::{accounts, crash_marks, targets};
+use super::{accounts, crash_marks, orders, targets};
 use crate::crash_marks::Crash;
 use crate::effect::Effect;
 use crate::homes::HomeKey;
@@ -59,7 +59,8 @@
     target: &TargetName,
 ) -> Option<u64> {
     let key = HomeKey::Target(target.clone());
-    if state.homes.is_home(&key, &state.identity.host) {
+    let holds_it = state.holds.own().any(|held| held == target);
+    if holds_it || state.homes.is_home(&key, &state.identity.host) {
         return Some(OBSERVE_HOME_MS);
     }
     match state.targets.peek(now_ms, target) {
@@ -107,6 +108,9 @@
         } => {
             seen(state, now_ms, &target, started_unix_ms, effects);
             if let Some(report) = load {
+                if report.running == 0 && report.waiting == 0 {
+                    orders::idle(state, now_ms, &target, effects);
+                }
                 let event = crate::accounts::Event::LoadReported { target, report };
                 accounts::apply(state, now_ms, event, effects);
             }
--- a/crates/toucancleat-core/src/reduce/peers.rs
+++ b/crates/toucancleat-core/src/reduce/peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{accounts, crash_marks, membership, settings, streams, targets};
+use super::{accounts, crash_marks, membership, orders, settings, streams, targets};
 use crate::effect::Effect;
 use crate::peer::{Envelope, Message};
 use crate::prelude::*;
@@ -64,6 +64,10 @@
             let event = crate::crash_marks::Event::Received { from, message };
             crash_marks::apply(state, now_ms, event, effects);
         }
+        Message::Holds(message) => {
+            let event = crate::holds::Event::Received { message };
+            orders::apply_hold(state, now_ms, event, effects);
+        }
         Message::Streams(message) => {
             let event = crate::streams::Event::Received { message };
             streams::apply(state, now_ms, event, effects);
--- a/crates/toucancleat-core/src/reduce/settings.rs
+++ b/crates/toucancleat-core/src/reduce/settings.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{accounts, membership, peers, targets};
+use super::{accounts, membership, orders, peers, targets};
 use crate::accounts::TargetSpec;
 use crate::effect::Effect;
 use crate::prelude::*;
@@ -72,6 +72,7 @@
     let event = crate::accounts::Event::TargetsChanged(engines_of_zone(state, &settings));
     accounts::apply(state, now_ms, event, effects);
     membership::tell_accounts(state, now_ms, effects);
+    orders::take_settings(state, now_ms, &settings, effects);
 }
 
 /// Describes the engines of the host's own zone.
--- a/crates/toucancleat-core/src/settings/tree.rs
+++ b/crates/toucancleat-core/src/settings/tree.rs
@@ -102,6 +102,17 @@
     /// Whether the target refuses an order that carries an old fencing number.
     #[serde(default)]
     pub checks_fencing: bool,
+    /// Models that the engine has to have, with their versions; `None` leaves them as they
+    /// are.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub models: Option<IndexMap<String, String>>,
+    /// Adapters that the engine has to have, with their versions; `None` leaves them as
+    /// they are.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapters: Option<IndexMap<String, String>>,
+    /// Role that the engine has to have; `None` leaves it as it is.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub role: Option<String>,
 }
 
 impl Tree {
--- a/crates/toucancleat-core/src/state.rs
+++ b/crates/toucancleat-core/src/state.rs
@@ -10,7 +10,9 @@
 use crate::requests::Requests;
 use crate::settings::InForce;
 use crate::timeline::Timeline;
-use crate::{accounts, claims, crash_marks, membership, spread, streams, targets};
+use crate::{
+    accounts, claims, crash_marks, holds, membership, orders, spread, streams, targets,
+};
 
 /// Bound on the memory of the time line's ring.
 const TIMELINE_MAX_BYTES: usize = 4 * 1_024 * 1_024;
@@ -56,6 +58,10 @@
     pub crash_marks: crash_marks::State,
     /// Streams whose caller has gone.
     pub streams: streams::State,
+    /// Orders to the engines of the zone.
+    pub orders: orders::State,
+    /// Targets that take no new work while an order changes them.
+    pub holds: holds::State,
     /// How the settings reach this host and go on from it.
     pub spread: spread::State,
     /// What was done, for operators.
@@ -105,6 +111,13 @@
             targets: targets::State::new(targets::Config::default(), seed),
             crash_marks: crash_marks::State::new(crash_marks::Config::default()),
             streams: streams::State::default(),
+            orders: orders::State::new(
+                orders::Config::default(),
+                &identity.zone,
+                &identity.host,
+                (identity.seed >> 64) as u64,
+            ),
+            holds: holds::State::default(),
             spread: spread::State::new(spread::Config::default(), seed),
             timeline: Timeline::new(
                 identity.host.clone(),
--- a/crates/toucancleat-core/tests/settings/trees.rs
+++ b/crates/toucancleat-core/tests/settings/trees.rs
@@ -53,6 +53,9 @@
         memory_tokens: 0,
         max_batch: 0,
         checks_fencing,
+        models: None,
+        adapters: checks_fencing.then(IndexMap::new),
+        role: checks_fencing.then(|| "generate".to_owned()),
     }
 }
 
--- a/crates/toucancleat-entry/src/driver.rs
+++ b/crates/toucancleat-entry/src/driver.rs
@@ -14,7 +14,7 @@
 
 use crate::host::Host;
 use crate::peers::Peers;
-use crate::{claims, engine, observe, settings};
+use crate::{claims, engine, observe, orders, settings};
 
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(50);
@@ -171,6 +171,46 @@
                 generation,
                 address,
             } => self.cancel(generation, &address),
+            Effect::LeaseRead { row } => {
+                tokio::spawn(orders::read_lease(self.host.clone(), row));
+            }
+            Effect::LeaseWrite {
+                write,
+                row,
+                version,
+                value,
+            } => {
+                let host = self.host.clone();
+                tokio::spawn(orders::write_lease(host, write, row, version, value));
+            }
+            Effect::TargetRead {
+                target,
+                read,
+                address,
+            } => {
+                let host = self.host.clone();
+                tokio::spawn(orders::read_target(host, target, read, address));
+            }
+            Effect::OrderSend {
+                target,
+                address,
+                order_id,
+                order,
+                fencing_number,
+                valid_until_ms,
+                deadline_ms,
+            } => {
+                let send = orders::Send {
+                    target,
+                    address,
+                    order_id,
+                    order,
+                    fencing_number,
+                    valid_until_ms,
+                    deadline_ms,
+                };
+                tokio::spawn(orders::send(self.host.clone(), send));
+            }
             Effect::ListHosts => {
                 tokio::spawn(observe::list_hosts(self.host.clone()));
             }
--- a/crates/toucancleat-entry/src/host.rs
+++ b/crates/toucancleat-entry/src/host.rs
@@ -4,7 +4,8 @@
 use std::sync::{Arc, RwLock};
 
 use sha2::{Digest, Sha256};
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, oneshot};
+use toucancleat_core::State;
 use toucancleat_core::generation::CursorKeys;
 use toucancleat_core::settings::InForce;
 
@@ -72,6 +73,21 @@
         let _ = self.inputs.send(input);
     }
 
+    /// Runs a function on the reducer's state, in the driver's task; `None` when the
+    /// process is ending.
+    pub async fn inspect<T, F>(&self, look: F) -> Option<T>
+    where
+        T: Send + 'static,
+        F: FnOnce(&State) -> T + Send + 'static,
+    {
+        let (sender, receiver) = oneshot::channel();
+        self.tell(Input::Inspect(Box::new(move |state| {
+            // Whoever asked may have gone away meanwhile.
+            let _ = sender.send(look(state));
+        })));
+        receiver.await.ok()
+    }
+
     /// Returns the settings in force; `None` until the first revision is known.
     pub fn settings(&self) -> Option<Arc<InForce>> {
         self.settings
--- a/crates/toucancleat-entry/src/lib.rs
+++ b/crates/toucancleat-entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod metrics;
 mod observe;
 mod operators;
+mod orders;
 mod peers;
 pub mod platform;
 mod problem;
--- a/crates/toucancleat-entry/src/operators.rs
+++ b/crates/toucancleat-entry/src/operators.rs
@@ -8,7 +8,6 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use subtle::ConstantTimeEq;
-use tokio::sync::oneshot;
 use toucancleat_core::{Event, State};
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -87,10 +86,9 @@
     }
     let now_ms = host.clock.now_ms();
     let shown = host.clone();
-    let taken = look(&host, move |state| {
-        shown.metrics.take_figures(state, now_ms)
-    })
-    .await;
+    let taken = host
+        .inspect(move |state| shown.metrics.take_figures(state, now_ms))
+        .await;
     if taken.is_none() {
         log::debug!("the metrics are read while the host ends");
     }
@@ -180,7 +178,7 @@
 where
     F: FnOnce(&State) -> Value + Send + 'static,
 {
-    match look(host, find).await {
+    match host.inspect(find).await {
         Some(value) => json_reply(value),
         None => reply(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -190,21 +188,6 @@
     }
 }
 
-/// Runs a function on the reducer's state, in the driver's task; `None` when that has
-/// ended.
-async fn look<T, F>(host: &Host, find: F) -> Option<T>
-where
-    T: Send + 'static,
-    F: FnOnce(&State) -> T + Send + 'static,
-{
-    let (sender, receiver) = oneshot::channel();
-    host.tell(Input::Inspect(Box::new(move |state| {
-        // The operator may have gone away meanwhile.
-        let _ = sender.send(find(state));
-    })));
-    receiver.await.ok()
-}
-
 fn unauthorised(host: &Host, request: &Request) -> Option<Response> {
     let expected = format!("Bearer {}", host.config.operator_key.as_ref()?);
     let given = request
--- /dev/null
+++ b/crates/toucancleat-entry/src/orders.rs
@@ -0,0 +1,175 @@
+//! The orders' dealings with the platform and with engines.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, StatusCode};
+use serde::Serialize;
+use toucancleat_core::Event;
+use toucancleat_core::orders::{
+    self, LeaseRow, Order, OrderOutcome, TargetState, WriteOutcome,
+};
+use toucancleat_core::prelude::*;
+
+use crate::driver::Input;
+use crate::host::Host;
+use crate::http::Call;
+use crate::platform::{Condition, Row, TransactReply, Write};
+
+/// Time for an engine to say what it has loaded.
+const READ_TIMEOUT_MS: u64 = 3_000;
+/// Largest reply of an engine.
+const REPLY_MAX_BYTES: usize = 1_024 * 1_024;
+
+/// An order on its way to an engine.
+#[derive(Debug)]
+pub(crate) struct Send {
+    pub(crate) target: TargetName,
+    pub(crate) address: String,
+    pub(crate) order_id: u64,
+    pub(crate) order: Order,
+    pub(crate) fencing_number: FencingNumber,
+    pub(crate) valid_until_ms: u64,
+    pub(crate) deadline_ms: u64,
+}
+
+/// Reads the zone's lease and tells the reducer.
+pub(crate) async fn read_lease(host: Arc<Host>, row: String) {
+    let rows = host.platform.get(orders::TABLE, &[row]).await;
+    let row = rows.ok().map(|rows| rows.into_iter().find_map(lease_of));
+    tell(&host, orders::Event::LeaseRead { row });
+}
+
+/// Writes the zone's lease and tells the reducer what became of it.
+pub(crate) async fn write_lease(
+    host: Arc<Host>,
+    write: u64,
+    row: String,
+    version: Option<u64>,
+    value: LeaseRow,
+) {
+    let table = orders::TABLE.to_owned();
+    let condition = Condition {
+        table: table.clone(),
+        row: row.clone(),
+        version,
+    };
+    let value = serde_json::to_value(value).expect("a lease is JSON");
+    let wanted = Write {
+        table,
+        row,
+        value: Some(value),
+    };
+    let outcome = match host.platform.transact(&[condition], &[wanted]).await {
+        TransactReply::Applied { versions } => match versions.first() {
+            Some(version) => WriteOutcome::Applied { version: *version },
+            None => WriteOutcome::Unknown,
+        },
+        TransactReply::Conflict { rows } => WriteOutcome::Conflict {
+            present: rows.into_iter().find_map(lease_of),
+        },
+        TransactReply::Rejected { .. } | TransactReply::Unreachable => {
+            WriteOutcome::Rejected
+        }
+        TransactReply::Unknown => WriteOutcome::Unknown,
+    };
+    tell(&host, orders::Event::LeaseWritten { write, outcome });
+}
+
+/// Reads what an engine has loaded and tells the reducer.
+pub(crate) async fn read_target(
+    host: Arc<Host>,
+    target: TargetName,
+    read: u64,
+    address: String,
+) {
+    let state = match address.parse() {
+        Ok(address) => read_state(&host, address).await,
+        Err(_) => None,
+    };
+    tell(
+        &host,
+        orders::Event::TargetRead {
+            target,
+            read,
+            state,
+        },
+    );
+}
+
+/// Sends an order and tells the reducer what became of it.
+pub(crate) async fn send(host: Arc<Host>, send: Send) {
+    let outcome = match send.address.parse() {
+        Ok(address) => send_order(&host, address, &send).await,
+        Err(_) => OrderOutcome::Refused,
+    };
+    let event = orders::Event::OrderReply {
+        target: send.target,
+        order_id: send.order_id,
+        outcome,
+    };
+    tell(&host, event);
+}
+
+async fn read_state(host: &Host, address: SocketAddr) -> Option<TargetState> {
+    let call = Call {
+        address,
+        method: Method::GET,
+        path: "/v1/orders/state",
+        headers: Vec::new(),
+        body: Bytes::new(),
+    };
+    let reply = host
+        .pooled
+        .exchange(call, READ_TIMEOUT_MS, REPLY_MAX_BYTES)
+        .await
+        .ok()?;
+    serde_json::from_slice(reply.body()).ok()
+}
+
+async fn send_order(host: &Host, address: SocketAddr, send: &Send) -> OrderOutcome {
+    #[derive(Serialize)]
+    struct Body<'a> {
+        #[serde(flatten)]
+        order: &'a Order,
+        fencing_number: FencingNumber,
+        order_id: String,
+    }
+    let body = Body {
+        order: &send.order,
+        fencing_number: send.fencing_number,
+        order_id: format!("{}-{}", send.fencing_number, send.order_id),
+    };
+    let body = serde_json::to_vec(&body).expect("an order is JSON");
+    let call = Call {
+        address,
+        method: Method::POST,
+        path: "/v1/orders",
+        headers: vec![(CONTENT_TYPE, HeaderValue::from_static("application/json"))],
+        body: Bytes::from(body),
+    };
+    let now_ms = host.clock.now_ms();
+    // N.B. the process may have been paused since the order was decided, and another host
+    // may hold the lease by now.
+    if now_ms >= send.valid_until_ms {
+        return OrderOutcome::Refused;
+    }
+    let timeout_ms = send.deadline_ms.saturating_sub(now_ms);
+    match host.fresh.exchange(call, timeout_ms, REPLY_MAX_BYTES).await {
+        Ok(reply) if reply.status().is_success() => OrderOutcome::Done,
+        Ok(reply) if reply.status() == StatusCode::CONFLICT => OrderOutcome::Fenced,
+        Ok(reply) if reply.status().is_client_error() => OrderOutcome::Refused,
+        Err(error) if error.is_not_sent() => OrderOutcome::Refused,
+        _ => OrderOutcome::Unknown,
+    }
+}
+
+fn lease_of(row: Row) -> Option<(u64, LeaseRow)> {
+    Some((row.version?, serde_json::from_value(row.value).ok()?))
+}
+
+fn tell(host: &Host, event: orders::Event) {
+    host.tell(Input::Event(Event::Orders(event)));
+}
--- a/crates/toucancleat-entry/src/serving.rs
+++ b/crates/toucancleat-entry/src/serving.rs
@@ -28,6 +28,10 @@
 
 /// Time in which the callers' connections may write their last bytes.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time in which claims and the lease of the orders may be settled at a planned stop.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Pause between two looks at whether they are.
+const SETTLE_PAUSE: Duration = Duration::from_millis(20);
 /// Place of the callers' server among the tasks.
 const CALLERS_SERVER: usize = 1;
 
@@ -136,12 +140,36 @@
                 "the bound of the planned stop has passed with requests in progress"
             );
         }
+        self.settle().await;
         self.stop_callers.cancel();
         self.flush().await;
         self.end();
         finished
     }
 
+    /// Waits until the claims are finished and the lease of the orders is given back.
+    ///
+    /// N.B. what is not settled in time is settled by others, only later: a claim's row
+    /// says that its request may have run, and the lease lapses.
+    async fn settle(&self) {
+        let settled = async {
+            while !self.is_settled().await {
+                tokio::time::sleep(SETTLE_PAUSE).await;
+            }
+        };
+        if tokio::time::timeout(SETTLE_TIMEOUT, settled).await.is_err() {
+            log::warn!("claims or the lease of the orders were not settled in time");
+        }
+    }
+
+    async fn is_settled(&self) -> bool {
+        let now_ms = self.host.clock.now_ms();
+        let settled = self.host.inspect(move |state| {
+            state.claims.is_empty() && state.orders.term(now_ms).is_none()
+        });
+        settled.await.unwrap_or(true)
+    }
+
     /// Waits for the callers' server to write what it still holds.
     ///
     /// N.B. the server ends by itself on the signal that asked for the stop. A stop that
--- a/crates/toucancleat-wire/schema/peer.capnp
+++ b/crates/toucancleat-wire/schema/peer.capnp
@@ -22,6 +22,7 @@
     accounts @7 :Accounts.Message;
     spread @8 :Spread.Message;
     streams @9 :Streams.Message;
+    holds @10 :Streams.HoldMessage;
   }
 }
 
--- a/crates/toucancleat-wire/schema/streams.capnp
+++ b/crates/toucancleat-wire/schema/streams.capnp
@@ -11,3 +11,13 @@
     resumed @1 :Id;
   }
 }
+
+# Targets that take no new work while an order changes them; see toucancleat-core's holds
+# module.
+struct HoldMessage {
+  union {
+    none @0 :Void;
+    hold @1 :Text;
+    release @2 :Text;
+  }
+}
--- /dev/null
+++ b/crates/toucancleat-wire/src/codec/holds.rs
@@ -0,0 +1,34 @@
+//! Messages about targets that take no new work while an order changes them.
+
+use toucancleat_core::holds::Message;
+
+use super::value::read_name;
+use crate::error::DecodeError;
+use crate::streams_capnp as wire;
+
+/// Writes a message.
+pub(crate) fn write(message: &Message, mut out: wire::hold_message::Builder<'_>) {
+    match message {
+        Message::Hold { target } => out.set_hold(target.as_str()),
+        Message::Release { target } => out.set_release(target.as_str()),
+        // N.B. `Message` is open to additions; the property test covers every variant.
+        _ => {}
+    }
+}
+
+/// Reads a message.
+pub(crate) fn read(
+    message: wire::hold_message::Reader<'_>,
+) -> Result<Message, DecodeError> {
+    use wire::hold_message::Which;
+    let which = message.which();
+    match which.map_err(|e| DecodeError::number("holds", e))? {
+        Which::None(()) => Err(DecodeError::value("holds", "a message")),
+        Which::Hold(target) => Ok(Message::Hold {
+            target: read_name("target", target)?,
+        }),
+        Which::Release(target) => Ok(Message::Release {
+            target: read_name("target", target)?,
+        }),
+    }
+}
--- a/crates/toucancleat-wire/src/codec/mod.rs
+++ b/crates/toucancleat-wire/src/codec/mod.rs
@@ -5,6 +5,7 @@
 
 mod accounts;
 mod crash_marks;
+mod holds;
 mod membership;
 mod peer;
 mod spread;
--- a/crates/toucancleat-wire/tests/strategy/concerns.rs
+++ b/crates/toucancleat-wire/tests/strategy/concerns.rs
@@ -10,7 +10,7 @@
 };
 use toucancleat_core::prelude::*;
 use toucancleat_core::settings::{Change, Edit, RoutingPolicy, Tree};
-use toucancleat_core::{spread, streams};
+use toucancleat_core::{holds, spread, streams};
 
 use super::name;
 
@@ -139,6 +139,13 @@
     })
 }
 
+pub fn holds() -> impl Strategy<Value = holds::Message> {
+    prop_oneof![
+        name().prop_map(|target| holds::Message::Hold { target }),
+        name().prop_map(|target| holds::Message::Release { target }),
+    ]
+}
+
 fn id() -> impl Strategy<Value = u128> {
     any::<u128>()
 }
--- a/crates/toucancleat-wire/tests/strategy/mod.rs
+++ b/crates/toucancleat-wire/tests/strategy/mod.rs
@@ -53,6 +53,7 @@
         concerns::spread().prop_map(Message::from),
         targets::message().prop_map(Message::from),
         concerns::streams().prop_map(Message::from),
+        concerns::holds().prop_map(Message::from),
         crash_marks::message().prop_map(Message::from),
     ]
 }
