--- a/crates/toucancleat-core/tests/settings/main.rs
+++ b/crates/toucancleat-core/tests/settings/main.rs
@@ -2,6 +2,7 @@
 
 mod edit;
 mod lookup;
+mod page;
 mod parse;
 mod samples;
 mod store;
--- /dev/null
+++ b/crates/toucancleat-core/tests/settings/page.rs
@@ -0,0 +1,72 @@
+//! The operators' page of the values says what the code does.
+
+use std::path::Path;
+
+use serde_json::Value;
+use toucancleat_core::settings::{Effective, Limits, Values};
+
+const UNITS: &[(&str, &str)] = &[
+    ("_per_second", "a second"),
+    ("_ms", "milliseconds"),
+    ("_bytes", "bytes"),
+    ("_tokens", "tokens"),
+    ("_ratio", "share of 1"),
+];
+
+fn unit(name: &str) -> &'static str {
+    let found = UNITS.iter().find(|(suffix, _)| name.ends_with(suffix));
+    found.map_or("", |(_, unit)| unit)
+}
+
+fn range(name: &str, default: &Value) -> String {
+    match (Limits::of(name), default, name) {
+        (Some(limits), ..) => format!("{} to {}", limits.min, limits.max),
+        (None, Value::Bool(_), _) => "`true` or `false`".to_owned(),
+        (None, _, "pool") => "a name in `pools`".to_owned(),
+        (None, _, "delivery") => "`stream` or `whole`".to_owned(),
+        (None, _, "routing_policy") => {
+            "`home_accounts`, `round_robin`, `least_outstanding`, \
+                                        `two_choices` or `reserve_maximum`"
+                .to_owned()
+        }
+        _ => panic!("{name} has no range for the page"),
+    }
+}
+
+fn default(default: &Value) -> String {
+    match default {
+        Value::String(text) if text.is_empty() => "must be set".to_owned(),
+        Value::String(text) => format!("`{text}`"),
+        other => format!("`{other}`"),
+    }
+}
+
+fn table() -> String {
+    let defaults = serde_json::to_value(Effective::default()).expect("values are JSON");
+    let mut table = String::from(
+        "| value | meaning | unit | default | range |\n| --- | --- | --- | --- | --- |\n",
+    );
+    for (name, meaning) in Values::NAMES.iter().zip(Values::MEANINGS) {
+        let value = &defaults[*name];
+        let cells = [
+            format!("`{name}`"),
+            meaning.trim().to_owned(),
+            unit(name).to_owned(),
+            default(value),
+            range(name, value),
+        ];
+        table.push_str(&format!("| {} |\n", cells.join(" | ")));
+    }
+    table
+}
+
+#[test]
+fn values_page() {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    let text = std::fs::read_to_string(page).expect("the page");
+    let table = table();
+    assert!(
+        text.contains(&table),
+        "docs/SETTINGS.md needs this table:\n{table}"
+    );
+}
