--- a/crates/toucancleat-entry/src/config.rs
+++ b/crates/toucancleat-entry/src/config.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use toucancleat_core::prelude::*;
+use toucancleat_core::settings::document;
 
 use crate::error::Error;
 
@@ -91,14 +92,10 @@
     ///
     /// # Errors
     ///
-    /// Returns an error with line and column when the text isn't JSON, and with the name
-    /// of the field when a field is unknown, missing or of the wrong type.
+    /// Returns an error that names all that is wrong, with line and column.
     pub fn parse(text: &str) -> Result<Self, Error> {
-        let value: serde_json::Value =
-            jsonc_parser::parse_to_serde_value(text, &Default::default())
-                .map_err(|error| Error::config(error.to_string()))?;
-        let config: Config = serde_json::from_value(value)
-            .map_err(|error| Error::config(error.to_string()))?;
+        let config: Config = document::read(text)
+            .map_err(|problems| Error::config(problems.to_string()))?;
         config.check()?;
         Ok(config)
     }
--- /dev/null
+++ b/crates/toucancleat-entry/tests/config.rs
@@ -0,0 +1,64 @@
+//! The file of a process: what is accepted, what is told, and where.
+
+use std::path::Path;
+
+use toucancleat_entry::Config;
+
+struct Case {
+    name: &'static str,
+    text: &'static str,
+    expected: &'static [&'static str],
+}
+
+const FAULTY: &[Case] = &[
+    Case {
+        name: "no JSON",
+        text: "{\n  \"host\": ",
+        expected: &["2:"],
+    },
+    Case {
+        name: "a host name for an address, an unknown field",
+        text: r#"{
+  "host": "h", "zone": "z", "peer_key": "p",
+  "callers_address": "localhost:7000",
+  "peers_address": "127.0.0.1:7001", "operators_address": "127.0.0.1:7002",
+  "platform_address": "127.0.0.1:7900",
+  "drain_timeout_s": 900
+}"#,
+        expected: &[
+            "3:22: /callers_address: invalid socket address syntax",
+            "6:3: /drain_timeout_s: unknown field `drain_timeout_s`, expected `drain_timeout_ms`",
+        ],
+    },
+    Case {
+        name: "a missing field",
+        text: r#"{"host": "h", "zone": "z"}"#,
+        expected: &["1:1: missing field `callers_address`"],
+    },
+    Case {
+        name: "an empty key",
+        text: r#"{
+  "host": "h", "zone": "z", "peer_key": "", "cursor_key": "c",
+  "callers_address": "127.0.0.1:7000", "peers_address": "127.0.0.1:7001",
+  "operators_address": "127.0.0.1:7002", "platform_address": "127.0.0.1:7900"
+}"#,
+        expected: &["field peer_key must not be empty"],
+    },
+];
+
+#[test]
+fn the_sample_is_accepted() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../samples/entry.jsonc");
+    let config = Config::read(&path).expect("the sample is sound");
+    assert_eq!(config.zone.as_str(), "upp-a");
+}
+
+#[test]
+fn faults_are_told_with_their_place() {
+    for case in FAULTY {
+        let error = Config::parse(case.text).expect_err(case.name).to_string();
+        for expected in case.expected {
+            assert!(error.contains(expected), "{}: {error}", case.name);
+        }
+    }
+}
