Take a refused connection as proof that nothing was sent

Cause: the library reports a connection that could not be opened as an error of the request, not of the connection, so a refused target counted as one that may have run the request: a booking before two stopped services was told MayHaveRun, no target was ever seen as gone, and nothing was retried that could have been. A call that wants its own connection could also be handed one that became free just then; it now asks for the connection to be closed after the reply.

--- a/crates/toucancleat-entry/src/http/client.rs
+++ b/crates/toucancleat-entry/src/http/client.rs
@@ -6,10 +6,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header::CONNECTION;
 use http::{HeaderName, HeaderValue, Method};
 use http_body_util::{BodyExt, Limited};
 use volo_http::body::Body;
 use volo_http::client::{Client, ClientBuilder};
+use volo_http::error::ClientError;
 use volo_http::error::client::ErrorKind;
 use volo_http::response::Response;
 
@@ -20,6 +22,7 @@
 #[derive(Clone)]
 pub struct HttpClient {
     client: Client,
+    keeps_connections: bool,
 }
 
 /// One call.
@@ -96,7 +99,10 @@
         builder.set_connect_timeout(CONNECT_TIMEOUT);
         builder.set_max_idle_per_host(idle_max);
         let client = builder.build().expect("the client's settings are constant");
-        HttpClient { client }
+        HttpClient {
+            client,
+            keeps_connections: idle_max > 0,
+        }
     }
 
     /// Sends a call and returns the reply when its head has come.
@@ -110,14 +116,19 @@
         for (name, value) in call.headers {
             builder.headers_mut().insert(name, value);
         }
+        if !self.keeps_connections {
+            // N.B. without this the library may hand a connection that becomes free just
+            // now to a call that waits for its own.
+            let close = HeaderValue::from_static("close");
+            builder.headers_mut().insert(CONNECTION, close);
+        }
         let sent = builder.body(Body::from(call.body)).send().await;
         sent.map_err(|error| match error.kind() {
-            ErrorKind::Connect | ErrorKind::Builder if is_refused(&error) => {
-                CallError::Refused(error.to_string())
-            }
+            _ if is_refused(&error) => CallError::Refused(error.to_string()),
             ErrorKind::Connect | ErrorKind::Builder => {
                 CallError::NotSent(error.to_string())
             }
+            _ if has_no_connection(&error) => CallError::NotSent(error.to_string()),
             _ => CallError::NoReply(error.to_string()),
         })
     }
@@ -148,6 +159,16 @@
     }
 }
 
+/// Says whether a connection could not even be opened.
+///
+/// N.B. the library reports that as an error of the request whose direct source is the
+/// system's error; an error on an open connection has the HTTP library's error between.
+fn has_no_connection(error: &ClientError) -> bool {
+    error
+        .source()
+        .is_some_and(|source| source.is::<io::Error>())
+}
+
 /// Looks for a refused connection among an error's sources.
 fn is_refused(error: &(dyn Error + 'static)) -> bool {
     let mut source = Some(error);
