Say MayHaveRun when a stored server error is given again

A replay said Ran for each stored answer, although a 5xx does not prove that the service ran the request.

--- a/crates/toucancleat-entry/src/relay/answer.rs
+++ b/crates/toucancleat-entry/src/relay/answer.rs
@@ -94,6 +94,16 @@
     response
 }
 
+/// Returns what a service's answer proves; a server error does not say whether the
+/// request took effect.
+pub(super) fn verdict_of(status: StatusCode) -> Verdict {
+    if status.is_server_error() {
+        Verdict::MayHaveRun
+    } else {
+        Verdict::Ran
+    }
+}
+
 /// Gives the answer that an earlier request with the same key got.
 pub(super) async fn replay(
     host: &Host,
@@ -117,7 +127,7 @@
     };
     let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
     let content_type = HeaderValue::from_str(&stored.content_type).ok();
-    let mut response = response(status, content_type, Verdict::Ran, body);
+    let mut response = response(status, content_type, verdict_of(status), body);
     response
         .headers_mut()
         .insert(REPLAYED, HeaderValue::from_static("true"));
--- a/crates/toucancleat-entry/src/relay/plain.rs
+++ b/crates/toucancleat-entry/src/relay/plain.rs
@@ -3,10 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use http::StatusCode;
 use toucancleat_core::Dispatch;
 use toucancleat_core::claims::Answer;
-use toucancleat_core::prelude::*;
 use toucancleat_core::requests::{Arrival, LossCause, Outcome};
 
 use super::answer;
@@ -66,7 +64,7 @@
                 })
             });
             let response =
-                answer::response(status, content_type, verdict_of(status), body);
+                answer::response(status, content_type, answer::verdict_of(status), body);
             // N.B. the request ran whether or not its caller still listens.
             let _ = caller.respond(response);
             Outcome::Finished {
@@ -99,12 +97,3 @@
     )
     .await
 }
-
-/// A server error does not say whether the request took effect.
-fn verdict_of(status: StatusCode) -> Verdict {
-    if status.is_server_error() {
-        Verdict::MayHaveRun
-    } else {
-        Verdict::Ran
-    }
-}
