--- a/crates/toucancleat-entry/tests/support/proxied.rs
+++ b/crates/toucancleat-entry/tests/support/proxied.rs
@@ -141,6 +141,22 @@
         runs.sum()
     }
 
+    /// Returns all runs that the services recorded.
+    pub fn service_runs(&self) -> u64 {
+        let services = self.services.iter();
+        services
+            .map(|service| service.standin.records().runs.len() as u64)
+            .sum()
+    }
+
+    /// Returns all requests that arrived at the services.
+    pub fn service_arrivals(&self) -> u64 {
+        let services = self.services.iter();
+        services
+            .map(|service| service.standin.records().arrivals)
+            .sum()
+    }
+
     fn proxies(&self) -> impl Iterator<Item = &FaultProxy> {
         let engines = self.engines.iter().map(|engine| &engine.proxy);
         let services = self.services.iter().map(|service| &service.proxy);
--- a/crates/toucancleat-standin/src/service.rs
+++ b/crates/toucancleat-standin/src/service.rs
@@ -110,6 +110,8 @@
     pub fail_before_run: u32,
     /// Runs the next requests and closes their connections without a reply.
     pub fail_after_run: u32,
+    /// Replies 500 to the next requests without running them.
+    pub error_before_run: u32,
     /// Runs the next requests and replies 500.
     pub error_after_run: u32,
     /// Refuses every request as not run.
@@ -245,6 +247,12 @@
     if let Some(reply) = before_run(&shared, &body).await {
         return reply;
     }
+    // A run that has begun goes on when its caller leaves, as it would in a service.
+    let running = tokio::spawn(run_to_end(shared, run));
+    running.await.unwrap_or_else(|_| reply::dropped())
+}
+
+async fn run_to_end(shared: Arc<Shared>, run: RunRecord) -> Response {
     let delay_ms = shared.config.run_ms + shared.state().faults.slow_ms;
     if delay_ms > 0 {
         tokio::time::sleep(Duration::from_millis(delay_ms)).await;
@@ -287,6 +295,9 @@
         if take(&mut faults.fail_before_run) {
             return Some(reply::dropped());
         }
+        if take(&mut faults.error_before_run) {
+            return Some(reply::empty(StatusCode::INTERNAL_SERVER_ERROR));
+        }
         faults.stall
     };
     if stall {
--- a/crates/toucancleat-standin/tests/service.rs
+++ b/crates/toucancleat-standin/tests/service.rs
@@ -42,6 +42,12 @@
             status: None,
             runs: 1,
         },
+        Case {
+            name: "error before the run",
+            set: |faults| faults.error_before_run = 1,
+            status: Some(500),
+            runs: 0,
+        },
         Case {
             name: "error after the run",
             set: |faults| faults.error_after_run = 1,
