--- a/crates/toucancleat-entry/src/engine.rs
+++ b/crates/toucancleat-entry/src/engine.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -10,6 +13,7 @@
 use http_body::{Body as HttpBody, Frame, SizeHint};
 use http_body_util::{BodyExt, Limited};
 use serde::Deserialize;
+use tokio::time::Instant;
 use toucancleat_core::accounts;
 use toucancleat_core::observation::Observation;
 use toucancleat_core::prelude::*;
@@ -77,9 +81,17 @@
 #[derive(Debug)]
 pub struct EngineStream {
     reader: EventReader,
+    heard: Heard,
 }
 
-struct EventReader(SseReader<BoundedEvents<volo_http::body::Body>>);
+/// When the last byte of a stream came, as the body that reads it notes.
+#[derive(Clone, Debug)]
+struct Heard {
+    since: Instant,
+    after_ms: Arc<AtomicU64>,
+}
+
+struct EventReader(Box<SseReader<BoundedEvents<volo_http::body::Body>>>);
 
 impl std::fmt::Debug for EventReader {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
@@ -136,7 +148,30 @@
     pub state: String,
 }
 
+impl Heard {
+    fn now() -> Self {
+        Heard {
+            since: Instant::now(),
+            after_ms: Arc::new(AtomicU64::new(0)),
+        }
+    }
+
+    fn note(&self) {
+        let after_ms = self.since.elapsed().as_millis() as u64;
+        self.after_ms.store(after_ms, Ordering::Relaxed);
+    }
+
+    fn last(&self) -> Instant {
+        self.since + Duration::from_millis(self.after_ms.load(Ordering::Relaxed))
+    }
+}
+
 impl EngineStream {
+    /// Returns when the last byte came, be it of a token or of a comment.
+    pub fn last_byte(&self) -> Instant {
+        self.heard.last()
+    }
+
     /// Waits for the next event.
     pub async fn next(&mut self) -> EngineEvent {
         loop {
@@ -318,13 +353,16 @@
 }
 
 fn read_stream(response: Response) -> Start {
+    let heard = Heard::now();
     let bounded = response.map(|body| BoundedEvents {
         body,
+        heard: heard.clone(),
         since_event_bytes: 0,
     });
     match SseReader::into_sse(bounded) {
         Ok(reader) => Start::Streaming(EngineStream {
-            reader: EventReader(reader),
+            reader: EventReader(Box::new(reader)),
+            heard,
         }),
         Err(error) => Start::Unknown {
             detail: error.to_string(),
@@ -356,6 +394,7 @@
 /// line would otherwise take all memory.
 struct BoundedEvents<B> {
     body: B,
+    heard: Heard,
     since_event_bytes: usize,
 }
 
@@ -396,7 +435,10 @@
             Poll::Ready(Some(Ok(frame))) => frame,
         };
         let counted = match frame.data_ref() {
-            Some(data) => self.count(data),
+            Some(data) => {
+                self.heard.note();
+                self.count(data)
+            }
             None => Ok(()),
         };
         Poll::Ready(Some(counted.map(|()| frame).map_err(BoxError::from)))
--- a/crates/toucancleat-entry/src/relay/stream.rs
+++ b/crates/toucancleat-entry/src/relay/stream.rs
@@ -144,7 +144,7 @@
     /// Relays tokens until the answer is whole or lost.
     pub(super) async fn relay(&mut self, mut reader: EngineStream) -> Outcome {
         loop {
-            let until = self.silence_deadline();
+            let until = self.silence_deadline(Some(&reader));
             // N.B. a claimed request goes on without its caller, who will ask for the answer
             // by its key.
             let stays = self.context.arrival.needs_claim();
@@ -154,6 +154,10 @@
             };
             let next = match event {
                 Ok(event) => self.take(event).await,
+                // Comments came meanwhile, so the link is alive.
+                Err(_) if self.silence_deadline(Some(&reader)) > Instant::now() => {
+                    Next::Read
+                }
                 Err(_) if Instant::now() >= self.deadline => {
                     Next::Over(self.lost(LossCause::TimedOut))
                 }
@@ -354,7 +358,7 @@
         self.resumed = Instant::now();
         let resumed = tokio::select! {
             resumed = timeout_at(
-                self.silence_deadline(),
+                self.silence_deadline(None),
                 engine::resume(&host.fresh, self.context.address, self.generation, from_index),
             ) => resumed.ok().flatten(),
             () = self.caller.gone(), if !self.context.arrival.needs_claim() => None,
@@ -409,20 +413,19 @@
         effects
     }
 
-    pub(super) fn first_token_deadline(&self) -> Instant {
-        let timeout_ms = self.context.arrival.values.first_token_timeout_ms;
-        self.deadline
-            .min(self.heard + Duration::from_millis(timeout_ms))
-    }
-
-    fn silence_deadline(&self) -> Instant {
-        if self.guard.next_index() == 0 {
-            return self.first_token_deadline();
-        }
-        let timeout_ms = self.context.arrival.values.stall_timeout_ms;
-        let silent_since = self.heard.max(self.resumed);
-        self.deadline
-            .min(silent_since + Duration::from_millis(timeout_ms))
+    /// Returns when the present silence is too long: of tokens, or of the link itself.
+    ///
+    /// An engine that has nothing to say yet still sends comments, so that a link without
+    /// a byte for the stall timeout is broken however long the first token may take.
+    pub(super) fn silence_deadline(&self, reader: Option<&EngineStream>) -> Instant {
+        let values = &self.context.arrival.values;
+        let stall_timeout = Duration::from_millis(values.stall_timeout_ms);
+        let token_timeout = Duration::from_millis(values.first_token_timeout_ms);
+        let asked = self.heard.max(self.resumed);
+        let byte = reader.map_or(asked, |reader| asked.max(reader.last_byte()));
+        let silent_link = byte + stall_timeout;
+        let silent_target = self.heard.max(self.resumed) + token_timeout;
+        self.deadline.min(silent_link).min(silent_target)
     }
 
     /// Tells the accounts how far the generation has come, now and then.
--- a/crates/toucancleat-load/src/engines.rs
+++ b/crates/toucancleat-load/src/engines.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use toucancleat_core::accounts::{LoadReport, TargetSpec};
 use toucancleat_core::prelude::*;
+use toucancleat_standin::model::ModelConfig;
 use toucancleat_standin::{Engine, EngineConfig};
 use volo_http::client::Client;
 use volo_http::http::Method;
@@ -96,8 +97,18 @@
 }
 
 fn config(spec: &Spec) -> EngineConfig {
+    let defaults = ModelConfig::default();
+    let block_tokens = u64::from(defaults.block_tokens);
+    let blocks_total = spec.engines.memory_tokens / block_tokens;
     EngineConfig {
-        step_ms: spec.engines.step_base_ms / spec.time_scale,
+        time_scale: spec.time_scale,
+        model: ModelConfig {
+            blocks_total: u32::try_from(blocks_total).unwrap_or(u32::MAX),
+            max_batch: spec.engines.max_batch,
+            step_base_ms: spec.engines.step_base_ms,
+            step_per_sequence_ms: spec.engines.step_sequence_ms,
+            ..defaults
+        },
         ..EngineConfig::default()
     }
 }
