--- a/crates/toucancleat-model/src/lib.rs
+++ b/crates/toucancleat-model/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod claims;
 pub mod delivery;
 mod explore;
+pub mod settings;
 
 pub use self::explore::{Counterexample, Exploration, explore, walk};
