Add limits of organisations, lent by homes and never exceeded in sum

Each zone has a fixed part of a limit. The organisation's home in the zone lends it to the hosts for short terms that the lender always counts longer than the borrower, and zones lend to each other in the same way. A new home lends no more than it knows to be held, until every host has said what it holds or the longest term has passed.

--- a/crates/toucancleat-core/src/homes.rs
+++ b/crates/toucancleat-core/src/homes.rs
@@ -123,7 +123,13 @@
         moved
     }
 
-    fn work_out(&self, key: &HomeKey) -> Option<HostName> {
+    /// Forgets the remembered homes, which are only worth their memory while in use.
+    pub(crate) fn forget_cached(&mut self) {
+        self.cached = IndexMap::new();
+    }
+
+    /// Works a home out without remembering it.
+    pub(crate) fn work_out(&self, key: &HomeKey) -> Option<HostName> {
         let key_hash = key.hash();
         let weight = |(host_hash, name): &&(u64, HostName)| {
             (mix64(key_hash ^ host_hash), (*name).clone())
--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod homes;
 pub mod ids;
 pub mod lengths;
+pub mod limits;
 pub mod membership;
 pub mod peer;
 pub mod prelude;
