--- a/crates/toucancleat-core/src/peer.rs
+++ b/crates/toucancleat-core/src/peer.rs
@@ -1,8 +1,7 @@
 //! What entry hosts say to each other, over all concerns.
 
-use crate::accounts;
 use crate::prelude::*;
-use crate::{crash_marks, membership, targets};
+use crate::{accounts, crash_marks, membership, spread, streams, targets};
 
 /// A one-way message from one entry host to another.
 ///
@@ -13,12 +12,16 @@
 pub enum Message {
     /// Who lives.
     Membership(membership::Message),
+    /// Reservations at the homes of targets, and how they go on.
+    Accounts(accounts::Message),
+    /// Settings on their way to every host.
+    Spread(spread::Message),
     /// Which targets may take new work.
     Targets(targets::Message),
-    /// Which requests crash targets.
+    /// Requests that crash targets.
     CrashMarks(crash_marks::Message),
-    /// Reservations at the homes of targets, and how they go on.
-    Accounts(accounts::Message),
+    /// Streams that came back at another host.
+    Streams(streams::Message),
 }
 
 /// A message with its sender, as it travels.
@@ -35,17 +38,20 @@
 }
 
 macro_rules! from_concern {
-    ($($concern:ident => $variant:ident,)*) => {$(
-        impl From<$concern::Message> for Message {
+    ($($concern:ident => $variant:ident,)*) => {
+        $(impl From<$concern::Message> for Message {
             fn from(message: $concern::Message) -> Self {
                 Message::$variant(message)
             }
-        }
-    )*};
+        })*
+    };
 }
 
 from_concern! {
     membership => Membership,
+    accounts => Accounts,
+    spread => Spread,
     targets => Targets,
     crash_marks => CrashMarks,
+    streams => Streams,
 }
--- a/crates/toucancleat-wire/schema/peer.capnp
+++ b/crates/toucancleat-wire/schema/peer.capnp
@@ -2,8 +2,11 @@
 
 # What entry hosts say to each other.
 
+using Accounts = import "accounts.capnp";
 using CrashMarks = import "crash_marks.capnp";
 using Membership = import "membership.capnp";
+using Spread = import "spread.capnp";
+using Streams = import "streams.capnp";
 using Targets = import "targets.capnp";
 
 struct Envelope {
@@ -16,6 +19,9 @@
     membership @4 :Membership.Message;
     targets @5 :Targets.Message;
     crashMarks @6 :CrashMarks.Message;
+    accounts @7 :Accounts.Message;
+    spread @8 :Spread.Message;
+    streams @9 :Streams.Message;
   }
 }
 
--- a/crates/toucancleat-wire/tests/strategy/mod.rs
+++ b/crates/toucancleat-wire/tests/strategy/mod.rs
@@ -1,5 +1,6 @@
 //! Arbitrary messages of every concern.
 
+mod concerns;
 mod crash_marks;
 mod membership;
 mod targets;
@@ -48,7 +49,10 @@
 fn message() -> impl Strategy<Value = Message> {
     prop_oneof![
         membership::message().prop_map(Message::from),
+        concerns::accounts().prop_map(Message::from),
+        concerns::spread().prop_map(Message::from),
         targets::message().prop_map(Message::from),
+        concerns::streams().prop_map(Message::from),
         crash_marks::message().prop_map(Message::from),
     ]
 }
