--- a/crates/toucancleat-core/src/peer.rs
+++ b/crates/toucancleat-core/src/peer.rs
@@ -1,7 +1,7 @@
 //! What entry hosts say to each other, over all concerns.
 
 use crate::prelude::*;
-use crate::{accounts, crash_marks, membership, spread, streams, targets};
+use crate::{accounts, crash_marks, limits, membership, spread, streams, targets};
 
 /// A one-way message from one entry host to another.
 ///
@@ -22,6 +22,8 @@
     CrashMarks(crash_marks::Message),
     /// Streams that came back at another host.
     Streams(streams::Message),
+    /// What may run of each organisation.
+    Limits(limits::Message),
 }
 
 /// A message with its sender, as it travels.
@@ -54,4 +56,5 @@
     targets => Targets,
     crash_marks => CrashMarks,
     streams => Streams,
+    limits => Limits,
 }
--- a/crates/toucancleat-core/src/reduce/peers.rs
+++ b/crates/toucancleat-core/src/reduce/peers.rs
@@ -68,6 +68,9 @@
             let event = crate::streams::Event::Received { message };
             streams::apply(state, now_ms, event, effects);
         }
+        // N.B. Hosts don't lend shares of limits to each other yet; the concern bears the
+        // loss of a message.
+        Message::Limits(_) => {}
     }
 }
 
--- /dev/null
+++ b/crates/toucancleat-wire/schema/limits.capnp
@@ -0,0 +1,71 @@
+@0xe4d72d8a249bc8b0;
+
+# Limits of organisations; see toucancleat-core's limits module.
+
+struct Share {
+  millirequestsPerS @0 :UInt64;
+  concurrent @1 :UInt32;
+}
+
+struct Held {
+  organisation @0 :Text;
+  share @1 :Share;
+  remainingMs @2 :UInt64;
+  inUse @3 :UInt32;
+}
+
+struct Ask {
+  startedMs @0 :UInt64;
+  sequence @1 :UInt64;
+  holdsSequence @2 :UInt64;
+  # Names the organisation for the whole question.
+  held @3 :Held;
+  wanted @4 :Share;
+  waiting @5 :UInt32;
+}
+
+struct Grant {
+  organisation @0 :Text;
+  sequence @1 :UInt64;
+  share @2 :Share;
+  termMs @3 :UInt64;
+  tokensMillirequests @4 :UInt64;
+}
+
+struct Holdings {
+  view @0 :UInt64;
+  startedMs @1 :UInt64;
+  held @2 :List(Held);
+}
+
+struct LoanAsk {
+  organisation @0 :Text;
+  borrower @1 :Text;
+  lender @2 :Text;
+  loan @3 :UInt64;
+  sequence @4 :UInt64;
+  wanted @5 :Share;
+  hops @6 :UInt8;
+}
+
+struct LoanGrant {
+  organisation @0 :Text;
+  lender @1 :Text;
+  loan @2 :UInt64;
+  sequence @3 :UInt64;
+  share @4 :Share;
+  termMs @5 :UInt64;
+  hops @6 :UInt8;
+}
+
+struct Message {
+  union {
+    ask @0 :Ask;
+    grant @1 :Grant;
+    # Digest of the sender's live hosts.
+    query @2 :UInt64;
+    holdings @3 :Holdings;
+    loanAsk @4 :LoanAsk;
+    loanGrant @5 :LoanGrant;
+  }
+}
--- a/crates/toucancleat-wire/schema/peer.capnp
+++ b/crates/toucancleat-wire/schema/peer.capnp
@@ -4,6 +4,7 @@
 
 using Accounts = import "accounts.capnp";
 using CrashMarks = import "crash_marks.capnp";
+using Limits = import "limits.capnp";
 using Membership = import "membership.capnp";
 using Spread = import "spread.capnp";
 using Streams = import "streams.capnp";
@@ -22,6 +23,7 @@
     accounts @7 :Accounts.Message;
     spread @8 :Spread.Message;
     streams @9 :Streams.Message;
+    limits @10 :Limits.Message;
   }
 }
 
--- /dev/null
+++ b/crates/toucancleat-wire/src/codec/limits.rs
@@ -0,0 +1,170 @@
+//! Messages about limits.
+
+use toucancleat_core::limits::{Ask, Grant, Held, LoanAsk, LoanGrant, Message, Share};
+
+use super::value::{read_list, read_name};
+use crate::error::DecodeError;
+use crate::limits_capnp as wire;
+
+/// Writes a message.
+pub(crate) fn write(message: &Message, mut out: wire::message::Builder<'_>) {
+    match message {
+        Message::Ask(ask) => write_ask(ask, out.init_ask()),
+        Message::Grant(grant) => write_grant(grant, out.init_grant()),
+        Message::Query { view } => out.set_query(*view),
+        Message::Holdings {
+            view,
+            started_ms,
+            held,
+        } => {
+            let mut out = out.init_holdings();
+            out.set_view(*view);
+            out.set_started_ms(*started_ms);
+            let mut list = out.init_held(held.len() as u32);
+            for (i, held) in held.iter().enumerate() {
+                write_held(held, list.reborrow().get(i as u32));
+            }
+        }
+        Message::LoanAsk(ask) => write_loan_ask(ask, out.init_loan_ask()),
+        Message::LoanGrant(grant) => write_loan_grant(grant, out.init_loan_grant()),
+        // N.B. `Message` is open to additions; the property test covers every variant.
+        _ => {}
+    }
+}
+
+/// Reads a message.
+pub(crate) fn read(message: wire::message::Reader<'_>) -> Result<Message, DecodeError> {
+    use wire::message::Which;
+    let which = message
+        .which()
+        .map_err(|e| DecodeError::number("limits", e))?;
+    Ok(match which {
+        Which::Ask(ask) => Message::Ask(read_ask(ask?)?),
+        Which::Grant(grant) => Message::Grant(read_grant(grant?)?),
+        Which::Query(view) => Message::Query { view },
+        Which::Holdings(holdings) => {
+            let holdings = holdings?;
+            Message::Holdings {
+                view: holdings.get_view(),
+                started_ms: holdings.get_started_ms(),
+                held: read_list("held", holdings.get_held()?.iter(), read_held)?,
+            }
+        }
+        Which::LoanAsk(ask) => Message::LoanAsk(read_loan_ask(ask?)?),
+        Which::LoanGrant(grant) => Message::LoanGrant(read_loan_grant(grant?)?),
+    })
+}
+
+fn write_ask(ask: &Ask, mut out: wire::ask::Builder<'_>) {
+    out.set_started_ms(ask.started_ms);
+    out.set_sequence(ask.sequence);
+    out.set_holds_sequence(ask.holds_sequence);
+    out.set_waiting(ask.waiting);
+    write_held(&ask.held, out.reborrow().init_held());
+    write_share(ask.wanted, out.init_wanted());
+}
+
+fn read_ask(ask: wire::ask::Reader<'_>) -> Result<Ask, DecodeError> {
+    let held = read_held(ask.get_held()?)?;
+    Ok(Ask {
+        organisation: held.organisation.clone(),
+        started_ms: ask.get_started_ms(),
+        sequence: ask.get_sequence(),
+        holds_sequence: ask.get_holds_sequence(),
+        held,
+        wanted: read_share(ask.get_wanted()?),
+        waiting: ask.get_waiting(),
+    })
+}
+
+fn write_grant(grant: &Grant, mut out: wire::grant::Builder<'_>) {
+    out.set_organisation(grant.organisation.as_str());
+    out.set_sequence(grant.sequence);
+    out.set_term_ms(grant.term_ms);
+    out.set_tokens_millirequests(grant.tokens_millirequests);
+    write_share(grant.share, out.init_share());
+}
+
+fn read_grant(grant: wire::grant::Reader<'_>) -> Result<Grant, DecodeError> {
+    Ok(Grant {
+        organisation: read_name("organisation", grant.get_organisation())?,
+        sequence: grant.get_sequence(),
+        share: read_share(grant.get_share()?),
+        term_ms: grant.get_term_ms(),
+        tokens_millirequests: grant.get_tokens_millirequests(),
+    })
+}
+
+fn write_held(held: &Held, mut out: wire::held::Builder<'_>) {
+    out.set_organisation(held.organisation.as_str());
+    out.set_remaining_ms(held.remaining_ms);
+    out.set_in_use(held.in_use);
+    write_share(held.share, out.init_share());
+}
+
+fn read_held(held: wire::held::Reader<'_>) -> Result<Held, DecodeError> {
+    Ok(Held {
+        organisation: read_name("organisation", held.get_organisation())?,
+        share: read_share(held.get_share()?),
+        remaining_ms: held.get_remaining_ms(),
+        in_use: held.get_in_use(),
+    })
+}
+
+fn write_loan_ask(ask: &LoanAsk, mut out: wire::loan_ask::Builder<'_>) {
+    out.set_organisation(ask.organisation.as_str());
+    out.set_borrower(ask.borrower.as_str());
+    out.set_lender(ask.lender.as_str());
+    out.set_loan(ask.loan);
+    out.set_sequence(ask.sequence);
+    out.set_hops(ask.hops);
+    write_share(ask.wanted, out.init_wanted());
+}
+
+fn read_loan_ask(ask: wire::loan_ask::Reader<'_>) -> Result<LoanAsk, DecodeError> {
+    Ok(LoanAsk {
+        organisation: read_name("organisation", ask.get_organisation())?,
+        borrower: read_name("borrower", ask.get_borrower())?,
+        lender: read_name("lender", ask.get_lender())?,
+        loan: ask.get_loan(),
+        sequence: ask.get_sequence(),
+        wanted: read_share(ask.get_wanted()?),
+        hops: ask.get_hops(),
+    })
+}
+
+fn write_loan_grant(grant: &LoanGrant, mut out: wire::loan_grant::Builder<'_>) {
+    out.set_organisation(grant.organisation.as_str());
+    out.set_lender(grant.lender.as_str());
+    out.set_loan(grant.loan);
+    out.set_sequence(grant.sequence);
+    out.set_term_ms(grant.term_ms);
+    out.set_hops(grant.hops);
+    write_share(grant.share, out.init_share());
+}
+
+fn read_loan_grant(
+    grant: wire::loan_grant::Reader<'_>,
+) -> Result<LoanGrant, DecodeError> {
+    Ok(LoanGrant {
+        organisation: read_name("organisation", grant.get_organisation())?,
+        lender: read_name("lender", grant.get_lender())?,
+        loan: grant.get_loan(),
+        sequence: grant.get_sequence(),
+        share: read_share(grant.get_share()?),
+        term_ms: grant.get_term_ms(),
+        hops: grant.get_hops(),
+    })
+}
+
+fn write_share(share: Share, mut out: wire::share::Builder<'_>) {
+    out.set_millirequests_per_s(share.millirequests_per_s);
+    out.set_concurrent(share.concurrent);
+}
+
+fn read_share(share: wire::share::Reader<'_>) -> Share {
+    Share {
+        millirequests_per_s: share.get_millirequests_per_s(),
+        concurrent: share.get_concurrent(),
+    }
+}
--- a/crates/toucancleat-wire/src/codec/mod.rs
+++ b/crates/toucancleat-wire/src/codec/mod.rs
@@ -5,6 +5,7 @@
 
 mod accounts;
 mod crash_marks;
+mod limits;
 mod membership;
 mod peer;
 mod spread;
--- a/crates/toucancleat-wire/src/codec/peer.rs
+++ b/crates/toucancleat-wire/src/codec/peer.rs
@@ -4,7 +4,7 @@
 use toucancleat_core::prelude::*;
 
 use super::value::{read_list, read_name};
-use super::{accounts, crash_marks, membership, spread, streams, targets};
+use super::{accounts, crash_marks, limits, membership, spread, streams, targets};
 use crate::error::DecodeError;
 use crate::peer_capnp::{batch, envelope};
 
@@ -45,6 +45,9 @@
         Message::Streams(message) => {
             streams::write(message, out.reborrow().init_streams());
         }
+        Message::Limits(message) => {
+            limits::write(message, out.reborrow().init_limits());
+        }
         // N.B. `Message` is open to additions; one without an encoding goes out as `none`
         // and is refused by its receiver. The property test covers every variant.
         _ => out.set_none(()),
@@ -72,6 +75,7 @@
         Which::Streams(message) => Ok(streams::read(message?)?.into()),
         Which::Spread(message) => Ok(spread::read(message?)?.into()),
         Which::Targets(message) => Ok(targets::read(message?)?.into()),
+        Which::Limits(message) => Ok(limits::read(message?)?.into()),
         Which::CrashMarks(message) => Ok(crash_marks::read(message?)?.into()),
     }
 }
--- a/crates/toucancleat-wire/src/lib.rs
+++ b/crates/toucancleat-wire/src/lib.rs
@@ -21,6 +21,7 @@
 generated! {
     accounts_capnp = "generated/accounts_capnp.rs",
     crash_marks_capnp = "generated/crash_marks_capnp.rs",
+    limits_capnp = "generated/limits_capnp.rs",
     membership_capnp = "generated/membership_capnp.rs",
     peer_capnp = "generated/peer_capnp.rs",
     spread_capnp = "generated/spread_capnp.rs",
--- /dev/null
+++ b/crates/toucancleat-wire/tests/strategy/limits.rs
@@ -0,0 +1,106 @@
+//! Arbitrary messages about limits.
+
+use proptest::prelude::*;
+use toucancleat_core::limits::{Ask, Grant, Held, LoanAsk, LoanGrant, Message, Share};
+
+use super::name;
+
+pub fn message() -> impl Strategy<Value = Message> {
+    let holdings = (
+        any::<u64>(),
+        any::<u64>(),
+        prop::collection::vec(held(), 0..4),
+    );
+    prop_oneof![
+        ask().prop_map(Message::Ask),
+        grant().prop_map(Message::Grant),
+        any::<u64>().prop_map(|view| Message::Query { view }),
+        holdings.prop_map(|(view, started_ms, held)| Message::Holdings {
+            view,
+            started_ms,
+            held
+        }),
+        loan_ask().prop_map(Message::LoanAsk),
+        loan_grant().prop_map(Message::LoanGrant),
+    ]
+}
+
+fn share() -> impl Strategy<Value = Share> {
+    (any::<u64>(), any::<u32>()).prop_map(|(millirequests_per_s, concurrent)| Share {
+        millirequests_per_s,
+        concurrent,
+    })
+}
+
+fn held() -> impl Strategy<Value = Held> {
+    (name(), share(), any::<u64>(), any::<u32>()).prop_map(
+        |(organisation, share, remaining_ms, in_use)| Held {
+            organisation,
+            share,
+            remaining_ms,
+            in_use,
+        },
+    )
+}
+
+fn ask() -> impl Strategy<Value = Ask> {
+    (any::<[u64; 3]>(), held(), share(), any::<u32>()).prop_map(
+        |([started_ms, sequence, holds_sequence], held, wanted, waiting)| Ask {
+            organisation: held.organisation.clone(),
+            started_ms,
+            sequence,
+            holds_sequence,
+            held,
+            wanted,
+            waiting,
+        },
+    )
+}
+
+fn grant() -> impl Strategy<Value = Grant> {
+    (name(), any::<[u64; 3]>(), share()).prop_map(
+        |(organisation, [sequence, term_ms, tokens_millirequests], share)| Grant {
+            organisation,
+            sequence,
+            share,
+            term_ms,
+            tokens_millirequests,
+        },
+    )
+}
+
+fn loan_ask() -> impl Strategy<Value = LoanAsk> {
+    (
+        name(),
+        name(),
+        name(),
+        any::<[u64; 2]>(),
+        share(),
+        any::<u8>(),
+    )
+        .prop_map(
+            |(organisation, borrower, lender, [loan, sequence], wanted, hops)| LoanAsk {
+                organisation,
+                borrower,
+                lender,
+                loan,
+                sequence,
+                wanted,
+                hops,
+            },
+        )
+}
+
+fn loan_grant() -> impl Strategy<Value = LoanGrant> {
+    (name(), name(), any::<[u64; 3]>(), share(), any::<u8>()).prop_map(
+        |(organisation, lender, [loan, sequence, term_ms], share, hops)| LoanGrant {
+            organisation,
+            lender,
+            loan,
+            sequence,
+            share,
+            term_ms,
+            hops,
+        },
+    )
+}
--- a/crates/toucancleat-wire/tests/strategy/mod.rs
+++ b/crates/toucancleat-wire/tests/strategy/mod.rs
@@ -2,6 +2,7 @@
 
 mod concerns;
 mod crash_marks;
+mod limits;
 mod membership;
 mod targets;
 
@@ -54,5 +55,6 @@
         targets::message().prop_map(Message::from),
         concerns::streams().prop_map(Message::from),
         crash_marks::message().prop_map(Message::from),
+        limits::message().prop_map(Message::from),
     ]
 }
