Give idle shares back, and prove each guard of the limits

A host that merely runs requests of an organisation asks no more for it, and gives its share back when none runs: before, each organisation seen in the last 30 s cost a question every 3 s, about 100 a second at 10 requests a second for distinct organisations, and a share that had lapsed kept its concurrent requests reserved for the longest answer. Wishes end with the term of a grant, so that a silent host's fair part is free at once.

Shown failing first, one guard taken out at a time: the term from the question, requests that go on after a grant's end, beginning again after a pause and after being declared dead, answers of an earlier home, what is lent to zones, hosts that are missing, and the part for live hosts. Ruled out: checking the sender of a grant beside forgetting the questions; the second alone holds, so the first was taken out.

--- a/crates/toucancleat-core/src/limits/holder.rs
+++ b/crates/toucancleat-core/src/limits/holder.rs
@@ -25,6 +25,8 @@
     next_sequence: u64,
     next_ask_ms: u64,
     last_ask_ms: u64,
+    /// Whether the home has yet to hear that this host now holds less.
+    confirms: bool,
     /// Requests in progress.
     in_use: u32,
     tokens_millirequests: u64,
@@ -58,6 +60,7 @@
             next_sequence: now_ms.max(1),
             next_ask_ms: 0,
             last_ask_ms: 0,
+            confirms: false,
             in_use: 0,
             tokens_millirequests: 0,
             refilled_ms: now_ms,
@@ -88,12 +91,33 @@
         }
     }
 
-    /// Says whether nothing is held, runs or is wanted any more.
-    pub(super) fn is_idle(&self, config: &Config, now_ms: u64) -> bool {
+    /// Says whether the share is no longer needed and may be given back.
+    pub(super) fn release_is_due(&self, config: &Config, now_ms: u64) -> bool {
         self.in_use == 0
             && self.waiting.is_empty()
-            && now_ms >= self.expires_ms
-            && now_ms >= self.demand.last_arrival_ms + config.idle_ms
+            && now_ms >= self.demand.last_arrival_ms + config.release_ms
+    }
+
+    /// Gives the share back: the last word to the home, after which nothing may be used.
+    pub(super) fn release(
+        &mut self,
+        organisation: &OrganisationName,
+        started_ms: u64,
+        now_ms: u64,
+    ) -> Ask {
+        self.asked.clear();
+        self.share = Share::NONE;
+        self.expires_ms = now_ms;
+        Ask {
+            organisation: organisation.clone(),
+            started_ms,
+            sequence: self.next_sequence,
+            // N.B. It holds nothing of any earlier question.
+            holds_sequence: self.next_sequence,
+            held: self.held(organisation, now_ms),
+            wanted: Share::NONE,
+            waiting: 0,
+        }
     }
 
     /// Admits a request, refuses it, or lets it wait for the home's answer; returns
@@ -126,9 +150,12 @@
     }
 
     /// Says whether the home is to be asked again by now.
-    pub(super) fn ask_is_due(&self, config: &Config, now_ms: u64) -> bool {
-        let lately = now_ms < self.demand.last_arrival_ms + config.idle_ms;
-        let needed = lately || self.in_use > 0 || !self.waiting.is_empty();
+    ///
+    /// Only new requests need a share, so that a host asks no more for an organisation
+    /// whose requests merely go on.
+    pub(super) fn ask_is_due(&self, now_ms: u64) -> bool {
+        let arrived = self.demand.last_arrival_ms > self.last_ask_ms;
+        let needed = arrived || self.confirms || !self.waiting.is_empty();
         needed && now_ms >= self.next_ask_ms
     }
 
@@ -147,6 +174,7 @@
             self.asked.pop_front();
         }
         self.last_ask_ms = now_ms;
+        self.confirms = false;
         self.next_ask_ms = now_ms + config.renew_ms;
         Ask {
             organisation: organisation.clone(),
@@ -159,7 +187,8 @@
         }
     }
 
-    /// Forgets the questions that were asked, so that no late answer to them counts.
+    /// Forgets the questions that were asked when the home has changed: a late answer of
+    /// the earlier home would rest on a right that may have ended.
     pub(super) fn forget_asked(&mut self) {
         self.asked.clear();
         self.next_ask_ms = 0;
@@ -197,6 +226,7 @@
         self.cap_tokens(config);
         if before.saturating_sub(grant.share) != Share::NONE {
             // N.B. The home can't lend out what this host gave up before it hears so.
+            self.confirms = true;
             self.next_ask_ms = now_ms + config.ask_gap_ms;
         }
         self.answer_waiting(config, now_ms, effects);
--- a/crates/toucancleat-core/src/limits/home.rs
+++ b/crates/toucancleat-core/src/limits/home.rs
@@ -63,6 +63,9 @@
         {
             return None;
         }
+        if ask.wanted == Share::NONE {
+            return None;
+        }
         let pool = self.pool(now_ms, organisation);
         let account = &mut self.accounts[organisation];
         account.last_asked_ms = now_ms;
--- a/crates/toucancleat-core/src/limits/ledger.rs
+++ b/crates/toucancleat-core/src/limits/ledger.rs
@@ -50,7 +50,7 @@
             .grants
             .retain(|lent| lent.sequence >= ask.holds_sequence);
         borrower.wanted = ask.wanted;
-        borrower.wanted_until_ms = now_ms + 2 * config.term_ms;
+        borrower.wanted_until_ms = now_ms + config.term_ms;
         true
     }
 
--- a/crates/toucancleat-core/src/limits/mod.rs
+++ b/crates/toucancleat-core/src/limits/mod.rs
@@ -62,7 +62,9 @@
     pub query_interval_ms: u64,
     /// Most requests of one organisation that wait for the home's answer.
     pub waiting_max: usize,
-    /// Time after the last request when a host asks no more.
+    /// Time after the last request when a host gives its share back.
+    pub release_ms: u64,
+    /// Time after the last question when a home forgets an organisation.
     pub idle_ms: u64,
     /// Silence that shows that this host was paused.
     pub pause_ms: u64,
@@ -85,6 +87,7 @@
             ask_gap_ms: 20,
             query_interval_ms: 500,
             waiting_max: 256,
+            release_ms: 2_000,
             idle_ms: 30_000,
             pause_ms: 1_500,
         }
@@ -215,21 +218,15 @@
     }
 
     fn tick(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
-        let config = self.config.clone();
         for holding in self.holdings.values_mut() {
             holding.expire_waiting(now_ms, effects);
         }
-        self.holdings
-            .retain(|_, holding| !holding.is_idle(&config, now_ms));
-        let due = |(_, holding): &(&OrganisationName, &Holding)| {
-            holding.ask_is_due(&config, now_ms)
-        };
-        let due: Vec<OrganisationName> = self
+        self.release_idle(now_ms, effects);
+        let due = self
             .holdings
             .iter()
-            .filter(due)
-            .map(|(name, _)| name.clone())
-            .collect();
+            .filter(|(_, holding)| holding.ask_is_due(now_ms));
+        let due: Vec<OrganisationName> = due.map(|(name, _)| name.clone()).collect();
         for organisation in due {
             self.ask(now_ms, &organisation, effects);
         }
@@ -254,6 +251,32 @@
         }
     }
 
+    /// Gives back the shares of organisations without requests.
+    fn release_idle(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
+        let config = &self.config;
+        let idle = |holding: &Holding| holding.release_is_due(config, now_ms);
+        let due = self.holdings.iter().filter(|(_, holding)| idle(holding));
+        let due: Vec<OrganisationName> = due.map(|(name, _)| name.clone()).collect();
+        for organisation in due {
+            let Some(mut holding) = self.holdings.swap_remove(&organisation) else {
+                continue;
+            };
+            let ask = holding.release(&organisation, self.started_ms, now_ms);
+            match self.home_of(&organisation) {
+                Some(home) if home == self.own => {
+                    self.answer(now_ms, &home, &ask, effects);
+                }
+                Some(to) => {
+                    effects.push(Effect::Send {
+                        to,
+                        message: Message::Ask(ask),
+                    });
+                }
+                None => {}
+            }
+        }
+    }
+
     /// Asks an organisation's home for a share.
     fn ask(
         &mut self,
@@ -276,22 +299,11 @@
             return;
         }
         if let Some(grant) = self.answer(now_ms, &home, &ask, effects) {
-            self.take_grant(now_ms, &home, &grant, effects);
+            self.take_grant(now_ms, &grant, effects);
         }
     }
 
-    fn take_grant(
-        &mut self,
-        now_ms: u64,
-        from: &HostName,
-        grant: &Grant,
-        effects: &mut Vec<Effect>,
-    ) {
-        // N.B. Only the home of this host's own view counts: another's grant may rest on
-        // a right that has ended.
-        if self.home_of(&grant.organisation).as_ref() != Some(from) {
-            return;
-        }
+    fn take_grant(&mut self, now_ms: u64, grant: &Grant, effects: &mut Vec<Effect>) {
         if let Some(holding) = self.holdings.get_mut(&grant.organisation) {
             holding.take_grant(&self.config, now_ms, grant, effects);
         }
@@ -367,7 +379,7 @@
                     });
                 }
             }
-            Message::Grant(grant) => self.take_grant(now_ms, &from, &grant, effects),
+            Message::Grant(grant) => self.take_grant(now_ms, &grant, effects),
             Message::Query { view } => self.answer_query(now_ms, from, view, effects),
             Message::Holdings {
                 view,
