--- a/crates/toucancleat-standin/src/platform/mod.rs
+++ b/crates/toucancleat-standin/src/platform/mod.rs
@@ -45,6 +45,17 @@
         self.server.address()
     }
 
+    /// Ends the platform as a kill would; its records stay readable.
+    pub async fn kill(&self) {
+        self.server.stop();
+        self.server.stopped().await;
+    }
+
+    /// Says whether the platform has ended.
+    pub fn is_stopped(&self) -> bool {
+        self.server.is_stopped()
+    }
+
     /// Waits until the platform has ended.
     pub async fn stopped(&self) {
         self.server.stopped().await;
