--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod homes;
 pub mod ids;
 pub mod lengths;
+pub mod limits;
 pub mod membership;
 pub mod observation;
 pub mod orders;
--- a/crates/toucancleat-core/src/peer.rs
+++ b/crates/toucancleat-core/src/peer.rs
@@ -1,7 +1,7 @@
 //! What entry hosts say to each other, over all concerns.
 
 use crate::prelude::*;
-use crate::{accounts, crash_marks, holds, membership, spread, streams, targets};
+use crate::{accounts, crash_marks, holds, limits, membership, spread, streams, targets};
 
 /// A one-way message from one entry host to another.
 ///
@@ -24,6 +24,8 @@
     Streams(streams::Message),
     /// Targets that take no new work while an order changes them.
     Holds(holds::Message),
+    /// What may run of each organisation.
+    Limits(limits::Message),
 }
 
 /// A message with its sender, as it travels.
@@ -57,4 +59,5 @@
     crash_marks => CrashMarks,
     streams => Streams,
     holds => Holds,
+    limits => Limits,
 }
--- a/crates/toucancleat-wire/schema/peer.capnp
+++ b/crates/toucancleat-wire/schema/peer.capnp
@@ -4,6 +4,7 @@
 
 using Accounts = import "accounts.capnp";
 using CrashMarks = import "crash_marks.capnp";
+using Limits = import "limits.capnp";
 using Membership = import "membership.capnp";
 using Spread = import "spread.capnp";
 using Streams = import "streams.capnp";
@@ -23,6 +24,7 @@
     spread @8 :Spread.Message;
     streams @9 :Streams.Message;
     holds @10 :Streams.HoldMessage;
+    limits @11 :Limits.Message;
   }
 }
 
--- a/crates/toucancleat-wire/tests/strategy/mod.rs
+++ b/crates/toucancleat-wire/tests/strategy/mod.rs
@@ -2,6 +2,7 @@
 
 mod concerns;
 mod crash_marks;
+mod limits;
 mod membership;
 mod targets;
 
@@ -55,5 +56,6 @@
         concerns::streams().prop_map(Message::from),
         concerns::holds().prop_map(Message::from),
         crash_marks::message().prop_map(Message::from),
+        limits::message().prop_map(Message::from),
     ]
 }
