--- a/crates/toucancleat-core/src/limits/authority.rs
+++ b/crates/toucancleat-core/src/limits/authority.rs
@@ -91,6 +91,16 @@
         self.told_ms.is_some_and(|told_ms| told_ms >= since_ms)
     }
 
+    /// Says whether every host of the present view has said what it holds.
+    pub(super) fn all_told(&self) -> bool {
+        self.silent.is_empty() && self.nobody_is_missing()
+    }
+
+    /// Returns since when this host's right counts.
+    pub(super) fn began_ms(&self) -> u64 {
+        self.began_ms
+    }
+
     /// Returns the hosts to query now.
     pub(super) fn due_queries(&mut self, config: &Config, now_ms: u64) -> Vec<HostName> {
         if self.silent.is_empty() || now_ms < self.next_query_ms {
--- a/crates/toucancleat-core/src/limits/mod.rs
+++ b/crates/toucancleat-core/src/limits/mod.rs
@@ -149,6 +149,18 @@
         self.holdings.get(organisation).map_or(0, Holding::in_use)
     }
 
+    /// Says whether this host, as a home, may lend what nobody holds yet.
+    ///
+    /// A host that has just started had better not take requests before, since it would
+    /// refuse those of the organisations that it is home of.
+    pub fn may_lend(&self, now_ms: u64) -> bool {
+        let config = &self.config;
+        let wait_ms = config.term_ms.max(config.loan_term_ms)
+            + config.margin_ms
+            + config.view_lag_ms;
+        self.authority.all_told() || now_ms >= self.authority.began_ms() + wait_ms
+    }
+
     /// Returns how many organisations this host holds something of.
     pub fn holdings(&self) -> usize {
         self.holdings.len()
--- a/crates/toucancleat-core/src/reduce/membership.rs
+++ b/crates/toucancleat-core/src/reduce/membership.rs
@@ -1,6 +1,6 @@
 //! Effects of membership: homes move, and every concern learns of it.
 
-use super::{accounts, orders, peers, settings, targets};
+use super::{accounts, limits, orders, peers, settings, targets};
 use crate::effect::Effect;
 use crate::homes::{HomeKey, ZoneRole};
 use crate::membership::{self, Host, Status};
@@ -44,6 +44,7 @@
                 .field("incarnation", incarnation.0)
                 .reason("this host refuted a statement about itself");
             state.timeline.record(now_ms, entry);
+            limits::apply(state, now_ms, crate::limits::Event::DeclaredDead, effects);
         }
         membership::Effect::ZoneReachable { zone, reachable } => {
             let entry = Entry::new(RecordKind::Other)
@@ -71,6 +72,7 @@
     };
     let entry = Entry::new(kind).field("subject", host.name.as_str());
     state.timeline.record(now_ms, entry);
+    limits::tell_hosts(state, now_ms, effects);
     if status == Status::Dead {
         let event = crate::accounts::Event::HostLost {
             host: host.name.clone(),
@@ -98,6 +100,7 @@
     tell_accounts(state, now_ms, effects);
     tell_spread(state, now_ms, effects);
     orders::tell_candidate(state, now_ms, effects);
+    limits::tell_hosts(state, now_ms, effects);
 }
 
 /// Tells the accounts who is home of each engine of the zone.
--- a/crates/toucancleat-core/src/reduce/mod.rs
+++ b/crates/toucancleat-core/src/reduce/mod.rs
@@ -6,6 +6,7 @@
 mod accounts;
 mod claims;
 mod crash_marks;
+mod limits;
 mod membership;
 mod observations;
 mod orders;
@@ -17,6 +18,7 @@
 
 use crate::effect::Effect;
 use crate::event::Event;
+use crate::membership::ListedHost;
 use crate::state::State;
 use crate::timeline::{Entry, RecordKind};
 
@@ -40,8 +42,7 @@
             hosts,
             leaving_targets,
         } => {
-            let event = crate::membership::Event::Listed { hosts };
-            membership::apply(state, now_ms, event, effects);
+            listed(state, now_ms, hosts, effects);
             for target in leaving_targets {
                 targets::leaving(state, now_ms, target, effects);
             }
@@ -56,6 +57,22 @@
     }
 }
 
+fn listed(
+    state: &mut State,
+    now_ms: u64,
+    hosts: Vec<ListedHost>,
+    effects: &mut Vec<Effect>,
+) {
+    let zone = &state.identity.zone;
+    let in_zone = hosts
+        .iter()
+        .filter(|host| host.zone == *zone && !host.leaving);
+    state.listed = Some(in_zone.map(|host| host.name.clone()).collect());
+    let event = crate::membership::Event::Listed { hosts };
+    membership::apply(state, now_ms, event, effects);
+    limits::tell_hosts(state, now_ms, effects);
+}
+
 fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
     membership::apply(state, now_ms, crate::membership::Event::Tick, effects);
     settings::apply(state, now_ms, crate::spread::Event::Tick, effects);
@@ -63,6 +80,7 @@
     crash_marks::apply(state, now_ms, crate::crash_marks::Event::Tick, effects);
     claims::apply(state, now_ms, crate::claims::Event::Tick, effects);
     accounts::apply(state, now_ms, crate::accounts::Event::Tick, effects);
+    limits::apply(state, now_ms, crate::limits::Event::Tick, effects);
     requests::apply(state, now_ms, crate::requests::Event::Tick, effects);
     streams::apply(state, now_ms, crate::streams::Event::Tick, effects);
     orders::apply(state, now_ms, crate::orders::Event::Tick, effects);
--- a/crates/toucancleat-core/src/reduce/peers.rs
+++ b/crates/toucancleat-core/src/reduce/peers.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use super::{accounts, crash_marks, membership, orders, settings, streams, targets};
+use super::{
+    accounts, crash_marks, limits, membership, orders, settings, streams, targets,
+};
 use crate::effect::Effect;
 use crate::peer::{Envelope, Message};
 use crate::prelude::*;
@@ -68,13 +70,15 @@
             let event = crate::holds::Event::Received { message };
             orders::apply_hold(state, now_ms, event, effects);
         }
+        Message::Limits(message) => {
+            let event = crate::limits::Event::Received { from, message };
+            limits::apply(state, now_ms, event, effects);
+        }
         Message::Streams(message) => {
             let event = crate::streams::Event::Received { message };
             streams::apply(state, now_ms, event, effects);
-        }
-        // N.B. Hosts don't lend shares of limits to each other yet; the concern bears the
-        // loss of a message.
-        Message::Limits(_) => {}
+        } // N.B. Hosts don't lend shares of limits to each other yet; the concern bears the
+          // loss of a message.
     }
 }
 
--- a/crates/toucancleat-core/src/reduce/requests.rs
+++ b/crates/toucancleat-core/src/reduce/requests.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{accounts, claims, crash_marks, observations, targets};
+use super::{accounts, claims, crash_marks, limits, observations, targets};
 use crate::accounts::{Event as AccountEvent, Limits, Outcome as AccountOutcome};
 use crate::claims::{Begin, Event as ClaimEvent, Outcome as ClaimOutcome};
 use crate::crash_marks::{Event as MarkEvent, Fingerprint, Treatment};
@@ -48,6 +48,14 @@
     effects: &mut Vec<Effect>,
 ) {
     match effect {
+        requests::Effect::AskPermission { arrival } => {
+            let organisation = arrival.organisation.clone();
+            limits::ask(state, now_ms, arrival.request, organisation, effects);
+        }
+        requests::Effect::ReturnPermission { organisation } => {
+            let event = crate::limits::Event::Finished { organisation };
+            limits::apply(state, now_ms, event, effects);
+        }
         requests::Effect::Claim { arrival } => claim(state, now_ms, &arrival, effects),
         requests::Effect::SettleClaim {
             request,
--- a/crates/toucancleat-core/src/reduce/settings.rs
+++ b/crates/toucancleat-core/src/reduce/settings.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{accounts, membership, orders, peers, targets};
+use super::{accounts, limits, membership, orders, peers, targets};
 use crate::accounts::TargetSpec;
 use crate::effect::Effect;
 use crate::prelude::*;
@@ -73,6 +73,7 @@
     accounts::apply(state, now_ms, event, effects);
     membership::tell_accounts(state, now_ms, effects);
     orders::take_settings(state, now_ms, &settings, effects);
+    limits::take_settings(state, now_ms, &settings.tree, effects);
 }
 
 /// Describes the engines of the host's own zone.
--- a/crates/toucancleat-core/src/requests/mod.rs
+++ b/crates/toucancleat-core/src/requests/mod.rs
@@ -41,10 +41,13 @@
     /// The worst that any attempt so far proves.
     verdict: Verdict,
     claimed: bool,
+    /// Whether the request counts towards its organisation's limit.
+    permitted: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Stage {
+    Asking,
     Claiming,
     Reserving,
     Running { target: TargetName },
@@ -56,6 +59,18 @@
 pub enum Event {
     /// A request was read and authorised.
     Arrived(Arc<Arrival>),
+    /// The organisation's limit has room for the request.
+    Permitted {
+        /// The request.
+        request: RequestId,
+    },
+    /// The organisation has reached its limit.
+    NotPermitted {
+        /// The request.
+        request: RequestId,
+        /// What the caller is told.
+        refusal: Refusal,
+    },
     /// The claim stands: the request may be given to a target.
     Claimed {
         /// The request.
@@ -111,6 +126,16 @@
 #[derive(Clone, Debug)]
 #[non_exhaustive]
 pub enum Effect {
+    /// Ask whether the organisation's limit has room.
+    AskPermission {
+        /// The request.
+        arrival: Arc<Arrival>,
+    },
+    /// Give back the place that a request had within its organisation's limit.
+    ReturnPermission {
+        /// The organisation.
+        organisation: OrganisationName,
+    },
     /// Claim the request's key in the platform's table.
     Claim {
         /// The request.
@@ -194,10 +219,19 @@
         found.map_or(&[], |found| found.excluded.as_slice())
     }
 
-    fn remove(&mut self, request: RequestId) -> Option<Request> {
+    /// Forgets a request and gives its place within the limit back.
+    fn remove(
+        &mut self,
+        request: RequestId,
+        effects: &mut Vec<Effect>,
+    ) -> Option<Request> {
         let removed = self.active.swap_remove(&request)?;
         let key = (removed.dispatch_deadline_ms(), request);
         self.deadlines.remove(&key);
+        if removed.permitted {
+            let organisation = removed.arrival.organisation.clone();
+            effects.push(Effect::ReturnPermission { organisation });
+        }
         Some(removed)
     }
 }
@@ -274,13 +308,15 @@
     match event {
         Event::Arrived(arrival) => arrive(state, now_ms, arrival, effects),
         Event::Claimed { request } => claimed(state, request, effects),
-        Event::ClaimRefused { request, refusal } => {
-            if state.remove(request).is_some() {
+        Event::Permitted { request } => permitted(state, request, effects),
+        Event::NotPermitted { request, refusal }
+        | Event::ClaimRefused { request, refusal } => {
+            if state.remove(request, effects).is_some() {
                 effects.push(Effect::Refuse { request, refusal });
             }
         }
         Event::ClaimReplayed { request } => {
-            state.remove(request);
+            state.remove(request, effects);
         }
         Event::Granted {
             request,
@@ -310,31 +346,41 @@
     arrival: Arc<Arrival>,
     effects: &mut Vec<Effect>,
 ) {
-    let needs_claim = arrival.needs_claim();
     let request = Request {
         arrival: arrival.clone(),
         arrived_ms: now_ms,
-        stage: if needs_claim {
-            Stage::Claiming
-        } else {
-            Stage::Reserving
-        },
+        stage: Stage::Asking,
         attempts: 0,
         excluded: Vec::new(),
         verdict: Verdict::NotRun,
         claimed: false,
+        permitted: false,
     };
     let id = arrival.request;
     state.deadlines.insert((request.dispatch_deadline_ms(), id));
     state.active.insert(id, request);
-    effects.push(if needs_claim {
-        Effect::Claim { arrival }
-    } else {
-        Effect::Reserve {
-            arrival,
-            attempt: 1,
-            excluded: Vec::new(),
-        }
+    effects.push(Effect::AskPermission { arrival });
+}
+
+fn permitted(state: &mut Requests, request: RequestId, effects: &mut Vec<Effect>) {
+    let Some(found) = state.active.get_mut(&request) else {
+        return;
+    };
+    if found.stage != Stage::Asking {
+        return;
+    }
+    found.permitted = true;
+    let arrival = found.arrival.clone();
+    if arrival.needs_claim() {
+        found.stage = Stage::Claiming;
+        effects.push(Effect::Claim { arrival });
+        return;
+    }
+    found.stage = Stage::Reserving;
+    effects.push(Effect::Reserve {
+        arrival,
+        attempt: 1,
+        excluded: Vec::new(),
     });
 }
 
@@ -423,14 +469,16 @@
     found.verdict = found.verdict.max(outcome.verdict());
     match outcome {
         Outcome::Finished { answer, .. } => {
-            let claimed = state.remove(request).is_some_and(|found| found.claimed);
+            let claimed = state
+                .remove(request, effects)
+                .is_some_and(|found| found.claimed);
             if claimed {
                 effects.push(finish_claim(request, answer));
             }
             return;
         }
         Outcome::CallerGone => {
-            if let Some(found) = state.remove(request) {
+            if let Some(found) = state.remove(request, effects) {
                 found.settle_claim(request, effects);
             }
             return;
@@ -471,7 +519,7 @@
     refusal: Refusal,
     effects: &mut Vec<Effect>,
 ) {
-    let Some(found) = state.remove(request) else {
+    let Some(found) = state.remove(request, effects) else {
         return;
     };
     found.settle_claim(request, effects);
@@ -511,7 +559,7 @@
         return;
     }
     effects.push(Effect::Withdraw { request });
-    if let Some(found) = state.remove(request) {
+    if let Some(found) = state.remove(request, effects) {
         found.settle_claim(request, effects);
     }
 }
--- a/crates/toucancleat-core/src/state.rs
+++ b/crates/toucancleat-core/src/state.rs
@@ -11,7 +11,8 @@
 use crate::settings::InForce;
 use crate::timeline::Timeline;
 use crate::{
-    accounts, claims, crash_marks, holds, membership, orders, spread, streams, targets,
+    accounts, claims, crash_marks, holds, limits, membership, orders, spread, streams,
+    targets,
 };
 
 /// Bound on the memory of the time line's ring.
@@ -58,6 +59,8 @@
     pub crash_marks: crash_marks::State,
     /// Streams whose caller has gone.
     pub streams: streams::State,
+    /// What may run of each organisation.
+    pub limits: limits::State,
     /// Orders to the engines of the zone.
     pub orders: orders::State,
     /// Targets that take no new work while an order changes them.
@@ -70,6 +73,10 @@
     pub outstanding: IndexMap<TargetName, u32>,
     /// Requests that run alone, or wait for their turn to, by attempt.
     pub(crate) isolated: IndexMap<GenerationId, RequestId>,
+    /// Requests that wait for their permission, with their organisation.
+    pub(crate) asking: IndexMap<RequestId, OrganisationName>,
+    /// Entry hosts of the zone on the platform's list; `None` until it was read.
+    pub(crate) listed: Option<Vec<HostName>>,
     /// When each target is to be looked at again.
     pub(crate) observe_at_ms: IndexMap<TargetName, u64>,
     /// When the host list is to be read again.
@@ -111,6 +118,13 @@
             targets: targets::State::new(targets::Config::default(), seed),
             crash_marks: crash_marks::State::new(crash_marks::Config::default()),
             streams: streams::State::default(),
+            limits: limits::State::new(
+                limits::Config::default(),
+                identity.host.clone(),
+                identity.zone.clone(),
+                identity.incarnation.0,
+                seed,
+            ),
             orders: orders::State::new(
                 orders::Config::default(),
                 &identity.zone,
@@ -126,6 +140,8 @@
             ),
             outstanding: IndexMap::new(),
             isolated: IndexMap::new(),
+            asking: IndexMap::new(),
+            listed: None,
             observe_at_ms: IndexMap::new(),
             list_at_ms: 0,
             draining: false,
--- a/crates/toucancleat-entry/src/driver.rs
+++ b/crates/toucancleat-entry/src/driver.rs
@@ -124,6 +124,9 @@
         for effect in effects {
             self.carry_out(effect);
         }
+        if !self.host.is_settled() && self.state.limits.may_lend(now_ms) {
+            self.host.settle();
+        }
         if let Some(request) = ended
             && self.state.requests.arrival(request).is_none()
         {
--- a/crates/toucancleat-entry/src/host.rs
+++ b/crates/toucancleat-entry/src/host.rs
@@ -39,6 +39,7 @@
     inputs: mpsc::UnboundedSender<Input>,
     settings: RwLock<Option<Arc<InForce>>>,
     draining: AtomicBool,
+    settled: AtomicBool,
     in_progress: AtomicUsize,
     idle: Notify,
 }
@@ -61,6 +62,7 @@
             inputs,
             settings: RwLock::new(None),
             draining: AtomicBool::new(false),
+            settled: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             idle: Notify::new(),
         }
@@ -115,9 +117,19 @@
         self.draining.load(Ordering::SeqCst)
     }
 
-    /// Says whether a request that came now would be taken.
+    /// Notes that the host has found its place in the zone.
+    pub fn settle(&self) {
+        self.settled.store(true, Ordering::SeqCst);
+    }
+
+    /// Says whether the host has found its place in the zone.
+    pub fn is_settled(&self) -> bool {
+        self.settled.load(Ordering::SeqCst)
+    }
+
+    /// Says whether the balancer should send requests here.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.settings().is_some()
+        !self.is_draining() && self.is_settled() && self.settings().is_some()
     }
 
     /// Returns the number of requests in progress.
--- a/crates/toucancleat-entry/tests/support/client.rs
+++ b/crates/toucancleat-entry/tests/support/client.rs
@@ -1,6 +1,7 @@
 //! A caller of an entry host.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -68,8 +69,19 @@
         self
     }
 
-    /// Sends the request and reads the whole reply.
+    /// Sends the request and reads the whole reply; comes back as told while the
+    /// organisation is over its limit, which a home that is new may say for a moment.
     pub async fn send(&self, address: SocketAddr) -> Result<Reply, CallError> {
+        loop {
+            let reply = self.send_once(address).await?;
+            if !reply.come_back().await {
+                return Ok(reply);
+            }
+        }
+    }
+
+    /// Sends the request and reads the whole reply, whatever it is.
+    pub async fn send_once(&self, address: SocketAddr) -> Result<Reply, CallError> {
         let client = HttpClient::fresh();
         let reply = client
             .exchange(self.call(address), 60_000, usize::MAX)
@@ -87,10 +99,29 @@
         self.try_stream(address).await.expect("the host answers")
     }
 
+    /// Sends the request once and returns its stream of events, or the refusal.
+    pub async fn stream_once(&self, address: SocketAddr) -> Result<Stream, Reply> {
+        let answer = self.try_stream_once(address).await;
+        answer.expect("the host answers")
+    }
+
     /// Does the same where the host may give no reply at all.
     pub async fn try_stream(
         &self,
         address: SocketAddr,
+    ) -> Result<Result<Stream, Reply>, CallError> {
+        loop {
+            match self.try_stream_once(address).await? {
+                Ok(stream) => return Ok(Ok(stream)),
+                Err(reply) if reply.come_back().await => {}
+                Err(reply) => return Ok(Err(reply)),
+            }
+        }
+    }
+
+    async fn try_stream_once(
+        &self,
+        address: SocketAddr,
     ) -> Result<Result<Stream, Reply>, CallError> {
         let client = HttpClient::fresh();
         let response = client.send(self.call(address)).await?;
@@ -123,6 +154,18 @@
 }
 
 impl Reply {
+    /// Waits as told when the organisation is over its limit; says whether it was.
+    async fn come_back(&self) -> bool {
+        if self.status != StatusCode::TOO_MANY_REQUESTS {
+            return false;
+        }
+        let Some(retry_after_ms) = self.member("retry_after_ms").as_u64() else {
+            return false;
+        };
+        tokio::time::sleep(Duration::from_millis(retry_after_ms)).await;
+        true
+    }
+
     /// Returns a member of the JSON body.
     pub fn member(&self, name: &str) -> Value {
         let body: Value = serde_json::from_str(&self.text).unwrap_or_default();
--- a/crates/toucancleat-entry/tests/support/settings.rs
+++ b/crates/toucancleat-entry/tests/support/settings.rs
@@ -41,7 +41,7 @@
             "roster-api": { "class": "service", "targets": targets(services) },
         },
         "fleet": {
-            "values": { "first_token_timeout_ms": 20_000 },
+            "values": { "first_token_timeout_ms": 20_000, "requests_per_second": 10_000.0 },
             "kinds": {
                 "draft": { "pool": "plan-llm" },
                 "whole-draft": { "pool": "plan-llm", "delivery": "whole" },
