Record how a resumed stream ends, and follow a request over hosts on one picture

Cause: a caller that comes back is given the rest of its stream past the reducer of requests, so its end, and the loss of its engine, was in no time line. Found by the new test, which looked for that record in vain (trial of the test without the change: four records, the last stream_resumed). Ruled out: a record in another host's ring, as both rings were read whole.

The end is now an event of the streams. A request's records are followed over any number of resumptions, as each names its generation.

--- a/crates/toucancleat-cli/tests/timeline.rs
+++ b/crates/toucancleat-cli/tests/timeline.rs
@@ -14,11 +14,16 @@
 use toucancleat_entry::platform::{ListedHost, Platform as PlatformClient};
 use toucancleat_entry::{Config, EntryHost};
 use toucancleat_standin::{Engine, EngineConfig, Platform, PlatformConfig};
+use volo_http::body::Body;
+use volo_http::client::sse::SseReader;
+
+/// Looks at the time line after which a missing record is a failure.
+const LOOKS_MAX: usize = 400;
 
 /// One engine before two entry hosts.
 struct Fleet {
     platform: Platform,
-    _engine: Engine,
+    engine: Option<Engine>,
     hosts: [EntryHost; 2],
 }
 
@@ -33,7 +38,7 @@
         let settings = file(
             &format!("timeline-{}.jsonc", platform.address().port()),
             &format!(
-                r#"{{"zones": ["a", "b"], "pools": {{"llm": {{"class": "model_engine", "targets": {{
+                r#"{{"zones": ["a"], "pools": {{"llm": {{"class": "model_engine", "targets": {{
                 "llm-1": {{"zone": "a", "address": "{}", "memory_tokens": 65536, "max_batch": 8}}
                 }}}}}}, "fleet": {{"kinds": {{"check": {{"pool": "llm"}}}}}},
                 "live_events": {{"e": {{"starts_at_unix_ms": 1, "ends_at_unix_ms": 9000000000000,
@@ -44,13 +49,13 @@
         );
         let apply = ["settings", "apply", &settings.display().to_string()];
         run(Some(platform.address()), &apply).await.expect(0);
-        let [one, two] = [("entry-1", "a"), ("entry-2", "b")].map(|(name, zone)| {
+        let [one, two] = [("entry-1", "a"), ("entry-2", "a")].map(|(name, zone)| {
             EntryHost::start(Config::loopback(name, zone, platform.address()))
         });
         let hosts = [one.await.expect("a host"), two.await.expect("a host")];
         let fleet = Fleet {
             platform,
-            _engine: engine,
+            engine: Some(engine),
             hosts,
         };
         fleet.wait_listed_and_ready().await;
@@ -71,28 +76,58 @@
     }
 
     async fn ask(&self, host: usize) {
+        let body = r#"{"prompt": "stop 4", "standin_output_tokens": 3}"#;
+        let call = self.call(host, body, None);
+        let reply = HttpClient::fresh().exchange(call, 30_000, usize::MAX).await;
+        let reply = reply.expect("a reply");
+        assert_eq!(reply.status(), StatusCode::OK, "{reply:?}");
+    }
+
+    /// Opens a stream, from a cursor if there is one; returns it with its request's id.
+    async fn stream(
+        &self,
+        host: usize,
+        cursor: Option<&str>,
+    ) -> (SseReader<Body>, String) {
+        let body = r#"{"prompt": "plan", "stream": true, "standin_output_tokens": 5000}"#;
+        let call = self.call(host, body, cursor);
+        let response = HttpClient::fresh().send(call).await.expect("a reply");
+        assert_eq!(response.status(), StatusCode::OK);
+        let request = response.headers()["x-request-id"]
+            .to_str()
+            .expect("text")
+            .to_owned();
+        (SseReader::into_sse(response).expect("a stream"), request)
+    }
+
+    fn call(
+        &self,
+        host: usize,
+        body: &'static str,
+        cursor: Option<&str>,
+    ) -> Call<'static> {
         let header = HeaderValue::from_static;
-        let call = Call {
+        let mut headers = vec![
+            (AUTHORIZATION, header("Bearer key")),
+            (HeaderName::from_static("x-request-kind"), header("check")),
+        ];
+        if let Some(cursor) = cursor {
+            let value = HeaderValue::from_str(cursor).expect("a cursor is a header");
+            headers.push((HeaderName::from_static("last-event-id"), value));
+        }
+        Call {
             address: self.hosts[host].callers_address(),
             method: Method::POST,
             path: "/v1/completions",
-            headers: vec![
-                (AUTHORIZATION, header("Bearer key")),
-                (HeaderName::from_static("x-request-kind"), header("check")),
-            ],
-            body: Bytes::from_static(
-                br#"{"prompt": "stop 4", "standin_output_tokens": 3}"#,
-            ),
-        };
-        let reply = HttpClient::fresh().exchange(call, 30_000, usize::MAX).await;
-        let reply = reply.expect("a reply");
-        assert_eq!(reply.status(), StatusCode::OK, "{reply:?}");
+            headers,
+            body: Bytes::from_static(body.as_bytes()),
+        }
     }
 
     /// Reads the records of a kind until each host has some: the answer may reach its
     /// caller before its end is recorded.
     async fn records_of_both(&self, kind: &str) -> Vec<Value> {
-        loop {
+        for _ in 0..LOOKS_MAX {
             let run = run(self.platform(), &["timeline", "--kind", kind, "--json"]).await;
             let lines = run.expect(0).stdout;
             let records = lines
@@ -104,6 +139,7 @@
                 return records;
             }
         }
+        panic!("no {kind} of both hosts");
     }
 }
 
@@ -142,6 +178,63 @@
     assert!(picture.contains("request_dispatched llm-1"), "{picture}");
 }
 
+async fn next_cursor(stream: &mut SseReader<Body>) -> String {
+    let event = stream.read().await.expect("an event").expect("a token");
+    event.id().expect("a cursor").to_owned()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crossed_two_hosts_and_lost_its_engine_is_on_one_picture() {
+    let mut fleet = Fleet::start().await;
+    let (mut stream, request) = fleet.stream(0, None).await;
+    let cursor = next_cursor(&mut stream).await;
+    drop(stream);
+    let (mut stream, again) = fleet.stream(1, Some(&cursor)).await;
+    next_cursor(&mut stream).await;
+    fleet.engine = None;
+    while let Ok(Some(_)) = stream.read().await {}
+
+    // The end reaches the caller before the host has recorded it.
+    let mut explained = String::new();
+    for _ in 0..LOOKS_MAX {
+        explained = run(fleet.platform(), &["explain", &request])
+            .await
+            .expect(0)
+            .stdout;
+        if explained.contains("attempt_failed") {
+            break;
+        }
+    }
+    for expected in [
+        "entry-1",
+        "entry-2",
+        "request_dispatched",
+        "stream_resumed",
+        "attempt_failed",
+    ] {
+        assert!(explained.contains(expected), "{expected}: {explained}");
+    }
+    let svg = file("crossed.svg", "").display().to_string();
+    for id in [request, again] {
+        run(
+            fleet.platform(),
+            &["timeline", "--request", &id, "--svg", &svg],
+        )
+        .await
+        .expect(0);
+        let picture = std::fs::read_to_string(&svg).expect("a picture");
+        assert_eq!(
+            picture.matches("font-weight=\"bold\"").count(),
+            2,
+            "two lanes: {picture}"
+        );
+        assert_eq!(
+            picture.matches("<circle").count(),
+            explained.lines().count() - 1
+        );
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn filters_and_missing_hosts_are_told() {
     let fleet = Fleet::start().await;
--- a/crates/toucancleat-core/src/reduce/requests.rs
+++ b/crates/toucancleat-core/src/reduce/requests.rs
@@ -505,7 +505,8 @@
     }
 }
 
-fn record_end(
+/// Notes how an attempt, or the rest of one, has ended.
+pub(super) fn record_end(
     state: &mut State,
     now_ms: u64,
     arrival: &Arrival,
--- a/crates/toucancleat-core/src/reduce/streams.rs
+++ b/crates/toucancleat-core/src/reduce/streams.rs
@@ -1,5 +1,6 @@
 //! Effects of streams whose caller has gone.
 
+use super::requests::record_end;
 use super::{membership, peers};
 use crate::effect::Effect;
 use crate::state::State;
@@ -52,17 +53,27 @@
 }
 
 fn record(state: &mut State, now_ms: u64, event: &streams::Event) {
-    if let streams::Event::Resumed {
-        generation,
-        target,
-        from_index,
-    } = event
-    {
-        let entry = Entry::new(RecordKind::StreamResumed)
-            .generation(*generation)
-            .target(target)
-            .field("from_index", *from_index)
-            .reason("the caller came back with its cursor");
-        state.timeline.record(now_ms, entry);
+    match event {
+        streams::Event::Resumed {
+            request,
+            generation,
+            target,
+            from_index,
+        } => {
+            let entry = Entry::new(RecordKind::StreamResumed)
+                .request(*request)
+                .generation(*generation)
+                .target(target)
+                .field("from_index", *from_index)
+                .reason("the caller came back with its cursor");
+            state.timeline.record(now_ms, entry);
+        }
+        streams::Event::Ended {
+            arrival,
+            generation,
+            target,
+            outcome,
+        } => record_end(state, now_ms, arrival, target, *generation, outcome),
+        _ => {}
     }
 }
--- a/crates/toucancleat-core/src/streams/mod.rs
+++ b/crates/toucancleat-core/src/streams/mod.rs
@@ -5,9 +5,12 @@
 //! the generation for a while, and cancels it unless another host says that it has taken
 //! it over. See docs/design/generations.md.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
 
 use crate::prelude::*;
+use crate::requests::{Arrival, Outcome};
 
 /// Times of abandoned streams.
 #[derive(Clone, Debug)]
@@ -65,6 +68,8 @@
     },
     /// A caller came back to this host with its cursor.
     Resumed {
+        /// The request by which the caller came back.
+        request: RequestId,
         /// The generation.
         generation: GenerationId,
         /// The target that runs it.
@@ -72,6 +77,17 @@
         /// Index of the first token that the caller lacks.
         from_index: u64,
     },
+    /// The rest of a stream has ended, for whose caller this host had taken it over.
+    Ended {
+        /// The request by which the caller came back.
+        arrival: Arc<Arrival>,
+        /// The generation.
+        generation: GenerationId,
+        /// The target that ran it.
+        target: TargetName,
+        /// How it ended.
+        outcome: Outcome,
+    },
     /// A peer sent a message.
     Received {
         /// The message.
@@ -159,6 +175,8 @@
         } => {
             state.abandoned.shift_remove(&generation);
         }
+        // Only the time line takes note; the host before this one has long let go.
+        Event::Ended { .. } => {}
         Event::Tick => {
             announce(state, now_ms, effects);
             cancel_due(state, now_ms, effects);
--- a/crates/toucancleat-core/src/timeline/filter.rs
+++ b/crates/toucancleat-core/src/timeline/filter.rs
@@ -40,19 +40,41 @@
     records
 }
 
-/// Returns the records of a request and of those that went on with one of its streams.
+/// Returns the records of a request and of those that went on with one of its streams, at
+/// whichever host and however often.
 pub fn related_to(request: RequestId, records: &[Record]) -> Vec<&Record> {
-    let own = records
-        .iter()
-        .filter(|record| record.entry.request == Some(request));
-    let generations: HashSet<GenerationId> =
-        own.filter_map(|record| record.entry.generation).collect();
-    let related = |record: &&Record| {
-        let generation = record.entry.generation;
-        record.entry.request == Some(request)
-            || generation.is_some_and(|generation| generations.contains(&generation))
-    };
-    records.iter().filter(related).collect()
+    let mut requests = HashSet::from([request]);
+    let mut generations: HashSet<GenerationId> = HashSet::new();
+    loop {
+        let known = requests.len() + generations.len();
+        for record in records {
+            if is_related(record, &requests, &generations) {
+                requests.extend(record.entry.request);
+                generations.extend(record.entry.generation);
+            }
+        }
+        if requests.len() + generations.len() == known {
+            break;
+        }
+    }
+    let related = records.iter();
+    related
+        .filter(|record| is_related(record, &requests, &generations))
+        .collect()
+}
+
+fn is_related(
+    record: &Record,
+    requests: &HashSet<RequestId>,
+    generations: &HashSet<GenerationId>,
+) -> bool {
+    let entry = &record.entry;
+    entry
+        .request
+        .is_some_and(|request| requests.contains(&request))
+        || entry
+            .generation
+            .is_some_and(|generation| generations.contains(&generation))
 }
 
 fn order(record: &Record) -> (Stamp, &HostName, u64) {
--- a/crates/toucancleat-core/tests/timeline.rs
+++ b/crates/toucancleat-core/tests/timeline.rs
@@ -265,10 +265,12 @@
     };
     let mut hosts = [timeline("a"), timeline("b")];
     hosts[0].record(1, entry(1, 10));
-    hosts[1].record(2, entry(2, 10));
-    hosts[1].record(3, entry(3, 11));
+    let admitted = Entry::new(RecordKind::RequestAdmitted).request(RequestId(2));
+    hosts[1].record(2, admitted);
+    hosts[1].record(3, entry(2, 10));
+    hosts[1].record(4, entry(3, 11));
     let records = merge(hosts.iter().map(|host| host.page(0, usize::MAX)));
     let related = related_to(RequestId(1), &records);
     let requests: Vec<_> = related.iter().map(|record| record.entry.request).collect();
-    assert_eq!(requests, [Some(RequestId(1)), Some(RequestId(2))]);
+    assert_eq!(requests, [1, 2, 2].map(|id| Some(RequestId(id))));
 }
--- a/crates/toucancleat-entry/src/relay/generation.rs
+++ b/crates/toucancleat-entry/src/relay/generation.rs
@@ -35,6 +35,7 @@
     let mut stream = Stream::resumed(context, caller, cursor);
     let reader = stream.resume(cursor.next_index).await?;
     let event = streams::Event::Resumed {
+        request: stream.context.arrival.request,
         generation: cursor.generation,
         target: cursor.target.clone(),
         from_index: cursor.next_index,
--- a/crates/toucancleat-entry/src/relay/mod.rs
+++ b/crates/toucancleat-entry/src/relay/mod.rs
@@ -14,6 +14,7 @@
 use toucancleat_core::prelude::*;
 use toucancleat_core::refusal::{Problem, Refusal};
 use toucancleat_core::requests::{Arrival, Event as RequestEvent, Outcome};
+use toucancleat_core::streams;
 use toucancleat_core::{Dispatch, Event};
 
 pub use self::caller::Caller;
@@ -172,7 +173,7 @@
 /// key then starts a fresh answer.
 async fn resume(
     host: &Arc<Host>,
-    arrival: &Arrival,
+    arrival: &Arc<Arrival>,
     work: &GenerationWork,
     cursor: &Cursor,
     caller: &mut Caller,
@@ -205,7 +206,17 @@
         address,
         dispatch: &dispatch,
     };
-    match generation::resume(context, caller, cursor).await {
+    let outcome = generation::resume(context, caller, cursor).await;
+    if let Some(outcome) = outcome.clone() {
+        let ended = streams::Event::Ended {
+            arrival: arrival.clone(),
+            generation: cursor.generation,
+            target: cursor.target.clone(),
+            outcome,
+        };
+        host.tell(Input::Event(Event::Streams(ended)));
+    }
+    match outcome {
         Some(Outcome::Lost { cause, .. }) => Err(gone(cause.as_str())),
         Some(_) => Ok(()),
         None => Err(gone("the target no longer has the generation")),
