--- a/crates/toucancleat-cli/src/settings/mod.rs
+++ b/crates/toucancleat-cli/src/settings/mod.rs
@@ -31,13 +31,7 @@
             why,
         } => {
             let output = Output::stdout(&format);
-            let accepted = match file {
-                Some(file) => Accepted {
-                    revision: None,
-                    tree: read_file(&file)?,
-                },
-                None => read::latest(&connection.platform()?).await?.into(),
-            };
+            let accepted = shown_tree(&connection, file.as_deref()).await?;
             match effective {
                 Some(scope) => show::effective(&output, &accepted.tree, &scope, why),
                 None => show::tree(&output, &accepted),
@@ -62,12 +56,7 @@
             connection,
             commit,
             file,
-        } => {
-            let wanted = read_file(&file)?;
-            let latest = read::latest(&connection.platform()?).await?;
-            let edits = latest.tree.diff(&wanted);
-            commit::propose(&connection, &commit, Proposal { latest, edits }).await
-        }
+        } => apply(&connection, &commit, &file).await,
         SettingsCommand::Diff {
             connection,
             format,
@@ -126,6 +115,30 @@
     Ok(())
 }
 
+async fn shown_tree(
+    connection: &Connection,
+    file: Option<&Path>,
+) -> Result<Accepted, Error> {
+    Ok(match file {
+        Some(file) => Accepted {
+            revision: None,
+            tree: read_file(file)?,
+        },
+        None => read::latest(&connection.platform()?).await?.into(),
+    })
+}
+
+async fn apply(
+    connection: &Connection,
+    commit: &Commit,
+    file: &Path,
+) -> Result<(), Error> {
+    let wanted = read_file(file)?;
+    let latest = read::latest(&connection.platform()?).await?;
+    let edits = latest.tree.diff(&wanted);
+    commit::propose(connection, commit, Proposal { latest, edits }).await
+}
+
 async fn get(connection: &Connection, path: &str) -> Result<(), Error> {
     let latest = read::latest(&connection.platform()?).await?;
     let value = latest.tree.get(path);
--- a/crates/toucancleat-cli/src/timeline/picture.rs
+++ b/crates/toucancleat-cli/src/timeline/picture.rs
@@ -13,50 +13,70 @@
 const ROWS: u64 = 4;
 const ROW_HEIGHT_PX: u64 = 18;
 
+/// The axes of a picture.
+struct Axes<'r> {
+    hosts: IndexSet<&'r HostName>,
+    first_ms: u64,
+    span_ms: u64,
+}
+
 /// Draws records, given in their order, as SVG.
 pub(super) fn draw(records: &[&Record]) -> String {
-    let hosts: IndexSet<&HostName> = records.iter().map(|record| &record.host).collect();
-    let first_ms = records.first().map_or(0, |record| record.stamp.at_unix_ms);
-    let last_ms = records.last().map_or(0, |record| record.stamp.at_unix_ms);
-    let span_ms = (last_ms - first_ms).max(1);
-    let x_of = |record: &Record| {
-        MARGIN_PX
-            + (record.stamp.at_unix_ms - first_ms) * (WIDTH_PX - MARGIN_PX) / span_ms
-    };
-    let height = LANE_HEIGHT_PX * hosts.len().max(1) as u64 + 30;
+    let axes = Axes::new(records);
+    let height = LANE_HEIGHT_PX * axes.hosts.len().max(1) as u64 + 30;
     let mut svg = format!(
         "<svg xmlns=\"http://www.w3.org/2000/svg\" viewBox=\"0 0 {} {height}\" \
          font-family=\"sans-serif\" font-size=\"11\">\n",
         WIDTH_PX + MARGIN_PX
     );
-    for (lane, host) in hosts.iter().enumerate() {
+    for (lane, host) in axes.hosts.iter().enumerate() {
         draw_lane(&mut svg, lane as u64, host);
     }
+    draw_records(&mut svg, &axes, records);
+    let foot = height - 10;
+    for (x, ms) in [(MARGIN_PX, 0), (WIDTH_PX, axes.span_ms)] {
+        let _ = writeln!(svg, "<text x=\"{x}\" y=\"{foot}\">{ms} ms</text>");
+    }
+    svg.push_str("</svg>\n");
+    svg
+}
+
+impl<'r> Axes<'r> {
+    fn new(records: &[&'r Record]) -> Self {
+        let at_ms = |record: Option<&&Record>| record.map_or(0, |r| r.stamp.at_unix_ms);
+        let first_ms = at_ms(records.first());
+        Axes {
+            hosts: records.iter().map(|record| &record.host).collect(),
+            first_ms,
+            span_ms: (at_ms(records.last()) - first_ms).max(1),
+        }
+    }
+
+    /// Returns the place of a record that is the `count`th of its host.
+    fn place(&self, record: &Record, count: u64) -> (u64, u64) {
+        let lane = self.hosts.get_index_of(&record.host).unwrap_or(0) as u64;
+        let since_ms = record.stamp.at_unix_ms - self.first_ms;
+        (
+            MARGIN_PX + since_ms * (WIDTH_PX - MARGIN_PX) / self.span_ms,
+            LANE_HEIGHT_PX * lane + ROW_HEIGHT_PX + count % ROWS * ROW_HEIGHT_PX,
+        )
+    }
+}
+
+fn draw_records(svg: &mut String, axes: &Axes<'_>, records: &[&Record]) {
     let mut counts: IndexMap<&HostName, u64> = IndexMap::new();
     let mut last_of_request: IndexMap<RequestId, (u64, u64)> = IndexMap::new();
     for record in records {
-        let lane = hosts.get_index_of(&record.host).unwrap_or(0) as u64;
         let count = counts.entry(&record.host).or_default();
-        let place = (
-            x_of(record),
-            LANE_HEIGHT_PX * lane + 18 + *count % ROWS * ROW_HEIGHT_PX,
-        );
+        let place = axes.place(record, *count);
         *count += 1;
         if let Some(request) = record.entry.request
             && let Some(before) = last_of_request.insert(request, place)
         {
-            draw_step(&mut svg, before, place);
+            draw_step(svg, before, place);
         }
-        draw_record(&mut svg, place, record);
+        draw_record(svg, place, record);
     }
-    let foot = height - 10;
-    let _ = writeln!(svg, "<text x=\"{MARGIN_PX}\" y=\"{foot}\">0 ms</text>");
-    let _ = writeln!(
-        svg,
-        "<text x=\"{WIDTH_PX}\" y=\"{foot}\">{span_ms} ms</text>"
-    );
-    svg.push_str("</svg>\n");
-    svg
 }
 
 fn draw_lane(svg: &mut String, lane: u64, host: &HostName) {
--- a/crates/toucancleat-core/src/settings/directory.rs
+++ b/crates/toucancleat-core/src/settings/directory.rs
@@ -137,17 +137,21 @@
 
 /// Decodes 64 hexadecimal digits; any other text gives `None`.
 pub(super) fn decode_sha256(digits: &str) -> Option<[u8; 32]> {
-    if digits.len() != 64 || !digits.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+    let mut sha256 = [0; 32];
+    if digits.len() != 2 * sha256.len() {
         return None;
     }
-    let mut sha256 = [0; 32];
     for (byte, pair) in sha256.iter_mut().zip(digits.as_bytes().chunks_exact(2)) {
-        let pair = std::str::from_utf8(pair).ok()?;
-        *byte = u8::from_str_radix(pair, 16).ok()?;
+        *byte = nibble(pair[0])? << 4 | nibble(pair[1])?;
     }
     Some(sha256)
 }
 
+fn nibble(digit: u8) -> Option<u8> {
+    let value = char::from(digit).to_digit(16)?;
+    u8::try_from(value).ok()
+}
+
 fn prefix(sha256: &[u8; 32]) -> u64 {
     let (prefix, _) = sha256.split_first_chunk().expect("32 bytes begin with 8");
     u64::from_be_bytes(*prefix)
