--- a/crates/toucancleat-core/src/reduce/membership.rs
+++ b/crates/toucancleat-core/src/reduce/membership.rs
@@ -46,7 +46,12 @@
             state.timeline.record(now_ms, entry);
         }
         membership::Effect::ZoneReachable { zone, reachable } => {
-            let entry = Entry::new(RecordKind::Other)
+            let kind = if reachable {
+                RecordKind::ZoneBack
+            } else {
+                RecordKind::ZoneCut
+            };
+            let entry = Entry::new(kind)
                 .field("zone", zone.as_str())
                 .field("reachable", reachable)
                 .reason("another zone changed its reachability");
--- a/crates/toucancleat-core/src/reduce/settings.rs
+++ b/crates/toucancleat-core/src/reduce/settings.rs
@@ -48,7 +48,7 @@
             put_in_force(state, now_ms, revision, tree, effects);
         }
         spread::Effect::Unreadable { revision } => {
-            let entry = Entry::new(RecordKind::Other)
+            let entry = Entry::new(RecordKind::SettingsUnreadable)
                 .field("revision", revision.0)
                 .reason("a committed change does not fit the tree it was made on");
             state.timeline.record(now_ms, entry);
--- a/crates/toucancleat-core/src/timeline/kind.rs
+++ b/crates/toucancleat-core/src/timeline/kind.rs
@@ -87,8 +87,14 @@
     HostLeaving = "host_leaving",
     /// A home has moved to another entry host.
     HomeMoved = "home_moved",
+    /// Another availability zone can't be reached.
+    ZoneCut = "zone_cut",
+    /// Another availability zone can be reached again.
+    ZoneBack = "zone_back",
     /// A revision of the settings is in force at the host.
     SettingsApplied = "settings_applied",
+    /// A committed change doesn't fit the tree that it was made on.
+    SettingsUnreadable = "settings_unreadable",
     /// The platform can't be reached.
     PlatformAway = "platform_away",
     /// The platform can be reached again.
