--- a/crates/toucancleat-core/tests/settings/page.rs
+++ b/crates/toucancleat-core/tests/settings/page.rs
@@ -1,8 +1,9 @@
-//! The operators' page of the values says what the code does.
+//! The pages of values and problems say what the code does.
 
 use std::path::Path;
 
 use serde_json::Value;
+use toucancleat_core::refusal::Problem;
 use toucancleat_core::settings::{Effective, Limits, Values};
 
 const UNITS: &[(&str, &str)] = &[
@@ -60,10 +61,32 @@
     table
 }
 
+fn page(name: &str) -> String {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../../docs")
+        .join(name);
+    std::fs::read_to_string(page).unwrap_or_else(|e| panic!("{name}: {e}"))
+}
+
+#[test]
+fn problems_page() {
+    let text = page("PROBLEMS.md");
+    for problem in Problem::ALL {
+        let (slug, status, title) = (problem.slug(), problem.status(), problem.title());
+        let row = format!("| `{slug}` | {status} | {title} |");
+        assert!(text.contains(&row), "docs/PROBLEMS.md needs a row {row}");
+    }
+    let rows = text.lines().filter(|line| line.starts_with("| `")).count();
+    assert_eq!(
+        rows,
+        Problem::ALL.len(),
+        "docs/PROBLEMS.md has rows of no problem"
+    );
+}
+
 #[test]
 fn values_page() {
-    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
-    let text = std::fs::read_to_string(page).expect("the page");
+    let text = page("SETTINGS.md");
     let table = table();
     assert!(
         text.contains(&table),
