Specify the orders under a lease and explore them exhaustively

Faults found and mended: a late reply to a renewal revived a lapsed lease whose open orders were forgotten (late_reply_does_not_revive_a_lapsed_lease); a host that was no longer to hold the lease went on ordering until its next tick.

--- a/crates/toucancleat-core/src/orders/lease.rs
+++ b/crates/toucancleat-core/src/orders/lease.rs
@@ -74,8 +74,6 @@
     quiet_until_ms: u64,
     next_renew_ms: u64,
     renewing: Option<Renewal>,
-    /// Whether the lease is to be given back once no order is open.
-    releasing: bool,
     /// Whether a write that gives it back was sent; another may hold it from then on.
     release_sent: bool,
 }
@@ -110,7 +108,7 @@
     /// Says whether an order may be given now.
     pub(super) fn may_order(&self, now_ms: u64) -> bool {
         let held = self.held(now_ms);
-        held.is_some_and(|held| now_ms >= held.quiet_until_ms && !held.releasing)
+        self.is_candidate && held.is_some_and(|held| now_ms >= held.quiet_until_ms)
     }
 
     /// Returns the time from which no order may be sent.
@@ -121,6 +119,16 @@
         }
     }
 
+    /// Gives up a lease whose time is over.
+    ///
+    /// N.B. A reply that comes later can't revive it: what was open under the lease is
+    /// forgotten with it.
+    pub(super) fn lapse(&mut self, now_ms: u64) {
+        if matches!(&self.step, Step::Holding(held) if now_ms >= held.valid_until_ms) {
+            self.watch(now_ms);
+        }
+    }
+
     /// Gives up at once, as another holder was seen.
     pub(super) fn lose(&mut self, now_ms: u64) {
         self.watch(now_ms);
@@ -147,14 +155,7 @@
                     self.watch(now_ms);
                 }
             }
-            Step::Holding(held) => {
-                if now_ms >= held.valid_until_ms {
-                    self.watch(now_ms);
-                    return;
-                }
-                held.releasing = !self.is_candidate || held.release_sent;
-                self.renew(config, now_ms, busy, effects);
-            }
+            Step::Holding(_) => self.renew(config, now_ms, busy, effects),
         }
     }
 
@@ -306,7 +307,6 @@
             quiet_until_ms: now_ms + wait_ms,
             next_renew_ms: sent_ms + config.renew_ms,
             renewing: None,
-            releasing: false,
             release_sent: false,
         });
     }
@@ -328,7 +328,7 @@
         if lost {
             held.renewing = None;
         }
-        let release = held.releasing && !busy;
+        let release = (!self.is_candidate || held.release_sent) && !busy;
         if held.renewing.is_some() || (now_ms < held.next_renew_ms && !release) {
             return;
         }
--- a/crates/toucancleat-core/src/orders/mod.rs
+++ b/crates/toucancleat-core/src/orders/mod.rs
@@ -97,6 +97,7 @@
 
 /// Begins or ends a term where the lease was gained or lost, also by time alone.
 fn follow_lease(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    state.lease.lapse(now_ms);
     let holds = state.lease.term(now_ms).is_some();
     match (state.was_holding, holds) {
         (false, true) => begin_term(state, now_ms),
--- a/crates/toucancleat-core/tests/orders/main.rs
+++ b/crates/toucancleat-core/tests/orders/main.rs
@@ -5,7 +5,8 @@
 
 use indexmap::IndexMap;
 use toucancleat_core::orders::{
-    Config, Declared, Effect, Event, Order, OrderOutcome, TargetState,
+    self, Config, Declared, Effect, Event, Order, OrderOutcome, State, TargetState,
+    WriteOutcome,
 };
 use toucancleat_core::prelude::*;
 
@@ -224,3 +225,26 @@
     }
     assert_eq!(world.term(0), None);
 }
+
+#[test]
+fn late_reply_does_not_revive_a_lapsed_lease() {
+    let config = Config::default();
+    let zone = ZoneName::new("upp-a");
+    let mut state = State::new(config.clone(), &zone, &HostName::new("entry-1"), 1);
+    let mut feed = |now_ms, event| {
+        let mut effects = Vec::new();
+        orders::reduce(&mut state, now_ms, event, &mut effects);
+        state.term(now_ms)
+    };
+    let written = |write, version| Event::LeaseWritten {
+        write,
+        outcome: WriteOutcome::Applied { version },
+    };
+    feed(0, Event::Candidate { is_candidate: true });
+    feed(0, Event::Tick);
+    feed(0, Event::LeaseRead { row: Some(None) });
+    assert_eq!(feed(0, written(1, 1)), Some(FencingNumber(1)));
+    let valid_until_ms = config.lease_ms - config.margin_ms;
+    assert!(feed(valid_until_ms - 1, Event::Tick).is_some());
+    assert_eq!(feed(valid_until_ms, written(2, 2)), None);
+}
--- a/crates/toucancleat-model/src/lib.rs
+++ b/crates/toucancleat-model/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod claims;
 pub mod delivery;
 mod explore;
+pub mod orders;
 pub mod settings;
 
 pub use self::explore::{Counterexample, Exploration, explore, walk};
