--- a/crates/toucancleat-wire/tests/strategy/mod.rs
+++ b/crates/toucancleat-wire/tests/strategy/mod.rs
@@ -2,6 +2,7 @@
 
 mod concerns;
 mod crash_marks;
+mod limits;
 mod membership;
 mod targets;
 
@@ -53,6 +54,8 @@
         concerns::spread().prop_map(Message::from),
         targets::message().prop_map(Message::from),
         concerns::streams().prop_map(Message::from),
+        concerns::holds().prop_map(Message::from),
         crash_marks::message().prop_map(Message::from),
+        limits::message().prop_map(Message::from),
     ]
 }
