Measure the spreading of settings in fleets of 6 to 96 hosts

Reducers in one process with the time driven from outside.

platform_reads_stay_bounded_while_it_is_away failed at first (14,578 reads in an hour, bound 14,392): the zone's reader also spent a budget meant for the others. It polls anyway and has no budget now.

--- a/crates/toucancleat-core/src/spread/platform.rs
+++ b/crates/toucancleat-core/src/spread/platform.rs
@@ -42,7 +42,8 @@
     effects: &mut Vec<Effect>,
 ) -> bool {
     refill(state, now_ms);
-    if state.budget_reads == 0 || state.reading.is_some() {
+    // The reader polls anyway.
+    if state.is_reader || state.budget_reads == 0 || state.reading.is_some() {
         return false;
     }
     state.budget_reads -= 1;
--- a/crates/toucancleat-model/src/lib.rs
+++ b/crates/toucancleat-model/src/lib.rs
@@ -12,4 +12,6 @@
 pub mod orders;
 pub mod settings;
 
+pub mod spreading_fleet;
+
 pub use self::explore::{Counterexample, Exploration, explore, walk};
