Refuse only its own request for a claim's row that can't be read

Cause: one row of the table that didn't parse as a claim made the whole reply count as lost and its reading back as impossible, so every request in the same transaction was refused, and all others for a second, as often as someone repeated that key. The row's value is now optional: its own request is told MayHaveRun, as the row may be anyone's, and the others go on.

row_that_cant_be_read_refuses_its_own_request_only fails when such a row is written over; the claims' tests with real processes pass.

--- a/crates/toucancleat-core/src/claims/message.rs
+++ b/crates/toucancleat-core/src/claims/message.rs
@@ -100,8 +100,9 @@
 pub struct ConflictRow {
     /// Name of the row.
     pub row: String,
-    /// What the row is, if it exists.
-    pub present: Option<(u64, Row)>,
+    /// Version and value of the row, if it exists; the value is `None` when it can't be
+    /// read as a claim.
+    pub present: Option<(u64, Option<Row>)>,
 }
 
 /// A row as read.
@@ -111,8 +112,8 @@
     pub row: String,
     /// Its version.
     pub version: u64,
-    /// Its value.
-    pub value: Row,
+    /// Its value; `None` when it can't be read as a claim.
+    pub value: Option<Row>,
 }
 
 /// How a request ended at its target.
--- a/crates/toucancleat-core/src/claims/table.rs
+++ b/crates/toucancleat-core/src/claims/table.rs
@@ -252,7 +252,7 @@
 fn see_row(
     state: &mut State,
     request: RequestId,
-    present: Option<(u64, Row)>,
+    present: Option<(u64, Option<Row>)>,
     effects: &mut Vec<Effect>,
 ) {
     let retry_after_ms = state.config.retry_after_ms;
@@ -261,15 +261,18 @@
     };
     let next = match &present {
         None => Next::WriteAgain,
-        Some((_, row)) if row.token == claim.token => next_of_own(claim.want, row.state),
-        Some((_, row)) => next_of_other(claim, row),
+        Some((_, None)) => next_of_unreadable(claim.want),
+        Some((_, Some(row))) if row.token == claim.token => {
+            next_of_own(claim.want, row.state)
+        }
+        Some((_, Some(row))) => next_of_other(claim, row),
     };
     claim.version = present.as_ref().map(|(version, _)| *version);
     match next {
         Next::Permit => permit(claim, effects),
         Next::WriteAgain => state.queue_if_ready(request),
         Next::Replay => {
-            let answer = present.and_then(|(_, row)| row.answer);
+            let answer = present.and_then(|(_, row)| row?.answer);
             effects.extend(answer.map(|answer| Effect::Replay { request, answer }));
             state.forget(request);
         }
@@ -294,6 +297,14 @@
     }
 }
 
+/// A row that can't be read may be anyone's, and its request may have run.
+fn next_of_unreadable(want: Want) -> Next {
+    match want {
+        Want::Claim => Next::Refuse(Verdict::MayHaveRun, RefuseReason::KeyInUse),
+        _ => Next::Done,
+    }
+}
+
 /// The row of another claim ends this one, unless it never ran.
 fn next_of_other(claim: &Claim, row: &Row) -> Next {
     if claim.want != Want::Claim {
--- a/crates/toucancleat-core/tests/claims/main.rs
+++ b/crates/toucancleat-core/tests/claims/main.rs
@@ -400,3 +400,33 @@
     let answer = back.answer.expect("an answer");
     assert_eq!(answer.body, StoredBody::Text("booked".to_owned()));
 }
+
+#[test]
+fn row_that_cant_be_read_refuses_its_own_request_only() {
+    let mut state = host("entry-1", 1);
+    for request in 0..4 {
+        apply(&mut state, 0, begin(request, &format!("k{request}"), "a"));
+    }
+    let applied = TransactOutcome::Applied { versions: vec![1] };
+    let reply = |transact, outcome| Event::TransactReply { transact, outcome };
+    apply(&mut state, 0, reply(1, applied));
+    let present = Some((7, None));
+    let rows = vec![ConflictRow {
+        row: "depot/k2".to_owned(),
+        present,
+    }];
+    let effects = apply(&mut state, 0, reply(3, TransactOutcome::Conflict { rows }));
+    assert_eq!(
+        refused(&effects),
+        Some((Verdict::MayHaveRun, RefuseReason::KeyInUse))
+    );
+    let Some(Effect::Transact { transact, writes }) = effects.last() else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(writes.len(), 1);
+    let applied = TransactOutcome::Applied { versions: vec![1] };
+    assert_eq!(
+        permitted(&apply(&mut state, 0, reply(*transact, applied))),
+        [3]
+    );
+}
--- a/crates/toucancleat-core/tests/claims/table.rs
+++ b/crates/toucancleat-core/tests/claims/table.rs
@@ -89,7 +89,7 @@
         if !failed.is_empty() {
             let conflict = |write: &&ConditionalWrite| ConflictRow {
                 row: write.row.clone(),
-                present: self.rows.get(&write.row).cloned(),
+                present: self.rows.get(&write.row).cloned().map(readable),
             };
             let rows = failed.iter().map(conflict).collect();
             return TransactOutcome::Conflict { rows };
@@ -114,9 +114,13 @@
             Some(PresentRow {
                 row: name.clone(),
                 version,
-                value: row,
+                value: Some(row),
             })
         };
         Some(names.iter().filter_map(present).collect())
     }
 }
+
+fn readable((version, row): (u64, Row)) -> (u64, Option<Row>) {
+    (version, Some(row))
+}
--- a/crates/toucancleat-entry/src/claims.rs
+++ b/crates/toucancleat-entry/src/claims.rs
@@ -78,31 +78,23 @@
     }
 }
 
-/// N.B. a row that can't be read says nothing about the transaction, so it counts as lost.
 fn conflict(rows: Vec<Row>) -> TransactOutcome {
-    let rows: Option<Vec<ConflictRow>> = rows.into_iter().map(conflict_row).collect();
-    match rows {
-        Some(rows) => TransactOutcome::Conflict { rows },
-        None => TransactOutcome::Unknown,
-    }
+    let rows = rows.into_iter().map(conflict_row).collect();
+    TransactOutcome::Conflict { rows }
 }
 
-fn conflict_row(row: Row) -> Option<ConflictRow> {
-    let present = match row.version {
-        Some(version) => Some((version, serde_json::from_value(row.value).ok()?)),
-        None => None,
-    };
-    Some(ConflictRow {
+fn conflict_row(row: Row) -> ConflictRow {
+    let value = serde_json::from_value(row.value).ok();
+    ConflictRow {
         row: row.row,
-        present,
-    })
+        present: row.version.map(|version| (version, value)),
+    }
 }
 
 fn present_row(row: Row) -> Option<PresentRow> {
-    let value = serde_json::from_value(row.value).ok()?;
     Some(PresentRow {
         row: row.row,
         version: row.version?,
-        value,
+        value: serde_json::from_value(row.value).ok(),
     })
 }
--- a/crates/toucancleat-model/tests/claims/replay.rs
+++ b/crates/toucancleat-model/tests/claims/replay.rs
@@ -201,7 +201,7 @@
         Some(PresentRow {
             row: ROW.to_owned(),
             version,
-            value,
+            value: Some(value),
         })
     }
 
