--- a/crates/toucancleat-core/src/claims/mod.rs
+++ b/crates/toucancleat-core/src/claims/mod.rs
@@ -67,7 +67,8 @@
         Outcome::MayHaveRun => state.forget(request),
         Outcome::Ran(answer) => {
             claim.keep_answer(answer, config.inline_answer_max_bytes);
-            if state.unstored_bytes() > config.unstored_max_bytes {
+            let unstored = claim.object_body.is_some();
+            if unstored && state.unstored_bytes() > config.unstored_max_bytes {
                 state.drop_answer(request);
             }
             state.put_object(request, effects);
--- a/crates/toucancleat-core/src/spread/state.rs
+++ b/crates/toucancleat-core/src/spread/state.rs
@@ -280,15 +280,14 @@
         message: Message,
         effects: &mut Vec<Effect>,
     ) {
-        let others = self.zone_peers.iter().filter(|peer| Some(*peer) != except);
-        let mut peers: Vec<_> = others.cloned().collect();
-        self.rng.shuffle(&mut peers);
-        peers.truncate(self.config.fanout);
-        for to in peers {
-            effects.push(Effect::Send {
-                to,
-                message: message.clone(),
-            });
+        let others = |index: &usize| Some(&self.zone_peers[*index]) != except;
+        let mut peers: Vec<_> = (0..self.zone_peers.len()).filter(others).collect();
+        for chosen in 0..peers.len().min(self.config.fanout) {
+            let other = chosen + self.rng.below(peers.len() - chosen);
+            peers.swap(chosen, other);
+            let to = self.zone_peers[peers[chosen]].clone();
+            let message = message.clone();
+            effects.push(Effect::Send { to, message });
         }
     }
 }
