Show that no reachable state of three specifications is a dead end

Safety alone would hold for a protocol that stops. From every reachable state of the claims, the delivery and the settings, steps without a fault now have to lead to rest, to an ending, and to the head.

--- a/crates/toucancleat-model/src/explore.rs
+++ b/crates/toucancleat-model/src/explore.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::hash::Hash;
 
+use indexmap::IndexSet;
 use pathfinding::directed::bfs::{bfs, bfs_reach};
 use toucancleat_core::rng::Rng;
 
@@ -57,6 +58,43 @@
     }
 }
 
+/// Finds a reachable state from which the benign actions can't lead to a settled one.
+///
+/// With faults left out of the benign actions this says that the protocol gets stuck once
+/// the faults have ended. It doesn't say that the protocol takes the way that exists.
+pub fn stuck<S, A>(
+    initial: &S,
+    next: impl Fn(&S) -> Vec<(A, S)>,
+    is_benign: impl Fn(&A) -> bool,
+    is_settled: impl Fn(&S) -> bool,
+) -> Option<S>
+where
+    S: Clone + Eq + Hash,
+{
+    let successors = |state: &S| next(state).into_iter().map(|(_, after)| after);
+    let states: IndexSet<S> = bfs_reach(initial.clone(), successors).collect();
+    let mut leads_here = vec![Vec::new(); states.len()];
+    for (index, state) in states.iter().enumerate() {
+        let benign = next(state)
+            .into_iter()
+            .filter(|(action, _)| is_benign(action));
+        for (_, after) in benign {
+            let after = states.get_index_of(&after);
+            leads_here[after.expect("a reached state")].push(index);
+        }
+    }
+    let settled = |index: &usize| is_settled(&states[*index]);
+    let mut found: Vec<_> = (0..states.len()).filter(settled).collect();
+    let mut settles = vec![false; states.len()];
+    while let Some(index) = found.pop() {
+        if !std::mem::replace(&mut settles[index], true) {
+            found.extend(&leads_here[index]);
+        }
+    }
+    let stuck = settles.iter().position(|settles| !settles)?;
+    states.get_index(stuck).cloned()
+}
+
 /// Walks at random through a specification.
 pub fn walk<S, A>(
     initial: &S,
--- a/crates/toucancleat-model/src/lib.rs
+++ b/crates/toucancleat-model/src/lib.rs
@@ -14,4 +14,4 @@
 
 pub mod spreading_fleet;
 
-pub use self::explore::{Counterexample, Exploration, explore, walk};
+pub use self::explore::{Counterexample, Exploration, explore, stuck, walk};
--- a/crates/toucancleat-model/tests/claims/main.rs
+++ b/crates/toucancleat-model/tests/claims/main.rs
@@ -2,8 +2,8 @@
 
 mod replay;
 
-use toucancleat_model::claims::{Broken, Config, State, next};
-use toucancleat_model::explore;
+use toucancleat_model::claims::{Action, Broken, Config, State, Step, next};
+use toucancleat_model::{explore, stuck};
 
 const BOUNDED: Config = Config {
     requests: &[2, 1],
@@ -66,3 +66,25 @@
         );
     }
 }
+
+#[test]
+fn hosts_come_to_rest_once_the_faults_have_ended() {
+    let benign = |action: &Action| {
+        matches!(
+            action,
+            Action::Answer { .. }
+                | Action::Read { .. }
+                | Action::Retry { .. }
+                | Action::Dispatch { .. }
+                | Action::Finish { .. }
+        )
+    };
+    let at_rest = |state: &State| state.hosts.iter().all(|step| *step == Step::Idle);
+    let found = stuck(
+        &State::new(&BOUNDED),
+        |state| next(&BOUNDED, state),
+        benign,
+        at_rest,
+    );
+    assert_eq!(found, None);
+}
--- a/crates/toucancleat-model/tests/delivery/main.rs
+++ b/crates/toucancleat-model/tests/delivery/main.rs
@@ -2,8 +2,8 @@
 
 mod replay;
 
-use toucancleat_model::delivery::{Broken, Config, State, next};
-use toucancleat_model::explore;
+use toucancleat_model::delivery::{Action, Broken, Config, Phase, State, next};
+use toucancleat_model::{explore, stuck};
 
 const BOUNDED: Config = Config {
     tokens: 4,
@@ -78,3 +78,29 @@
         );
     }
 }
+
+#[test]
+fn stream_can_end_once_the_faults_have_ended() {
+    let benign = |action: &Action| {
+        matches!(
+            action,
+            Action::Start
+                | Action::Emit { .. }
+                | Action::Arrive(_)
+                | Action::Resumed
+                | Action::CallerResumes
+        )
+    };
+    // A caller that has seen nothing has no cursor and asks anew.
+    let ended = |state: &State| {
+        state.phase == Phase::Ended
+            || (state.phase == Phase::Down && state.seen.is_empty())
+    };
+    let found = stuck(
+        &State::new(&BOUNDED),
+        |state| next(&BOUNDED, state),
+        benign,
+        ended,
+    );
+    assert_eq!(found, None);
+}
--- a/crates/toucancleat-model/tests/settings/main.rs
+++ b/crates/toucancleat-model/tests/settings/main.rs
@@ -2,8 +2,8 @@
 
 mod replay;
 
-use toucancleat_model::explore;
-use toucancleat_model::settings::{Broken, Config, State, next};
+use toucancleat_model::settings::{Action, Broken, Config, State, next};
+use toucancleat_model::{explore, stuck};
 
 const BOUNDED: Config = Config {
     operators: 3,
@@ -67,3 +67,23 @@
         );
     }
 }
+
+#[test]
+fn every_host_can_come_to_the_head_by_messages_alone() {
+    // One host reads the platform, as the zone's reader does; the other only listens.
+    let benign = |action: &Action| {
+        let reads = matches!(action, Action::ReadPlatform { host: 0 });
+        reads || matches!(action, Action::Receive { .. })
+    };
+    let at_head = |state: &State| {
+        let own = |tree: &Option<Vec<u8>>| tree.as_ref() == Some(&state.log);
+        state.hosts.iter().all(own)
+    };
+    let found = stuck(
+        &State::new(&BOUNDED),
+        |state| next(&BOUNDED, state),
+        benign,
+        at_head,
+    );
+    assert_eq!(found, None);
+}
