Say that a verdict speaks of its own request, not of its key

A caller that lost the reply to a first sending and was told NotRun for the second, with the table away, could take it to mean that nothing ever ran under the key.

--- a/crates/toucancleat-core/src/claims/message.rs
+++ b/crates/toucancleat-core/src/claims/message.rs
@@ -227,10 +227,12 @@
     pub fn detail(self) -> &'static str {
         match self {
             RefuseReason::TableUnavailable => {
-                "the key could not be recorded before the time allowed; nothing was sent"
+                "the key could not be recorded in time; this request was not sent, an \
+                 earlier one with the key may have been"
             }
             RefuseReason::TooManyClaims => {
-                "too many keys are being recorded at this entry host; nothing was sent"
+                "too many keys are being recorded here; this request was not sent, an \
+                 earlier one with the key may have been"
             }
             RefuseReason::KeyInUse => {
                 "a request with this idempotency key is running or its outcome is unknown"
@@ -243,7 +245,8 @@
                 "the idempotency key was used before with another body"
             }
             RefuseReason::KeyExpired => {
-                "the idempotency key's life is over; use a new key"
+                "the idempotency key's life is over; this request was not sent, an \
+                 earlier one with the key may have been"
             }
         }
     }
