--- a/crates/toucancleat-model/tests/spreading_fleet.rs
+++ b/crates/toucancleat-model/tests/spreading_fleet.rs
@@ -119,3 +119,22 @@
     let bound = 2 * hour_ms / 1_000 + 58 * (4 + hour_ms / 30_000);
     assert!(reads <= bound, "{reads} reads, bound {bound}");
 }
+
+#[test]
+fn zone_that_restarts_at_once_is_served_within_its_budget() {
+    let mut fleet = settled(2, 60);
+    fleet.cut_from_zones[1] = true;
+    fleet.costs.iter_mut().for_each(|cost| cost.reads = 0);
+    for host in 60..120 {
+        fleet.restart(host);
+    }
+    let begun_ms = fleet.now_ms;
+    while fleet.lowest_revision().is_none() {
+        fleet.run(100);
+        assert!(fleet.now_ms - begun_ms <= IN_FORCE_TARGET_MS);
+    }
+    let reads: u64 = fleet.costs[60..].iter().map(|cost| cost.reads).sum();
+    eprintln!("served after {} ms, {reads} reads", fleet.now_ms - begun_ms);
+    // Each host may spend what it saves up, and the reader polls.
+    assert!(reads <= 60 * 4 + 11, "{reads} reads");
+}
