Let claims of several keys go together in the random schedules

With one transaction in flight and four keys, most transactions now carry several claims. The test fails when a conflict lets the other claims of its transaction through unwritten, and passes otherwise.

--- a/crates/toucancleat-core/tests/claims/schedules.rs
+++ b/crates/toucancleat-core/tests/claims/schedules.rs
@@ -8,6 +8,9 @@
 };
 use toucancleat_core::prelude::*;
 
+/// Keys that the hosts' callers use.
+const KEYS: usize = 4;
+
 #[derive(Clone, Debug)]
 enum Step {
     Begin { host: usize, key: usize },
@@ -35,7 +38,12 @@
 
 fn new_host(index: usize, seed: u128) -> State {
     let name = HostName::new(&format!("entry-{index}"));
-    State::new(claims::Config::default(), &name, Incarnation(1), seed)
+    // One transaction at a time, so that claims of several keys go together.
+    let config = claims::Config {
+        transacts_in_flight_max: 1,
+        ..Default::default()
+    };
+    State::new(config, &name, Incarnation(1), seed)
 }
 
 fn take<T>(from: &mut Vec<T>, index: usize) -> Option<T> {
@@ -161,7 +169,7 @@
     }
 
     fn check(&self) {
-        for key in 0..2 {
+        for key in 0..KEYS {
             let ran = |request: &&RequestId| {
                 self.key_of[request.0 as usize] == key
                     && !self.proved_not_run.contains(request)
@@ -187,7 +195,7 @@
     ]);
     let index = any::<usize>;
     let step = prop_oneof![
-        6 => (0..3usize, 0..2usize).prop_map(|(host, key)| Step::Begin { host, key }),
+        6 => (0..3usize, 0..KEYS).prop_map(|(host, key)| Step::Begin { host, key }),
         9 => (index(), fault).prop_map(|(index, fault)| Step::Answer { index, fault }),
         4 => index().prop_map(|index| Step::Dispatch { index }),
         2 => (index(), any::<bool>())
@@ -196,7 +204,7 @@
         1 => (0..3usize).prop_map(|host| Step::Crash { host }),
         3 => (0..2_000u64).prop_map(|ms| Step::Tick { ms }),
     ];
-    proptest::collection::vec(step, 1..80)
+    proptest::collection::vec(step, 1..120)
 }
 
 proptest! {
