Keep targets by pool position and hash their names once

Cause: each decision looked every target of the zone up by name. Figures of `toucancleat-load decision` on the busy build machine, p99 at 12, 150 and 600 targets: 13.3, 27.3 and 50.0 us before; 11.6, 16.8 and 27.3 us after. The target of 20 us at 600 targets isn't reached yet.

--- a/crates/toucancleat-core/src/accounts/client.rs
+++ b/crates/toucancleat-core/src/accounts/client.rs
@@ -7,7 +7,7 @@
 use crate::accounts::pending::{Answer, Asked, Pending, reserve_of};
 use crate::accounts::running::{Run, dispatch, send_progress};
 use crate::accounts::state::{Outbox, State};
-use crate::accounts::views::{self, Views};
+use crate::accounts::views::Views;
 use crate::accounts::widen::advance;
 use crate::prelude::*;
 use crate::rng::Rng;
@@ -32,7 +32,7 @@
 impl Client {
     pub(super) fn new(seed: u64) -> Self {
         Client {
-            views: Views::new(),
+            views: Views::default(),
             pending: IndexMap::new(),
             running: IndexMap::new(),
             turns: IndexMap::new(),
@@ -278,25 +278,31 @@
 
 /// Takes a target out of the choice.
 pub(super) fn target_closed(state: &mut State, target: &TargetName) {
-    state.client.views.entry(target.clone()).or_default().closed = true;
+    if let Some(view) = state.client.views.get_mut(target) {
+        view.closed = true;
+    }
 }
 
 /// Takes a target into the choice again.
 pub(super) fn target_opened(state: &mut State, target: &TargetName) {
-    state.client.views.entry(target.clone()).or_default().closed = false;
+    if let Some(view) = state.client.views.get_mut(target) {
+        view.closed = false;
+    }
 }
 
 /// Notes an engine's load report.
 pub(super) fn load_reported(state: &mut State, target: &TargetName, report: &LoadReport) {
-    let view = state.client.views.entry(target.clone()).or_default();
-    view.report = Some(report.clone());
+    if let Some(view) = state.client.views.get_mut(target) {
+        view.report = Some(report.clone());
+    }
 }
 
 /// Notes what homes told of their accounts.
 pub(super) fn loads(state: &mut State, entries: Vec<Load>) {
     for load in entries {
-        let view = state.client.views.entry(load.target.clone()).or_default();
-        view.load = Some(load);
+        if let Some(view) = state.client.views.get_mut(&load.target) {
+            view.load = Some(load);
+        }
     }
 }
 
@@ -345,7 +351,7 @@
 
 fn choose(state: &mut State, request: &Request) -> Vec<TargetName> {
     let client = &mut state.client;
-    let open = views::open_targets(&state.zone, &client.views, request);
+    let open = client.views.open_targets(request);
     let choice = Choice {
         policy: request.limits.policy,
         affinity_key: affinity_key(&request.prefix_hashes),
--- a/crates/toucancleat-core/src/accounts/running.rs
+++ b/crates/toucancleat-core/src/accounts/running.rs
@@ -37,8 +37,9 @@
         told_ms: now_ms,
     };
     state.client.running.insert(request.generation, run);
-    let view = state.client.views.entry(target.clone()).or_default();
-    view.outstanding += 1;
+    if let Some(view) = state.client.views.get_mut(&target) {
+        view.outstanding += 1;
+    }
     outbox.effects.push(Effect::Dispatch {
         request: request.request,
         generation: request.generation,
--- a/crates/toucancleat-core/src/accounts/state.rs
+++ b/crates/toucancleat-core/src/accounts/state.rs
@@ -119,6 +119,7 @@
             evicted,
         } => client::cache_changed(state, &target, &stored, &evicted),
         Event::TargetsChanged(targets) => {
+            state.client.views.set_targets(targets.iter());
             state.zone.targets = by_name(targets);
             home::adopt(state, now_ms, outbox);
         }
--- a/crates/toucancleat-core/src/accounts/views.rs
+++ b/crates/toucancleat-core/src/accounts/views.rs
@@ -2,11 +2,11 @@
 
 use indexmap::IndexMap;
 
-use crate::accounts::event::{LoadReport, Request};
+use crate::accounts::event::{LoadReport, Request, TargetSpec};
 use crate::accounts::message::Load;
 use crate::accounts::state::Zone;
 use crate::prelude::*;
-use crate::routing::Candidate;
+use crate::routing::{Candidate, name_hash};
 
 /// One target from afar.
 #[derive(Clone, Debug, Default)]
@@ -15,26 +15,59 @@
     pub(super) outstanding: u32,
     pub(super) load: Option<Load>,
     pub(super) report: Option<LoadReport>,
+    name_hash: u64,
 }
 
-/// Views of all targets by name.
-pub(super) type Views = IndexMap<TargetName, View>;
+/// Views of all targets, by name and by pool.
+///
+/// A choice looks at every target of a pool, so pools hold positions and names are
+/// hashed once: with 600 targets, looking each up by name took most of a decision.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Views {
+    views: IndexMap<TargetName, View>,
+    pools: IndexMap<PoolName, Vec<usize>>,
+}
 
-/// Returns the targets that may serve a request.
-pub(super) fn open_targets<'a>(
-    zone: &'a Zone,
-    views: &Views,
-    request: &Request,
-) -> Vec<Candidate<'a>> {
-    let unseen = View::default();
-    let mut targets = Vec::with_capacity(zone.targets.len());
-    for (name, spec) in &zone.targets {
-        let view = views.get(name).unwrap_or(&unseen);
-        if spec.pool == request.pool && !view.closed && !request.excluded.contains(name) {
-            targets.push(candidate(name, view));
+impl Views {
+    /// Takes the targets of the zone in, and drops the views of others.
+    pub(super) fn set_targets<'a>(
+        &mut self,
+        targets: impl Iterator<Item = &'a TargetSpec>,
+    ) {
+        let mut before = std::mem::take(&mut self.views);
+        self.pools.clear();
+        for spec in targets {
+            let mut view = before.swap_remove(&spec.name).unwrap_or_default();
+            view.name_hash = name_hash(spec.name.as_str());
+            let (position, _) = self.views.insert_full(spec.name.clone(), view);
+            self.pools
+                .entry(spec.pool.clone())
+                .or_default()
+                .push(position);
         }
     }
-    targets
+
+    /// Returns the view of a target.
+    pub(super) fn get(&self, target: &TargetName) -> Option<&View> {
+        self.views.get(target)
+    }
+
+    /// Returns the view of a target, to be changed.
+    pub(super) fn get_mut(&mut self, target: &TargetName) -> Option<&mut View> {
+        self.views.get_mut(target)
+    }
+
+    /// Returns the targets that may serve a request.
+    pub(super) fn open_targets(&self, request: &Request) -> Vec<Candidate<'_>> {
+        let Some(pool) = self.pools.get(&request.pool) else {
+            return Vec::new();
+        };
+        let views = pool.iter().filter_map(|&at| self.views.get_index(at));
+        views
+            .filter(|(name, view)| !view.closed && !request.excluded.contains(name))
+            .map(|(name, view)| candidate(name, view))
+            .collect()
+    }
 }
 
 fn candidate<'a>(name: &'a TargetName, view: &View) -> Candidate<'a> {
@@ -42,6 +75,7 @@
     let load = view.load.as_ref();
     Candidate {
         name,
+        name_hash: view.name_hash,
         outstanding: view.outstanding,
         reported_load: report.map_or(0, |r| r.running + r.waiting),
         used_share: load.map_or(0.0, |l| l.used_share),
--- a/crates/toucancleat-core/src/accounts/widen.rs
+++ b/crates/toucancleat-core/src/accounts/widen.rs
@@ -59,17 +59,12 @@
     let distribution = lengths.distribution(&request.organisation, &request.kind);
     let expected = distribution.expected_remaining(0, request.max_output_tokens);
     let safe = |target: &&TargetName| {
-        let view = state.client.views.get(*target).cloned().unwrap_or_default();
+        let Some(view) = state.client.views.get(target) else {
+            return false;
+        };
         let caution = state.config.caution_share;
         !view.closed
-            && views::is_safe_alone(
-                &state.zone,
-                &view,
-                target,
-                request,
-                expected,
-                caution,
-            )
+            && views::is_safe_alone(&state.zone, view, target, request, expected, caution)
     };
     let targets = pending.asked.iter().map(|asked| &asked.target);
     targets.clone().find(safe).cloned()
--- a/crates/toucancleat-core/src/routing/choice.rs
+++ b/crates/toucancleat-core/src/routing/choice.rs
@@ -10,6 +10,8 @@
 pub struct Candidate<'a> {
     /// The target.
     pub name: &'a TargetName,
+    /// Hash of its name, see [`super::name_hash`].
+    pub name_hash: u64,
     /// Requests of this host that run there.
     pub outstanding: u32,
     /// Load by the last report: sequences in the engine, running or waiting.
@@ -123,9 +125,7 @@
 }
 
 fn nearest(targets: &[Candidate<'_>], key: u64) -> usize {
-    let scores = targets
-        .iter()
-        .map(|c| rendezvous_score(key, c.name.as_str()));
+    let scores = targets.iter().map(|c| rendezvous_score(key, c.name_hash));
     let best = scores.enumerate().max_by_key(|&(_, score)| score);
     best.map_or(0, |(index, _)| index)
 }
--- a/crates/toucancleat-core/src/routing/prefix.rs
+++ b/crates/toucancleat-core/src/routing/prefix.rs
@@ -33,7 +33,12 @@
     prefix_hashes.get(last).copied()
 }
 
-/// Scores a name for a key; the highest score of all names wins (rendezvous hashing).
-pub fn rendezvous_score(key: u64, name: &str) -> u64 {
-    mix64(mix64(key) ^ stable_hash(name.as_bytes()))
+/// Scores a hashed name for a key; the highest score of all names wins (rendezvous hashing).
+pub fn rendezvous_score(key: u64, name_hash: u64) -> u64 {
+    mix64(mix64(key) ^ name_hash)
+}
+
+/// Hashes a name for [`rendezvous_score`].
+pub fn name_hash(name: &str) -> u64 {
+    stable_hash(name.as_bytes())
 }
--- a/crates/toucancleat-core/src/routing/spill.rs
+++ b/crates/toucancleat-core/src/routing/spill.rs
@@ -1,7 +1,7 @@
 //! The choice of another zone while the host's own is full.
 
 use crate::prelude::*;
-use crate::routing::prefix::rendezvous_score;
+use crate::routing::prefix::{name_hash, rendezvous_score};
 
 /// What a zone told of one pool.
 #[derive(Clone, Debug, PartialEq)]
@@ -41,6 +41,6 @@
     };
     let zones = summaries.iter().filter(|s| &s.pool == pool);
     let zones = zones.filter(fresh).filter(has_room);
-    let best = zones.max_by_key(|s| rendezvous_score(key, s.zone.as_str()));
+    let best = zones.max_by_key(|s| rendezvous_score(key, name_hash(s.zone.as_str())));
     best.map(|s| &s.zone)
 }
--- a/crates/toucancleat-core/tests/routing.rs
+++ b/crates/toucancleat-core/tests/routing.rs
@@ -4,8 +4,8 @@
 use toucancleat_core::prelude::*;
 use toucancleat_core::rng::Rng;
 use toucancleat_core::routing::{
-    Candidate, Choice, RetryBudget, ZoneSummary, affinity_key, candidates, prefix_hashes,
-    spill_zone,
+    Candidate, Choice, RetryBudget, ZoneSummary, affinity_key, candidates, name_hash,
+    prefix_hashes, spill_zone,
 };
 use toucancleat_core::settings::RoutingPolicy;
 
@@ -18,6 +18,7 @@
 fn idle(names: &[TargetName]) -> Vec<Candidate<'_>> {
     let idle = |name| Candidate {
         name,
+        name_hash: name_hash(name.as_str()),
         outstanding: 0,
         reported_load: 0,
         used_share: 0.0,
