--- a/crates/toucancleat-wire/src/codec/mod.rs
+++ b/crates/toucancleat-wire/src/codec/mod.rs
@@ -5,6 +5,8 @@
 
 mod accounts;
 mod crash_marks;
+mod holds;
+mod limits;
 mod membership;
 mod peer;
 mod spread;
