--- a/crates/toucancleat-load/src/engines.rs
+++ b/crates/toucancleat-load/src/engines.rs
@@ -19,7 +19,7 @@
 /// The engines of a run.
 #[derive(Debug)]
 pub struct Engines {
-    engines: Vec<Option<Engine>>,
+    engines: Vec<Engine>,
     /// Where each engine listens.
     pub addresses: Vec<SocketAddr>,
     /// Each engine as the settings would describe it.
@@ -49,7 +49,7 @@
         for index in 0..spec.engines.count {
             let engine = Engine::start(config(spec)).await?;
             started.addresses.push(engine.address());
-            started.engines.push(Some(engine));
+            started.engines.push(engine);
             started.specs.push(TargetSpec {
                 name: TargetName::new(&format!("engine-{index}")),
                 pool: PoolName::new(POOL),
@@ -61,17 +61,16 @@
     }
 
     /// Ends an engine, with every stream that it had.
-    pub fn kill(&mut self, index: usize) {
-        if let Some(engine) = self.engines.get_mut(index) {
-            *engine = None;
+    pub async fn kill(&self, index: usize) {
+        if let Some(engine) = self.engines.get(index) {
+            engine.kill().await;
         }
     }
 
-    /// Returns the preemptions of the engines that live.
+    /// Returns the preemptions of all engines.
     pub fn preemptions(&self) -> u64 {
-        let engines = self.engines.iter().flatten();
-        let records = engines.flat_map(|engine| engine.records().generations);
-        records.map(|record| u64::from(record.preemptions)).sum()
+        let records = self.engines.iter().map(Engine::records);
+        records.map(|records| records.preemptions_total).sum()
     }
 }
 
@@ -107,6 +106,8 @@
             max_batch: spec.engines.max_batch,
             step_base_ms: spec.engines.step_base_ms,
             step_per_sequence_ms: spec.engines.step_sequence_ms,
+            step_per_prefill_token_ms: spec.engines.step_prefill_token_ms,
+            step_per_1000_context_tokens_ms: spec.engines.step_1000_context_tokens_ms,
             ..defaults
         },
         ..EngineConfig::default()
--- a/crates/toucancleat-load/src/run.rs
+++ b/crates/toucancleat-load/src/run.rs
@@ -33,7 +33,7 @@
 /// Runs one arm on one seed and measures it.
 pub async fn run(spec: &Spec, arm: Arm, seed: u64) -> io::Result<Measured> {
     let arrivals = arrivals(spec, seed);
-    let mut engines = Engines::start(spec).await?;
+    let engines = Engines::start(spec).await?;
     let clock = Clock::new(spec.time_scale);
     let oracle = (arm == Arm::KnownLengths).then(|| oracle(&arrivals));
     let hosts = Hosts::start(spec.hosts, &engines.specs, seed, clock, oracle);
@@ -51,7 +51,7 @@
     for (target, address) in shared.addresses.clone() {
         readers.spawn(read_loads(shared.clone(), hosts.clone(), target, address));
     }
-    let samples = drive(&shared, &hosts, &mut engines, arrivals).await;
+    let samples = drive(&shared, &hosts, &engines, arrivals).await;
     readers.shutdown().await;
     let preemptions = engines.preemptions();
     Ok(Measured::new(spec, samples, preemptions, hosts.messages()))
@@ -61,7 +61,7 @@
 async fn drive(
     shared: &Arc<Shared>,
     hosts: &Arc<Hosts>,
-    engines: &mut Engines,
+    engines: &Engines,
     arrivals: Vec<Arrival>,
 ) -> Vec<Sample> {
     let mut calls = JoinSet::new();
@@ -71,7 +71,7 @@
             let kill_ms = (shared.spec.warm_up_ms + due.at_ms) as f64;
             if arrival.at_ms >= kill_ms {
                 tokio::time::sleep_until(shared.clock.instant(kill_ms)).await;
-                engines.kill(due.engine);
+                engines.kill(due.engine).await;
                 kill = None;
             }
         }
--- a/crates/toucancleat-load/src/spec.rs
+++ b/crates/toucancleat-load/src/spec.rs
@@ -103,6 +103,10 @@
     pub step_base_ms: f64,
     /// Time that each sequence adds to a step.
     pub step_sequence_ms: f64,
+    /// Time that each prompt token adds to a step.
+    pub step_prefill_token_ms: f64,
+    /// Time that a thousand tokens of memory in use add to a step.
+    pub step_1000_context_tokens_ms: f64,
 }
 
 /// Bounds that the settings put on an admission.
--- a/crates/toucancleat-load/src/workload.rs
+++ b/crates/toucancleat-load/src/workload.rs
@@ -52,26 +52,31 @@
 /// largest mean batch that their memory and step-time bound allow.
 pub fn capacity_per_ms(spec: &Spec) -> f64 {
     let mut rng = Rng::new(1);
-    let (mut output, mut held) = (0.0, 0.0);
+    let (mut output, mut held, mut prompts) = (0.0, 0.0, 0.0);
     for index in 0..CAPACITY_SAMPLES {
         let arrival = draw(spec, &mut rng, 0.0, index);
         let tokens = f64::from(arrival.output_tokens);
+        let prompt = (arrival.prompt.len() / TOKEN_BYTES) as f64;
         output += tokens;
+        prompts += prompt;
         // A request holds its prompt all along and half of its answer on average.
-        held += tokens * ((arrival.prompt.len() / TOKEN_BYTES) as f64 + tokens / 2.0);
+        held += tokens * (prompt + tokens / 2.0);
     }
     let engines = &spec.engines;
     let footprint = held / output;
     let by_memory = engines.memory_tokens as f64 / footprint;
     let spare_ms = spec.bounds.step_time_max_ms - engines.step_base_ms;
-    let by_step = spare_ms / engines.step_sequence_ms;
+    let context_ms = engines.step_1000_context_tokens_ms * footprint / 1_000.0;
+    let by_step = spare_ms / (engines.step_sequence_ms + context_ms);
     let batch = by_memory
         .min(by_step)
         .min(f64::from(engines.max_batch))
         .max(1.0);
-    let step_ms = engines.step_base_ms + engines.step_sequence_ms * batch;
-    let mean_output = output / CAPACITY_SAMPLES as f64;
-    engines.count as f64 * batch / step_ms / mean_output
+    let step_ms = engines.step_base_ms + (engines.step_sequence_ms + context_ms) * batch;
+    let samples = CAPACITY_SAMPLES as f64;
+    let prefill_ms = prompts / samples * engines.step_prefill_token_ms;
+    let decode_ms = output / samples * step_ms / batch;
+    engines.count as f64 / (prefill_ms + decode_ms)
 }
 
 fn rate_factor(spec: &Spec, at_ms: f64) -> f64 {
