--- a/crates/toucancleat-core/src/accounts/admission.rs
+++ b/crates/toucancleat-core/src/accounts/admission.rs
@@ -100,11 +100,12 @@
 /// Returns the time that this request may have to wait behind its fair turn.
 fn own_wait_ms(account: &Account, entry: &Entry, one: &Forecast) -> u64 {
     let reserve = &entry.reserve;
-    let expected_tokens = one.remaining_tokens();
+    let run_ms = run_time_ms(account, one);
     let ahead_tokens = account.queue.tokens_ahead(
         &reserve.organisation,
         reserve.weight,
-        expected_tokens,
+        reserve.deadline_unix_ms.saturating_sub(run_ms),
+        one.remaining_tokens(),
     );
     wait_behind_ms(account, ahead_tokens)
 }
--- a/crates/toucancleat-core/src/accounts/queue.rs
+++ b/crates/toucancleat-core/src/accounts/queue.rs
@@ -133,20 +133,26 @@
         }
     }
 
-    /// Returns the expected tokens that start before a new request of an organisation.
+    /// Returns the expected tokens that start before a new request of an organisation that
+    /// has to start by `start_by_ms`.
     ///
-    /// Others are served in turn with it, so a long queue of theirs counts only up to what
-    /// the organisation's own queue amounts to.
+    /// Of the organisation's own requests only the more urgent go first. Others are served
+    /// in turn with it, so a long queue of theirs counts only up to what goes before the
+    /// request in its own.
     pub fn tokens_ahead(
         &self,
         organisation: &OrganisationName,
         weight: f64,
+        start_by_ms: u64,
         expected_tokens: f64,
     ) -> f64 {
-        let own = self
-            .lanes
-            .get(organisation)
-            .map_or(0.0, |l| l.waiting_tokens);
+        let own: f64 = self
+            .waiting
+            .values()
+            .filter(|w| w.start_by_ms <= start_by_ms)
+            .filter(|w| &w.reserve.organisation == organisation)
+            .map(|w| w.expected_tokens)
+            .sum();
         let turn = (own + expected_tokens) / weight.max(f64::MIN_POSITIVE);
         let others = self.lanes.iter().filter(|(name, _)| *name != organisation);
         let ahead = others.map(|(_, lane)| lane.waiting_tokens.min(turn * lane.weight));
--- a/crates/toucancleat-load/src/measure.rs
+++ b/crates/toucancleat-load/src/measure.rs
@@ -46,6 +46,8 @@
     pub on_time: u64,
     /// Requests refused.
     pub refused: u64,
+    /// Requests refused because the answer couldn't be on time.
+    pub refused_late: u64,
     /// Answers that broke off.
     pub broken: u64,
     /// Answers with a token repeated, skipped or of another generation.
@@ -166,6 +168,7 @@
             whole: count(&|s| s.ending == Some(Ending::Whole)),
             on_time: count(&|s| s.is_on_time(spec)),
             refused: count(&|s| s.refused.is_some() || s.ending == Some(Ending::Refused)),
+            refused_late: count(&|s| s.refused == Some(RefuseReason::Late)),
             broken: count(&|s| s.ending == Some(Ending::Broken)),
             wrong: count(&|s| s.ending == Some(Ending::Wrong)),
             preemptions,
