Leave memory alone that a report shows in use beyond the account

Two hosts may both act as a target's home, and hosts without a home start work on their own; the account then knows only a part of the memory in use. The least excess of four reports over 1.3 times the account is now kept free. Shown failing first: with an excess of none, the new test saw a request start on a target whose memory another host's work filled.

--- a/crates/toucancleat-core/src/accounts/account.rs
+++ b/crates/toucancleat-core/src/accounts/account.rs
@@ -14,6 +14,14 @@
 /// Step time assumed before an engine has reported any.
 const STEP_TIME_ASSUMED_MS: f64 = 25.0;
 
+/// How far a report may exceed the account before the rest counts as not accounted for:
+/// progress is told at each quarter of growth, so the account may lag by as much.
+const REPORT_LEEWAY: f64 = 1.3;
+
+/// Reports of which the least excess counts, so that what ended since a late report was
+/// measured doesn't.
+const EXCESS_REPORTS: usize = 4;
+
 /// Everything that the home knows of one target.
 #[derive(Clone, Debug)]
 pub(super) struct Account {
@@ -28,6 +36,9 @@
     /// When the account counts as rebuilt even without them.
     pub(super) rebuilt_by_ms: u64,
     forecast: Forecast,
+    /// Memory in use beyond the account, by the last reports.
+    excess_tokens: [f64; EXCESS_REPORTS],
+    reports: usize,
 }
 
 /// Whether a target takes work.
@@ -66,9 +77,32 @@
             awaited: Vec::new(),
             rebuilt_by_ms: 0,
             forecast: Forecast::default(),
+            excess_tokens: [0.0; EXCESS_REPORTS],
+            reports: 0,
         }
     }
 
+    /// Takes in an engine's load report.
+    pub(super) fn note_report(&mut self, report: LoadReport) {
+        self.step_time.observe(report.running, report.step_ms);
+        let known_tokens = self.forecast.now_tokens() * REPORT_LEEWAY;
+        let excess_tokens = (report.used_tokens as f64 - known_tokens).max(0.0);
+        self.excess_tokens[self.reports % EXCESS_REPORTS] = excess_tokens;
+        self.reports += 1;
+        self.report = Some(report);
+    }
+
+    /// Returns the memory that the engine uses for work that the account doesn't know.
+    ///
+    /// Two hosts may both act as the home for a while, and hosts without a home start work
+    /// on their own; the engine's report is the only word of it.
+    pub(super) fn unaccounted_tokens(&self) -> f64 {
+        self.excess_tokens
+            .iter()
+            .copied()
+            .fold(f64::INFINITY, f64::min)
+    }
+
     /// Returns the whole memory; a report corrects the settings.
     pub(super) fn memory_tokens(&self) -> f64 {
         let reported = self.report.as_ref().map_or(0, |r| r.memory_tokens);
--- a/crates/toucancleat-core/src/accounts/admission.rs
+++ b/crates/toucancleat-core/src/accounts/admission.rs
@@ -77,14 +77,14 @@
     if account.standing != Standing::Serving || batch > account.spec.max_batch.max(1) {
         return false;
     }
-    let memory_tokens =
-        account.memory_tokens() * share_of_memory(account, now_ms, config);
+    let share = share_of_memory(account, now_ms, config);
+    let memory_tokens = account.memory_tokens() * share - account.unaccounted_tokens();
     if limits.policy == RoutingPolicy::ReserveMaximum {
         return account.batch() == 0 || account.forecast().fits(one, memory_tokens, 0.5);
     }
     // An empty target takes anything that its memory can hold at the start.
     if account.batch() == 0 {
-        return true;
+        return account.unaccounted_tokens() == 0.0;
     }
     account.step_ms(batch) <= limits.step_time_max_ms
         && account
--- a/crates/toucancleat-core/src/accounts/client.rs
+++ b/crates/toucancleat-core/src/accounts/client.rs
@@ -293,7 +293,7 @@
 /// Notes an engine's load report.
 pub(super) fn load_reported(state: &mut State, target: &TargetName, report: &LoadReport) {
     if let Some(view) = state.client.views.get_mut(target) {
-        view.report = Some(report.clone());
+        view.note_report(report);
     }
 }
 
@@ -301,7 +301,7 @@
 pub(super) fn loads(state: &mut State, entries: Vec<Load>) {
     for load in entries {
         if let Some(view) = state.client.views.get_mut(&load.target) {
-            view.load = Some(load);
+            view.note_load(&load);
         }
     }
 }
--- a/crates/toucancleat-core/src/accounts/home.rs
+++ b/crates/toucancleat-core/src/accounts/home.rs
@@ -234,8 +234,7 @@
 ) {
     let home = &mut state.home;
     if let Some(account) = home.accounts.get_mut(target) {
-        account.step_time.observe(report.running, report.step_ms);
-        account.report = Some(report);
+        account.note_report(report);
         serve_queue(account, now_ms, &home.lengths, &state.config, outbox);
     }
 }
--- a/crates/toucancleat-core/src/accounts/views.rs
+++ b/crates/toucancleat-core/src/accounts/views.rs
@@ -13,9 +13,12 @@
 pub(super) struct View {
     pub(super) closed: bool,
     pub(super) outstanding: u32,
-    pub(super) load: Option<Load>,
-    pub(super) report: Option<LoadReport>,
     name_hash: u64,
+    used_share: f64,
+    wait_ms: u64,
+    reported_load: u32,
+    reported_running: u32,
+    reported_used_tokens: u64,
 }
 
 /// Views of all targets, by name and by pool.
@@ -28,6 +31,21 @@
     pools: IndexMap<PoolName, Vec<usize>>,
 }
 
+impl View {
+    /// Notes what the home told of its account.
+    pub(super) fn note_load(&mut self, load: &Load) {
+        self.used_share = load.used_share;
+        self.wait_ms = load.wait_ms;
+    }
+
+    /// Notes an engine's load report.
+    pub(super) fn note_report(&mut self, report: &LoadReport) {
+        self.reported_load = report.running + report.waiting;
+        self.reported_running = report.running;
+        self.reported_used_tokens = report.used_tokens;
+    }
+}
+
 impl Views {
     /// Takes the targets of the zone in, and drops the views of others.
     pub(super) fn set_targets<'a>(
@@ -71,15 +89,13 @@
 }
 
 fn candidate<'a>(name: &'a TargetName, view: &View) -> Candidate<'a> {
-    let report = view.report.as_ref();
-    let load = view.load.as_ref();
     Candidate {
         name,
         name_hash: view.name_hash,
         outstanding: view.outstanding,
-        reported_load: report.map_or(0, |r| r.running + r.waiting),
-        used_share: load.map_or(0.0, |l| l.used_share),
-        wait_ms: load.map_or(0, |l| l.wait_ms),
+        reported_load: view.reported_load,
+        used_share: view.used_share,
+        wait_ms: view.wait_ms,
     }
 }
 
@@ -99,12 +115,11 @@
         return false;
     };
     let hosts = zone.hosts.len().max(1) as f64;
-    let report = view.report.as_ref();
-    let used_tokens = report.map_or(0.0, |r| r.used_tokens as f64);
+    let used_tokens = view.reported_used_tokens as f64;
     let room = (spec.memory_tokens as f64 * caution_share - used_tokens) / hosts;
     let own_batch = f64::from(spec.max_batch) * caution_share / hosts;
     let needed = f64::from(request.prompt_tokens) + expected_tokens;
     // One request at an idle target is always safe.
-    let idle = report.is_none_or(|r| r.running == 0) && view.outstanding == 0;
+    let idle = view.reported_running == 0 && view.outstanding == 0;
     idle || (needed <= room && f64::from(view.outstanding + 1) <= own_batch)
 }
--- a/crates/toucancleat-core/tests/accounts.rs
+++ b/crates/toucancleat-core/tests/accounts.rs
@@ -5,7 +5,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use toucancleat_core::accounts::{Event, RefuseReason, Request};
+use toucancleat_core::accounts::{Event, LoadReport, RefuseReason, Request};
 use toucancleat_core::prelude::*;
 use toucancleat_core::settings::RoutingPolicy;
 use zone::{Faults, Zone, report, request, target};
@@ -246,6 +246,28 @@
     );
 }
 
+#[test]
+fn memory_used_by_work_that_the_home_does_not_know_is_left_alone() {
+    let mut zone = Zone::new(1, &[target("t0", 10_000, 64)], 1);
+    let host = HostName::new("h0");
+    let used = |used_tokens| Event::LoadReported {
+        target: TargetName::new("t0"),
+        report: LoadReport {
+            used_tokens,
+            ..report(8, 20.0)
+        },
+    };
+    for _ in 0..4 {
+        zone.event(&host, used(9_500));
+    }
+    let first = request(1, "org", zone.now_ms);
+    zone.event(&host, Event::Arrived(first));
+    assert_eq!(zone.dispatched, [], "another host's work fills the target");
+    zone.event(&host, used(0));
+    zone.run_ms(100);
+    assert_eq!(zone.dispatched.len(), 1);
+}
+
 #[test]
 fn retries_are_bounded_by_their_budget() {
     let mut zone = Zone::new(1, &[target("t0", 1_000_000, 1_000)], 1);
