--- /dev/null
+++ b/crates/toucancleat-load/src/bin/capacity/homes.rs
@@ -0,0 +1,72 @@
+//! Homes of the keys that a host uses.
+
+use std::net::SocketAddr;
+
+use toucancleat_core::homes::{HomeKey, Homes};
+use toucancleat_core::membership::Host;
+use toucancleat_core::prelude::*;
+
+use crate::sample::{Role, Sample, Stopwatch, allocated};
+use crate::target;
+
+const SIZES: [usize; 4] = [3_000, 6_000, 12_000, 24_000];
+const CHANGES: u64 = 20;
+
+pub fn measure() -> Role {
+    Role {
+        name: "homes",
+        size: "targets and organisations whose home a host remembers",
+        target_size: target::ZONE_TARGETS + target::ORGANISATIONS,
+        mechanism: "rendezvous hashing over the zone's live hosts, worked out by each host \
+                    alone, without messages",
+        note: "60 hosts in the zone; processor time for the zone's share of replaced and \
+               failing hosts, each of which goes and comes",
+        samples: SIZES.map(sample).to_vec(),
+    }
+}
+
+fn sample(keys: usize) -> Sample {
+    let hosts: Vec<Host> = (0..target::ZONE_HOSTS as usize).map(host).collect();
+    let keys: Vec<HomeKey> = (0..keys)
+        .map(|i| {
+            HomeKey::Organisation(OrganisationName::new(&format!("organisation-{i}")))
+        })
+        .collect();
+    let (mut homes, bytes) = allocated(|| {
+        let mut homes = Homes::new();
+        homes.update(0, &hosts);
+        for key in &keys {
+            homes.home(key);
+        }
+        homes
+    });
+    let mut stopwatch = Stopwatch::default();
+    for version in 1..=CHANGES {
+        let gone = version as usize % hosts.len();
+        let live: Vec<&Host> = hosts
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| *i != gone)
+            .map(|(_, host)| host)
+            .collect();
+        stopwatch.time(|| homes.update(version, live.iter().copied()));
+    }
+    let change_us = stopwatch.elapsed.as_micros() as f64 / CHANGES as f64;
+    let changes_per_day =
+        2.0 * (target::REPLACEMENTS_PER_DAY + target::FAILURES_PER_DAY) / target::ZONES;
+    Sample {
+        size: keys.len() as f64,
+        state_bytes: bytes,
+        cpu_us_per_s: change_us * changes_per_day / target::DAY_S,
+        ..Sample::default()
+    }
+}
+
+pub fn host(i: usize) -> Host {
+    Host {
+        name: HostName::new(&format!("entry-upp-a-{i}")),
+        zone: ZoneName::new("upp-a"),
+        address: SocketAddr::from(([10, 0, 0, 1], 7_000)),
+        incarnation: Incarnation(1),
+    }
+}
