--- a/crates/toucancleat-load/src/bin/capacity/main.rs
+++ b/crates/toucancleat-load/src/bin/capacity/main.rs
@@ -38,7 +38,7 @@
         marks::measure(),
         spread::measure(),
     ];
-    match std::fs::write(&path, page::render(&measured)) {
+    match std::fs::write(&path, page::render(&measured, &membership::detections())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("expected to write {path}: {error}");
--- a/crates/toucancleat-load/src/bin/capacity/membership.rs
+++ b/crates/toucancleat-load/src/bin/capacity/membership.rs
@@ -5,7 +5,7 @@
 
 use indexmap::IndexMap;
 use toucancleat_core::membership::{
-    Config, Delegate, Effect, Event, Host, ListedHost, Message, PoolSpare, State,
+    Config, Delegate, Effect, Event, Host, ListedHost, Message, PoolSpare, State, Status,
     ZoneSummary, reduce,
 };
 use toucancleat_core::prelude::*;
@@ -52,6 +52,34 @@
     }
 }
 
+/// Times from the end of a host until all others know of it.
+#[derive(Debug)]
+pub struct Detection {
+    /// Hosts in the zone.
+    pub hosts: usize,
+    /// The median time.
+    pub median_ms: u64,
+    /// The longest time.
+    pub longest_ms: u64,
+}
+
+/// Ends hosts one after another, and waits until all others know of each.
+pub fn detections() -> Vec<Detection> {
+    const ENDS: usize = 11;
+    let detect = |hosts| {
+        let mut zone = Zone::new(hosts);
+        zone.run(WARM_UP_S);
+        let mut times_ms: Vec<u64> = (0..ENDS).map(|_| zone.end_one()).collect();
+        times_ms.sort_unstable();
+        Detection {
+            hosts,
+            median_ms: times_ms[ENDS / 2],
+            longest_ms: times_ms[ENDS - 1],
+        }
+    };
+    SIZES.map(detect).into()
+}
+
 struct Zone {
     now_ms: u64,
     hosts: IndexMap<HostName, State>,
@@ -103,6 +131,25 @@
         self.event(self.hosts.len() - 1, Event::Listed { hosts: listed });
     }
 
+    /// Ends a host without a word; returns the time until all others know.
+    fn end_one(&mut self) -> u64 {
+        let Some((ended, _)) = self.hosts.shift_remove_index(0) else {
+            return 0;
+        };
+        let ended_ms = self.now_ms;
+        let knows =
+            |state: &State| !state.status_of(&ended).is_some_and(Status::takes_homes);
+        while !self.hosts.values().all(knows) {
+            self.step();
+        }
+        let took_ms = self.now_ms - ended_ms;
+        self.start();
+        let listed = self.listed();
+        self.event(self.hosts.len() - 1, Event::Listed { hosts: listed });
+        self.run(WARM_UP_S);
+        took_ms
+    }
+
     fn listed(&self) -> Vec<ListedHost> {
         let own = self.hosts.values().map(|state| &state.own().host);
         own.map(|host| ListedHost {
@@ -117,13 +164,17 @@
     fn run(&mut self, seconds: u64) {
         let end_ms = self.now_ms + seconds * 1_000;
         while self.now_ms < end_ms {
-            self.now_ms += STEP_MS;
-            if self.now_ms.is_multiple_of(2_000) {
-                self.hear_zones();
-            }
-            for i in 0..self.hosts.len() {
-                self.event(i, Event::Tick);
-            }
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        if self.now_ms.is_multiple_of(2_000) {
+            self.hear_zones();
+        }
+        for i in 0..self.hosts.len() {
+            self.event(i, Event::Tick);
         }
     }
 
--- a/crates/toucancleat-load/src/bin/capacity/page.rs
+++ b/crates/toucancleat-load/src/bin/capacity/page.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write as _;
 
 use crate::fit::Line;
+use crate::membership::Detection;
 use crate::sample::{Role, Sample};
 use crate::target;
 
@@ -52,9 +53,10 @@
 ];
 
 /// Writes the whole page.
-pub fn render(roles: &[Role]) -> String {
+pub fn render(roles: &[Role], detections: &[Detection]) -> String {
     let mut page = HEADER.to_owned();
     summary(&mut page, roles);
+    times(&mut page, detections);
     page.push_str("\n## Measured points\n");
     for role in roles {
         points(&mut page, role);
@@ -148,6 +150,23 @@
     }
 }
 
+fn times(page: &mut String, detections: &[Detection]) {
+    page.push_str(
+        "\n## Time until a zone knows that a host has ended\n\n\
+         In virtual time, 11 hosts one after another, without a lost message; the time is \
+         that of the last host to know.\n\n\
+         | hosts in the zone | median | longest |\n| --- | --- | --- |\n",
+    );
+    for Detection {
+        hosts,
+        median_ms,
+        longest_ms,
+    } in detections
+    {
+        let _ = writeln!(page, "| {hosts} | {median_ms} ms | {longest_ms} ms |");
+    }
+}
+
 fn points(page: &mut String, role: &Role) {
     let _ = writeln!(
         page,
