--- a/crates/toucancleat-entry/src/operators.rs
+++ b/crates/toucancleat-entry/src/operators.rs
@@ -8,7 +8,6 @@
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
 use subtle::ConstantTimeEq;
-use tokio::sync::oneshot;
 use toucancleat_core::{Event, State};
 use volo_http::body::Body;
 use volo_http::request::Request;
@@ -85,6 +84,14 @@
     if let Some(refused) = unauthorised(&host, &request) {
         return refused;
     }
+    let now_ms = host.clock.now_ms();
+    let shown = host.clone();
+    let taken = host
+        .inspect(move |state| shown.metrics.take_figures(state, now_ms))
+        .await;
+    if taken.is_none() {
+        log::debug!("the metrics are read while the host ends");
+    }
     reply(StatusCode::OK, OPENMETRICS, host.metrics.encode())
 }
 
@@ -166,19 +173,14 @@
     json_reply(json!({ "draining": true }))
 }
 
-/// Runs a function on the reducer's state, in the driver's task.
-async fn inspect<F>(host: &Host, look: F) -> Response
+/// Replies with what a function finds in the reducer's state.
+async fn inspect<F>(host: &Host, find: F) -> Response
 where
     F: FnOnce(&State) -> Value + Send + 'static,
 {
-    let (sender, receiver) = oneshot::channel();
-    host.tell(Input::Inspect(Box::new(move |state| {
-        // The operator may have gone away meanwhile.
-        let _ = sender.send(look(state));
-    })));
-    match receiver.await {
-        Ok(value) => json_reply(value),
-        Err(_) => reply(
+    match host.inspect(find).await {
+        Some(value) => json_reply(value),
+        None => reply(
             StatusCode::SERVICE_UNAVAILABLE,
             "text/plain",
             "stopping".to_owned(),
--- a/crates/toucancleat-wire/schema/peer.capnp
+++ b/crates/toucancleat-wire/schema/peer.capnp
@@ -23,7 +23,8 @@
     accounts @7 :Accounts.Message;
     spread @8 :Spread.Message;
     streams @9 :Streams.Message;
-    limits @10 :Limits.Message;
+    holds @10 :Streams.HoldMessage;
+    limits @11 :Limits.Message;
   }
 }
 
