--- a/crates/toucancleat-load/src/bin/capacity/main.rs
+++ b/crates/toucancleat-load/src/bin/capacity/main.rs
@@ -6,6 +6,7 @@
 //! `cargo run --release -p toucancleat-load --bin capacity -- docs/CAPACITY.md`.
 
 mod accounts;
+mod claims;
 mod fit;
 mod homes;
 mod limits;
@@ -40,7 +41,10 @@
         spread::measure(),
         accounts::measure(),
     ];
-    match std::fs::write(&path, page::render(&measured, &membership::detections())) {
+    match std::fs::write(
+        &path,
+        page::render(&measured, &membership::detections(), &claims::measure()),
+    ) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("expected to write {path}: {error}");
--- a/crates/toucancleat-load/src/bin/capacity/page.rs
+++ b/crates/toucancleat-load/src/bin/capacity/page.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write as _;
 
+use crate::claims::{PlatformCost, TABLE_MS};
 use crate::fit::Line;
 use crate::membership::Detection;
 use crate::sample::{Role, Sample};
@@ -39,7 +40,10 @@
         "request home (streams)",
         "questions for a stream that came back elsewhere",
     ),
-    ("claim batching", "group commit of claim rows"),
+    (
+        "claim batching",
+        "group commit of claim rows; its transactions are measured below",
+    ),
     ("order reconciler", "one lease holder for each zone"),
     ("time line", "a bounded ring in each process"),
     (
@@ -49,10 +53,15 @@
 ];
 
 /// Writes the whole page.
-pub fn render(roles: &[Role], detections: &[Detection]) -> String {
+pub fn render(
+    roles: &[Role],
+    detections: &[Detection],
+    platform: &[PlatformCost],
+) -> String {
     let mut page = HEADER.to_owned();
     summary(&mut page, roles);
     times(&mut page, detections);
+    claims(&mut page, platform);
     page.push_str("\n## Measured points\n");
     for role in roles {
         points(&mut page, role);
@@ -182,6 +191,39 @@
     }
 }
 
+fn claims(page: &mut String, platform: &[PlatformCost]) {
+    let _ = write!(
+        page,
+        "\n## Claims at the platform's table\n\n\
+         The letter doesn't say how many requests may not run twice. Transactions a second \
+         of the whole fleet, claims and their answers together, with a table that takes \
+         {TABLE_MS} ms; each host batches what waits while its transactions are under way. \
+         Today each host writes its own claims. The last column is what one host of each \
+         zone would write with all claims of the zone.\n\n\
+         | part of the requests | by host | by zone |\n| --- | --- | --- |\n",
+    );
+    for PlatformCost {
+        part,
+        by_host_per_s,
+        by_zone_per_s,
+    } in platform
+    {
+        let _ = writeln!(
+            page,
+            "| {:.0}% | {} | {} |",
+            part * 100.0,
+            number(*by_host_per_s),
+            number(*by_zone_per_s)
+        );
+    }
+    page.push_str(
+        "\nThe table takes several hundred writes a second for everything. Where a column \
+         is above that, its mechanism doesn't carry the part; the change is to batch at a \
+         home for each zone and to let a batch wait longer (the table's time bounds the \
+         number of batches, not the number of claims in one).\n",
+    );
+}
+
 fn points(page: &mut String, role: &Role) {
     let _ = writeln!(
         page,
