Split the limits and their tests by duty

No behaviour changes: the loans between zones, the configuration, the views of the test harness and the cases of homes and of holders have files of their own.

--- a/crates/toucancleat-core/src/limits/home.rs
+++ b/crates/toucancleat-core/src/limits/home.rs
@@ -1,23 +1,18 @@
-//! The home's side: accounts of organisations, shares and loans.
+//! The home's side: accounts of organisations and shares for hosts.
 
 use super::ledger::Ledger;
 use super::loans::Loans;
 use super::share::fair_part;
-use super::{
-    Ask, Config, Effect, Grant, Held, LoanAsk, LoanGrant, Message, Share, State,
-};
+use super::{Ask, Config, Effect, Grant, Held, Share, State};
 use crate::homes::HomeKey;
 use crate::prelude::*;
 use crate::rng::stable_hash;
 
-/// Times that a question or an answer between zones is passed on, at most.
-const HOPS_MAX: u8 = 2;
-
 /// One organisation's account at its home.
 #[derive(Debug, Default)]
 pub(super) struct Account {
-    ledger: Ledger,
-    loans: Loans,
+    pub ledger: Ledger,
+    pub loans: Loans,
     /// Since when this host has been the home without a gap.
     since_ms: u64,
     /// Whether every host has said what it holds since then.
@@ -25,17 +20,17 @@
     tokens_millirequests: u64,
     accrued_ms: u64,
     /// The rate that nobody held when tokens were last accrued.
-    free_rate: u64,
+    pub free_rate: u64,
     last_asked_ms: u64,
 }
 
 /// What a home may lend.
 #[derive(Clone, Copy, Debug, Default)]
-struct Pool {
+pub(super) struct Pool {
     /// To all hosts together, what is lent already included.
-    hosts: Share,
+    pub hosts: Share,
     /// To other zones, beyond what is lent already.
-    zones: Share,
+    pub zones: Share,
     /// Whether the home's right to lend is whole, for the rate.
     whole: bool,
 }
@@ -132,7 +127,7 @@
         });
     }
 
-    fn open_account(&mut self, now_ms: u64, organisation: &OrganisationName) {
+    pub(super) fn open_account(&mut self, now_ms: u64, organisation: &OrganisationName) {
         if self.accounts.contains_key(organisation) {
             return;
         }
@@ -163,7 +158,7 @@
     }
 
     /// Works out what a home may lend by now.
-    fn pool(&mut self, now_ms: u64, organisation: &OrganisationName) -> Pool {
+    pub(super) fn pool(&mut self, now_ms: u64, organisation: &OrganisationName) -> Pool {
         let config = &self.config;
         let account = &mut self.accounts[organisation];
         account.is_told |= self.authority.is_told(now_ms, account.since_ms);
@@ -203,167 +198,6 @@
             whole: rate_whole || told != Share::NONE,
         }
     }
-
-    /// Asks a random other zone for a loan.
-    fn ask_for_loan(
-        &mut self,
-        now_ms: u64,
-        organisation: &OrganisationName,
-        wanted: Share,
-        effects: &mut Vec<Effect>,
-    ) {
-        let others: Vec<ZoneName> = self
-            .settings
-            .zones
-            .iter()
-            .filter(|zone| **zone != self.zone)
-            .cloned()
-            .collect();
-        if others.is_empty()
-            || !self.accounts[organisation]
-                .loans
-                .may_ask(&self.config, now_ms)
-        {
-            return;
-        }
-        let lender = others[self.rng.below(others.len())].clone();
-        let loan = self.rng.next_u64();
-        self.send_loan_ask(now_ms, organisation, loan, lender, wanted, effects);
-    }
-
-    pub(super) fn renew_loans(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
-        let mut due = Vec::new();
-        for (organisation, account) in &mut self.accounts {
-            let wanted = account.ledger.wanted(now_ms);
-            let zone_share = self.settings.zone_share(&self.zone, organisation);
-            if wanted.saturating_sub(zone_share) == Share::NONE
-                || !account.loans.may_ask(&self.config, now_ms)
-            {
-                continue;
-            }
-            for (loan, lender, share) in account.loans.due_renewals(&self.config, now_ms)
-            {
-                due.push((organisation.clone(), loan, lender, share));
-            }
-        }
-        for (organisation, loan, lender, share) in due {
-            self.send_loan_ask(now_ms, &organisation, loan, lender, share, effects);
-        }
-    }
-
-    fn send_loan_ask(
-        &mut self,
-        now_ms: u64,
-        organisation: &OrganisationName,
-        loan: u64,
-        lender: ZoneName,
-        wanted: Share,
-        effects: &mut Vec<Effect>,
-    ) {
-        let sequence = self.rng.next_u64();
-        self.accounts[organisation]
-            .loans
-            .asked(&self.config, now_ms, loan, sequence);
-        let message = Message::LoanAsk(LoanAsk {
-            organisation: organisation.clone(),
-            borrower: self.zone.clone(),
-            lender: lender.clone(),
-            loan,
-            sequence,
-            wanted,
-            hops: 0,
-        });
-        effects.push(Effect::SendZone {
-            zone: lender,
-            message,
-        });
-    }
-
-    /// Lends to another zone, or passes the question on to the home.
-    pub(super) fn answer_loan(
-        &mut self,
-        now_ms: u64,
-        mut ask: LoanAsk,
-        effects: &mut Vec<Effect>,
-    ) {
-        if ask.lender != self.zone
-            || !self.settings.limits.contains_key(&ask.organisation)
-        {
-            return;
-        }
-        if !self.is_home(&ask.organisation) {
-            ask.hops += 1;
-            let home = self.home_of(&ask.organisation);
-            if let Some(to) = home.filter(|_| ask.hops <= HOPS_MAX) {
-                effects.push(Effect::Send {
-                    to,
-                    message: Message::LoanAsk(ask),
-                });
-            }
-            return;
-        }
-        self.open_account(now_ms, &ask.organisation);
-        let pool = self.pool(now_ms, &ask.organisation);
-        let account = &mut self.accounts[&ask.organisation];
-        let wanted = account.ledger.wanted(now_ms);
-        let committed = account.ledger.committed(&self.config, now_ms);
-        let spare = pool.hosts.saturating_sub(committed.max(wanted));
-        if account.loans.is_lent(ask.loan)
-            && wanted.saturating_sub(pool.hosts) != Share::NONE
-        {
-            return;
-        }
-        let offer = ask.wanted.min(spare).min(pool.zones);
-        let lent =
-            account
-                .loans
-                .lend(&self.config, now_ms, ask.loan, &ask.borrower, offer);
-        let Some(share) = lent else {
-            return;
-        };
-        account.free_rate = account.free_rate.saturating_sub(share.millirequests_per_s);
-        let message = Message::LoanGrant(LoanGrant {
-            organisation: ask.organisation,
-            lender: ask.lender,
-            loan: ask.loan,
-            sequence: ask.sequence,
-            share,
-            term_ms: self.config.loan_term_ms,
-            hops: 0,
-        });
-        effects.push(Effect::SendZone {
-            zone: ask.borrower,
-            message,
-        });
-    }
-
-    /// Takes a loan, or passes it on to the home.
-    pub(super) fn take_loan(&mut self, mut grant: LoanGrant, effects: &mut Vec<Effect>) {
-        if !self.is_home(&grant.organisation) {
-            grant.hops += 1;
-            let home = self.home_of(&grant.organisation);
-            if let Some(to) = home.filter(|_| grant.hops <= HOPS_MAX) {
-                effects.push(Effect::Send {
-                    to,
-                    message: Message::LoanGrant(grant),
-                });
-            }
-            return;
-        }
-        if let Some(account) = self.accounts.get_mut(&grant.organisation) {
-            let LoanGrant {
-                loan,
-                sequence,
-                lender,
-                share,
-                term_ms,
-                ..
-            } = &grant;
-            account
-                .loans
-                .take_grant(*loan, *sequence, lender, *share, *term_ms);
-        }
-    }
 }
 
 impl Account {
--- /dev/null
+++ b/crates/toucancleat-core/tests/limits/single/holder.rs
@@ -0,0 +1,141 @@
+//! What a host may use, and until when.
+
+use toucancleat_core::limits::{Ask, Config, Effect, Event, Grant, Message, Share};
+use toucancleat_core::prelude::*;
+
+use super::*;
+
+#[test]
+fn a_grant_ends_a_term_after_its_question_and_only_counts_from_the_home() {
+    let [first, second, third] = homes();
+    struct Case {
+        name: &'static str,
+        late_ms: u64,
+        home_changes: bool,
+        usable_ms: u64,
+    }
+    let term_ms = Config::default().term_ms;
+    let cases = [
+        Case {
+            name: "prompt",
+            late_ms: 0,
+            home_changes: false,
+            usable_ms: term_ms,
+        },
+        Case {
+            name: "late",
+            late_ms: 5_000,
+            home_changes: false,
+            usable_ms: term_ms - 5_000,
+        },
+        Case {
+            name: "too late",
+            late_ms: term_ms,
+            home_changes: false,
+            usable_ms: 0,
+        },
+        Case {
+            name: "of an earlier home",
+            late_ms: 10,
+            home_changes: true,
+            usable_ms: 0,
+        },
+    ];
+    for case in cases {
+        let mut holder = Single::new(third);
+        holder.view(1, &[first, second, third], 0);
+        let request = RequestId(1);
+        let arrived = Event::Arrived {
+            organisation: organisation(),
+            request,
+        };
+        let sequence = holder
+            .event(arrived)
+            .iter()
+            .find_map(|effect| match effect {
+                Effect::Send {
+                    message: Message::Ask(ask),
+                    ..
+                } => Some(ask.sequence),
+                _ => None,
+            });
+        if case.home_changes {
+            holder.view(2, &[second, third], 1);
+        }
+        holder.now_ms += case.late_ms;
+        let grant = Grant {
+            organisation: organisation(),
+            sequence: sequence.expect("a question"),
+            share: ZONE_SHARE,
+            term_ms,
+            tokens_millirequests: 0,
+        };
+        holder.received(first, Message::Grant(grant));
+        let usable = |ms: u64| holder.state.usable(holder.now_ms + ms, &organisation());
+        let before = case.usable_ms.checked_sub(1).map(usable);
+        assert!(
+            before.is_none_or(|share| share == ZONE_SHARE),
+            "{}",
+            case.name
+        );
+        assert_eq!(usable(case.usable_ms), Share::NONE, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_share_without_requests_is_given_back() {
+    let [first, _, third] = homes();
+    let mut holder = Single::new(third);
+    holder.view(1, &["entry-1", "entry-2", "entry-3"], 0);
+    let request = RequestId(1);
+    let effects = holder.event(Event::Arrived {
+        organisation: organisation(),
+        request,
+    });
+    let asked = |effects: &[Effect]| {
+        effects.iter().find_map(|effect| match effect {
+            Effect::Send {
+                message: Message::Ask(ask),
+                ..
+            } => Some(ask.clone()),
+            _ => None,
+        })
+    };
+    let grant = Grant {
+        organisation: organisation(),
+        sequence: asked(&effects).expect("a question").sequence,
+        share: ZONE_SHARE,
+        term_ms: Config::default().term_ms,
+        tokens_millirequests: 1_000,
+    };
+    let effects = holder.received(first, Message::Grant(grant));
+    assert_eq!(effects, [Effect::Admitted { request }]);
+    holder.wait_ms(Config::default().release_ms);
+    assert_eq!(
+        holder.state.usable(holder.now_ms, &organisation()),
+        ZONE_SHARE
+    );
+    holder.event(Event::Finished {
+        organisation: organisation(),
+    });
+    let release = asked(&holder.event(Event::Tick)).expect("a last word");
+    assert_eq!(release.wanted, Share::NONE);
+    assert_eq!(
+        holder.state.usable(holder.now_ms, &organisation()),
+        Share::NONE
+    );
+
+    let mut home = settled_home();
+    assert_eq!(home.ask_as("entry-2", 0, Share::NONE), ZONE_SHARE);
+    assert_eq!(home.ask_as("entry-3", 0, Share::NONE), Share::NONE);
+    let sequence = home.asked + 1;
+    let release = Ask {
+        sequence,
+        holds_sequence: sequence,
+        started_ms: 1,
+        ..release
+    };
+    home.received("entry-2", Message::Ask(release));
+    let granted = home.ask_as("entry-3", 0, Share::NONE);
+    assert_eq!(granted.concurrent, ZONE_SHARE.concurrent);
+}
--- /dev/null
+++ b/crates/toucancleat-core/tests/limits/single/mod.rs
@@ -0,0 +1,159 @@
+//! One host's part in the limits, event by event.
+
+mod holder;
+mod home;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use toucancleat_core::homes::{HomeKey, rank};
+use toucancleat_core::limits::{
+    Ask, Config, Effect, Event, FleetLimits, Held, Message, Share, State, reduce,
+};
+use toucancleat_core::membership::Host;
+use toucancleat_core::prelude::*;
+
+const ORGANISATION: &str = "federation";
+const LIMIT: Share = Share {
+    millirequests_per_s: 40_000,
+    concurrent: 40,
+};
+/// The limit's part of the one of two zones that is tested.
+const ZONE_SHARE: Share = Share {
+    millirequests_per_s: 20_000,
+    concurrent: 20,
+};
+
+/// A host with the means to ask it for everything.
+struct Single {
+    state: State,
+    now_ms: u64,
+    asked: u64,
+}
+
+impl Single {
+    fn new(own: &str) -> Self {
+        let own = HostName::new(own);
+        let zone = ZoneName::new("kumamoto");
+        let now_ms = 1_000_000;
+        let mut state = State::new(Config::default(), own, zone.clone(), now_ms, 1);
+        let mut limits = FleetLimits::default();
+        limits.zones.extend([zone, ZoneName::new("fukuoka-a")]);
+        limits.limits.insert(organisation(), LIMIT);
+        let limits = Arc::new(limits);
+        reduce(
+            &mut state,
+            now_ms,
+            Event::Settings { limits },
+            &mut Vec::new(),
+        );
+        Single {
+            state,
+            now_ms,
+            asked: 0,
+        }
+    }
+
+    fn event(&mut self, event: Event) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        reduce(&mut self.state, self.now_ms, event, &mut effects);
+        effects
+    }
+
+    fn received(&mut self, from: &str, message: Message) -> Vec<Effect> {
+        let from = HostName::new(from);
+        self.event(Event::Received { from, message })
+    }
+
+    fn view(&mut self, view: u64, live: &[&str], missing: usize) {
+        let live = live.iter().map(|name| host(name)).collect();
+        let missing = Some(missing);
+        self.event(Event::Hosts {
+            view,
+            live,
+            leaving: Vec::new(),
+            missing,
+        });
+    }
+
+    /// Lets time pass with its ticks.
+    fn wait_ms(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        while self.now_ms < end_ms {
+            self.now_ms = end_ms.min(self.now_ms + 100);
+            self.event(Event::Tick);
+        }
+    }
+
+    /// Asks as another host would, for more than there is; returns what it is granted.
+    fn ask_as(&mut self, from: &str, holds_sequence: u64, held: Share) -> Share {
+        self.asked += 1;
+        let remaining_ms = if held == Share::NONE { 0 } else { 1_000 };
+        let ask = Ask {
+            organisation: organisation(),
+            started_ms: 1,
+            sequence: self.asked,
+            holds_sequence,
+            held: Held {
+                organisation: organisation(),
+                share: held,
+                remaining_ms,
+                in_use: 0,
+            },
+            wanted: LIMIT,
+            waiting: 0,
+        };
+        let effects = self.received(from, Message::Ask(ask));
+        let grant = effects.iter().find_map(|effect| match effect {
+            Effect::Send {
+                message: Message::Grant(grant),
+                ..
+            } => Some(grant.share),
+            _ => None,
+        });
+        grant.unwrap_or(Share::NONE)
+    }
+}
+
+fn organisation() -> OrganisationName {
+    OrganisationName::new(ORGANISATION)
+}
+
+fn host(name: &str) -> Host {
+    Host {
+        name: HostName::new(name),
+        zone: ZoneName::new("kumamoto"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        incarnation: Incarnation(1),
+    }
+}
+
+/// Returns the organisation's home among three hosts, the home without it, and the third.
+fn homes() -> [&'static str; 3] {
+    let hosts = ["entry-1", "entry-2", "entry-3"].map(host);
+    let key = HomeKey::Organisation(organisation());
+    let ranked = rank(&key, &hosts, hosts.len());
+    let name = |host: &Host| match host.name.as_str() {
+        "entry-1" => "entry-1",
+        "entry-2" => "entry-2",
+        _ => "entry-3",
+    };
+    [name(ranked[0]), name(ranked[1]), name(ranked[2])]
+}
+
+fn wait_of_a_new_home_ms() -> u64 {
+    let config = Config::default();
+    config.term_ms + config.margin_ms + config.view_lag_ms
+}
+
+fn part(share: Share, rate_part: u64) -> u64 {
+    share.millirequests_per_s / rate_part
+}
+
+/// A home alone in its zone with all its rights.
+fn settled_home() -> Single {
+    let mut home = Single::new("entry-1");
+    home.view(1, &["entry-1"], 0);
+    home.wait_ms(wait_of_a_new_home_ms() + Config::default().longest_answer_ms);
+    home
+}
