--- a/crates/toucancleat-standin/src/engine/faults.rs
+++ b/crates/toucancleat-standin/src/engine/faults.rs
@@ -25,6 +25,9 @@
     pub reject: bool,
     /// Says in its load reports that it is leaving; it still takes requests.
     pub leaving: bool,
+    /// Says that it serves although it is leaving, as an engine does that is reclaimed
+    /// without being told.
+    pub hides_leaving: bool,
     /// Dies this long after `leaving` was set.
     pub dies_after_leaving_ms: Option<u64>,
 }
--- a/crates/toucancleat-standin/src/engine/state.rs
+++ b/crates/toucancleat-standin/src/engine/state.rs
@@ -191,6 +191,7 @@
     /// Measures the load for a report.
     pub(super) fn report_load(&mut self) {
         let load = self.model.load();
+        let says_leaving = self.faults.leaving && !self.faults.hides_leaving;
         let report = LoadReport {
             started_unix_ms: self.started_unix_ms,
             measured_unix_ms: now_unix_ms(),
@@ -201,12 +202,8 @@
             block_tokens: self.block_tokens,
             preemptions_total: load.preemptions_total,
             step_ms: load.step_ms,
-            state: if self.faults.leaving {
-                "leaving"
-            } else {
-                "serving"
-            },
-            leaving_in_ms: self.leaving_in_ms(),
+            state: if says_leaving { "leaving" } else { "serving" },
+            leaving_in_ms: self.leaving_in_ms().filter(|_| says_leaving),
             role: self.orders.role.clone(),
             models: self.orders.models.keys().cloned().collect(),
             adapters: self.orders.adapters.keys().cloned().collect(),
--- a/crates/toucancleat-standin/src/service.rs
+++ b/crates/toucancleat-standin/src/service.rs
@@ -122,6 +122,8 @@
     pub stall: bool,
     /// Is leaving: `/healthz` says so; requests still run and are recorded as late.
     pub leaving: bool,
+    /// Says that it serves although it is leaving.
+    pub hides_leaving: bool,
     /// Dies when a request's body contains this text.
     pub crash_marker: Option<String>,
 }
@@ -221,7 +223,8 @@
 }
 
 fn healthz(shared: &Shared) -> Response {
-    if shared.state().faults.leaving {
+    let state = shared.state();
+    if state.faults.leaving && !state.faults.hides_leaving {
         return reply::empty(StatusCode::SERVICE_UNAVAILABLE);
     }
     reply::empty(StatusCode::OK)
