Look at a target before giving it work after a pause

Cause: a host that was paused wakes with requests waiting at its sockets and its view of the targets from before; it gave them to a target that had begun to leave 5 s earlier, before any news could reach it.

Ruled out: the spreading of the news (the other hosts stopped in time, and the woken host does once it has heard). Weighed: asking at the target's home instead, which may have been paused too; refusing until the news are in, which refuses work without need.

What remains: a dispatch decided just before the pause and sent just after it.

--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod crash_marks;
 mod effect;
 mod event;
+pub mod freshness;
 pub mod generation;
 pub mod holds;
 pub mod homes;
--- a/crates/toucancleat-core/src/reduce/mod.rs
+++ b/crates/toucancleat-core/src/reduce/mod.rs
@@ -25,6 +25,9 @@
 /// The time is in milliseconds since the Unix epoch and never goes back while the process
 /// runs.
 pub fn reduce(state: &mut State, now_ms: u64, event: Event, effects: &mut Vec<Effect>) {
+    if state.freshness.runs(now_ms) {
+        observations::refresh(state, now_ms);
+    }
     match event {
         Event::Tick => tick(state, now_ms, effects),
         Event::Request(event) => requests::apply(state, now_ms, event, effects),
@@ -57,6 +60,7 @@
 }
 
 fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    state.freshness.ticked(now_ms);
     membership::apply(state, now_ms, crate::membership::Event::Tick, effects);
     settings::apply(state, now_ms, crate::spread::Event::Tick, effects);
     targets::apply(state, now_ms, crate::targets::Event::Tick, effects);
--- a/crates/toucancleat-core/src/reduce/observations.rs
+++ b/crates/toucancleat-core/src/reduce/observations.rs
@@ -4,7 +4,7 @@
 //! the number of entry hosts. A target that this host holds for leaving or out is looked
 //! at by this host too, since only that shows that it was replaced.
 
-use super::{accounts, crash_marks, orders, targets};
+use super::{accounts, crash_marks, orders, requests, targets};
 use crate::crash_marks::Crash;
 use crate::effect::Effect;
 use crate::homes::HomeKey;
@@ -45,6 +45,7 @@
         };
         let at_ms = now_ms + interval_ms;
         state.observe_at_ms.insert(name.clone(), at_ms);
+        state.freshness.asked(name);
         effects.push(Effect::Observe {
             target: name.clone(),
             class,
@@ -71,6 +72,14 @@
     }
 }
 
+/// Makes everything due that this host looks at, since it was paused.
+pub(super) fn refresh(state: &mut State, now_ms: u64) {
+    state.list_at_ms = now_ms;
+    for at_ms in state.observe_at_ms.values_mut() {
+        *at_ms = now_ms;
+    }
+}
+
 /// Asks for a look at a target at once, such as after its connection broke.
 pub(super) fn observe_now(
     state: &mut State,
@@ -86,6 +95,7 @@
     };
     let at_ms = now_ms + OBSERVE_HOME_MS;
     state.observe_at_ms.insert(target.clone(), at_ms);
+    state.freshness.asked(target);
     effects.push(Effect::Observe {
         target: target.clone(),
         class: pool.class,
@@ -100,6 +110,18 @@
     target: TargetName,
     observation: Observation,
     effects: &mut Vec<Effect>,
+) {
+    take(state, now_ms, target.clone(), observation, effects);
+    // N.B. only now is it known whether the target leaves.
+    release(state, now_ms, &target, effects);
+}
+
+fn take(
+    state: &mut State,
+    now_ms: u64,
+    target: TargetName,
+    observation: Observation,
+    effects: &mut Vec<Effect>,
 ) {
     match observation {
         Observation::Serving {
@@ -127,6 +149,18 @@
     }
 }
 
+/// Gives a target that was looked at the requests that waited for it.
+fn release(
+    state: &mut State,
+    now_ms: u64,
+    target: &TargetName,
+    effects: &mut Vec<Effect>,
+) {
+    for dispatch in state.freshness.looked(target) {
+        requests::dispatch_held(state, now_ms, dispatch, effects);
+    }
+}
+
 /// Notes the start of a target; a later one than known means that it was replaced.
 fn seen(
     state: &mut State,
--- a/crates/toucancleat-core/src/reduce/requests.rs
+++ b/crates/toucancleat-core/src/reduce/requests.rs
@@ -431,6 +431,50 @@
         return;
     };
     wanted.address = address;
+    if state.freshness.must_look(&wanted.target) {
+        let target = wanted.target.clone();
+        if state.freshness.hold(wanted) {
+            observations::observe_now(state, now_ms, &target, effects);
+        }
+        return;
+    }
+    send(state, now_ms, arrival, wanted, effects);
+}
+
+/// Gives a request to a target that was looked at, if it still takes work.
+pub(super) fn dispatch_held(
+    state: &mut State,
+    now_ms: u64,
+    wanted: Dispatch,
+    effects: &mut Vec<Effect>,
+) {
+    let request = wanted.request;
+    let Some(arrival) = state.requests.arrival(request).cloned() else {
+        return;
+    };
+    let admission = state.targets.peek(now_ms, &wanted.target);
+    if matches!(admission, Admission::Yes | Admission::Trial) {
+        send(state, now_ms, &arrival, wanted, effects);
+        return;
+    }
+    let event = requests::Event::AttemptEnded {
+        request,
+        attempt: wanted.attempt,
+        outcome: Outcome::NotBegun {
+            retry_after_ms: Some(RETRY_AFTER_NO_TARGET_MS),
+        },
+    };
+    apply(state, now_ms, event, effects);
+}
+
+fn send(
+    state: &mut State,
+    now_ms: u64,
+    arrival: &Arrival,
+    wanted: Dispatch,
+    effects: &mut Vec<Effect>,
+) {
+    let request = wanted.request;
     // N.B. the claim must know before the first byte leaves.
     claims::apply(state, now_ms, ClaimEvent::Dispatched { request }, effects);
     let started = MarkEvent::Started {
--- a/crates/toucancleat-core/src/state.rs
+++ b/crates/toucancleat-core/src/state.rs
@@ -11,7 +11,8 @@
 use crate::settings::InForce;
 use crate::timeline::Timeline;
 use crate::{
-    accounts, claims, crash_marks, holds, membership, orders, spread, streams, targets,
+    accounts, claims, crash_marks, freshness, holds, membership, orders, spread, streams,
+    targets,
 };
 
 /// Bound on the memory of the time line's ring.
@@ -54,6 +55,8 @@
     pub accounts: accounts::State,
     /// Which targets may take new work.
     pub targets: targets::State,
+    /// Which targets must be looked at before they are given work again.
+    pub freshness: freshness::State,
     /// Requests that crash targets.
     pub crash_marks: crash_marks::State,
     /// Streams whose caller has gone.
@@ -109,6 +112,7 @@
                 },
             ),
             targets: targets::State::new(targets::Config::default(), seed),
+            freshness: freshness::State::default(),
             crash_marks: crash_marks::State::new(crash_marks::Config::default()),
             streams: streams::State::default(),
             orders: orders::State::new(
