End the attempt of a caller that leaves just when a target was found

Cause: the reducer leaves a running attempt to its relay, but a relay whose caller leaves while it waits ends before it reads the dispatch, or the dispatch finds no relay any more. The request then stayed among those in progress, with its reservation, until the host ended.

tests/callers_gone.rs holds eight dispatches back and lets their callers leave: all eight requests were still counted after 30 s without the change, none with it (3 runs).

--- a/crates/toucancleat-entry/src/driver.rs
+++ b/crates/toucancleat-entry/src/driver.rs
@@ -246,10 +246,28 @@
         let Some(sender) = self.commands.get(&request) else {
             return;
         };
-        if sender.send(command).is_err() {
-            let event = requests::Event::CallerGone { request };
-            self.host.tell(Input::Event(Event::Request(event)));
-        }
+        let Err(undelivered) = sender.send(command) else {
+            return;
+        };
+        let event = match undelivered.0 {
+            Command::Dispatch(dispatch) => abandoned(&dispatch),
+            Command::Refuse(_) | Command::Replay(_) => {
+                requests::Event::CallerGone { request }
+            }
+        };
+        self.host.tell(Input::Event(Event::Request(event)));
+    }
+}
+
+/// Ends an attempt that never began, since its caller has gone.
+///
+/// N.B. the reducer leaves a running attempt to its relay, so that it must be told when
+/// there is no relay any more.
+pub(crate) fn abandoned(dispatch: &Dispatch) -> requests::Event {
+    requests::Event::AttemptEnded {
+        request: dispatch.request,
+        attempt: dispatch.attempt,
+        outcome: requests::Outcome::CallerGone,
     }
 }
 
--- a/crates/toucancleat-entry/src/relay/mod.rs
+++ b/crates/toucancleat-entry/src/relay/mod.rs
@@ -17,7 +17,7 @@
 use toucancleat_core::{Dispatch, Event};
 
 pub use self::caller::Caller;
-use crate::driver::{Command, Input};
+use crate::driver::{self, Command, Input};
 use crate::host::{Host, InProgress};
 use crate::service::ServiceRequest;
 
@@ -86,7 +86,7 @@
             let command = tokio::select! {
                 command = commands.recv() => command,
                 () = self.caller.gone(), if !self.arrival.needs_claim() => {
-                    self.tell(RequestEvent::CallerGone { request: self.request() });
+                    self.leave(commands);
                     return;
                 }
             };
@@ -119,6 +119,21 @@
         }
     }
 
+    /// Ends the request of a caller that has gone, also when a target was found for it
+    /// just now.
+    fn leave(&self, mut commands: mpsc::UnboundedReceiver<Command>) {
+        // From here on the driver sees that nobody takes its commands.
+        commands.close();
+        self.tell(RequestEvent::CallerGone {
+            request: self.request(),
+        });
+        while let Ok(command) = commands.try_recv() {
+            if let Command::Dispatch(dispatch) = command {
+                self.tell(driver::abandoned(&dispatch));
+            }
+        }
+    }
+
     async fn attempt(&mut self, dispatch: &Dispatch) -> Outcome {
         self.host.metrics.attempts.inc();
         let Ok(address) = dispatch.address.parse() else {
