--- a/crates/toucancleat-core/src/claims/message.rs
+++ b/crates/toucancleat-core/src/claims/message.rs
@@ -100,8 +100,9 @@
 pub struct ConflictRow {
     /// Name of the row.
     pub row: String,
-    /// What the row is, if it exists.
-    pub present: Option<(u64, Row)>,
+    /// Version and value of the row, if it exists; the value is `None` when it can't be
+    /// read as a claim.
+    pub present: Option<(u64, Option<Row>)>,
 }
 
 /// A row as read.
@@ -111,8 +112,8 @@
     pub row: String,
     /// Its version.
     pub version: u64,
-    /// Its value.
-    pub value: Row,
+    /// Its value; `None` when it can't be read as a claim.
+    pub value: Option<Row>,
 }
 
 /// How a request ended at its target.
@@ -226,10 +227,12 @@
     pub fn detail(self) -> &'static str {
         match self {
             RefuseReason::TableUnavailable => {
-                "the key could not be recorded before the time allowed; nothing was sent"
+                "the key could not be recorded in time; this request was not sent, an \
+                 earlier one with the key may have been"
             }
             RefuseReason::TooManyClaims => {
-                "too many keys are being recorded at this entry host; nothing was sent"
+                "too many keys are being recorded here; this request was not sent, an \
+                 earlier one with the key may have been"
             }
             RefuseReason::KeyInUse => {
                 "a request with this idempotency key is running or its outcome is unknown"
@@ -242,7 +245,8 @@
                 "the idempotency key was used before with another body"
             }
             RefuseReason::KeyExpired => {
-                "the idempotency key's life is over; use a new key"
+                "the idempotency key's life is over; this request was not sent, an \
+                 earlier one with the key may have been"
             }
         }
     }
--- a/crates/toucancleat-core/src/limits/mod.rs
+++ b/crates/toucancleat-core/src/limits/mod.rs
@@ -8,6 +8,7 @@
 //! same way. See docs/design/limits.md for what is promised and where it ends.
 
 mod authority;
+mod config;
 mod event;
 mod holder;
 mod home;
@@ -15,85 +16,26 @@
 mod loans;
 mod message;
 mod share;
+mod witness;
+mod zone_loans;
 
 use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
 
 use self::authority::Authority;
+pub use self::config::Config;
 pub use self::event::{Effect, Event, FleetLimits};
 use self::holder::Holding;
 use self::home::Account;
-pub use self::message::{Ask, Grant, Held, LoanAsk, LoanGrant, Message};
+use self::ledger::Ledger;
+pub use self::message::{Ask, Grant, Held, LoanAsk, LoanGrant, Message, Witness};
 pub use self::share::Share;
 use crate::homes::{HomeKey, Homes};
 use crate::membership::Host;
 use crate::prelude::*;
 use crate::rng::Rng;
 
-/// Times and bounds of limits, the same on every host of the fleet.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// Time for which a host may use a share.
-    pub term_ms: u64,
-    /// Time after which a host asks again.
-    pub renew_ms: u64,
-    /// Time that a lender adds to a term, against clocks that run at different speeds.
-    pub margin_ms: u64,
-    /// Time by which views of the zone's hosts may lag behind each other.
-    pub view_lag_ms: u64,
-    /// Longest time that a request which was admitted may go on.
-    pub longest_answer_ms: u64,
-    /// Time for which a zone may use what another has lent.
-    pub loan_term_ms: u64,
-    /// Least time between two questions for a loan.
-    pub loan_ask_interval_ms: u64,
-    /// Part of a zone's share that it may lend, as one over this number.
-    pub lendable_divisor: u64,
-    /// Time of the full rate that may be used at once.
-    pub burst_ms: u64,
-    /// Longest time that a request waits for the home's answer.
-    pub answer_wait_ms: u64,
-    /// Time for which an answer that gave too little stands for further requests.
-    pub denied_ms: u64,
-    /// Least time between two questions about one organisation.
-    pub ask_gap_ms: u64,
-    /// Time between two queries to a host that has not said what it holds.
-    pub query_interval_ms: u64,
-    /// Most requests of one organisation that wait for the home's answer.
-    pub waiting_max: usize,
-    /// Time after the last request when a host gives its share back.
-    pub release_ms: u64,
-    /// Time after the last question when a home forgets an organisation.
-    pub idle_ms: u64,
-    /// Silence that shows that this host was paused.
-    pub pause_ms: u64,
-}
-
-impl Default for Config {
-    fn default() -> Self {
-        Config {
-            term_ms: 8_000,
-            renew_ms: 3_000,
-            margin_ms: 500,
-            view_lag_ms: 5_000,
-            longest_answer_ms: 600_000,
-            loan_term_ms: 8_000,
-            loan_ask_interval_ms: 500,
-            lendable_divisor: 2,
-            burst_ms: 1_000,
-            answer_wait_ms: 50,
-            denied_ms: 200,
-            ask_gap_ms: 20,
-            query_interval_ms: 500,
-            waiting_max: 256,
-            release_ms: 2_000,
-            idle_ms: 30_000,
-            pause_ms: 1_500,
-        }
-    }
-}
-
 /// One host's part in the limits: what it holds, and what it lends as a home.
 #[derive(Debug)]
 pub struct State {
@@ -107,9 +49,14 @@
     present: IndexSet<HostName>,
     holdings: IndexMap<OrganisationName, Holding>,
     accounts: IndexMap<OrganisationName, Account>,
+    /// What homes hold themselves that this host would follow.
+    witnessed: IndexMap<OrganisationName, Ledger>,
+    /// This host's grants to itself that its successor has not noted yet.
+    unwitnessed: IndexMap<OrganisationName, Grant>,
     authority: Authority,
     rng: Rng,
     last_event_ms: u64,
+    next_sweep_ms: u64,
 }
 
 impl State {
@@ -132,9 +79,12 @@
             present: IndexSet::new(),
             holdings: IndexMap::new(),
             accounts: IndexMap::new(),
+            witnessed: IndexMap::new(),
+            unwitnessed: IndexMap::new(),
             authority: Authority::new(now_ms),
             rng: Rng::new(seed),
             last_event_ms: now_ms,
+            next_sweep_ms: now_ms,
         }
     }
 
@@ -217,6 +167,7 @@
 
     fn begin_again(&mut self, now_ms: u64) {
         self.accounts.clear();
+        self.unwitnessed.clear();
         let others = self.others();
         self.authority.reset(now_ms, others);
     }
@@ -243,8 +194,11 @@
             self.ask(now_ms, &organisation, effects);
         }
         self.query(now_ms, effects);
-        self.renew_loans(now_ms, effects);
-        self.forget_accounts(now_ms);
+        if now_ms >= self.next_sweep_ms {
+            self.next_sweep_ms = now_ms + self.config.sweep_interval_ms;
+            self.renew_loans(now_ms, effects);
+            self.forget_accounts(now_ms);
+        }
     }
 
     fn arrived(
@@ -277,6 +231,8 @@
             match self.home_of(&organisation) {
                 Some(home) if home == self.own => {
                     self.answer(now_ms, &home, &ask, effects);
+                    let (view, share) = (self.view, Share::NONE);
+                    self.tell_release(Witness { view, ask, share }, effects);
                 }
                 Some(to) => {
                     effects.push(Effect::Send {
@@ -311,7 +267,8 @@
             return;
         }
         if let Some(grant) = self.answer(now_ms, &home, &ask, effects) {
-            self.take_grant(now_ms, &grant, effects);
+            let (view, share) = (self.view, grant.share);
+            self.take_own_grant(now_ms, Witness { view, ask, share }, grant, effects);
         }
     }
 
@@ -339,12 +296,14 @@
         leaving: Vec<HostName>,
         missing: Option<usize>,
     ) {
-        self.authority.take_missing(missing);
         let names = live.iter().map(|host| host.name.clone());
-        self.present = names.chain(leaving).collect();
+        let present = names.chain(leaving).collect();
+        let before = std::mem::replace(&mut self.present, present);
         if view == self.view {
+            self.authority.take_missing(missing);
             return;
         }
+        let gone: Vec<HostName> = before.difference(&self.present).cloned().collect();
         self.view = view;
         let mut earlier = std::mem::take(&mut self.homes);
         self.homes.update(view, live);
@@ -361,7 +320,10 @@
         });
         let others = self.others();
         self.authority
-            .take_view(now_ms, earlier, others, live.len());
+            .take_view(now_ms, earlier, others, live.len(), &gone);
+        self.authority.take_missing(missing);
+        self.unwitnessed.clear();
+        self.inherit(now_ms);
     }
 
     /// Asks the hosts that have not yet said what they hold.
@@ -400,12 +362,21 @@
             } => {
                 self.take_holdings(now_ms, &from, view, started_ms, &held);
             }
+            Message::Witness(witness) => self.note(now_ms, from, witness, effects),
+            Message::Witnessed {
+                view,
+                organisation,
+                sequence,
+            } => {
+                self.take_noted(now_ms, view, &organisation, sequence, effects);
+            }
             Message::LoanAsk(ask) => self.answer_loan(now_ms, ask, effects),
             Message::LoanGrant(grant) => self.take_loan(grant, effects),
         }
     }
 
-    /// Says what this host holds of the organisations whose home the asker is.
+    /// Says what this host holds of the organisations whose home the asker is, and of its
+    /// own whose successor the asker is.
     ///
     /// Only in the same view: then no other host's grant counts here any more, so that
     /// what is said stays complete.
@@ -419,17 +390,17 @@
         if view != self.view {
             return;
         }
-        let homes = &mut self.homes;
-        let asked = |organisation: &OrganisationName| {
-            homes.is_home(&HomeKey::Organisation(organisation.clone()), &from)
-        };
-        let mut asked = asked;
-        let held = self
-            .holdings
-            .iter()
-            .filter(|(organisation, _)| asked(organisation))
-            .map(|(organisation, holding)| holding.held(organisation, now_ms))
-            .collect();
+        let mut held = Vec::new();
+        let (homes, own) = (&mut self.homes, &self.own);
+        for (organisation, holding) in &self.holdings {
+            let key = HomeKey::Organisation(organisation.clone());
+            let concerned = homes.is_home(&key, &from)
+                || (homes.is_home(&key, own)
+                    && homes.successor(&key).as_ref() == Some(&from));
+            if concerned {
+                held.push(holding.held(organisation, now_ms));
+            }
+        }
         let message = Message::Holdings {
             view,
             started_ms: self.started_ms,
--- a/crates/toucancleat-core/src/reduce/membership.rs
+++ b/crates/toucancleat-core/src/reduce/membership.rs
@@ -47,7 +47,12 @@
             limits::apply(state, now_ms, crate::limits::Event::DeclaredDead, effects);
         }
         membership::Effect::ZoneReachable { zone, reachable } => {
-            let entry = Entry::new(RecordKind::Other)
+            let kind = if reachable {
+                RecordKind::ZoneBack
+            } else {
+                RecordKind::ZoneCut
+            };
+            let entry = Entry::new(kind)
                 .field("zone", zone.as_str())
                 .field("reachable", reachable)
                 .reason("another zone changed its reachability");
--- a/crates/toucancleat-core/src/state.rs
+++ b/crates/toucancleat-core/src/state.rs
@@ -11,8 +11,8 @@
 use crate::settings::InForce;
 use crate::timeline::Timeline;
 use crate::{
-    accounts, claims, crash_marks, holds, limits, membership, orders, spread, streams,
-    targets,
+    accounts, claims, crash_marks, freshness, holds, limits, membership, orders, spread,
+    streams, targets,
 };
 
 /// Bound on the memory of the time line's ring.
@@ -55,6 +55,8 @@
     pub accounts: accounts::State,
     /// Which targets may take new work.
     pub targets: targets::State,
+    /// Which targets must be looked at before they are given work again.
+    pub freshness: freshness::State,
     /// Requests that crash targets.
     pub crash_marks: crash_marks::State,
     /// Streams whose caller has gone.
@@ -116,10 +118,17 @@
                 },
             ),
             targets: targets::State::new(targets::Config::default(), seed),
+            freshness: freshness::State::default(),
             crash_marks: crash_marks::State::new(crash_marks::Config::default()),
             streams: streams::State::default(),
             limits: limits::State::new(
-                limits::Config::default(),
+                limits::Config {
+                    // N.B. a home lost with its host would otherwise refuse what nobody
+                    // holds for as long as an answer may take. So what a lost host still
+                    // runs counts no longer than its shares do; see docs/design/limits.md.
+                    longest_answer_ms: 0,
+                    ..limits::Config::default()
+                },
                 identity.host.clone(),
                 identity.zone.clone(),
                 identity.incarnation.0,
--- a/crates/toucancleat-entry/tests/support/client.rs
+++ b/crates/toucancleat-entry/tests/support/client.rs
@@ -1,7 +1,7 @@
 //! A caller of an entry host.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
@@ -72,9 +72,10 @@
     /// Sends the request and reads the whole reply; comes back as told while the
     /// organisation is over its limit, which a home that is new may say for a moment.
     pub async fn send(&self, address: SocketAddr) -> Result<Reply, CallError> {
+        let began = Instant::now();
         loop {
             let reply = self.send_once(address).await?;
-            if !reply.come_back().await {
+            if !reply.come_back(began).await {
                 return Ok(reply);
             }
         }
@@ -110,10 +111,11 @@
         &self,
         address: SocketAddr,
     ) -> Result<Result<Stream, Reply>, CallError> {
+        let began = Instant::now();
         loop {
             match self.try_stream_once(address).await? {
                 Ok(stream) => return Ok(Ok(stream)),
-                Err(reply) if reply.come_back().await => {}
+                Err(reply) if reply.come_back(began).await => {}
                 Err(reply) => return Ok(Err(reply)),
             }
         }
@@ -155,8 +157,9 @@
 
 impl Reply {
     /// Waits as told when the organisation is over its limit; says whether it was.
-    async fn come_back(&self) -> bool {
-        if self.status != StatusCode::TOO_MANY_REQUESTS {
+    async fn come_back(&self, began: Instant) -> bool {
+        let over = self.status == StatusCode::TOO_MANY_REQUESTS;
+        if !over || began.elapsed() > super::WAIT_BOUND {
             return false;
         }
         let Some(retry_after_ms) = self.member("retry_after_ms").as_u64() else {
