--- a/crates/toucancleat-core/tests/limits/main.rs
+++ b/crates/toucancleat-core/tests/limits/main.rs
@@ -8,7 +8,9 @@
 use toucancleat_core::limits::{FleetLimits, Share};
 use toucancleat_core::prelude::*;
 
-use self::harness::{Fleet, LONGEST_ANSWER_MS, Links, ORGANISATIONS};
+use self::harness::{
+    DETECTION_AND_LAG_MS, Fleet, LONGEST_ANSWER_MS, Links, ORGANISATIONS,
+};
 
 /// Time after which a fleet without faults has all its rights.
 const SETTLED_MS: u64 = 20_000 + LONGEST_ANSWER_MS;
@@ -23,6 +25,7 @@
 enum Fault {
     Kill(usize),
     Start(usize),
+    Leave(usize),
     Pause(usize),
     Resume(usize),
     DeclareDead(usize),
@@ -35,6 +38,7 @@
     match fault {
         Fault::Kill(i) => fleet.kill(i % count),
         Fault::Start(i) => fleet.start(i % count),
+        Fault::Leave(i) => fleet.leave(i % count),
         Fault::Pause(i) => fleet.pause(i % count),
         Fault::Resume(i) => fleet.resume(i % count),
         Fault::DeclareDead(i) => fleet.declare_dead(i % count),
@@ -54,6 +58,7 @@
     let fault = prop_oneof![
         any::<usize>().prop_map(Fault::Kill),
         any::<usize>().prop_map(Fault::Start),
+        any::<usize>().prop_map(Fault::Leave),
         any::<usize>().prop_map(Fault::Pause),
         any::<usize>().prop_map(Fault::Resume),
         any::<usize>().prop_map(Fault::DeclareDead),
@@ -185,6 +190,71 @@
     }
 }
 
+#[test]
+fn a_planned_stop_hands_the_limits_over() {
+    let limit = Share::new(30.0, 60);
+    let mut fleet = Fleet::new(&[("upp-a", 3)], limit, GOOD, 6);
+    fleet.run_ms(SETTLED_MS, 80).expect("within the limit");
+    fleet.leave(0);
+    // N.B. Far below the wait of a home that nobody has told anything.
+    fleet.run_ms(10_000, 80).expect("within the limit");
+    for organisation in ORGANISATIONS {
+        let usable = fleet.usable(organisation);
+        assert!(
+            usable.millirequests_per_s >= 14_000,
+            "{organisation}: {usable:?}"
+        );
+    }
+    fleet.run_ms(SETTLED_MS, 80).expect("within the limit");
+    for organisation in ORGANISATIONS {
+        let usable = fleet.usable(organisation);
+        assert!(
+            usable.millirequests_per_s >= 27_000,
+            "{organisation}: {usable:?}"
+        );
+    }
+}
+
+#[test]
+fn after_the_sudden_end_of_a_home_the_next_one_lends_at_once() {
+    struct Case {
+        hosts: usize,
+        /// What the rest may use: the live hosts' part without what zones may borrow.
+        millirequests_per_s: u64,
+    }
+    let cases = [
+        Case {
+            hosts: 2,
+            millirequests_per_s: 30_000 / 2 - 30_000 / 4,
+        },
+        Case {
+            hosts: 3,
+            millirequests_per_s: 30_000 * 2 / 3 - 30_000 / 4,
+        },
+    ];
+    for case in cases {
+        let limit = Share::new(30.0, 600);
+        let mut fleet = Fleet::new(&[("upp-a", case.hosts)], limit, GOOD, 7);
+        // N.B. The fleet is young, so that none of its homes has waited, and the rest of
+        // the hosts holds nothing that it could go on with.
+        fleet.run_ms(5_000, 0).expect("within the limit");
+        fleet.kill(0);
+        fleet
+            .run_ms(DETECTION_AND_LAG_MS, 0)
+            .expect("within the limit");
+        fleet.run_ms(4_000, 80).expect("within the limit");
+        for organisation in ORGANISATIONS {
+            let rate = fleet.usable(organisation).millirequests_per_s;
+            let least = case.millirequests_per_s * 9 / 10;
+            assert!(
+                rate >= least,
+                "{} hosts, {organisation}: {rate}",
+                case.hosts
+            );
+        }
+    }
+}
+
 #[test]
 fn zones_lend_to_each_other_and_freeze_when_cut() {
     let limit = Share::new(40.0, 400);
