Read the host list each second in every zone, and drop a choice that has aged

Ruled out: the load of the machine. The zone's reader now reads it each second and tells the zone: 20 reads/s for 20 zones.

--- a/crates/toucancleat-core/src/effect.rs
+++ b/crates/toucancleat-core/src/effect.rs
@@ -160,6 +160,9 @@
     pub generation: GenerationId,
     /// Priority towards the engine.
     pub priority: u8,
+    /// When the target was chosen. A relay that comes to it much later was paused in
+    /// between, and what the choice rested on may no longer hold.
+    pub decided_ms: u64,
     /// When the answer must be whole.
     pub deadline_ms: u64,
 }
--- a/crates/toucancleat-core/src/reduce/observations.rs
+++ b/crates/toucancleat-core/src/reduce/observations.rs
@@ -7,7 +7,7 @@
 use super::{accounts, crash_marks, orders, requests, targets};
 use crate::crash_marks::Crash;
 use crate::effect::Effect;
-use crate::homes::HomeKey;
+use crate::homes::{HomeKey, ZoneRole};
 use crate::observation::Observation;
 use crate::prelude::*;
 use crate::state::State;
@@ -17,16 +17,16 @@
 const OBSERVE_HOME_MS: u64 = 500;
 /// Time between two looks at a target that takes no work.
 const OBSERVE_OUT_MS: u64 = 2_000;
-/// Time between two reads of the host list by a host that knows no other.
-const LIST_ALONE_MS: u64 = 1_000;
-/// Time between two reads of the host list.
+/// Time between two reads of the host list by the zone's reader, which tells the zone
+/// which targets leave, and by a host that knows no other.
+const LIST_READER_MS: u64 = 1_000;
+/// Time between two reads of the host list by the other hosts.
 const LIST_MS: u64 = 10_000;
 
 /// Asks for the looks that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
     if now_ms >= state.list_at_ms {
-        let alone = state.membership.live_hosts().count() < 2;
-        state.list_at_ms = now_ms + if alone { LIST_ALONE_MS } else { LIST_MS };
+        state.list_at_ms = now_ms + list_interval_ms(state);
         effects.push(Effect::ListHosts);
     }
     let Some(settings) = state.settings.clone() else {
@@ -54,6 +54,17 @@
     }
 }
 
+fn list_interval_ms(state: &mut State) -> u64 {
+    let alone = state.membership.live_hosts().count() < 2;
+    let reader = HomeKey::Role(ZoneRole::SettingsReader);
+    let is_reader = state.homes.is_home(&reader, &state.identity.host);
+    if alone || is_reader {
+        LIST_READER_MS
+    } else {
+        LIST_MS
+    }
+}
+
 fn observe_interval_ms(
     state: &mut State,
     now_ms: u64,
--- a/crates/toucancleat-core/src/reduce/requests.rs
+++ b/crates/toucancleat-core/src/reduce/requests.rs
@@ -84,6 +84,7 @@
                 target,
                 attempt,
                 priority,
+                decided_ms: now_ms,
                 deadline_ms,
             };
             dispatch(state, now_ms, &arrival, wanted, effects);
@@ -479,7 +480,7 @@
     state: &mut State,
     now_ms: u64,
     arrival: &Arrival,
-    wanted: Dispatch,
+    mut wanted: Dispatch,
     effects: &mut Vec<Effect>,
 ) {
     let request = wanted.request;
@@ -498,6 +499,7 @@
         .field("attempt", u64::from(wanted.attempt));
     state.timeline.record(now_ms, entry);
     *state.outstanding.entry(wanted.target.clone()).or_insert(0) += 1;
+    wanted.decided_ms = now_ms;
     effects.push(Effect::Dispatch(wanted));
 }
 
--- a/crates/toucancleat-entry/src/relay/mod.rs
+++ b/crates/toucancleat-entry/src/relay/mod.rs
@@ -22,6 +22,9 @@
 use crate::host::{Host, InProgress};
 use crate::service::ServiceRequest;
 
+/// Age from which on the choice of a target no longer counts.
+const DECISION_MAX_AGE_MS: u64 = 1_000;
+
 /// What a target is asked to do.
 #[derive(Debug)]
 pub enum Work {
@@ -136,6 +139,13 @@
     }
 
     async fn attempt(&mut self, dispatch: &Dispatch) -> Outcome {
+        let decided_ms = dispatch.decided_ms;
+        if self.host.clock.now_ms() > decided_ms + DECISION_MAX_AGE_MS {
+            // The process was paused, and the target may have begun to leave meanwhile.
+            return Outcome::NotBegun {
+                retry_after_ms: Some(0),
+            };
+        }
         self.host.metrics.attempts.inc();
         let Ok(address) = dispatch.address.parse() else {
             log::error!(target_name = dispatch.target.as_str(); "the target's address is not IP and port");
@@ -212,6 +222,7 @@
         attempt: cursor.attempt,
         generation: cursor.generation,
         priority: arrival.values.priority,
+        decided_ms: host.clock.now_ms(),
         deadline_ms: host.clock.now_ms() + arrival.values.timeout_ms,
     };
     let context = stream::Context {
