--- a/crates/toucancleat-entry/src/relay/mod.rs
+++ b/crates/toucancleat-entry/src/relay/mod.rs
@@ -14,10 +14,11 @@
 use toucancleat_core::prelude::*;
 use toucancleat_core::refusal::{Problem, Refusal};
 use toucancleat_core::requests::{Arrival, Event as RequestEvent, Outcome};
+use toucancleat_core::streams;
 use toucancleat_core::{Dispatch, Event};
 
 pub use self::caller::Caller;
-use crate::driver::{Command, Input};
+use crate::driver::{self, Command, Input};
 use crate::host::{Host, InProgress};
 use crate::service::ServiceRequest;
 
@@ -86,7 +87,7 @@
             let command = tokio::select! {
                 command = commands.recv() => command,
                 () = self.caller.gone(), if !self.arrival.needs_claim() => {
-                    self.tell(RequestEvent::CallerGone { request: self.request() });
+                    self.leave(commands);
                     return;
                 }
             };
@@ -119,6 +120,21 @@
         }
     }
 
+    /// Ends the request of a caller that has gone, also when a target was found for it
+    /// just now.
+    fn leave(&self, mut commands: mpsc::UnboundedReceiver<Command>) {
+        // From here on the driver sees that nobody takes its commands.
+        commands.close();
+        self.tell(RequestEvent::CallerGone {
+            request: self.request(),
+        });
+        while let Ok(command) = commands.try_recv() {
+            if let Command::Dispatch(dispatch) = command {
+                self.tell(driver::abandoned(&dispatch));
+            }
+        }
+    }
+
     async fn attempt(&mut self, dispatch: &Dispatch) -> Outcome {
         self.host.metrics.attempts.inc();
         let Ok(address) = dispatch.address.parse() else {
@@ -172,7 +188,7 @@
 /// key then starts a fresh answer.
 async fn resume(
     host: &Arc<Host>,
-    arrival: &Arrival,
+    arrival: &Arc<Arrival>,
     work: &GenerationWork,
     cursor: &Cursor,
     caller: &mut Caller,
@@ -205,7 +221,17 @@
         address,
         dispatch: &dispatch,
     };
-    match generation::resume(context, caller, cursor).await {
+    let outcome = generation::resume(context, caller, cursor).await;
+    if let Some(outcome) = outcome.clone() {
+        let ended = streams::Event::Ended {
+            arrival: arrival.clone(),
+            generation: cursor.generation,
+            target: cursor.target.clone(),
+            outcome,
+        };
+        host.tell(Input::Event(Event::Streams(ended)));
+    }
+    match outcome {
         Some(Outcome::Lost { cause, .. }) => Err(gone(cause.as_str())),
         Some(_) => Ok(()),
         None => Err(gone("the target no longer has the generation")),
