Record claims and replayed answers in the time line

explain showed a booking's admission and its dispatch, and nothing of the claim between them that decides whether it may run. Shown failing first: with the records left out, claims_of_a_key_are_explained fails.

--- a/crates/toucancleat-cli/tests/timeline.rs
+++ b/crates/toucancleat-cli/tests/timeline.rs
@@ -13,7 +13,9 @@
 use toucancleat_entry::http::{Call, HttpClient};
 use toucancleat_entry::platform::{ListedHost, Platform as PlatformClient};
 use toucancleat_entry::{Config, EntryHost};
-use toucancleat_standin::{Engine, EngineConfig, Platform, PlatformConfig};
+use toucancleat_standin::{
+    Engine, EngineConfig, Platform, PlatformConfig, Service, ServiceConfig,
+};
 use volo_http::body::Body;
 use volo_http::client::sse::SseReader;
 
@@ -24,6 +26,7 @@
 struct Fleet {
     platform: Platform,
     engine: Option<Engine>,
+    _service: Service,
     hosts: [EntryHost; 2],
 }
 
@@ -35,15 +38,22 @@
         let engine = Engine::start(EngineConfig::default())
             .await
             .expect("an engine");
+        let service = Service::start(ServiceConfig::default())
+            .await
+            .expect("a service");
         let settings = file(
             &format!("timeline-{}.jsonc", platform.address().port()),
             &format!(
                 r#"{{"zones": ["a"], "pools": {{"llm": {{"class": "model_engine", "targets": {{
                 "llm-1": {{"zone": "a", "address": "{}", "memory_tokens": 65536, "max_batch": 8}}
-                }}}}}}, "fleet": {{"kinds": {{"check": {{"pool": "llm"}}}}}},
+                }}}}, "books": {{"class": "service", "targets": {{
+                "books-1": {{"zone": "a", "address": "{}"}}}}}}}},
+                "fleet": {{"kinds": {{"check": {{"pool": "llm"}},
+                "booking": {{"pool": "books", "idempotent": false}}}}}},
                 "live_events": {{"e": {{"starts_at_unix_ms": 1, "ends_at_unix_ms": 9000000000000,
                 "organisations": {{"sl": {{"api_key_sha256": ["{}"]}}}}}}}}}}"#,
                 engine.address(),
+                service.address(),
                 api_key_sha256("key"),
             ),
         );
@@ -56,6 +66,7 @@
         let fleet = Fleet {
             platform,
             engine: Some(engine),
+            _service: service,
             hosts,
         };
         fleet.wait_listed_and_ready().await;
@@ -83,6 +94,18 @@
         assert_eq!(reply.status(), StatusCode::OK, "{reply:?}");
     }
 
+    /// Books under a key and returns the request's id.
+    async fn book(&self, host: usize) -> String {
+        let mut call = self.call(host, "{}", None);
+        call.path = "/services/booking/coaches";
+        let key = HeaderName::from_static("idempotency-key");
+        call.headers.push((key, HeaderValue::from_static("one")));
+        let reply = HttpClient::fresh().exchange(call, 30_000, usize::MAX).await;
+        let reply = reply.expect("a reply");
+        let request = reply.headers()["x-request-id"].to_str().expect("text");
+        request.to_owned()
+    }
+
     /// Opens a stream, from a cursor if there is one; returns it with its request's id.
     async fn stream(
         &self,
@@ -235,6 +258,29 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn claims_of_a_key_are_explained() {
+    let fleet = Fleet::start().await;
+    let first = fleet.book(0).await;
+    let explained = run(fleet.platform(), &["explain", &first])
+        .await
+        .expect(0)
+        .stdout;
+    assert!(explained.contains("claim_made"), "{explained}");
+    let again = fleet.book(1).await;
+    let explained = run(fleet.platform(), &["explain", &again])
+        .await
+        .expect(0)
+        .stdout;
+    // The repeat may come before the first answer is stored; it never runs either way.
+    let settled = ["answer_replayed", "claim_refused"];
+    assert!(
+        settled.iter().any(|kind| explained.contains(kind)),
+        "{explained}"
+    );
+    assert!(!explained.contains("request_dispatched"), "{explained}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn filters_and_missing_hosts_are_told() {
     let fleet = Fleet::start().await;
--- a/crates/toucancleat-core/src/reduce/claims.rs
+++ b/crates/toucancleat-core/src/reduce/claims.rs
@@ -6,6 +6,7 @@
 use crate::refusal::{Problem, Refusal};
 use crate::requests::Event as RequestEvent;
 use crate::state::State;
+use crate::timeline::{Entry, RecordKind};
 
 /// Applies an event of the claims.
 pub(super) fn apply(
@@ -27,6 +28,9 @@
     effect: claims::Effect,
     effects: &mut Vec<Effect>,
 ) {
+    if let Some(entry) = entry_of(&effect) {
+        state.timeline.record(now_ms, entry);
+    }
     match effect {
         claims::Effect::PermitDispatch { request } => {
             requests::apply(state, now_ms, RequestEvent::Claimed { request }, effects);
@@ -71,6 +75,31 @@
     }
 }
 
+/// Returns what the time line is to hold of an effect.
+fn entry_of(effect: &claims::Effect) -> Option<Entry> {
+    match effect {
+        claims::Effect::PermitDispatch { request } => {
+            let entry = Entry::new(RecordKind::ClaimMade).request(*request);
+            Some(entry.reason("the table has the key as this request's own"))
+        }
+        claims::Effect::Refuse {
+            request,
+            verdict,
+            reason,
+            ..
+        } => {
+            let entry = Entry::new(RecordKind::ClaimRefused).request(*request);
+            let entry = entry.field("verdict", verdict.as_str());
+            Some(entry.reason(reason.detail()))
+        }
+        claims::Effect::Replay { request, .. } => {
+            let entry = Entry::new(RecordKind::AnswerReplayed).request(*request);
+            Some(entry.reason("an earlier request with this key has run"))
+        }
+        _ => None,
+    }
+}
+
 fn problem_of(reason: RefuseReason) -> Problem {
     match reason {
         RefuseReason::TableUnavailable | RefuseReason::TooManyClaims => {
--- a/crates/toucancleat-core/src/timeline/kind.rs
+++ b/crates/toucancleat-core/src/timeline/kind.rs
@@ -65,6 +65,8 @@
     ClaimMade = "claim_made",
     /// A claim of an idempotency key failed.
     ClaimRefused = "claim_refused",
+    /// A request got the answer of an earlier one with its idempotency key.
+    AnswerReplayed = "answer_replayed",
     /// A claim was released, as its request did not run.
     ClaimReleased = "claim_released",
     /// The result of a claimed request was stored.
