--- a/crates/toucancleat-model/src/lib.rs
+++ b/crates/toucancleat-model/src/lib.rs
@@ -9,6 +9,9 @@
 pub mod claims;
 pub mod delivery;
 mod explore;
+pub mod orders;
 pub mod settings;
 
-pub use self::explore::{Counterexample, Exploration, explore, walk};
+pub mod spreading_fleet;
+
+pub use self::explore::{Counterexample, Exploration, explore, stuck, walk};
