--- a/crates/toucancleat-core/src/reduce/mod.rs
+++ b/crates/toucancleat-core/src/reduce/mod.rs
@@ -46,9 +46,7 @@
             leaving_targets,
         } => {
             listed(state, now_ms, hosts, effects);
-            for target in leaving_targets {
-                targets::leaving(state, now_ms, target, effects);
-            }
+            targets::listed_leaving(state, now_ms, leaving_targets, effects);
         }
         Event::Observed {
             target,
--- a/crates/toucancleat-core/src/reduce/targets.rs
+++ b/crates/toucancleat-core/src/reduce/targets.rs
@@ -35,6 +35,28 @@
     }
 }
 
+/// Notes which targets the platform's list says are leaving.
+///
+/// The list lags, so that it may still speak of a target that was replaced since. What it
+/// says counts for the epoch that the target had when the list first said it.
+pub(super) fn listed_leaving(
+    state: &mut State,
+    now_ms: u64,
+    listed: Vec<TargetName>,
+    effects: &mut Vec<Effect>,
+) {
+    let earlier = std::mem::take(&mut state.listed_leaving);
+    for target in listed {
+        let known = state.targets.epoch_of(&target);
+        let Some(epoch) = earlier.get(&target).copied().or(known) else {
+            continue;
+        };
+        state.listed_leaving.insert(target.clone(), epoch);
+        let event = targets::Event::Leaving { target, epoch };
+        apply(state, now_ms, event, effects);
+    }
+}
+
 /// Takes in the targets that the settings name.
 pub(super) fn take_settings(
     state: &mut State,
--- a/crates/toucancleat-core/src/state.rs
+++ b/crates/toucancleat-core/src/state.rs
@@ -79,6 +79,9 @@
     pub(crate) asking: IndexMap<RequestId, OrganisationName>,
     /// Entry hosts of the zone on the platform's list; `None` until it was read.
     pub(crate) listed: Option<Vec<HostName>>,
+    /// Targets that the platform's list says are leaving, with the epoch that each had
+    /// when the list first said so.
+    pub(crate) listed_leaving: IndexMap<TargetName, u64>,
     /// When each target is to be looked at again.
     pub(crate) observe_at_ms: IndexMap<TargetName, u64>,
     /// When the host list is to be read again.
@@ -151,6 +154,7 @@
             isolated: IndexMap::new(),
             asking: IndexMap::new(),
             listed: None,
+            listed_leaving: IndexMap::new(),
             observe_at_ms: IndexMap::new(),
             list_at_ms: 0,
             draining: false,
--- /dev/null
+++ b/crates/toucancleat-load/src/bin/relay/deployment.rs
@@ -0,0 +1,181 @@
+//! Stand-ins, and one entry host on threads of its own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::runtime::Runtime;
+use toucancleat_core::prelude::*;
+use toucancleat_core::settings::store::{self, SeenHead};
+use toucancleat_core::settings::{Change, Tree, api_key_sha256};
+use toucancleat_entry::platform::{
+    Condition, Platform as PlatformClient, TransactReply, Write,
+};
+use toucancleat_entry::{Config, EntryHost};
+use toucancleat_standin::model::ModelConfig;
+use toucancleat_standin::{Engine, EngineConfig, Platform, PlatformConfig};
+
+use super::Arm;
+use super::processor::ENTRY_THREAD;
+
+/// Number of engines.
+const ENGINES: usize = 4;
+/// Most sequences that an engine decodes at once.
+const MAX_BATCH: u32 = 256;
+/// Blocks of cache memory of an engine, so many that none is preempted.
+const BLOCKS: u32 = 1_000_000;
+/// API key of the organisation.
+const API_KEY: &str = "relay-bench-key";
+/// Pause between two looks at whether the entry host is ready.
+const READY_PAUSE: Duration = Duration::from_millis(10);
+
+/// Everything that runs.
+pub(crate) struct Deployment {
+    _platform: Platform,
+    engines: Vec<SocketAddr>,
+    _standins: Vec<Engine>,
+    host: EntryHost,
+    runtime: Option<Runtime>,
+}
+
+impl Deployment {
+    /// Starts engines whose time runs faster by a factor, and one entry host.
+    pub(crate) async fn start(time_scale: f64) -> Self {
+        let platform = Platform::start(PlatformConfig::default())
+            .await
+            .expect("a platform");
+        let mut standins = Vec::new();
+        for _ in 0..ENGINES {
+            let config = EngineConfig {
+                time_scale,
+                model: ModelConfig {
+                    max_batch: MAX_BATCH,
+                    blocks_total: BLOCKS,
+                    ..ModelConfig::default()
+                },
+                ..EngineConfig::default()
+            };
+            standins.push(Engine::start(config).await.expect("an engine"));
+        }
+        let engines: Vec<_> = standins.iter().map(Engine::address).collect();
+        commit(platform.address(), &tree(&engines)).await;
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .thread_name(ENTRY_THREAD)
+            .enable_all()
+            .build()
+            .expect("a runtime for the entry host");
+        let config = Config::loopback("entry-1", "zone-a", platform.address());
+        let host = runtime
+            .spawn(EntryHost::start(config))
+            .await
+            .expect("the start does not panic")
+            .expect("the entry host starts");
+        while !host.is_ready() {
+            tokio::time::sleep(READY_PAUSE).await;
+        }
+        Deployment {
+            _platform: platform,
+            engines,
+            _standins: standins,
+            host,
+            runtime: Some(runtime),
+        }
+    }
+
+    /// Returns the arm whose callers connect to the engines.
+    pub(crate) fn direct(&self) -> Arm<'_> {
+        Arm {
+            addresses: &self.engines,
+            headers: Vec::new(),
+        }
+    }
+
+    /// Returns the arm whose callers connect to the entry host.
+    pub(crate) fn relayed(&self) -> Arm<'static> {
+        let address = self.host.callers_address();
+        Arm {
+            // One address for the life of the program, of which there are two at most.
+            addresses: Box::leak(Box::new([address])),
+            headers: vec![
+                ("authorization", format!("Bearer {API_KEY}")),
+                ("x-request-kind", "draft".to_owned()),
+            ],
+        }
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+fn tree(engines: &[SocketAddr]) -> Tree {
+    let targets: serde_json::Map<_, _> = engines
+        .iter()
+        .enumerate()
+        .map(|(index, address)| {
+            let target = json!({
+                "zone": "zone-a",
+                "address": address.to_string(),
+                "memory_tokens": u64::from(BLOCKS) * 16,
+                "max_batch": MAX_BATCH,
+            });
+            (format!("engine-{index}"), target)
+        })
+        .collect();
+    serde_json::from_value(json!({
+        "zones": ["zone-a"],
+        "pools": { "llm": { "class": "model_engine", "targets": targets } },
+        "fleet": {
+            "values": {
+                "requests_per_second": 100_000.0,
+                "concurrent_requests": 100_000,
+                "step_time_max_ms": 1_000.0,
+            },
+            "kinds": { "draft": { "pool": "llm" } },
+        },
+        "live_events": { "bench": {
+            "starts_at_unix_ms": 4_000_000_000_000_u64,
+            "ends_at_unix_ms": 4_000_100_000_000_u64,
+            "organisations": {
+                "bench": { "api_key_sha256": [api_key_sha256(API_KEY)] },
+            },
+        } },
+    }))
+    .expect("the tree is well formed")
+}
+
+async fn commit(platform: SocketAddr, tree: &Tree) {
+    let change = Change {
+        revision: Revision(1),
+        change_id: ChangeId(1),
+        author: "bench".to_owned(),
+        at_unix_ms: 0,
+        edits: Tree::default().diff(tree),
+    };
+    let request = store::commit_request(&change, &SeenHead::default());
+    let conditions: Vec<_> = request
+        .conditions
+        .into_iter()
+        .map(|c| Condition {
+            table: c.table,
+            row: c.row,
+            version: c.version,
+        })
+        .collect();
+    let writes: Vec<_> = request
+        .writes
+        .into_iter()
+        .map(|w| Write {
+            table: w.table,
+            row: w.row,
+            value: Some(w.value),
+        })
+        .collect();
+    let platform = PlatformClient::new(platform);
+    let reply = platform.transact(&conditions, &writes).await;
+    assert!(matches!(reply, TransactReply::Applied { .. }), "{reply:?}");
+}
