--- a/crates/toucancleat-core/src/freshness.rs
+++ b/crates/toucancleat-core/src/freshness.rs
@@ -69,12 +69,14 @@
     }
 
     /// Notes that a look at a target has come back, and returns what was held for it.
-    pub fn looked(&mut self, target: &TargetName) -> Vec<Dispatch> {
+    ///
+    /// A look without an answer shows nothing: what was held must go elsewhere.
+    pub fn looked(&mut self, target: &TargetName, answered: bool) -> Vec<Dispatch> {
         take_one(&mut self.asked, target);
         if take_one(&mut self.stale, target) {
             return Vec::new();
         }
-        if self.was_paused {
+        if self.was_paused && answered {
             self.looked_at.insert(target.clone());
         }
         self.held.swap_remove(target).unwrap_or_default()
--- a/crates/toucancleat-core/src/reduce/observations.rs
+++ b/crates/toucancleat-core/src/reduce/observations.rs
@@ -111,9 +111,12 @@
     observation: Observation,
     effects: &mut Vec<Effect>,
 ) {
+    let answered = observation != Observation::Silent;
     take(state, now_ms, target.clone(), observation, effects);
     // N.B. only now is it known whether the target leaves.
-    release(state, now_ms, &target, effects);
+    for dispatch in state.freshness.looked(&target, answered) {
+        requests::dispatch_held(state, now_ms, dispatch, answered, effects);
+    }
 }
 
 fn take(
@@ -149,18 +152,6 @@
     }
 }
 
-/// Gives a target that was looked at the requests that waited for it.
-fn release(
-    state: &mut State,
-    now_ms: u64,
-    target: &TargetName,
-    effects: &mut Vec<Effect>,
-) {
-    for dispatch in state.freshness.looked(target) {
-        requests::dispatch_held(state, now_ms, dispatch, effects);
-    }
-}
-
 /// Notes the start of a target; a later one than known means that it was replaced.
 fn seen(
     state: &mut State,
--- a/crates/toucancleat-core/src/reduce/requests.rs
+++ b/crates/toucancleat-core/src/reduce/requests.rs
@@ -441,11 +441,12 @@
     send(state, now_ms, arrival, wanted, effects);
 }
 
-/// Gives a request to a target that was looked at, if it still takes work.
+/// Gives a request to a target that was looked at, if it answered and takes work.
 pub(super) fn dispatch_held(
     state: &mut State,
     now_ms: u64,
     wanted: Dispatch,
+    answered: bool,
     effects: &mut Vec<Effect>,
 ) {
     let request = wanted.request;
@@ -453,7 +454,7 @@
         return;
     };
     let admission = state.targets.peek(now_ms, &wanted.target);
-    if matches!(admission, Admission::Yes | Admission::Trial) {
+    if answered && matches!(admission, Admission::Yes | Admission::Trial) {
         send(state, now_ms, &arrival, wanted, effects);
         return;
     }
--- a/crates/toucancleat-core/tests/freshness.rs
+++ b/crates/toucancleat-core/tests/freshness.rs
@@ -74,10 +74,14 @@
     state.asked(&target);
 
     // The first look was asked for before the pause, and says how things were then.
-    assert!(state.looked(&target).is_empty());
+    assert!(state.looked(&target, true).is_empty());
     assert!(state.must_look(&target));
 
-    let released: Vec<_> = state.looked(&target).iter().map(|d| d.request.0).collect();
+    let released: Vec<_> = state
+        .looked(&target, true)
+        .iter()
+        .map(|d| d.request.0)
+        .collect();
     assert_eq!(released, [1, 2]);
     assert!(!state.must_look(&target));
     assert!(state.must_look(&other));
@@ -86,3 +90,15 @@
     assert!(state.runs(20_000));
     assert!(state.must_look(&target));
 }
+
+#[test]
+fn a_look_without_an_answer_shows_nothing() {
+    let target = TargetName::new("plan-llm-0");
+    let mut state = State::default();
+    state.ticked(1_000);
+    assert!(state.runs(9_000));
+    state.hold(dispatch(1, "plan-llm-0"));
+    state.asked(&target);
+    assert_eq!(state.looked(&target, false).len(), 1);
+    assert!(state.must_look(&target));
+}
--- a/crates/toucancleat-entry/tests/leaving.rs
+++ b/crates/toucancleat-entry/tests/leaving.rs
@@ -32,7 +32,20 @@
     TargetSaysSo,
     OnlyHostListSaysSo,
     PlatformAway,
+    /// The second host is paused; it is not the home of the targets.
     HostPausedMeanwhile,
+    /// The first host is paused, which is the home of the targets.
+    HomePausedMeanwhile,
+}
+
+impl Case {
+    fn paused_host(self) -> Option<usize> {
+        match self {
+            Case::HostPausedMeanwhile => Some(1),
+            Case::HomePausedMeanwhile => Some(0),
+            _ => None,
+        }
+    }
 }
 
 fn shape() -> Shape {
@@ -137,29 +150,38 @@
     if case == Case::PlatformAway {
         platform_away(&deployment);
     }
-    if case == Case::HostPausedMeanwhile {
-        deployment.hosts[1].signal(Signal::Stop);
+    let paused = case.paused_host();
+    if let Some(host) = paused {
+        deployment.hosts[host].signal(Signal::Stop);
     }
     begin_to_leave(case, &deployment).await;
     deployment.engines[0]
         .standin
         .set_faults(|faults| faults.freeze_at_token = None);
     let end = Instant::now() + Duration::from_millis(NO_WORK_AFTER_MS + WATCHED_MS);
-    let first = tokio::spawn(send_until(deployment.callers(0), "first".into(), end));
-    let senders = if case == Case::HostPausedMeanwhile {
-        SENDERS_TO_PAUSED
-    } else {
-        1
-    };
-    let second: Vec<_> = (0..senders)
-        .map(|sender| send_until(deployment.callers(1), format!("second {sender}"), end))
-        .map(tokio::spawn)
-        .collect();
-    first.await.expect("joined");
-    if case == Case::HostPausedMeanwhile {
-        deployment.hosts[1].signal(Signal::Continue);
+    let mut to_running = Vec::new();
+    let mut to_paused = Vec::new();
+    for host in 0..2 {
+        let is_paused = paused == Some(host);
+        let senders = if is_paused { SENDERS_TO_PAUSED } else { 1 };
+        for sender in 0..senders {
+            let name = format!("host {host}, sender {sender}");
+            let sending = send_until(deployment.callers(host), name, end);
+            let list = if is_paused {
+                &mut to_paused
+            } else {
+                &mut to_running
+            };
+            list.push(tokio::spawn(sending));
+        }
+    }
+    for sender in to_running {
+        sender.await.expect("joined");
+    }
+    if let Some(host) = paused {
+        deployment.hosts[host].signal(Signal::Continue);
     }
-    for sender in second {
+    for sender in to_paused {
         sender.await.expect("joined");
     }
 
@@ -207,3 +229,8 @@
 async fn no_new_work_from_a_host_that_was_paused_meanwhile() {
     run(Case::HostPausedMeanwhile).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn no_new_work_with_the_home_of_the_targets_paused() {
+    run(Case::HomePausedMeanwhile).await;
+}
