Keep work from a target that is known to leave, whoever granted it

A home that was paused may still grant a leaving target to a host that knows better; the host now asks for another target at once.

--- a/crates/toucancleat-core/src/reduce/requests.rs
+++ b/crates/toucancleat-core/src/reduce/requests.rs
@@ -418,13 +418,16 @@
     effects: &mut Vec<Effect>,
 ) {
     let request = arrival.request;
-    let Some(address) = address_of(state, &wanted.target) else {
-        // The target left the settings between the choice and now.
+    let leaves = state.targets.peek(now_ms, &wanted.target) == Admission::Leaving;
+    let address = address_of(state, &wanted.target).filter(|_| !leaves);
+    let Some(address) = address else {
+        // The target left the settings between the choice and now, or its home chose it
+        // without having heard that it leaves.
         let event = requests::Event::AttemptEnded {
             request,
             attempt: wanted.attempt,
             outcome: Outcome::NotBegun {
-                retry_after_ms: None,
+                retry_after_ms: leaves.then_some(RETRY_AFTER_NO_TARGET_MS),
             },
         };
         apply(state, now_ms, event, effects);
