--- a/crates/toucancleat-core/src/reduce/requests.rs
+++ b/crates/toucancleat-core/src/reduce/requests.rs
@@ -427,13 +427,16 @@
     effects: &mut Vec<Effect>,
 ) {
     let request = arrival.request;
-    let Some(address) = address_of(state, &wanted.target) else {
-        // The target left the settings between the choice and now.
+    let leaves = state.targets.peek(now_ms, &wanted.target) == Admission::Leaving;
+    let address = address_of(state, &wanted.target).filter(|_| !leaves);
+    let Some(address) = address else {
+        // The target left the settings between the choice and now, or its home chose it
+        // without having heard that it leaves.
         let event = requests::Event::AttemptEnded {
             request,
             attempt: wanted.attempt,
             outcome: Outcome::NotBegun {
-                retry_after_ms: None,
+                retry_after_ms: leaves.then_some(RETRY_AFTER_NO_TARGET_MS),
             },
         };
         apply(state, now_ms, event, effects);
@@ -450,11 +453,12 @@
     send(state, now_ms, arrival, wanted, effects);
 }
 
-/// Gives a request to a target that was looked at, if it still takes work.
+/// Gives a request to a target that was looked at, if it answered and takes work.
 pub(super) fn dispatch_held(
     state: &mut State,
     now_ms: u64,
     wanted: Dispatch,
+    answered: bool,
     effects: &mut Vec<Effect>,
 ) {
     let request = wanted.request;
@@ -462,7 +466,7 @@
         return;
     };
     let admission = state.targets.peek(now_ms, &wanted.target);
-    if matches!(admission, Admission::Yes | Admission::Trial) {
+    if answered && matches!(admission, Admission::Yes | Admission::Trial) {
         send(state, now_ms, &arrival, wanted, effects);
         return;
     }
