Refuse over a limit only on the home's settled word

Causes found by the refusals' own times: (1) a host that does not yet know itself to be home gives no answer, and no answer within 50 ms was taken for a refusal; (2) a home that had lent all to another host gave nothing, although the limit was not reached; (3) a home whose right became whole after its account was opened never gave the first burst's tokens (retry after 800 ms). Ruled out: readiness. Now a request waits up to 4 s for an answer and is refused at once by a settled one.

--- a/crates/toucancleat-core/src/limits/config.rs
+++ b/crates/toucancleat-core/src/limits/config.rs
@@ -23,10 +23,8 @@
     pub burst_ms: u64,
     /// Longest time that a request waits for the home's answer.
     pub answer_wait_ms: u64,
-    /// Longest time that a request waits for a home that is new and knows too little yet.
-    pub early_wait_ms: u64,
-    /// Time between two questions to such a home.
-    pub early_ask_ms: u64,
+    /// Time between two questions while requests wait for an answer.
+    pub waiting_ask_ms: u64,
     /// Time for which an answer that gave too little stands for further requests.
     pub denied_ms: u64,
     /// Least time between two questions about one organisation.
@@ -57,9 +55,8 @@
             loan_ask_interval_ms: 500,
             lendable_divisor: 4,
             burst_ms: 1_000,
-            answer_wait_ms: 50,
-            early_wait_ms: 2_000,
-            early_ask_ms: 100,
+            answer_wait_ms: 4_000,
+            waiting_ask_ms: 100,
             denied_ms: 200,
             ask_gap_ms: 20,
             query_interval_ms: 500,
--- a/crates/toucancleat-core/src/limits/holder.rs
+++ b/crates/toucancleat-core/src/limits/holder.rs
@@ -34,8 +34,6 @@
     waiting: VecDeque<(RequestId, u64)>,
     /// Until when the home's last answer stands for a refusal.
     denied_until_ms: u64,
-    /// Until when requests wait for a home that is new.
-    early_until_ms: u64,
     demand: Demand,
 }
 
@@ -68,7 +66,6 @@
             refilled_ms: now_ms,
             waiting: VecDeque::new(),
             denied_until_ms: 0,
-            early_until_ms: 0,
             demand: Demand::new(now_ms),
         }
     }
@@ -178,7 +175,11 @@
         }
         self.last_ask_ms = now_ms;
         self.confirms = false;
-        self.next_ask_ms = now_ms + config.renew_ms;
+        // N.B. a host that does not yet know itself to be home gives no answer.
+        self.next_ask_ms = match self.waiting.is_empty() {
+            true => now_ms + config.renew_ms,
+            false => now_ms + config.waiting_ask_ms,
+        };
         Ask {
             organisation: organisation.clone(),
             started_ms,
@@ -232,24 +233,18 @@
             self.confirms = true;
             self.next_ask_ms = now_ms + config.ask_gap_ms;
         }
+        self.admit_waiting(now_ms, effects);
         if grant.is_early {
-            self.early_until_ms = now_ms + config.early_ask_ms + config.answer_wait_ms;
-            self.next_ask_ms = now_ms + config.early_ask_ms;
+            self.next_ask_ms = now_ms + config.waiting_ask_ms;
+        } else {
+            self.deny_waiting(config, now_ms, effects);
         }
-        self.answer_waiting(config, now_ms, effects);
     }
 
     /// Refuses those that have waited for an answer for too long.
-    pub(super) fn expire_waiting(
-        &mut self,
-        config: &Config,
-        now_ms: u64,
-        effects: &mut Vec<Effect>,
-    ) {
+    pub(super) fn expire_waiting(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
         while let Some(&(request, deadline_ms)) = self.waiting.front() {
-            let may_wait = now_ms < self.early_until_ms
-                && now_ms < deadline_ms + config.early_wait_ms;
-            if now_ms < deadline_ms || may_wait {
+            if now_ms < deadline_ms {
                 return;
             }
             self.waiting.pop_front();
@@ -257,20 +252,19 @@
         }
     }
 
-    fn answer_waiting(
-        &mut self,
-        config: &Config,
-        now_ms: u64,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn admit_waiting(&mut self, now_ms: u64, effects: &mut Vec<Effect>) {
         while let Some(&(request, _)) = self.waiting.front() {
             if !self.take(now_ms) {
-                break;
+                return;
             }
             self.waiting.pop_front();
             effects.push(Effect::Admitted { request });
         }
-        if self.waiting.is_empty() || now_ms < self.early_until_ms {
+    }
+
+    /// Refuses those for whom the home's answer has no room.
+    fn deny_waiting(&mut self, config: &Config, now_ms: u64, effects: &mut Vec<Effect>) {
+        if self.waiting.is_empty() {
             return;
         }
         self.denied_until_ms = now_ms + config.denied_ms;
--- a/crates/toucancleat-core/src/limits/home.rs
+++ b/crates/toucancleat-core/src/limits/home.rs
@@ -18,6 +18,8 @@
     /// Whether every host has said what it holds since then.
     is_told: bool,
     tokens_millirequests: u64,
+    /// Whether the tokens of the first burst were given, as soon as the right was whole.
+    has_burst: bool,
     accrued_ms: u64,
     /// The rate that nobody held when tokens were last accrued.
     pub free_rate: u64,
@@ -85,7 +87,7 @@
             share,
             term_ms: config.term_ms,
             tokens_millirequests: tokens,
-            is_early: !pool.whole,
+            is_early: !pool.whole || (share == Share::NONE && pool.hosts != Share::NONE),
         })
     }
 
@@ -159,11 +161,6 @@
             );
         }
         self.accounts.insert(organisation.clone(), account);
-        let pool = self.pool(now_ms, organisation);
-        if pool.whole {
-            let burst = pool.hosts.millirequests_per_s * self.config.burst_ms / 1_000;
-            self.accounts[organisation].tokens_millirequests = burst.max(1_000);
-        }
     }
 
     /// Works out what a home may lend by now.
@@ -241,6 +238,10 @@
         self.accrued_ms = now_ms;
         self.tokens_millirequests += self.free_rate * elapsed_ms / 1_000;
         let burst = pool.hosts.millirequests_per_s * config.burst_ms / 1_000;
+        if pool.whole && !self.has_burst {
+            self.has_burst = true;
+            self.tokens_millirequests = burst.max(1_000);
+        }
         self.tokens_millirequests = self.tokens_millirequests.min(burst.max(1_000));
     }
 
