--- a/crates/toucancleat-core/src/reduce/accounts.rs
+++ b/crates/toucancleat-core/src/reduce/accounts.rs
@@ -1,6 +1,6 @@
 //! Effects of the accounts of targets.
 
-use super::{peers, requests};
+use super::{choice, peers, requests};
 use crate::accounts::{self, RefuseReason};
 use crate::effect::Effect;
 use crate::prelude::*;
@@ -73,7 +73,7 @@
     effects: &mut Vec<Effect>,
 ) {
     let no_target = reason == RefuseReason::NoTarget;
-    if no_target && requests::spill(state, now_ms, request, effects) {
+    if no_target && choice::spill(state, now_ms, request, effects) {
         return;
     }
     let (problem, detail) = match reason {
--- a/crates/toucancleat-core/src/reduce/crash_marks.rs
+++ b/crates/toucancleat-core/src/reduce/crash_marks.rs
@@ -1,6 +1,6 @@
 //! Effects of the marks on requests that crash targets.
 
-use super::{membership, peers, requests};
+use super::{choice, membership, peers, requests};
 use crate::crash_marks::{self, Message};
 use crate::effect::Effect;
 use crate::prelude::*;
@@ -45,7 +45,7 @@
         }
         crash_marks::Effect::Turn { attempt } => {
             if let Some(request) = state.isolated.get(&attempt).copied() {
-                requests::run_isolated(state, now_ms, request, attempt, effects);
+                choice::run_isolated(state, now_ms, request, attempt, effects);
             }
         }
         crash_marks::Effect::NoTurn {
--- a/crates/toucancleat-core/src/reduce/mod.rs
+++ b/crates/toucancleat-core/src/reduce/mod.rs
@@ -4,8 +4,10 @@
 //! remain that need the outside. Each submodule carries out the effects of one concern.
 
 mod accounts;
+mod choice;
 mod claims;
 mod crash_marks;
+mod dispatch;
 mod limits;
 mod membership;
 mod observations;
@@ -13,6 +15,7 @@
 mod peers;
 mod requests;
 mod settings;
+mod settlement;
 mod streams;
 mod targets;
 
--- a/crates/toucancleat-core/src/reduce/observations.rs
+++ b/crates/toucancleat-core/src/reduce/observations.rs
@@ -4,7 +4,7 @@
 //! the number of entry hosts. A target that this host holds for leaving or out is looked
 //! at by this host too, since only that shows that it was replaced.
 
-use super::{accounts, crash_marks, orders, requests, targets};
+use super::{accounts, crash_marks, dispatch, orders, targets};
 use crate::crash_marks::Crash;
 use crate::effect::Effect;
 use crate::homes::{HomeKey, ZoneRole};
@@ -126,7 +126,7 @@
     take(state, now_ms, target.clone(), observation, effects);
     // N.B. only now is it known whether the target leaves.
     for dispatch in state.freshness.looked(&target, answered) {
-        requests::dispatch_held(state, now_ms, dispatch, answered, effects);
+        dispatch::dispatch_held(state, now_ms, dispatch, answered, effects);
     }
 }
 
--- /dev/null
+++ b/crates/toucancleat-core/src/reduce/settlement.rs
@@ -0,0 +1,133 @@
+//! What follows from the end of an attempt at a target.
+
+use super::choice::{end_isolation, fingerprint_of};
+use super::{accounts, crash_marks, observations, targets};
+use crate::accounts::{Event as AccountEvent, Outcome as AccountOutcome};
+use crate::crash_marks::Event as MarkEvent;
+use crate::effect::Effect;
+use crate::prelude::*;
+use crate::requests::{Arrival, LossCause, Outcome, generation_of};
+use crate::settings::TargetClass;
+use crate::state::State;
+use crate::targets::{Event as TargetEvent, Outcome as TargetOutcome};
+use crate::timeline::{Entry, RecordKind};
+
+/// Tells every concern how an attempt at a target ended.
+pub(super) fn settle(
+    state: &mut State,
+    now_ms: u64,
+    arrival: &Arrival,
+    target: TargetName,
+    attempt: u32,
+    outcome: &Outcome,
+    effects: &mut Vec<Effect>,
+) {
+    if let Some(count) = state.outstanding.get_mut(&target) {
+        *count = count.saturating_sub(1);
+    }
+    let generation = generation_of(arrival.request, attempt);
+    record_end(state, now_ms, arrival, &target, generation, outcome);
+    let stopped = MarkEvent::Stopped {
+        target: target.clone(),
+        fingerprint: fingerprint_of(arrival),
+        finished: matches!(outcome, Outcome::Finished { .. }),
+    };
+    crash_marks::apply(state, now_ms, stopped, effects);
+    end_isolation(state, now_ms, generation, effects);
+    if arrival.class == TargetClass::ModelEngine {
+        let event = AccountEvent::Finished {
+            generation,
+            tokens: tokens_of(outcome),
+            outcome: account_outcome(arrival, outcome),
+        };
+        accounts::apply(state, now_ms, event, effects);
+    }
+    if matches!(
+        outcome,
+        Outcome::Lost {
+            cause: LossCause::Disconnected,
+            ..
+        }
+    ) {
+        observations::observe_now(state, now_ms, &target, effects);
+    }
+    let epoch = state.targets.epoch_of(&target);
+    if let (Some(outcome), Some(epoch)) = (target_outcome(outcome), epoch) {
+        let event = TargetEvent::Ended {
+            target,
+            epoch,
+            outcome,
+        };
+        targets::apply(state, now_ms, event, effects);
+    }
+}
+
+/// Notes how an attempt, or the rest of one, has ended.
+pub(super) fn record_end(
+    state: &mut State,
+    now_ms: u64,
+    arrival: &Arrival,
+    target: &TargetName,
+    generation: GenerationId,
+    outcome: &Outcome,
+) {
+    let (kind, reason) = match outcome {
+        Outcome::Finished { .. } => (RecordKind::RequestFinished, "the answer is whole"),
+        Outcome::NotBegun { .. } => (
+            RecordKind::AttemptFailed,
+            "the target did not begin the request",
+        ),
+        Outcome::Lost { cause, .. } => (RecordKind::AttemptFailed, cause.as_str()),
+        Outcome::CallerGone => (RecordKind::CallerGone, "the caller has gone"),
+    };
+    let entry = Entry::new(kind)
+        .request(arrival.request)
+        .generation(generation)
+        .organisation(&arrival.organisation)
+        .target(target)
+        .field("tokens", u64::from(tokens_of(outcome)))
+        .reason(reason);
+    state.timeline.record(now_ms, entry);
+}
+
+fn tokens_of(outcome: &Outcome) -> u32 {
+    match outcome {
+        Outcome::Finished { tokens, .. } => *tokens,
+        Outcome::Lost {
+            delivered_tokens, ..
+        } => *delivered_tokens,
+        _ => 0,
+    }
+}
+
+fn account_outcome(arrival: &Arrival, outcome: &Outcome) -> AccountOutcome {
+    match outcome {
+        Outcome::Finished { tokens, .. } if *tokens >= arrival.max_output_tokens => {
+            AccountOutcome::Truncated
+        }
+        Outcome::Finished { .. } => AccountOutcome::Completed,
+        Outcome::NotBegun { .. } => AccountOutcome::NotRun,
+        Outcome::Lost { .. } => AccountOutcome::Failed,
+        Outcome::CallerGone => AccountOutcome::Cancelled,
+    }
+}
+
+/// Returns what an outcome says about the target; a target's own refusal says nothing.
+fn target_outcome(outcome: &Outcome) -> Option<TargetOutcome> {
+    match outcome {
+        Outcome::Finished { first_token_ms, .. } => Some(TargetOutcome::Answered {
+            first_token_ms: *first_token_ms as f64,
+        }),
+        Outcome::NotBegun {
+            retry_after_ms: None,
+        } => Some(TargetOutcome::Failed),
+        Outcome::Lost { cause, .. } => match cause {
+            LossCause::Disconnected | LossCause::ProtocolViolation => {
+                Some(TargetOutcome::Failed)
+            }
+            LossCause::Stalled => Some(TargetOutcome::Stalled),
+            LossCause::TimedOut | LossCause::AnswerTooLarge => None,
+        },
+        Outcome::NotBegun { .. } | Outcome::CallerGone => None,
+    }
+}
--- a/crates/toucancleat-core/src/reduce/streams.rs
+++ b/crates/toucancleat-core/src/reduce/streams.rs
@@ -1,6 +1,6 @@
 //! Effects of streams whose caller has gone.
 
-use super::requests::record_end;
+use super::settlement::record_end;
 use super::{membership, peers};
 use crate::effect::Effect;
 use crate::state::State;
