--- a/crates/toucancleat-load/src/bin/relay/main.rs
+++ b/crates/toucancleat-load/src/bin/relay/main.rs
@@ -138,7 +138,12 @@
     let mut asking = Vec::new();
     for index in 0..streams {
         let address = arm.addresses[index % arm.addresses.len()];
-        let headers = arm.headers.clone();
+        let mut headers = arm.headers.clone();
+        if headers.is_empty() {
+            // An engine wants each generation named; the entry host does that for its
+            // callers.
+            headers.push(("x-generation-id", format!("{:032x}", index + 1)));
+        }
         let client: Client = client.clone();
         asking.push(tokio::spawn(async move {
             let asked = Instant::now();
