--- a/crates/toucancleat-core/src/reduce/observations.rs
+++ b/crates/toucancleat-core/src/reduce/observations.rs
@@ -7,12 +7,14 @@
 use super::{accounts, crash_marks, dispatch, orders, targets};
 use crate::crash_marks::Crash;
 use crate::effect::Effect;
-use crate::homes::{HomeKey, ZoneRole};
+use crate::homes::{HomeKey, ZoneRole, rank};
 use crate::observation::Observation;
 use crate::prelude::*;
 use crate::state::State;
 use crate::targets::{Admission, Event as TargetEvent, Outcome as TargetOutcome};
 
+/// Hosts that look at a target often: its home and the home's successor.
+const WATCHERS: usize = 2;
 /// Time between two looks at a target by its home.
 const OBSERVE_HOME_MS: u64 = 500;
 /// Time between two looks at a target that takes no work.
@@ -41,6 +43,9 @@
             continue;
         }
         let Some(interval_ms) = observe_interval_ms(state, now_ms, name) else {
+            // Who watches is worked out again in a while, and not at each tick.
+            let at_ms = now_ms + OBSERVE_HOME_MS;
+            state.observe_at_ms.insert(name.clone(), at_ms);
             continue;
         };
         let at_ms = now_ms + interval_ms;
@@ -72,7 +77,11 @@
 ) -> Option<u64> {
     let key = HomeKey::Target(target.clone());
     let holds_it = state.holds.own().any(|held| held == target);
-    if holds_it || state.homes.is_home(&key, &state.identity.host) {
+    // N.B. the home's successor looks too: while a home is paused or lost and not yet
+    // known to be, nobody else would hear that the target begins to leave.
+    let watchers = rank(&key, state.membership.live_hosts(), WATCHERS);
+    let watches = watchers.iter().any(|host| host.name == state.identity.host);
+    if holds_it || watches {
         return Some(OBSERVE_HOME_MS);
     }
     match state.targets.peek(now_ms, target) {
