--- /dev/null
+++ b/crates/toucancleat-fleet/src/choice.rs
@@ -0,0 +1,110 @@
+//! Which target gets a request, or takes over a run.
+
+use toucancleat_core::prelude::*;
+
+use crate::configuration::Engine;
+use crate::health::HealthTable;
+use crate::peers::Load;
+use crate::target::TargetEntry;
+
+/// Cost of a target in another zone, in shares of a full target: moves between zones take
+/// twice as long, and a run may have to move.
+const OTHER_ZONE_COST: f64 = 0.06;
+
+/// Cost of answers that fail, for each failure more than the pool's best target has.
+const FAILURE_COST: f64 = 3.0;
+
+/// Cost of slow answers, for each time that the pool's fastest target takes.
+const SLOW_COST: f64 = 0.15;
+
+/// Highest cost of slow answers.
+const SLOW_COST_MAX: f64 = 1.0;
+
+/// Largest random part of a cost, so that hosts with the same view don't all choose alike.
+const JITTER_COST: f64 = 0.04;
+
+/// Weight of the number of runs beside their memory: each run slows the others' steps.
+const RUNS_WEIGHT: f64 = 0.35;
+
+/// A target that could be chosen, with what is known of its load.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Its name.
+    pub target: &'a TargetName,
+    /// Its entry in the host list.
+    pub entry: &'a TargetEntry,
+    /// What all hosts have running there.
+    pub load: Load,
+}
+
+/// What a request would add.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// The zone that is preferred.
+    pub zone: &'a ZoneName,
+    /// Memory that the request will need.
+    pub tokens: u64,
+    /// What the pool's targets are able to do, where they are engines.
+    pub engine: Option<&'a Engine>,
+}
+
+/// The target chosen, with its cost for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The target.
+    pub target: TargetName,
+    /// Its cost; 1 and more means that its memory or its slots are full.
+    pub cost: f64,
+}
+
+/// Chooses the candidate that costs least.
+///
+/// Targets that have just failed are chosen only when there is no other.
+pub fn choose<'a>(
+    now_ms: u64,
+    candidates: impl Iterator<Item = Candidate<'a>>,
+    demand: Demand<'_>,
+    health: &HealthTable,
+    mut draw: impl FnMut() -> f64,
+) -> Option<Choice> {
+    let candidates: Vec<Candidate<'a>> = candidates.collect();
+    let least_failures = candidates
+        .iter()
+        .map(|candidate| health.failure_rate(candidate.target))
+        .fold(f64::INFINITY, f64::min);
+    let least_answer_ms = candidates
+        .iter()
+        .filter_map(|candidate| health.answer_ms(candidate.target))
+        .fold(f64::INFINITY, f64::min);
+    let mut best: Option<(bool, f64, &TargetName)> = None;
+    for candidate in &candidates {
+        let target = candidate.target;
+        let mut cost = occupancy(candidate, demand) + JITTER_COST * draw();
+        if candidate.entry.zone != *demand.zone {
+            cost += OTHER_ZONE_COST;
+        }
+        cost += FAILURE_COST * (health.failure_rate(target) - least_failures).max(0.0);
+        if let Some(answer_ms) = health.answer_ms(target) {
+            let ratio = answer_ms / least_answer_ms.max(1.0) - 1.0;
+            cost += (SLOW_COST * ratio).clamp(0.0, SLOW_COST_MAX);
+        }
+        let is_avoided = health.is_avoided(now_ms, target);
+        if best.is_none_or(|(avoided, least, _)| (is_avoided, cost) < (avoided, least)) {
+            best = Some((is_avoided, cost, target));
+        }
+    }
+    best.map(|(_, cost, target)| Choice {
+        target: target.clone(),
+        cost,
+    })
+}
+
+fn occupancy(candidate: &Candidate<'_>, demand: Demand<'_>) -> f64 {
+    let slots = f64::from(candidate.entry.slots.max(1));
+    let runs = f64::from(candidate.load.runs + 1) / slots;
+    let Some(engine) = demand.engine else {
+        return runs;
+    };
+    let tokens = (candidate.load.tokens + demand.tokens) as f64;
+    tokens / engine.memory_tokens.max(1) as f64 + RUNS_WEIGHT * runs
+}
--- /dev/null
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -0,0 +1,292 @@
+//! What entry hosts tell each other, and what is known of those that are silent.
+//!
+//! Every host sends a short datagram to every other at an interval that grows with the
+//! fleet. Datagrams may be lost, late or repeated: each carries the whole state of its
+//! sender, so the next one makes up for it.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use toucancleat_core::prelude::*;
+
+use crate::budget::Counts;
+use crate::configuration::Configuration;
+use crate::target::TargetChange;
+
+/// Shortest time between two messages to the same host: loads then lag by less than a
+/// fifth of what the targets' own reports do.
+pub const MESSAGE_INTERVAL_MIN_MS: u64 = 150;
+
+/// Longest time between two messages to the same host.
+pub const MESSAGE_INTERVAL_MAX_MS: u64 = 1_200;
+
+/// Time added to the interval for each host of the fleet, which keeps a host's traffic
+/// from growing with the fleet's size.
+pub const MESSAGE_INTERVAL_PER_HOST_MS: u64 = 15;
+
+/// Intervals of silence after which a host is no longer counted as heard.
+pub const SILENT_INTERVALS: u64 = 3;
+
+/// Time after which a silent host is forgotten. Longer than any partition that hosts have
+/// to heal from by themselves; the store's rows bring back those that live.
+pub const FORGET_MS: u64 = 60_000;
+
+/// Most addresses of other hosts in one message.
+const ADDRESSES_MAX: usize = 16;
+
+/// What one host tells another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// The sender.
+    pub from: HostName,
+    /// Drawn anew at each start of the sender's process.
+    pub incarnation: u64,
+    /// Where the sender takes messages.
+    pub address: SocketAddr,
+    /// The sender's clock.
+    pub sent_ms: u64,
+    /// Whether the sender is stopping.
+    pub is_stopping: bool,
+    /// Version of the configuration in force at the sender.
+    pub configuration_version: Option<u64>,
+    /// Time since the store was last asked whether that version is the newest.
+    pub configuration_age_ms: Option<u64>,
+    /// Store version up to which the sender knows the host list.
+    pub known_version: u64,
+    /// Store version of the last change of the host list beside heartbeats.
+    pub content_version: u64,
+    /// Time since the store last answered the sender itself.
+    pub store_age_ms: Option<u64>,
+    /// What the sender has running.
+    pub loads: Vec<(TargetName, Load)>,
+    /// What the sender has counted against the retry budget.
+    pub counts: Vec<(PoolName, Counts)>,
+    /// Which messages the sender has heard, and how long ago.
+    pub echoes: Vec<Echo>,
+    /// Other hosts that the sender knows.
+    pub addresses: Vec<SocketAddr>,
+    /// A change, told by the host that has read it.
+    pub news: Option<News>,
+}
+
+/// A change that a reader of the store passes on at once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum News {
+    /// Changes of the host list, and the version of the list that they apply to.
+    Targets {
+        /// Version of the last change before these.
+        after_content: u64,
+        /// Version up to which these go.
+        store_version: u64,
+        /// The changes.
+        changes: Vec<TargetChange>,
+    },
+    /// A new configuration.
+    Configuration(Configuration),
+}
+
+/// Work at a target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests.
+    pub runs: u32,
+    /// Memory that they will need, in tokens.
+    pub tokens: u64,
+}
+
+/// The last message heard of a host.
+///
+/// It lets that host bound the age of what it is told without comparing clocks: the answer
+/// was sent no earlier than the echoed message plus the time for which it was held.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The host that sent the message.
+    pub host: HostName,
+    /// Its incarnation.
+    pub incarnation: u64,
+    /// Its clock when it sent the message.
+    pub sent_ms: u64,
+    /// Time from hearing the message to sending this.
+    pub held_ms: u64,
+}
+
+/// One other host.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Where it takes messages.
+    pub address: SocketAddr,
+    /// When it was last heard.
+    pub heard_ms: u64,
+    /// Its last message.
+    pub last: Message,
+}
+
+/// All other hosts.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: IndexMap<HostName, Peer>,
+    /// Addresses that were named by others and not yet heard, and until when to try them.
+    candidates: IndexMap<SocketAddr, u64>,
+    listed: usize,
+}
+
+impl Peers {
+    /// Takes in a message; tells whether it is newer than what was heard of its sender.
+    pub fn hear(&mut self, now_ms: u64, own_address: SocketAddr, message: &Message) -> bool {
+        if message.address == own_address {
+            return false;
+        }
+        let known = self.peers.get(&message.from);
+        if known.is_some_and(|peer| {
+            peer.last.incarnation == message.incarnation
+                && peer.last.sent_ms > message.sent_ms
+        }) {
+            return false;
+        }
+        self.candidates.swap_remove(&message.address);
+        let peer = Peer {
+            address: message.address,
+            heard_ms: now_ms,
+            last: Message {
+                news: None,
+                ..message.clone()
+            },
+        };
+        self.peers.insert(message.from.clone(), peer);
+        for address in &message.addresses {
+            self.name(now_ms, own_address, *address);
+        }
+        true
+    }
+
+    /// Notes an address at which a host may be.
+    pub fn name(&mut self, now_ms: u64, own_address: SocketAddr, address: SocketAddr) {
+        let is_known = self.peers.values().any(|peer| peer.address == address);
+        if address != own_address && !is_known {
+            self.candidates
+                .entry(address)
+                .or_insert(now_ms + FORGET_MS);
+        }
+    }
+
+    /// Notes how many hosts the store lists.
+    pub fn note_listed(&mut self, hosts: usize) {
+        self.listed = self.listed.max(hosts);
+    }
+
+    /// Forgets hosts that have been silent for long.
+    pub fn expire(&mut self, now_ms: u64) {
+        self.peers
+            .retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) < FORGET_MS);
+        self.candidates.retain(|_, until_ms| now_ms < *until_ms);
+    }
+
+    /// Returns the addresses to which messages go.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let known = self.peers.values().map(|peer| peer.address);
+        known.chain(self.candidates.keys().copied()).collect()
+    }
+
+    /// Returns some addresses to pass on; a different part of them each time.
+    pub fn sample(&self, turn: usize) -> Vec<SocketAddr> {
+        let count = self.peers.len();
+        (0..count.min(ADDRESSES_MAX))
+            .filter_map(|i| self.peers.get_index((turn + i) % count.max(1)))
+            .map(|(_, peer)| peer.address)
+            .collect()
+    }
+
+    /// Returns the time between two messages.
+    pub fn interval_ms(&self) -> u64 {
+        let hosts = self.peers.len() as u64 + 1;
+        (hosts * MESSAGE_INTERVAL_PER_HOST_MS)
+            .clamp(MESSAGE_INTERVAL_MIN_MS, MESSAGE_INTERVAL_MAX_MS)
+    }
+
+    /// Returns the hosts that were heard lately.
+    pub fn heard(&self, now_ms: u64) -> impl Iterator<Item = (&HostName, &Peer)> {
+        let silence_ms = SILENT_INTERVALS * self.interval_ms();
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| now_ms.saturating_sub(peer.heard_ms) <= silence_ms)
+    }
+
+    /// Returns how many hosts may be at work, this one with them, heard or not.
+    pub fn fleet_size(&self) -> usize {
+        (self.peers.len() + 1).max(self.listed)
+    }
+
+    /// Says whether every host that may be at work was heard lately.
+    pub fn hears_all(&self, now_ms: u64) -> bool {
+        self.heard(now_ms).count() == self.peers.len() && !self.peers.is_empty()
+    }
+
+    /// Says whether another host reads the store, so that this one need not.
+    pub fn has_reader(&self, now_ms: u64, own: &HostName, own_reads: bool) -> bool {
+        use crate::store::READER_SILENCE_MS;
+        self.heard(now_ms).any(|(host, peer)| {
+            let told_age_ms = peer.last.store_age_ms;
+            let heard_age_ms = now_ms.saturating_sub(peer.heard_ms);
+            let reads = told_age_ms
+                .is_some_and(|age_ms| age_ms + heard_ms_share(heard_age_ms) <= 2 * READER_SILENCE_MS);
+            reads
+                && !peer.last.is_stopping
+                && heard_age_ms <= READER_SILENCE_MS.max(2 * self.interval_ms())
+                && (!own_reads || host < own)
+        })
+    }
+
+    /// Returns how many of the hosts heard stand before this one.
+    pub fn rank(&self, now_ms: u64, own: &HostName) -> u64 {
+        self.heard(now_ms).filter(|(host, _)| *host < own).count() as u64
+    }
+
+    /// Returns what the other hosts have running at a target.
+    ///
+    /// A silent host's last word still counts for a while: its runs go on, and one that
+    /// was killed soon shows in the target's own answers.
+    pub fn load_of(&self, now_ms: u64, target: &TargetName) -> Load {
+        let mut sum = Load::default();
+        for (_, peer) in self.heard(now_ms) {
+            for (name, load) in &peer.last.loads {
+                if name == target {
+                    sum.runs += load.runs;
+                    sum.tokens += load.tokens;
+                }
+            }
+        }
+        sum
+    }
+
+    /// Returns which messages were heard lately, to be told to their senders.
+    pub fn echoes(&self, now_ms: u64) -> Vec<Echo> {
+        self.heard(now_ms)
+            .map(|(host, peer)| Echo {
+                host: host.clone(),
+                incarnation: peer.last.incarnation,
+                sent_ms: peer.last.sent_ms,
+                held_ms: now_ms.saturating_sub(peer.heard_ms),
+            })
+            .collect()
+    }
+}
+
+fn heard_ms_share(heard_age_ms: u64) -> u64 {
+    heard_age_ms / 2
+}
+
+/// Returns a time of the own clock before which a message can't have been sent.
+pub fn sent_no_earlier_ms(
+    message: &Message,
+    own: &HostName,
+    own_incarnation: u64,
+    now_ms: u64,
+) -> Option<u64> {
+    let echo = message
+        .echoes
+        .iter()
+        .find(|echo| echo.host == *own && echo.incarnation == own_incarnation)?;
+    let sent_ms = echo.sent_ms.checked_add(echo.held_ms)?;
+    (sent_ms <= now_ms).then_some(sent_ms)
+}
--- /dev/null
+++ b/crates/toucancleat-fleet/src/reduce/knowledge.rs
@@ -0,0 +1,248 @@
+//! What the store tells, at first hand.
+
+use std::sync::Arc;
+
+use toucancleat_core::prelude::*;
+
+use super::{requests, speech};
+use crate::configuration::Configuration;
+use crate::event::{Effect, Note};
+use crate::peers::News;
+use crate::state::State;
+use crate::store::{MISSED_CHANGE_MS, Query, READER_STAGGER_MS, Reply};
+use crate::target::Shift;
+
+/// Time between two looks for other hosts while none is heard.
+const HOSTS_INTERVAL_MS: u64 = 2_000;
+
+/// Starts the reads that are due.
+pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    choose_reader(state, now_ms, effects);
+    let has_missed = state
+        .missed_since_ms
+        .is_some_and(|since_ms| now_ms >= since_ms + MISSED_CHANGE_MS);
+    let lacks_targets = state.directory.known_version() == 0;
+    let lacks_configuration = state.configuration.is_none();
+    if state.reads || has_missed || lacks_targets {
+        start(state, now_ms, Query::Targets, effects);
+    }
+    if state.reads || has_missed || lacks_configuration {
+        start(state, now_ms, Query::Configuration, effects);
+    }
+    if state.reads && !lacks_targets {
+        let after = state.directory.known_version();
+        start(state, now_ms, Query::TargetFeed { after }, effects);
+        let after = state.calls.configuration_feed_after();
+        if after > 0 {
+            start(state, now_ms, Query::ConfigurationFeed { after }, effects);
+        }
+    }
+    if !state.is_registered {
+        start(state, now_ms, Query::Register, effects);
+    }
+    let hears_nobody = state.peers.heard(now_ms).next().is_none();
+    if hears_nobody && now_ms.is_multiple_of(HOSTS_INTERVAL_MS) || !state.is_registered {
+        start(state, now_ms, Query::Hosts, effects);
+    }
+}
+
+fn choose_reader(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    let own = &state.identity.host;
+    let reads = if state.peers.has_reader(now_ms, own, state.reads) {
+        false
+    } else if state.reads {
+        true
+    } else {
+        // The hosts that stand first in the order of names get time to begin.
+        let wait_ms = READER_STAGGER_MS * state.peers.rank(now_ms, own);
+        let silent_ms = state
+            .peers
+            .heard(now_ms)
+            .filter_map(|(_, peer)| {
+                let age_ms = peer.last.store_age_ms?;
+                Some(age_ms + now_ms.saturating_sub(peer.heard_ms))
+            })
+            .min()
+            .unwrap_or(u64::MAX);
+        silent_ms >= wait_ms + 2 * crate::store::READER_SILENCE_MS
+    };
+    if reads != state.reads {
+        state.reads = reads;
+        effects.push(Effect::Note(Note::Reading {
+            reads,
+            hosts_heard: state.peers.heard(now_ms).count(),
+        }));
+    }
+}
+
+fn start(state: &mut State, now_ms: u64, query: Query, effects: &mut Vec<Effect>) {
+    if state.calls.start(now_ms, query) {
+        effects.push(Effect::Read(query));
+    }
+}
+
+/// Takes the answer to a read.
+pub(super) fn answered(
+    state: &mut State,
+    now_ms: u64,
+    query: Query,
+    reply: Reply,
+    effects: &mut Vec<Effect>,
+) {
+    let succeeded = reply != Reply::Failed;
+    let had_failed = state.calls.failures() > 0;
+    let asked_ms = state.calls.end(now_ms, query, succeeded);
+    if succeeded == had_failed {
+        effects.push(Effect::Note(Note::Store {
+            answers: succeeded,
+            query,
+        }));
+    }
+    match reply {
+        Reply::Configuration(configuration) => {
+            state.missed_since_ms = None;
+            let Some(configuration) = configuration else {
+                return;
+            };
+            let is_newest = state
+                .configuration
+                .as_ref()
+                .is_none_or(|known| known.version <= configuration.version);
+            if adopt(state, &configuration, effects) {
+                speech::say(state, now_ms, Some(News::Configuration(configuration)), effects);
+            }
+            if is_newest {
+                confirm(state, asked_ms);
+            }
+        }
+        Reply::ConfigurationFeed {
+            store_version,
+            configuration,
+        } => {
+            state.calls.note_configuration_feed(store_version);
+            if let Some(configuration) = configuration
+                && adopt(state, &configuration, effects)
+            {
+                confirm(state, asked_ms);
+                speech::say(state, now_ms, Some(News::Configuration(configuration)), effects);
+            }
+        }
+        Reply::Targets {
+            store_version,
+            list,
+        } => {
+            state.missed_since_ms = None;
+            state.calls.note_configuration_feed(store_version);
+            let shifts = state.directory.replace(store_version, list);
+            take_shifts(state, now_ms, shifts, effects);
+        }
+        Reply::TargetFeed {
+            store_version,
+            changes,
+        } => {
+            let after_content = state.directory.content_version();
+            let shifts = state.directory.change(store_version, changes.clone());
+            if state.directory.content_version() > after_content {
+                let news = News::Targets {
+                    after_content,
+                    store_version,
+                    changes,
+                };
+                speech::say(state, now_ms, Some(news), effects);
+            }
+            take_shifts(state, now_ms, shifts, effects);
+            tick(state, now_ms, effects);
+        }
+        Reply::HistoryGone => {
+            state.calls.hasten(now_ms, Query::Targets);
+            state.calls.hasten(now_ms, Query::Configuration);
+            // N.B. the list that is read next gives the version from which feeds go on.
+            tick(state, now_ms, effects);
+        }
+        Reply::Hosts(addresses) => {
+            state.peers.note_listed(addresses.len());
+            let own_address = state.identity.address;
+            for address in addresses {
+                state.peers.name(now_ms, own_address, address);
+            }
+        }
+        Reply::Registered => state.is_registered = true,
+        Reply::Failed => {}
+    }
+}
+
+/// Puts a configuration in force if it is newer; tells whether it was.
+pub(super) fn adopt(
+    state: &mut State,
+    configuration: &Configuration,
+    effects: &mut Vec<Effect>,
+) -> bool {
+    let is_newer = state
+        .configuration
+        .as_ref()
+        .is_none_or(|known| known.version < configuration.version);
+    if is_newer {
+        let configuration = Arc::new(configuration.clone());
+        state.configuration = Some(configuration.clone());
+        effects.push(Effect::InForce(configuration));
+    }
+    is_newer
+}
+
+/// Notes that the configuration in force was the newest at a time.
+pub(super) fn confirm(state: &mut State, at_ms: u64) {
+    state.confirmed_ms = Some(state.confirmed_ms.map_or(at_ms, |known| known.max(at_ms)));
+}
+
+/// Acts on targets that came or go.
+pub(super) fn take_shifts(
+    state: &mut State,
+    now_ms: u64,
+    shifts: Vec<Shift>,
+    effects: &mut Vec<Effect>,
+) {
+    let store_version = state.directory.content_version();
+    for shift in shifts {
+        match shift {
+            Shift::Joined(target) => {
+                state.health.forget(&target);
+                state.leaves_at_ms.swap_remove(&target);
+                effects.push(Effect::Note(Note::TargetJoined {
+                    target,
+                    store_version,
+                }));
+            }
+            Shift::Leaving(target, entry) => {
+                let runs = state.loads.get(&target).map_or(0, |load| load.runs);
+                effects.push(Effect::Note(Note::TargetLeaving {
+                    target: target.clone(),
+                    store_version,
+                    runs,
+                }));
+                leave(state, now_ms, &target, entry.address, effects);
+            }
+        }
+    }
+}
+
+fn leave(
+    state: &mut State,
+    now_ms: u64,
+    target: &TargetName,
+    address: std::net::SocketAddr,
+    effects: &mut Vec<Effect>,
+) {
+    let tickets = requests::movable_at(state, target);
+    if tickets.is_empty() {
+        return;
+    }
+    effects.push(Effect::AskLeaveTime {
+        target: target.clone(),
+        address,
+    });
+    for ticket in tickets {
+        requests::evacuate(state, now_ms, ticket, effects);
+    }
+    // The others learn at once what is on its way to which target.
+    speech::say(state, now_ms, None, effects);
+}
--- /dev/null
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -0,0 +1,446 @@
+//! What becomes of requests.
+
+use toucancleat_core::prelude::*;
+
+use crate::budget::Bound;
+use crate::choice::{Candidate, Choice, Demand, choose};
+use crate::configuration::Repetition;
+use crate::event::Effect;
+use crate::health::Evidence;
+use crate::peers::Load;
+use crate::request::{
+    Arrival, Basis, Dispatch, Outcome, Reason, Refusal, Request, Ticket,
+};
+use crate::state::{State, draw};
+
+/// Most sends of one request, declined ones included.
+const SENDS_MAX: u32 = 4;
+
+/// Time below which another attempt is not worth its cost.
+const ATTEMPT_MIN_MS: u64 = 30;
+
+/// Age up to which the configuration is trusted to be complete enough for saying that a
+/// route or a key doesn't exist; about what a reader's interval and one lost message take.
+const DENY_AGE_MAX_MS: u64 = 1_600;
+
+/// Time after which a caller may come back where the host only lacks knowledge.
+const RETRY_SOON_MS: u64 = 400;
+
+/// Time after which a caller may come back where targets are missing or full.
+const RETRY_LATER_MS: u64 = 900;
+
+/// Times the latency objective that a stream that may be run again is waited for.
+const STREAM_PATIENCE: u64 = 2;
+
+/// Takes a new request.
+pub(super) fn arrived(
+    state: &mut State,
+    now_ms: u64,
+    ticket: Ticket,
+    arrival: Arrival,
+    effects: &mut Vec<Effect>,
+) {
+    match admit(state, now_ms, arrival) {
+        Err(refusal) => effects.push(Effect::Refuse { ticket, refusal }),
+        Ok(request) => {
+            let window_ms = state.config.retry_window_ms;
+            state.budget.count_request(now_ms, window_ms, &request.pool);
+            state.requests.insert(ticket, request);
+            dispatch(state, now_ms, ticket, effects);
+        }
+    }
+}
+
+fn admit(state: &mut State, now_ms: u64, arrival: Arrival) -> Result<Request, Refusal> {
+    let not_run = |reason, retry_after_ms| Refusal {
+        reason,
+        verdict: Verdict::NotRun,
+        retry_after_ms,
+    };
+    let Some(configuration) = state.configuration.clone() else {
+        return Err(not_run(Reason::NoConfiguration, Some(RETRY_SOON_MS)));
+    };
+    let may_deny = state
+        .configuration_age_ms(now_ms)
+        .is_some_and(|age_ms| age_ms <= DENY_AGE_MAX_MS);
+    let deny = |reason| {
+        if may_deny {
+            not_run(reason, None)
+        } else {
+            not_run(Reason::StaleConfiguration, Some(RETRY_SOON_MS))
+        }
+    };
+    let Some(route) = configuration.route_for(&arrival.hostname, &arrival.path) else {
+        return Err(deny(Reason::NoRoute));
+    };
+    let holder = arrival
+        .key
+        .as_ref()
+        .and_then(|key| configuration.organisations.get(key));
+    if holder.is_none() && !route.is_public && !configuration.organisations.is_empty() {
+        return Err(deny(Reason::UnknownKey));
+    }
+    if !route.is_public && !state.is_fresh(now_ms) {
+        return Err(not_run(Reason::StaleConfiguration, Some(RETRY_SOON_MS)));
+    }
+    // A stream of unknown length may not end within the time to stop, and another host
+    // can take it at once.
+    if state.stopping_since_ms.is_some() && route.repetition == Repetition::StreamOnce {
+        return Err(not_run(Reason::Stopping, Some(0)));
+    }
+    let Some(pool) = route.pick_pool(draw(&mut state.random)).cloned() else {
+        return Err(not_run(Reason::NoTarget, Some(RETRY_LATER_MS)));
+    };
+    let organisation = holder.map(|holder| holder.name.clone());
+    let rank = holder.and_then(|holder| holder.priority);
+    let wait_ms = arrival
+        .deadline_ms
+        .unwrap_or(route.timeout_ms)
+        .min(route.timeout_ms);
+    let place = configuration
+        .routes
+        .iter()
+        .position(|other| std::ptr::eq(other, route))
+        .unwrap_or_default();
+    Ok(Request {
+        organisation,
+        priority: rank.unwrap_or(route.priority),
+        arrived_ms: now_ms,
+        give_up_at_ms: now_ms + wait_ms,
+        pool,
+        route: place,
+        configuration,
+        arrival,
+        tried: Vec::new(),
+        runs: 0,
+        sends: 0,
+        verdict: Verdict::NotRun,
+        running: None,
+        moving_to: None,
+    })
+}
+
+/// Sends a request to the best target, or refuses it.
+fn dispatch(state: &mut State, now_ms: u64, ticket: Ticket, effects: &mut Vec<Effect>) {
+    let Some(request) = state.requests.get(&ticket) else {
+        return;
+    };
+    if now_ms + ATTEMPT_MIN_MS > request.give_up_at_ms {
+        return refuse(state, ticket, Reason::TooLate, None, effects);
+    }
+    let is_keyed = !request.route().is_public;
+    if is_keyed && !state.is_fresh(now_ms) {
+        let retry_ms = Some(RETRY_SOON_MS);
+        return refuse(state, ticket, Reason::StaleConfiguration, retry_ms, effects);
+    }
+    let Some(choice) = choose_for(state, now_ms, ticket, false) else {
+        let retry_ms = Some(RETRY_LATER_MS);
+        return refuse(state, ticket, Reason::NoTarget, retry_ms, effects);
+    };
+    let Some(entry) = state.directory.get(&choice.target).cloned() else {
+        return;
+    };
+    let basis = Basis {
+        configuration_version: state.configuration.as_ref().map_or(0, |known| known.version),
+        configuration_age_ms: state.configuration_age_ms(now_ms).unwrap_or(u64::MAX),
+        targets_version: state.directory.known_version(),
+        attempt: state.requests[&ticket].sends + 1,
+        cost: choice.cost,
+        hosts_heard: state.peers.heard(now_ms).count(),
+    };
+    let Some(request) = state.requests.get_mut(&ticket) else {
+        return;
+    };
+    request.sends += 1;
+    request.tried.push(choice.target.clone());
+    let tokens = request.arrival.expected_tokens();
+    request.running = Some((choice.target.clone(), tokens));
+    let route = request.route();
+    let left_ms = request.give_up_at_ms - now_ms;
+    let patience_ms = match route.repetition {
+        Repetition::Idempotent if request.runs + 1 < route.attempts_max => {
+            route.latency_objective_ms
+        }
+        Repetition::ResumableStream if request.runs + 1 < route.attempts_max => {
+            STREAM_PATIENCE * route.latency_objective_ms
+        }
+        _ => left_ms,
+    };
+    let dispatch = Dispatch {
+        ticket,
+        target: choice.target.clone(),
+        address: entry.address,
+        organisation: request.organisation.clone(),
+        priority: request.priority,
+        give_up_at_ms: request.give_up_at_ms,
+        answer_by_ms: now_ms + patience_ms.min(left_ms),
+        repetition: route.repetition,
+        basis,
+    };
+    let load = state.loads.entry(choice.target).or_default();
+    load.runs += 1;
+    load.tokens += tokens;
+    effects.push(Effect::Dispatch(Box::new(dispatch)));
+}
+
+fn choose_for(
+    state: &mut State,
+    now_ms: u64,
+    ticket: Ticket,
+    is_move: bool,
+) -> Option<Choice> {
+    let request = state.requests.get(&ticket)?;
+    let mut random = state.random;
+    let configuration = &request.configuration;
+    let engine = configuration.engine(&request.pool);
+    let running_at = request.running.as_ref().map(|(target, _)| target);
+    let source_zone = running_at
+        .and_then(|target| state.directory.get(target))
+        .map(|entry| &entry.zone);
+    let demand = Demand {
+        zone: source_zone
+            .filter(|_| is_move)
+            .unwrap_or(&state.identity.zone),
+        tokens: request.arrival.expected_tokens(),
+        engine,
+    };
+    let tried = &request.tried;
+    let candidates = state
+        .directory
+        .ready(&request.pool)
+        .filter(|(target, _)| !tried.contains(*target))
+        .map(|(target, entry)| Candidate {
+            target,
+            entry,
+            load: load_at(state, now_ms, target),
+        });
+    let choice = choose(now_ms, candidates, demand, &state.health, || {
+        draw(&mut random)
+    });
+    state.random = random;
+    choice
+}
+
+fn load_at(state: &State, now_ms: u64, target: &TargetName) -> Load {
+    let mut load = state.peers.load_of(now_ms, target);
+    if let Some(own) = state.loads.get(target) {
+        load.runs += own.runs;
+        load.tokens += own.tokens;
+    }
+    load
+}
+
+/// Takes the end of an attempt: another attempt, the target's answer, or a refusal.
+pub(super) fn attempt_ended(
+    state: &mut State,
+    now_ms: u64,
+    ticket: Ticket,
+    outcome: Outcome,
+    effects: &mut Vec<Effect>,
+) {
+    let Some((target, _)) = release(state, ticket) else {
+        return;
+    };
+    state.health.note(now_ms, &target, evidence(outcome));
+    let Some(request) = state.requests.get_mut(&ticket) else {
+        return;
+    };
+    let verdict = outcome.verdict();
+    request.verdict = request.verdict.max(verdict);
+    if verdict != Verdict::NotRun {
+        request.runs += 1;
+    }
+    if matches!(outcome, Outcome::Answered { .. }) {
+        return effects.push(Effect::PassOn { ticket });
+    }
+    if may_try_again(state, now_ms, ticket, verdict) && take_retry(state, now_ms, ticket) {
+        let before = effects.len();
+        dispatch(state, now_ms, ticket, effects);
+        // An error answer at hand is better than none at all.
+        if outcome == Outcome::ErrorAnswer
+            && matches!(effects.get(before), Some(Effect::Refuse { .. }))
+        {
+            effects.truncate(before);
+            effects.push(Effect::PassOn { ticket });
+        }
+        return;
+    }
+    match outcome {
+        Outcome::ErrorAnswer => effects.push(Effect::PassOn { ticket }),
+        Outcome::Declined => {
+            refuse(state, ticket, Reason::TargetsFull, Some(RETRY_LATER_MS), effects);
+        }
+        Outcome::Misdirected | Outcome::NotSent => {
+            refuse(state, ticket, Reason::Unreachable, Some(RETRY_SOON_MS), effects);
+        }
+        Outcome::Silent => refuse(state, ticket, Reason::TimedOut, None, effects),
+        _ => refuse(state, ticket, Reason::TargetFailed, None, effects),
+    }
+}
+
+fn evidence(outcome: Outcome) -> Evidence {
+    match outcome {
+        Outcome::Answered { took_ms } => Evidence::Answered { took_ms },
+        Outcome::ErrorAnswer => Evidence::Failed,
+        Outcome::Declined => Evidence::Declined,
+        Outcome::Misdirected | Outcome::NotSent | Outcome::Broken | Outcome::Silent => {
+            Evidence::Broken
+        }
+    }
+}
+
+fn may_try_again(state: &State, now_ms: u64, ticket: Ticket, verdict: Verdict) -> bool {
+    let Some(request) = state.requests.get(&ticket) else {
+        return false;
+    };
+    let route = request.route();
+    let is_allowed = verdict.permits_retry(route.repetition.is_idempotent())
+        && request.verdict.permits_retry(route.repetition.is_idempotent());
+    is_allowed
+        && request.runs < route.attempts_max
+        && request.sends < SENDS_MAX
+        && now_ms + ATTEMPT_MIN_MS < request.give_up_at_ms
+}
+
+fn take_retry(state: &mut State, now_ms: u64, ticket: Ticket) -> bool {
+    let bound = Bound {
+        ratio: state.config.retry_ratio,
+        allowance: state.config.retry_allowance,
+        window_ms: state.config.retry_window_ms,
+        hosts: state.peers.fleet_size(),
+        hears_all: state.peers.hears_all(now_ms),
+    };
+    let Some(request) = state.requests.get(&ticket) else {
+        return false;
+    };
+    let pool = request.pool.clone();
+    state.budget.take_retry(now_ms, bound, &pool)
+}
+
+fn refuse(
+    state: &mut State,
+    ticket: Ticket,
+    reason: Reason,
+    retry_after_ms: Option<u64>,
+    effects: &mut Vec<Effect>,
+) {
+    let verdict = state
+        .requests
+        .get(&ticket)
+        .map_or(Verdict::NotRun, |request| request.verdict);
+    let refusal = Refusal {
+        reason,
+        verdict,
+        retry_after_ms,
+    };
+    effects.push(Effect::Refuse { ticket, refusal });
+}
+
+/// Returns the runs at a target that can move with their memory.
+pub(super) fn movable_at(state: &State, target: &TargetName) -> Vec<Ticket> {
+    let is_movable = |request: &Request| {
+        let engine = request.configuration.engine(&request.pool);
+        request.route().repetition == Repetition::StreamOnce
+            && engine.is_some_and(|engine| engine.can_move)
+            && request
+                .running
+                .as_ref()
+                .is_some_and(|(running_at, _)| running_at == target)
+    };
+    state
+        .requests
+        .iter()
+        .filter(|(_, request)| is_movable(request))
+        .map(|(ticket, _)| *ticket)
+        .collect()
+}
+
+/// Chooses where a run moves.
+pub(super) fn evacuate(
+    state: &mut State,
+    now_ms: u64,
+    ticket: Ticket,
+    effects: &mut Vec<Effect>,
+) {
+    // Going on at another target counts as a retry there, once for each move.
+    let is_first_try = state
+        .requests
+        .get(&ticket)
+        .is_some_and(|request| request.moving_to.is_none());
+    if is_first_try && !take_retry(state, now_ms, ticket) {
+        return effects.push(Effect::NoDestination { ticket });
+    }
+    release_destination(state, ticket);
+    let choice = choose_for(state, now_ms, ticket, true);
+    let entry = choice
+        .as_ref()
+        .and_then(|choice| state.directory.get(&choice.target));
+    let (Some(choice), Some(entry)) = (&choice, entry) else {
+        return effects.push(Effect::NoDestination { ticket });
+    };
+    let address = entry.address;
+    let Some(request) = state.requests.get_mut(&ticket) else {
+        return;
+    };
+    let tokens = request.arrival.expected_tokens();
+    request.tried.push(choice.target.clone());
+    request.moving_to = Some(choice.target.clone());
+    let load = state.loads.entry(choice.target.clone()).or_default();
+    load.runs += 1;
+    load.tokens += tokens;
+    effects.push(Effect::Evacuate {
+        ticket,
+        to: choice.target.clone(),
+        address,
+    });
+}
+
+/// Notes that a run goes on at its destination.
+pub(super) fn moved(state: &mut State, ticket: Ticket) {
+    release(state, ticket);
+    if let Some(request) = state.requests.get_mut(&ticket) {
+        let tokens = request.arrival.expected_tokens();
+        request.running = request.moving_to.take().map(|target| (target, tokens));
+        // A target that it has left may take it again when it has started anew.
+        request.tried.clear();
+    }
+}
+
+/// Notes that a run stays where it is.
+pub(super) fn stayed(state: &mut State, ticket: Ticket) {
+    release_destination(state, ticket);
+}
+
+/// Forgets a request.
+pub(super) fn closed(state: &mut State, ticket: Ticket) {
+    release(state, ticket);
+    release_destination(state, ticket);
+    state.requests.swap_remove(&ticket);
+}
+
+fn release(state: &mut State, ticket: Ticket) -> Option<(TargetName, u64)> {
+    let request = state.requests.get_mut(&ticket)?;
+    let (target, tokens) = request.running.take()?;
+    take_off(state, &target, tokens);
+    Some((target, tokens))
+}
+
+fn release_destination(state: &mut State, ticket: Ticket) {
+    let Some(request) = state.requests.get_mut(&ticket) else {
+        return;
+    };
+    let tokens = request.arrival.expected_tokens();
+    if let Some(target) = request.moving_to.take() {
+        take_off(state, &target, tokens);
+    }
+}
+
+fn take_off(state: &mut State, target: &TargetName, tokens: u64) {
+    if let Some(load) = state.loads.get_mut(target) {
+        load.runs = load.runs.saturating_sub(1);
+        load.tokens = load.tokens.saturating_sub(tokens);
+        if load.runs == 0 {
+            state.loads.swap_remove(target);
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -0,0 +1,218 @@
+//! One request from its arrival to its last answer.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use toucancleat_core::prelude::*;
+
+use crate::configuration::{Configuration, Repetition, Route};
+
+/// Number of a request within one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A request as its caller sent it, as far as decisions need it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Arrival {
+    /// The caller's own name for this attempt, for logs.
+    pub name: Arc<str>,
+    /// The host that it asked for.
+    pub hostname: String,
+    /// Its path.
+    pub path: String,
+    /// Its API key.
+    pub key: Option<String>,
+    /// How long its caller waits.
+    pub deadline_ms: Option<u64>,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u64,
+    /// Most tokens that it may generate.
+    pub output_tokens_max: u64,
+    /// The caller's guess of how many it will.
+    pub output_tokens_hint: Option<u64>,
+}
+
+impl Arrival {
+    /// Returns the memory that the request is expected to need, in tokens.
+    ///
+    /// The hint is right at the median only, so where there is one it counts half and the
+    /// most that may come counts for the rest.
+    pub fn expected_tokens(&self) -> u64 {
+        let output = match self.output_tokens_hint {
+            Some(hint) => (3 * hint.min(self.output_tokens_max) + self.output_tokens_max) / 4,
+            None => self.output_tokens_max / 2,
+        };
+        self.prompt_tokens + output
+    }
+}
+
+/// Where and how a request is sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Dispatch {
+    /// The request.
+    pub ticket: Ticket,
+    /// The target that may run it; any other declines.
+    pub target: TargetName,
+    /// The target's address.
+    pub address: SocketAddr,
+    /// The organisation that holds the caller's key.
+    pub organisation: Option<OrganisationName>,
+    /// Its rank.
+    pub priority: u8,
+    /// When its caller gives up, or the route's timeout ends it.
+    pub give_up_at_ms: u64,
+    /// When another target is tried although this one hasn't answered.
+    pub answer_by_ms: u64,
+    /// What may be repeated.
+    pub repetition: Repetition,
+    /// What decided it.
+    pub basis: Basis,
+}
+
+/// What a choice was based on, for the log.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Basis {
+    /// Version of the configuration.
+    pub configuration_version: u64,
+    /// How old the knowledge is that it was the newest.
+    pub configuration_age_ms: u64,
+    /// Version of the host list.
+    pub targets_version: u64,
+    /// Which attempt this is, from 1.
+    pub attempt: u32,
+    /// Cost of the target chosen.
+    pub cost: f64,
+    /// Other hosts heard lately.
+    pub hosts_heard: usize,
+}
+
+/// Why a request is refused or fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum Reason {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// The configuration may have been replaced; a key in it may be withdrawn.
+    StaleConfiguration,
+    /// No route leads from the host and path.
+    NoRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// No target of the pool takes new work.
+    NoTarget,
+    /// Targets declined the request.
+    TargetsFull,
+    /// The host is stopping and could not finish the request.
+    Stopping,
+    /// No target could be reached.
+    Unreachable,
+    /// A target failed, and the request may have run.
+    TargetFailed,
+    /// There was no answer in time, and the request may have run.
+    TimedOut,
+    /// Time ran out before the request was sent to any target.
+    TooLate,
+}
+
+impl Reason {
+    /// Returns a short name for logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Reason::NoConfiguration => "no_configuration",
+            Reason::StaleConfiguration => "stale_configuration",
+            Reason::NoRoute => "no_route",
+            Reason::UnknownKey => "unknown_key",
+            Reason::NoTarget => "no_target",
+            Reason::TargetsFull => "targets_full",
+            Reason::Stopping => "stopping",
+            Reason::Unreachable => "unreachable",
+            Reason::TargetFailed => "target_failed",
+            Reason::TimedOut => "timed_out",
+            Reason::TooLate => "too_late",
+        }
+    }
+}
+
+/// The end of a request that no target's answer ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub reason: Reason,
+    /// Whether it may have run.
+    pub verdict: Verdict,
+    /// When the caller may come back.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// How an attempt at one target ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The answer was given whole.
+    Answered {
+        /// Time to the answer, or to the first event of a stream.
+        took_ms: u64,
+    },
+    /// The target answered that it failed; the answer may be passed on.
+    ErrorAnswer,
+    /// The target said that it has not run the request.
+    Declined,
+    /// Another target has the address now, and has not run the request.
+    Misdirected,
+    /// No byte of the request reached a target.
+    NotSent,
+    /// The connection broke, or what came was no answer.
+    Broken,
+    /// No answer came in time.
+    Silent,
+}
+
+impl Outcome {
+    /// Says whether the request may have run at the target.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Outcome::Answered { .. } | Outcome::ErrorAnswer => Verdict::Ran,
+            Outcome::Declined | Outcome::Misdirected | Outcome::NotSent => Verdict::NotRun,
+            Outcome::Broken | Outcome::Silent => Verdict::MayHaveRun,
+        }
+    }
+}
+
+/// A request under way.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// What its caller sent.
+    pub arrival: Arrival,
+    /// The configuration that was in force when it arrived.
+    pub configuration: Arc<Configuration>,
+    /// Its route's place in that configuration.
+    pub route: usize,
+    /// The pool that serves it.
+    pub pool: PoolName,
+    /// The organisation that holds its key.
+    pub organisation: Option<OrganisationName>,
+    /// Its rank.
+    pub priority: u8,
+    /// When it arrived.
+    pub arrived_ms: u64,
+    /// When its caller gives up, or the route's timeout ends it.
+    pub give_up_at_ms: u64,
+    /// Targets that it was sent to.
+    pub tried: Vec<TargetName>,
+    /// Attempts that may have run it.
+    pub runs: u32,
+    /// Attempts in all.
+    pub sends: u32,
+    /// Whether it may have run.
+    pub verdict: Verdict,
+    /// Where it is now, and the memory that is set aside for it there.
+    pub running: Option<(TargetName, u64)>,
+    /// Where it is moving.
+    pub moving_to: Option<TargetName>,
+}
+
+impl Request {
+    /// Returns the route.
+    pub fn route(&self) -> &Route {
+        &self.configuration.routes[self.route]
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-gateway/src/exchange.rs
@@ -0,0 +1,56 @@
+//! One call with a short answer: to the store, or to an engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, StatusCode, header};
+
+use crate::connection::Connection;
+
+/// Most bytes of an answer; a page of the store is at most a megabyte, in base64.
+const ANSWER_MAX_BYTES: usize = 4 * 1_048_576;
+
+/// Why a call has no answer.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// No connection could be opened.
+    #[error("no connection: {0}")]
+    Connect(#[from] std::io::Error),
+    /// The connection broke.
+    #[error("no answer: {0}")]
+    Http(#[from] hyper::Error),
+    /// The answer broke off or was too long.
+    #[error("no whole answer: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// No answer came in time.
+    #[error("no answer within {0:?}")]
+    Timeout(Duration),
+}
+
+/// Makes a call and reads the whole answer.
+pub async fn call(
+    address: SocketAddr,
+    request: Request<Bytes>,
+    timeout: Duration,
+) -> Result<(StatusCode, Bytes), CallError> {
+    let (mut parts, body) = request.into_parts();
+    if let Ok(host) = header::HeaderValue::from_str(&address.to_string()) {
+        parts.headers.insert(header::HOST, host);
+    }
+    let request = Request::from_parts(parts, Full::new(body));
+    let exchange = async {
+        let connection = Connection::open(address).await?;
+        let (response, _driver) = connection.send(request).await?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_MAX_BYTES)
+            .collect()
+            .await
+            .map_err(CallError::Body)?;
+        Ok((status, body.to_bytes()))
+    };
+    tokio::time::timeout(timeout, exchange)
+        .await
+        .map_err(|_| CallError::Timeout(timeout))?
+}
--- /dev/null
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -0,0 +1,161 @@
+//! Counters and histograms.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::service::service_fn;
+use hyper::{Response, header};
+use hyper_util::rt::TokioIo;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use tokio::net::TcpListener;
+
+use crate::host::Host;
+
+/// How something ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Ending {
+    /// A short name.
+    pub outcome: &'static str,
+}
+
+/// All figures of one host.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by their end.
+    pub requests: Family<Ending, Counter>,
+    /// Attempts at targets by their end.
+    pub attempts: Family<Ending, Counter>,
+    /// Runs that moved, or were to move, by the end of it.
+    pub moves: Family<Ending, Counter>,
+    /// Time to a whole plain answer, in seconds.
+    pub answer_s: Histogram,
+    /// Time to the first event of a stream, in seconds.
+    pub first_event_s: Histogram,
+    /// Pause of a stream that goes on at another target, in seconds.
+    pub move_pause_s: Histogram,
+    /// Calls to the store.
+    pub store_calls: Counter,
+    /// Messages to other hosts.
+    pub datagrams: Counter,
+    /// Version of the configuration in force.
+    pub configuration_version: Gauge,
+}
+
+impl Metrics {
+    /// Makes all figures at zero.
+    pub fn new() -> Self {
+        // From 5 ms to 80 s, each bucket twice the one before.
+        let histogram = || Histogram::new(exponential_buckets(0.005, 2.0, 15));
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("toucancleat"),
+            requests: Family::default(),
+            attempts: Family::default(),
+            moves: Family::default(),
+            answer_s: histogram(),
+            first_event_s: histogram(),
+            move_pause_s: histogram(),
+            store_calls: Counter::default(),
+            datagrams: Counter::default(),
+            configuration_version: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by their end", self.requests.clone());
+        registry.register(
+            "attempts",
+            "Attempts at targets by their end",
+            self.attempts.clone(),
+        );
+        registry.register("moves", "Moves of runs by their end", self.moves.clone());
+        registry.register(
+            "answer_seconds",
+            "Time to a whole plain answer",
+            self.answer_s.clone(),
+        );
+        registry.register(
+            "first_event_seconds",
+            "Time to the first event of a stream",
+            self.first_event_s.clone(),
+        );
+        registry.register(
+            "move_pause_seconds",
+            "Pause of a stream that goes on at another target",
+            self.move_pause_s.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the platform's store",
+            self.store_calls.clone(),
+        );
+        registry.register(
+            "datagrams",
+            "Messages to other entry hosts",
+            self.datagrams.clone(),
+        );
+        registry.register(
+            "configuration_version",
+            "Version of the configuration in force",
+            self.configuration_version.clone(),
+        );
+    }
+
+    /// Counts a request's end.
+    pub fn count_request(&self, outcome: &'static str) {
+        self.requests.get_or_create(&Ending { outcome }).inc();
+    }
+
+    /// Counts an attempt's end.
+    pub fn count_attempt(&self, outcome: &'static str) {
+        self.attempts.get_or_create(&Ending { outcome }).inc();
+    }
+
+    /// Counts a move's end.
+    pub fn count_move(&self, outcome: &'static str) {
+        self.moves.get_or_create(&Ending { outcome }).inc();
+    }
+}
+
+/// Serves the figures as text.
+pub async fn serve(host: Rc<Host>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(error:% = error; "a question for metrics was not accepted");
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        let host = host.clone();
+        tokio::task::spawn_local(async move {
+            let answer = service_fn(|_| {
+                let mut text = String::new();
+                // Writing to a text can't fail.
+                let _ = encode(&mut text, &host.metrics.registry);
+                let response = Response::builder()
+                    .header(header::CONTENT_TYPE, "text/plain; version=1.0.0")
+                    .body(Full::new(Bytes::from(text)))
+                    .unwrap_or_default();
+                std::future::ready(Ok::<_, Infallible>(response))
+            });
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), answer);
+            if let Err(error) = connection.await {
+                log::debug!(error:% = error; "a question for metrics broke off");
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/toucancleat-gateway/src/peers.rs
@@ -0,0 +1,85 @@
+//! Datagrams between entry hosts.
+//!
+//! A lost datagram is made up for by the next one, and there is no connection that could
+//! hang in a partition. See docs/design/platform.md, "What hosts tell each other".
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::UnboundedReceiver;
+use toucancleat_fleet::event::Event;
+use toucancleat_fleet::peers::Message;
+
+use crate::Error;
+use crate::host::Host;
+
+/// Most bytes of a datagram.
+const DATAGRAM_MAX_BYTES: usize = 65_000;
+
+/// The socket on which hosts hear each other.
+pub type Socket = SharedSocket;
+
+/// One socket for both directions.
+#[derive(Clone, Debug)]
+pub struct SharedSocket(Rc<UdpSocket>);
+
+/// A message on its way out.
+#[derive(Debug)]
+pub struct Outgoing {
+    /// Where to.
+    pub to: Vec<SocketAddr>,
+    /// What.
+    pub message: Box<Message>,
+}
+
+impl SharedSocket {
+    /// Opens the socket.
+    pub async fn bind(host: &Host) -> Result<Self, Error> {
+        let address = host.settings.peers_address;
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|error| Error::listen(address, error))?;
+        Ok(SharedSocket(Rc::new(socket)))
+    }
+}
+
+/// Tells the reducer what other hosts say.
+pub async fn receive(host: Rc<Host>, socket: SharedSocket) {
+    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    loop {
+        let length = match socket.0.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                log::debug!(error:% = error; "a datagram could not be received");
+                continue;
+            }
+        };
+        match serde_json::from_slice::<Message>(&buffer[..length]) {
+            Ok(message) => host.apply(Event::Heard(Box::new(message))),
+            Err(error) => {
+                log::warn!(error:% = error; "a datagram is no message of an entry host");
+            }
+        }
+    }
+}
+
+/// Sends what the reducer has to say.
+pub async fn send(
+    host: Rc<Host>,
+    socket: SharedSocket,
+    mut outgoing: UnboundedReceiver<Outgoing>,
+) {
+    while let Some(Outgoing { to, message }) = outgoing.recv().await {
+        let Ok(bytes) = serde_json::to_vec(&message) else {
+            continue;
+        };
+        host.metrics.datagrams.inc_by(to.len() as u64);
+        for address in to {
+            // Nothing waits for a datagram, so a full link must not hold up the next.
+            if let Err(error) = socket.0.try_send_to(&bytes, address) {
+                log::debug!(error:% = error, address:% = address; "a datagram was not sent");
+            }
+        }
+    }
+}
