Move runs by one plan that every host works out alike

Each host sent its runs to the emptiest target, so all first copies queued on one destination's link (1.2 to 1.8 s, notice 1.8 s) and its memory filled up (copies refused). Ruled out: late notice (every host heard within 10 ms) and slow resumption (pauses of 18 to 259 ms, median 53).

Streams that run once also stay in their zone, and the leave time is asked when reports can show it.

--- a/crates/toucancleat-fleet/src/budget.rs
+++ b/crates/toucancleat-fleet/src/budget.rs
@@ -33,7 +33,8 @@
     fn part(&mut self, now_ms: u64, window_ms: u64) -> &mut Counts {
         let length_ms = (window_ms / PARTS).max(1);
         let now_part = now_ms / length_ms;
-        self.parts.retain(|part, _| now_part.saturating_sub(*part) <= PARTS);
+        self.parts
+            .retain(|part, _| now_part.saturating_sub(*part) <= PARTS);
         self.parts.entry(now_part).or_default()
     }
 
@@ -146,7 +147,8 @@
             });
         // Each other host may have taken its own part since it was heard last.
         let unheard = (bound.hosts.saturating_sub(1)) as f64;
-        let limit = USED_SHARE * (bound.ratio * f64::from(all.requests) + bound.allowance);
+        let limit =
+            USED_SHARE * (bound.ratio * f64::from(all.requests) + bound.allowance);
         f64::from(all.retries) + 1.0 + unheard <= limit
     }
 }
--- a/crates/toucancleat-fleet/src/choice.rs
+++ b/crates/toucancleat-fleet/src/choice.rs
@@ -7,10 +7,14 @@
 use crate::peers::Load;
 use crate::target::TargetEntry;
 
-/// Cost of a target in another zone, in shares of a full target: moves between zones take
-/// twice as long, and a run may have to move.
+/// Cost of a target in another zone, in shares of a full target: zones may be cut off from
+/// each other, and bytes between them cost.
 const OTHER_ZONE_COST: f64 = 0.06;
 
+/// The same for a stream that can't be run again. One that crosses zones is lost when they
+/// are cut off, and moves between zones take twice as long.
+const OTHER_ZONE_STREAM_COST: f64 = 0.25;
+
 /// Cost of answers that fail, for each failure more than the pool's best target has.
 const FAILURE_COST: f64 = 3.0;
 
@@ -44,6 +48,8 @@
     pub zone: &'a ZoneName,
     /// Memory that the request will need.
     pub tokens: u64,
+    /// Whether it is a stream that can't be run again.
+    pub is_stream_once: bool,
     /// What the pool's targets are able to do, where they are engines.
     pub engine: Option<&'a Engine>,
 }
@@ -81,7 +87,11 @@
         let target = candidate.target;
         let mut cost = occupancy(candidate, demand) + JITTER_COST * draw();
         if candidate.entry.zone != *demand.zone {
-            cost += OTHER_ZONE_COST;
+            cost += if demand.is_stream_once {
+                OTHER_ZONE_STREAM_COST
+            } else {
+                OTHER_ZONE_COST
+            };
         }
         cost += FAILURE_COST * (health.failure_rate(target) - least_failures).max(0.0);
         if let Some(answer_ms) = health.answer_ms(target) {
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -33,6 +33,7 @@
 mod reduce;
 pub mod request;
 pub mod settings;
+pub mod spreading;
 pub mod state;
 pub mod store;
 pub mod target;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -12,6 +12,7 @@
 
 use crate::budget::Counts;
 use crate::configuration::Configuration;
+use crate::spreading::HostRuns;
 use crate::target::TargetChange;
 
 /// Shortest time between two messages to the same host: loads then lag by less than a
@@ -93,6 +94,40 @@
     pub runs: u32,
     /// Memory that they will need, in tokens.
     pub tokens: u64,
+    /// Those of the requests that have to move when the target leaves.
+    pub movable_runs: u32,
+    /// The memory of these.
+    pub movable_tokens: u64,
+}
+
+impl Load {
+    /// Adds one request.
+    pub fn add(&mut self, tokens: u64, is_movable: bool) {
+        self.runs += 1;
+        self.tokens += tokens;
+        if is_movable {
+            self.movable_runs += 1;
+            self.movable_tokens += tokens;
+        }
+    }
+
+    /// Takes one request off.
+    pub fn take_off(&mut self, tokens: u64, is_movable: bool) {
+        self.runs = self.runs.saturating_sub(1);
+        self.tokens = self.tokens.saturating_sub(tokens);
+        if is_movable {
+            self.movable_runs = self.movable_runs.saturating_sub(1);
+            self.movable_tokens = self.movable_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// Adds all of another load.
+    pub fn join(&mut self, other: Load) {
+        self.runs += other.runs;
+        self.tokens += other.tokens;
+        self.movable_runs += other.movable_runs;
+        self.movable_tokens += other.movable_tokens;
+    }
 }
 
 /// The last message heard of a host.
@@ -133,7 +168,12 @@
 
 impl Peers {
     /// Takes in a message; tells whether it is newer than what was heard of its sender.
-    pub fn hear(&mut self, now_ms: u64, own_address: SocketAddr, message: &Message) -> bool {
+    pub fn hear(
+        &mut self,
+        now_ms: u64,
+        own_address: SocketAddr,
+        message: &Message,
+    ) -> bool {
         if message.address == own_address {
             return false;
         }
@@ -164,9 +204,7 @@
     pub fn name(&mut self, now_ms: u64, own_address: SocketAddr, address: SocketAddr) {
         let is_known = self.peers.values().any(|peer| peer.address == address);
         if address != own_address && !is_known {
-            self.candidates
-                .entry(address)
-                .or_insert(now_ms + FORGET_MS);
+            self.candidates.entry(address).or_insert(now_ms + FORGET_MS);
         }
     }
 
@@ -228,8 +266,9 @@
         self.heard(now_ms).any(|(host, peer)| {
             let told_age_ms = peer.last.store_age_ms;
             let heard_age_ms = now_ms.saturating_sub(peer.heard_ms);
-            let reads = told_age_ms
-                .is_some_and(|age_ms| age_ms + heard_ms_share(heard_age_ms) <= 2 * READER_SILENCE_MS);
+            let reads = told_age_ms.is_some_and(|age_ms| {
+                age_ms + heard_ms_share(heard_age_ms) <= 2 * READER_SILENCE_MS
+            });
             reads
                 && !peer.last.is_stopping
                 && heard_age_ms <= READER_SILENCE_MS.max(2 * self.interval_ms())
@@ -251,14 +290,27 @@
         for (_, peer) in self.heard(now_ms) {
             for (name, load) in &peer.last.loads {
                 if name == target {
-                    sum.runs += load.runs;
-                    sum.tokens += load.tokens;
+                    sum.join(*load);
                 }
             }
         }
         sum
     }
 
+    /// Returns the movable runs of each host heard at a target.
+    pub fn movable_at(&self, now_ms: u64, target: &TargetName) -> Vec<HostRuns> {
+        self.heard(now_ms)
+            .flat_map(|(host, peer)| {
+                let at_target = peer.last.loads.iter().filter(|(name, _)| name == target);
+                at_target.map(|(_, load)| HostRuns {
+                    host: host.clone(),
+                    runs: load.movable_runs,
+                    tokens: load.movable_tokens,
+                })
+            })
+            .collect()
+    }
+
     /// Returns which messages were heard lately, to be told to their senders.
     pub fn echoes(&self, now_ms: u64) -> Vec<Echo> {
         self.heard(now_ms)
--- a/crates/toucancleat-fleet/src/reduce/knowledge.rs
+++ b/crates/toucancleat-fleet/src/reduce/knowledge.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use toucancleat_core::prelude::*;
 
 use super::{requests, speech};
 use crate::configuration::Configuration;
@@ -109,7 +108,12 @@
                 .as_ref()
                 .is_none_or(|known| known.version <= configuration.version);
             if adopt(state, &configuration, effects) {
-                speech::say(state, now_ms, Some(News::Configuration(configuration)), effects);
+                speech::say(
+                    state,
+                    now_ms,
+                    Some(News::Configuration(configuration)),
+                    effects,
+                );
             }
             if is_newest {
                 confirm(state, asked_ms);
@@ -124,7 +128,12 @@
                 && adopt(state, &configuration, effects)
             {
                 confirm(state, asked_ms);
-                speech::say(state, now_ms, Some(News::Configuration(configuration)), effects);
+                speech::say(
+                    state,
+                    now_ms,
+                    Some(News::Configuration(configuration)),
+                    effects,
+                );
             }
         }
         Reply::Targets {
@@ -202,6 +211,7 @@
     effects: &mut Vec<Effect>,
 ) {
     let store_version = state.directory.content_version();
+    let mut leaving = Vec::new();
     for shift in shifts {
         match shift {
             Shift::Joined(target) => {
@@ -219,30 +229,19 @@
                     store_version,
                     runs,
                 }));
-                leave(state, now_ms, &target, entry.address, effects);
+                if !requests::movable_at(state, &target).is_empty() {
+                    effects.push(Effect::AskLeaveTime {
+                        target: target.clone(),
+                        address: entry.address,
+                    });
+                }
+                leaving.push((target, entry));
             }
         }
     }
-}
-
-fn leave(
-    state: &mut State,
-    now_ms: u64,
-    target: &TargetName,
-    address: std::net::SocketAddr,
-    effects: &mut Vec<Effect>,
-) {
-    let tickets = requests::movable_at(state, target);
-    if tickets.is_empty() {
-        return;
-    }
-    effects.push(Effect::AskLeaveTime {
-        target: target.clone(),
-        address,
-    });
-    for ticket in tickets {
-        requests::evacuate(state, now_ms, ticket, effects);
+    if !leaving.is_empty() {
+        requests::evacuate_all(state, now_ms, &leaving, effects);
+        // The others learn at once what is on its way to which target.
+        speech::say(state, now_ms, None, effects);
     }
-    // The others learn at once what is on its way to which target.
-    speech::say(state, now_ms, None, effects);
 }
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -11,7 +11,9 @@
 use crate::request::{
     Arrival, Basis, Dispatch, Outcome, Reason, Refusal, Request, Ticket,
 };
+use crate::spreading::{self, Destination, HostRuns, Source};
 use crate::state::{State, draw};
+use crate::target::TargetEntry;
 
 /// Most sends of one request, declined ones included.
 const SENDS_MAX: u32 = 4;
@@ -141,7 +143,10 @@
         return;
     };
     let basis = Basis {
-        configuration_version: state.configuration.as_ref().map_or(0, |known| known.version),
+        configuration_version: state
+            .configuration
+            .as_ref()
+            .map_or(0, |known| known.version),
         configuration_age_ms: state.configuration_age_ms(now_ms).unwrap_or(u64::MAX),
         targets_version: state.directory.known_version(),
         attempt: state.requests[&ticket].sends + 1,
@@ -177,9 +182,9 @@
         repetition: route.repetition,
         basis,
     };
+    let is_movable = route.repetition == Repetition::StreamOnce;
     let load = state.loads.entry(choice.target).or_default();
-    load.runs += 1;
-    load.tokens += tokens;
+    load.add(tokens, is_movable);
     effects.push(Effect::Dispatch(Box::new(dispatch)));
 }
 
@@ -202,6 +207,7 @@
             .filter(|_| is_move)
             .unwrap_or(&state.identity.zone),
         tokens: request.arrival.expected_tokens(),
+        is_stream_once: request.route().repetition == Repetition::StreamOnce,
         engine,
     };
     let tried = &request.tried;
@@ -224,8 +230,7 @@
 fn load_at(state: &State, now_ms: u64, target: &TargetName) -> Load {
     let mut load = state.peers.load_of(now_ms, target);
     if let Some(own) = state.loads.get(target) {
-        load.runs += own.runs;
-        load.tokens += own.tokens;
+        load.join(*own);
     }
     load
 }
@@ -253,7 +258,8 @@
     if matches!(outcome, Outcome::Answered { .. }) {
         return effects.push(Effect::PassOn { ticket });
     }
-    if may_try_again(state, now_ms, ticket, verdict) && take_retry(state, now_ms, ticket) {
+    if may_try_again(state, now_ms, ticket, verdict) && take_retry(state, now_ms, ticket)
+    {
         let before = effects.len();
         dispatch(state, now_ms, ticket, effects);
         // An error answer at hand is better than none at all.
@@ -268,10 +274,22 @@
     match outcome {
         Outcome::ErrorAnswer => effects.push(Effect::PassOn { ticket }),
         Outcome::Declined => {
-            refuse(state, ticket, Reason::TargetsFull, Some(RETRY_LATER_MS), effects);
+            refuse(
+                state,
+                ticket,
+                Reason::TargetsFull,
+                Some(RETRY_LATER_MS),
+                effects,
+            );
         }
         Outcome::Misdirected | Outcome::NotSent => {
-            refuse(state, ticket, Reason::Unreachable, Some(RETRY_SOON_MS), effects);
+            refuse(
+                state,
+                ticket,
+                Reason::Unreachable,
+                Some(RETRY_SOON_MS),
+                effects,
+            );
         }
         Outcome::Silent => refuse(state, ticket, Reason::TimedOut, None, effects),
         _ => refuse(state, ticket, Reason::TargetFailed, None, effects),
@@ -295,7 +313,9 @@
     };
     let route = request.route();
     let is_allowed = verdict.permits_retry(route.repetition.is_idempotent())
-        && request.verdict.permits_retry(route.repetition.is_idempotent());
+        && request
+            .verdict
+            .permits_retry(route.repetition.is_idempotent());
     is_allowed
         && request.runs < route.attempts_max
         && request.sends < SENDS_MAX
@@ -355,42 +375,125 @@
         .collect()
 }
 
-/// Chooses where a run moves.
+/// Moves all runs away from targets that leave, by the plan that all hosts share.
+pub(super) fn evacuate_all(
+    state: &mut State,
+    now_ms: u64,
+    leaving: &[(TargetName, TargetEntry)],
+    effects: &mut Vec<Effect>,
+) {
+    let mut plan = spreading::assign(
+        sources(state, now_ms, leaving),
+        destinations(state, now_ms, leaving),
+        &state.identity.host,
+    );
+    for (target, _) in leaving {
+        let mut places = plan.swap_remove(target).unwrap_or_default();
+        for ticket in movable_at(state, target) {
+            if !take_retry(state, now_ms, ticket) {
+                effects.push(Effect::NoDestination { ticket });
+                continue;
+            }
+            match places.pop() {
+                Some(place) => send_to(state, ticket, place, effects),
+                None => evacuate(state, now_ms, ticket, effects),
+            }
+        }
+    }
+}
+
+fn sources(
+    state: &State,
+    now_ms: u64,
+    leaving: &[(TargetName, TargetEntry)],
+) -> Vec<Source> {
+    let source = |(target, entry): &(TargetName, TargetEntry)| {
+        let mut runs = state.peers.movable_at(now_ms, target);
+        let tickets = movable_at(state, target);
+        let tokens = tickets
+            .iter()
+            .filter_map(|ticket| state.requests.get(ticket))
+            .map(|request| request.arrival.expected_tokens());
+        runs.push(HostRuns {
+            host: state.identity.host.clone(),
+            runs: tickets.len() as u32,
+            tokens: tokens.sum(),
+        });
+        Source {
+            target: target.clone(),
+            zone: entry.zone.clone(),
+            runs,
+        }
+    };
+    leaving.iter().map(source).collect()
+}
+
+fn destinations(
+    state: &State,
+    now_ms: u64,
+    leaving: &[(TargetName, TargetEntry)],
+) -> Vec<Destination> {
+    let Some(configuration) = &state.configuration else {
+        return Vec::new();
+    };
+    let is_of_pool =
+        |entry: &TargetEntry| leaving.iter().any(|(_, left)| left.pool == entry.pool);
+    state
+        .directory
+        .iter()
+        .filter(|(target, entry)| {
+            !entry.is_leaving
+                && is_of_pool(entry)
+                && !state.health.is_avoided(now_ms, target)
+        })
+        .filter_map(|(target, entry)| {
+            let engine = configuration.engine(&entry.pool)?;
+            Some(Destination {
+                target: target.clone(),
+                zone: entry.zone.clone(),
+                used_tokens: load_at(state, now_ms, target).tokens,
+                memory_tokens: engine.memory_tokens,
+            })
+        })
+        .collect()
+}
+
+/// Chooses where a run moves whose planned destination won't do.
 pub(super) fn evacuate(
     state: &mut State,
     now_ms: u64,
     ticket: Ticket,
     effects: &mut Vec<Effect>,
 ) {
-    // Going on at another target counts as a retry there, once for each move.
-    let is_first_try = state
-        .requests
-        .get(&ticket)
-        .is_some_and(|request| request.moving_to.is_none());
-    if is_first_try && !take_retry(state, now_ms, ticket) {
-        return effects.push(Effect::NoDestination { ticket });
-    }
     release_destination(state, ticket);
-    let choice = choose_for(state, now_ms, ticket, true);
-    let entry = choice
-        .as_ref()
-        .and_then(|choice| state.directory.get(&choice.target));
-    let (Some(choice), Some(entry)) = (&choice, entry) else {
+    match choose_for(state, now_ms, ticket, true) {
+        Some(choice) => send_to(state, ticket, choice.target, effects),
+        None => effects.push(Effect::NoDestination { ticket }),
+    }
+}
+
+fn send_to(
+    state: &mut State,
+    ticket: Ticket,
+    place: TargetName,
+    effects: &mut Vec<Effect>,
+) {
+    let address = state.directory.get(&place).map(|entry| entry.address);
+    let (Some(address), Some(request)) = (address, state.requests.get_mut(&ticket))
+    else {
         return effects.push(Effect::NoDestination { ticket });
     };
-    let address = entry.address;
-    let Some(request) = state.requests.get_mut(&ticket) else {
-        return;
-    };
     let tokens = request.arrival.expected_tokens();
-    request.tried.push(choice.target.clone());
-    request.moving_to = Some(choice.target.clone());
-    let load = state.loads.entry(choice.target.clone()).or_default();
-    load.runs += 1;
-    load.tokens += tokens;
+    request.tried.push(place.clone());
+    request.moving_to = Some(place.clone());
+    state
+        .loads
+        .entry(place.clone())
+        .or_default()
+        .add(tokens, true);
     effects.push(Effect::Evacuate {
         ticket,
-        to: choice.target.clone(),
+        to: place,
         address,
     });
 }
@@ -421,7 +524,8 @@
 fn release(state: &mut State, ticket: Ticket) -> Option<(TargetName, u64)> {
     let request = state.requests.get_mut(&ticket)?;
     let (target, tokens) = request.running.take()?;
-    take_off(state, &target, tokens);
+    let is_movable = request.route().repetition == Repetition::StreamOnce;
+    take_off(state, &target, tokens, is_movable);
     Some((target, tokens))
 }
 
@@ -431,14 +535,13 @@
     };
     let tokens = request.arrival.expected_tokens();
     if let Some(target) = request.moving_to.take() {
-        take_off(state, &target, tokens);
+        take_off(state, &target, tokens, true);
     }
 }
 
-fn take_off(state: &mut State, target: &TargetName, tokens: u64) {
+fn take_off(state: &mut State, target: &TargetName, tokens: u64, is_movable: bool) {
     if let Some(load) = state.loads.get_mut(target) {
-        load.runs = load.runs.saturating_sub(1);
-        load.tokens = load.tokens.saturating_sub(tokens);
+        load.take_off(tokens, is_movable);
         if load.runs == 0 {
             state.loads.swap_remove(target);
         }
--- a/crates/toucancleat-fleet/src/reduce/speech.rs
+++ b/crates/toucancleat-fleet/src/reduce/speech.rs
@@ -27,7 +27,9 @@
     }
     state.turn = state.turn.wrapping_add(1);
     let loads = state.loads.iter().filter(|(_, load)| load.runs > 0);
-    let counts = state.budget.own_counts(now_ms, state.config.retry_window_ms);
+    let counts = state
+        .budget
+        .own_counts(now_ms, state.config.retry_window_ms);
     let message = Message {
         from: state.identity.host.clone(),
         incarnation: state.identity.incarnation,
@@ -39,7 +41,9 @@
         known_version: state.directory.known_version(),
         content_version: state.directory.content_version(),
         store_age_ms: state.calls.success_age_ms(now_ms),
-        loads: loads.map(|(target, load)| (target.clone(), *load)).collect(),
+        loads: loads
+            .map(|(target, load)| (target.clone(), *load))
+            .collect(),
         counts: counts.into_iter().collect(),
         echoes: state.peers.echoes(now_ms),
         addresses: state.peers.sample(state.turn),
@@ -58,10 +62,7 @@
     message: Message,
     effects: &mut Vec<Effect>,
 ) {
-    if !state
-        .peers
-        .hear(now_ms, state.identity.address, &message)
-    {
+    if !state.peers.hear(now_ms, state.identity.address, &message) {
         return;
     }
     let counts = message.counts.iter().cloned().collect();
@@ -80,7 +81,11 @@
             let is_complete = state.directory.known_version() >= *after_content;
             let known_version = state.directory.known_version();
             let shifts = state.directory.change(
-                if is_complete { *store_version } else { known_version },
+                if is_complete {
+                    *store_version
+                } else {
+                    known_version
+                },
                 changes.clone(),
             );
             knowledge::take_shifts(state, now_ms, shifts, effects);
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -39,7 +39,9 @@
     /// most that may come counts for the rest.
     pub fn expected_tokens(&self) -> u64 {
         let output = match self.output_tokens_hint {
-            Some(hint) => (3 * hint.min(self.output_tokens_max) + self.output_tokens_max) / 4,
+            Some(hint) => {
+                (3 * hint.min(self.output_tokens_max) + self.output_tokens_max) / 4
+            }
             None => self.output_tokens_max / 2,
         };
         self.prompt_tokens + output
@@ -171,7 +173,9 @@
     pub fn verdict(self) -> Verdict {
         match self {
             Outcome::Answered { .. } | Outcome::ErrorAnswer => Verdict::Ran,
-            Outcome::Declined | Outcome::Misdirected | Outcome::NotSent => Verdict::NotRun,
+            Outcome::Declined | Outcome::Misdirected | Outcome::NotSent => {
+                Verdict::NotRun
+            }
             Outcome::Broken | Outcome::Silent => Verdict::MayHaveRun,
         }
     }
--- /dev/null
+++ b/crates/toucancleat-fleet/src/spreading.rs
@@ -0,0 +1,133 @@
+//! Which of many runs moves where, agreed without a message.
+//!
+//! When a target says that it leaves, every host has to move its runs at once, and each
+//! copy queues behind all others on the link of its source and on that of its destination.
+//! Hosts that each chose the emptiest destination would all choose the same. So each works
+//! out the same plan for all runs from what hosts have told each other anyway, and takes
+//! from it what it needs for its own.
+//!
+//! Views that differ a little only make the plan a little worse. See
+//! docs/design/platform.md, "Runs that outlive their target".
+
+use indexmap::IndexMap;
+use toucancleat_core::prelude::*;
+
+/// How many times longer a copy takes between two zones than within one.
+const OTHER_ZONE_FACTOR: f64 = 2.0;
+
+/// Share of a destination's memory above which it counts as full: what runs there grows.
+const FULL_SHARE: f64 = 0.92;
+
+/// Cost of a destination that is full, in copies; higher than any queue of copies.
+const FULL_COST: f64 = 1_000.0;
+
+/// Cost of a destination's memory in use, in copies for the whole of it. It decides
+/// between links that are equally busy.
+const FILL_COST: f64 = 1.0;
+
+/// A target that leaves, with the runs that have to move.
+#[derive(Clone, Debug)]
+pub struct Source {
+    /// The target.
+    pub target: TargetName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Runs of each host there, and their memory in tokens.
+    pub runs: Vec<HostRuns>,
+}
+
+/// Runs of one host at one target.
+#[derive(Clone, Debug)]
+pub struct HostRuns {
+    /// The host.
+    pub host: HostName,
+    /// How many runs.
+    pub runs: u32,
+    /// Their memory.
+    pub tokens: u64,
+}
+
+/// A target that takes runs over.
+#[derive(Clone, Debug)]
+pub struct Destination {
+    /// The target.
+    pub target: TargetName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Memory in use there, in tokens.
+    pub used_tokens: u64,
+    /// Memory that it has, in tokens.
+    pub memory_tokens: u64,
+}
+
+/// Returns one destination for each run of a host, by the target that it leaves.
+pub fn assign(
+    mut sources: Vec<Source>,
+    mut destinations: Vec<Destination>,
+    host: &HostName,
+) -> IndexMap<TargetName, Vec<TargetName>> {
+    sources.sort_by(|a, b| a.target.cmp(&b.target));
+    destinations.sort_by(|a, b| a.target.cmp(&b.target));
+    let mut own: IndexMap<TargetName, Vec<TargetName>> = IndexMap::new();
+    let mut source_links = vec![0.0; sources.len()];
+    let mut destination_links = vec![0.0; destinations.len()];
+    for (source, run) in in_turn(&mut sources) {
+        let zone = &sources[source].zone;
+        let cost = |place: usize| {
+            let destination: &Destination = &destinations[place];
+            let factor = if destination.zone == *zone {
+                1.0
+            } else {
+                OTHER_ZONE_FACTOR
+            };
+            let start = f64::max(source_links[source], destination_links[place]);
+            let used = destination.used_tokens + run.tokens;
+            let fill = used as f64 / destination.memory_tokens.max(1) as f64;
+            let full = if fill > FULL_SHARE { FULL_COST } else { 0.0 };
+            (start + factor, start + factor + FILL_COST * fill + full)
+        };
+        let costs = (0..destinations.len()).map(|place| (place, cost(place)));
+        let Some((place, (end, _))) = costs.min_by(|a, b| a.1.1.total_cmp(&b.1.1)) else {
+            return own;
+        };
+        source_links[source] = end;
+        destination_links[place] = end;
+        destinations[place].used_tokens += run.tokens;
+        if run.host == *host {
+            let target = sources[source].target.clone();
+            let chosen = destinations[place].target.clone();
+            own.entry(target).or_default().push(chosen);
+        }
+    }
+    own
+}
+
+struct Run {
+    host: HostName,
+    tokens: u64,
+}
+
+/// Lists runs of all sources by turns, so that no source's copies come last.
+fn in_turn(sources: &mut [Source]) -> Vec<(usize, Run)> {
+    let mut queues: Vec<Vec<Run>> = Vec::new();
+    for source in sources {
+        source.runs.sort_by(|a, b| a.host.cmp(&b.host));
+        let queue = source.runs.iter().flat_map(|host_runs| {
+            let tokens = host_runs.tokens / u64::from(host_runs.runs.max(1));
+            (0..host_runs.runs).map(move |_| Run {
+                host: host_runs.host.clone(),
+                tokens,
+            })
+        });
+        queues.push(queue.rev().collect());
+    }
+    let mut runs = Vec::new();
+    while queues.iter().any(|queue| !queue.is_empty()) {
+        for (source, queue) in queues.iter_mut().enumerate() {
+            if let Some(run) = queue.pop() {
+                runs.push((source, run));
+            }
+        }
+    }
+    runs
+}
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -181,7 +181,8 @@
 
     /// Returns the time since the last answer of the store.
     pub fn success_age_ms(&self, now_ms: u64) -> Option<u64> {
-        self.last_success_ms.map(|at_ms| now_ms.saturating_sub(at_ms))
+        self.last_success_ms
+            .map(|at_ms| now_ms.saturating_sub(at_ms))
     }
 
     /// Returns how many calls in a row have failed.
--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -112,7 +112,11 @@
     }
 
     /// Takes the changes up to a version.
-    pub fn change(&mut self, store_version: u64, changes: Vec<TargetChange>) -> Vec<Shift> {
+    pub fn change(
+        &mut self,
+        store_version: u64,
+        changes: Vec<TargetChange>,
+    ) -> Vec<Shift> {
         let mut shifts = Vec::new();
         for change in changes {
             if change.store_version <= self.known_version {
@@ -156,8 +160,8 @@
                 }
             }
             Some(entry) => {
-                let restarted =
-                    before.is_some_and(|old| old.started_unix_ms != entry.started_unix_ms);
+                let restarted = before
+                    .is_some_and(|old| old.started_unix_ms != entry.started_unix_ms);
                 if entry.is_leaving && (was_ready || before.is_none()) {
                     shifts.push(Shift::Leaving(target.clone(), entry.clone()));
                 } else if !entry.is_leaving && (!was_ready || restarted) {
--- a/crates/toucancleat-gateway/src/callers.rs
+++ b/crates/toucancleat-gateway/src/callers.rs
@@ -37,7 +37,11 @@
             () = tokio::time::sleep(STOP_LOOK) => {}
         }
         let passed_ms = clock::now_ms().saturating_sub(began_ms);
-        if stop::is_over(passed_ms, host.open_requests(), &host.settings.fleet_config()) {
+        if stop::is_over(
+            passed_ms,
+            host.open_requests(),
+            &host.settings.fleet_config(),
+        ) {
             return Ok(());
         }
     }
@@ -49,7 +53,9 @@
             connection::prepare(&stream);
             tokio::task::spawn_local(serve_connection(host.clone(), stream));
         }
-        Err(error) => log::warn!(error:% = error; "a caller's connection was not accepted"),
+        Err(error) => {
+            log::warn!(error:% = error; "a caller's connection was not accepted")
+        }
     }
 }
 
--- a/crates/toucancleat-gateway/src/connection.rs
+++ b/crates/toucancleat-gateway/src/connection.rs
@@ -78,9 +78,10 @@
         let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connect.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
         prepare(&stream);
-        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(std::io::Error::other)?;
+        let (sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(stream))
+                .await
+                .map_err(std::io::Error::other)?;
         let driver = tokio::task::spawn_local(async move {
             if let Err(error) = connection.await {
                 log::debug!(error:% = error; "a connection to a target or the store broke");
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -21,6 +21,10 @@
 /// Time between two ticks of the reducer; a fifth of the shortest interval that it keeps.
 pub const TICK: Duration = Duration::from_millis(25);
 
+/// Time after a notice at which a target is asked how much longer it stays: its reports are
+/// about half a second behind.
+const LEAVE_TIME_DELAY: Duration = Duration::from_millis(600);
+
 /// Longest wait for a target's word on when it leaves.
 const LEAVE_TIME_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -193,7 +197,9 @@
                 to,
                 address,
             } => self.command(ticket, Command::Evacuate { to, address }),
-            Effect::NoDestination { ticket } => self.command(ticket, Command::NoDestination),
+            Effect::NoDestination { ticket } => {
+                self.command(ticket, Command::NoDestination)
+            }
             Effect::AskLeaveTime { target, address } => {
                 if let Some(host) = self.weak.upgrade() {
                     tokio::task::spawn_local(ask_leave_time(host, target, address));
@@ -234,6 +240,7 @@
 }
 
 async fn ask_leave_time(host: Rc<Host>, target: TargetName, address: SocketAddr) {
+    tokio::time::sleep(LEAVE_TIME_DELAY).await;
     let asked_ms = clock::now_ms();
     let answer = call(address, engine::report(), LEAVE_TIME_TIMEOUT).await;
     let left_ms = match &answer {
--- a/crates/toucancleat-gateway/src/logging.rs
+++ b/crates/toucancleat-gateway/src/logging.rs
@@ -85,7 +85,11 @@
         WAITING_LINES.fetch_sub(1, Ordering::Relaxed);
         let lost = LOST_LINES.swap(0, Ordering::Relaxed);
         if lost > 0 {
-            let _ = writeln!(out, "{}", json!({ "message": "log lines lost", "lines": lost }));
+            let _ = writeln!(
+                out,
+                "{}",
+                json!({ "message": "log lines lost", "lines": lost })
+            );
         }
     }
 }
@@ -93,7 +97,11 @@
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
-    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+    fn visit_pair(
+        &mut self,
+        key: Key<'kvs>,
+        value: Value<'kvs>,
+    ) -> Result<(), kv::Error> {
         let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
             (Some(number), _, _) => json!(number),
             (_, Some(number), _) => json!(number),
--- a/crates/toucancleat-gateway/src/main.rs
+++ b/crates/toucancleat-gateway/src/main.rs
@@ -37,10 +37,7 @@
     }
 }
 
-#[expect(
-    clippy::print_stderr,
-    reason = "the log may not have been started yet"
-)]
+#[expect(clippy::print_stderr, reason = "the log may not have been started yet")]
 fn fail(error: &dyn std::error::Error) -> ExitCode {
     eprintln!("toucancleat-gateway: {error}");
     ExitCode::FAILURE
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -401,6 +401,8 @@
                 self.abandon_move();
                 Next::GoOn
             }
+            // What was copied before the source went can still be gone on from.
+            Step::GiveUp if moving.handle.is_some() => self.resume(false).await,
             Step::GiveUp => {
                 self.abandon_move();
                 self.upstream = None;
--- a/crates/toucancleat-gateway/src/request.rs
+++ b/crates/toucancleat-gateway/src/request.rs
@@ -46,7 +46,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match &mut self.content {
-            Content::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Content::Whole(bytes) => {
+                Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b))))
+            }
             Content::Stream(events) => events
                 .poll_recv(context)
                 .map(|event| event.map(|bytes| bytes.map(Frame::data))),
@@ -87,7 +89,9 @@
     };
     let mut arrival = caller::decode(&parts);
     let spent_ms = clock::now_ms().saturating_sub(arrived_ms);
-    arrival.deadline_ms = arrival.deadline_ms.map(|left| left.saturating_sub(spent_ms));
+    arrival.deadline_ms = arrival
+        .deadline_ms
+        .map(|left| left.saturating_sub(spent_ms));
     let Some(open) = host.open() else {
         return Err(BrokenOff);
     };
@@ -222,7 +226,9 @@
     }
     match Limited::new(body, max_bytes).collect().await {
         Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(error) if error.is::<LengthLimitError>() => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
         // The caller broke off, and nobody reads this.
         Err(_) => Err(StatusCode::BAD_REQUEST),
     }
--- a/crates/toucancleat-gateway/src/settings.rs
+++ b/crates/toucancleat-gateway/src/settings.rs
@@ -55,8 +55,8 @@
     /// Reads and checks a text.
     pub fn parse(text: &str) -> Result<Self, Error> {
         let options = jsonc_parser::ParseOptions::default();
-        let settings: Settings =
-            jsonc_parser::parse_to_serde_value(text, &options).map_err(Error::settings)?;
+        let settings: Settings = jsonc_parser::parse_to_serde_value(text, &options)
+            .map_err(Error::settings)?;
         settings.check()?;
         Ok(settings)
     }
@@ -86,12 +86,18 @@
             figure.map_or(default, |seconds| (seconds * 1_000.0) as u64)
         };
         Config {
-            revocation_bound_ms: ms(self.revocation_bound_ms, default.revocation_bound_ms),
+            revocation_bound_ms: ms(
+                self.revocation_bound_ms,
+                default.revocation_bound_ms,
+            ),
             retry_ratio: self.retry_ratio.unwrap_or(default.retry_ratio),
             retry_window_ms: s(self.retry_window_s, default.retry_window_ms),
             retry_allowance: self.retry_allowance.unwrap_or(default.retry_allowance),
             stop_grace_ms: s(self.stop_grace_s, default.stop_grace_ms),
-            target_heartbeat_ms: ms(self.target_heartbeat_ms, default.target_heartbeat_ms),
+            target_heartbeat_ms: ms(
+                self.target_heartbeat_ms,
+                default.target_heartbeat_ms,
+            ),
         }
     }
 }
