--- a/crates/toucancleat-fleet/src/choice.rs
+++ b/crates/toucancleat-fleet/src/choice.rs
@@ -11,8 +11,8 @@
 /// each other, and bytes between them cost.
 const OTHER_ZONE_COST: f64 = 0.06;
 
-/// The same for a stream that can't be run again. One that crosses zones is lost when they
-/// are cut off, and moves between zones take twice as long.
+/// The same for a stream. One that crosses zones breaks off when they are cut off, moves
+/// between zones take twice as long, and loads in the own zone are known best.
 const OTHER_ZONE_STREAM_COST: f64 = 0.25;
 
 /// Cost of answers that fail, for each failure more than the pool's best target has.
@@ -48,8 +48,8 @@
     pub zone: &'a ZoneName,
     /// Memory that the request will need.
     pub tokens: u64,
-    /// Whether it is a stream that can't be run again.
-    pub is_stream_once: bool,
+    /// Whether its answer is a stream.
+    pub is_stream: bool,
     /// What the pool's targets are able to do, where they are engines.
     pub engine: Option<&'a Engine>,
 }
@@ -87,7 +87,7 @@
         let target = candidate.target;
         let mut cost = occupancy(candidate, demand) + JITTER_COST * draw();
         if candidate.entry.zone != *demand.zone {
-            cost += if demand.is_stream_once {
+            cost += if demand.is_stream {
                 OTHER_ZONE_STREAM_COST
             } else {
                 OTHER_ZONE_COST
--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -6,7 +6,7 @@
 use toucancleat_core::prelude::*;
 
 use crate::configuration::Configuration;
-use crate::peers::Message;
+use crate::peers::{Message, Receiver};
 use crate::request::{Arrival, Dispatch, Outcome, Refusal, Ticket};
 use crate::store::{Query, Reply};
 
@@ -76,10 +76,10 @@
 pub enum Effect {
     /// Read the store.
     Read(Query),
-    /// Send a message to each of these addresses.
+    /// Send a message to each of these hosts.
     Send {
-        /// Where to.
-        to: Vec<SocketAddr>,
+        /// Where to, with the echo for each receiver.
+        to: Vec<Receiver>,
         /// The message.
         message: Box<Message>,
     },
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -13,17 +13,19 @@
 use crate::budget::Counts;
 use crate::configuration::Configuration;
 use crate::spreading::HostRuns;
+use crate::store::READER_SILENCE_MS;
 use crate::target::TargetChange;
 
 /// Shortest time between two messages to the same host: loads then lag by less than a
-/// fifth of what the targets' own reports do.
+/// third of what the targets' own reports do.
 pub const MESSAGE_INTERVAL_MIN_MS: u64 = 150;
 
 /// Longest time between two messages to the same host.
 pub const MESSAGE_INTERVAL_MAX_MS: u64 = 1_200;
 
-/// Time added to the interval for each host of the fleet, which keeps a host's traffic
-/// from growing with the fleet's size.
+/// Time added to the interval for each host that is told, which keeps a host's traffic
+/// from growing with the fleet's size. Hosts of the same zone are told at an interval of
+/// their own, since they choose among the same targets.
 pub const MESSAGE_INTERVAL_PER_HOST_MS: u64 = 15;
 
 /// Intervals of silence after which a host is no longer counted as heard.
@@ -34,7 +36,7 @@
 pub const FORGET_MS: u64 = 60_000;
 
 /// Most addresses of other hosts in one message.
-const ADDRESSES_MAX: usize = 16;
+const ADDRESSES_MAX: usize = 4;
 
 /// What one host tells another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -43,6 +45,8 @@
     pub from: HostName,
     /// Drawn anew at each start of the sender's process.
     pub incarnation: u64,
+    /// The sender's zone.
+    pub zone: ZoneName,
     /// Where the sender takes messages.
     pub address: SocketAddr,
     /// The sender's clock.
@@ -63,8 +67,10 @@
     pub loads: Vec<(TargetName, Load)>,
     /// What the sender has counted against the retry budget.
     pub counts: Vec<(PoolName, Counts)>,
-    /// Which messages the sender has heard, and how long ago.
-    pub echoes: Vec<Echo>,
+    /// The last message that the sender has heard of the receiver. It is the only part
+    /// that differs between receivers, so it is encoded apart.
+    #[serde(skip)]
+    pub echo: Option<Echo>,
     /// Other hosts that the sender knows.
     pub addresses: Vec<SocketAddr>,
     /// A change, told by the host that has read it.
@@ -121,6 +127,14 @@
         }
     }
 
+    /// Takes all of another load off.
+    pub fn part(&mut self, other: Load) {
+        self.runs = self.runs.saturating_sub(other.runs);
+        self.tokens = self.tokens.saturating_sub(other.tokens);
+        self.movable_runs = self.movable_runs.saturating_sub(other.movable_runs);
+        self.movable_tokens = self.movable_tokens.saturating_sub(other.movable_tokens);
+    }
+
     /// Adds all of another load.
     pub fn join(&mut self, other: Load) {
         self.runs += other.runs;
@@ -136,9 +150,7 @@
 /// was sent no earlier than the echoed message plus the time for which it was held.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
-    /// The host that sent the message.
-    pub host: HostName,
-    /// Its incarnation.
+    /// The incarnation of the host that sent the message.
     pub incarnation: u64,
     /// Its clock when it sent the message.
     pub sent_ms: u64,
@@ -155,12 +167,22 @@
     pub heard_ms: u64,
     /// Its last message.
     pub last: Message,
+    /// Whether its load is part of the sum.
+    is_summed: bool,
 }
 
+/// Where a message goes, and which message of the receiver it answers.
+pub type Receiver = (SocketAddr, Option<Echo>);
+
 /// All other hosts.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     peers: IndexMap<HostName, Peer>,
+    /// What all hosts that were heard lately have running.
+    ///
+    /// It is kept with each message rather than added up for each choice, which would look
+    /// at every host for every target.
+    sum: IndexMap<TargetName, Load>,
     /// Addresses that were named by others and not yet heard, and until when to try them.
     candidates: IndexMap<SocketAddr, u64>,
     listed: usize,
@@ -192,8 +214,14 @@
                 news: None,
                 ..message.clone()
             },
+            is_summed: true,
         };
-        self.peers.insert(message.from.clone(), peer);
+        add_to(&mut self.sum, &peer.last.loads);
+        if let Some(before) = self.peers.insert(message.from.clone(), peer)
+            && before.is_summed
+        {
+            take_from(&mut self.sum, &before.last.loads);
+        }
         for address in &message.addresses {
             self.name(now_ms, own_address, *address);
         }
@@ -213,17 +241,36 @@
         self.listed = self.listed.max(hosts);
     }
 
-    /// Forgets hosts that have been silent for long.
+    /// Forgets hosts that have been silent for long, and the load of those that have been
+    /// silent for a moment: it may have ended with them.
     pub fn expire(&mut self, now_ms: u64) {
+        let silence_ms = self.silence_ms();
+        for peer in self.peers.values_mut() {
+            if peer.is_summed && now_ms.saturating_sub(peer.heard_ms) > silence_ms {
+                peer.is_summed = false;
+                take_from(&mut self.sum, &peer.last.loads);
+            }
+        }
         self.peers
             .retain(|_, peer| now_ms.saturating_sub(peer.heard_ms) < FORGET_MS);
         self.candidates.retain(|_, until_ms| now_ms < *until_ms);
     }
 
-    /// Returns the addresses to which messages go.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        let known = self.peers.values().map(|peer| peer.address);
-        known.chain(self.candidates.keys().copied()).collect()
+    /// Returns the hosts to which messages go; of one zone only, if one is named.
+    pub fn receivers(&self, now_ms: u64, zone: Option<&ZoneName>) -> Vec<Receiver> {
+        let is_told = |peer: &&Peer| zone.is_none_or(|zone| peer.last.zone == *zone);
+        let known = self.peers.values().filter(is_told).map(|peer| {
+            let echo = Echo {
+                incarnation: peer.last.incarnation,
+                sent_ms: peer.last.sent_ms,
+                held_ms: now_ms.saturating_sub(peer.heard_ms),
+            };
+            (peer.address, Some(echo))
+        });
+        let candidates = self.candidates.keys().filter(|_| zone.is_none());
+        known
+            .chain(candidates.map(|address| (*address, None)))
+            .collect()
     }
 
     /// Returns some addresses to pass on; a different part of them each time.
@@ -235,16 +282,24 @@
             .collect()
     }
 
-    /// Returns the time between two messages.
+    /// Returns the time between two messages to all hosts.
     pub fn interval_ms(&self) -> u64 {
-        let hosts = self.peers.len() as u64 + 1;
-        (hosts * MESSAGE_INTERVAL_PER_HOST_MS)
-            .clamp(MESSAGE_INTERVAL_MIN_MS, MESSAGE_INTERVAL_MAX_MS)
+        interval_for(self.peers.len())
+    }
+
+    /// Returns the time between two messages to the hosts of a zone.
+    pub fn zone_interval_ms(&self, zone: &ZoneName) -> u64 {
+        let of_zone = self.peers.values().filter(|peer| peer.last.zone == *zone);
+        interval_for(of_zone.count())
+    }
+
+    fn silence_ms(&self) -> u64 {
+        SILENT_INTERVALS * self.interval_ms()
     }
 
     /// Returns the hosts that were heard lately.
     pub fn heard(&self, now_ms: u64) -> impl Iterator<Item = (&HostName, &Peer)> {
-        let silence_ms = SILENT_INTERVALS * self.interval_ms();
+        let silence_ms = self.silence_ms();
         self.peers
             .iter()
             .filter(move |(_, peer)| now_ms.saturating_sub(peer.heard_ms) <= silence_ms)
@@ -262,16 +317,16 @@
 
     /// Says whether another host reads the store, so that this one need not.
     pub fn has_reader(&self, now_ms: u64, own: &HostName, own_reads: bool) -> bool {
-        use crate::store::READER_SILENCE_MS;
+        let silence_ms = READER_SILENCE_MS.max(2 * self.interval_ms());
         self.heard(now_ms).any(|(host, peer)| {
-            let told_age_ms = peer.last.store_age_ms;
             let heard_age_ms = now_ms.saturating_sub(peer.heard_ms);
-            let reads = told_age_ms.is_some_and(|age_ms| {
-                age_ms + heard_ms_share(heard_age_ms) <= 2 * READER_SILENCE_MS
-            });
+            let reads = peer
+                .last
+                .store_age_ms
+                .is_some_and(|age_ms| age_ms <= READER_SILENCE_MS);
             reads
                 && !peer.last.is_stopping
-                && heard_age_ms <= READER_SILENCE_MS.max(2 * self.interval_ms())
+                && heard_age_ms <= silence_ms
                 && (!own_reads || host < own)
         })
     }
@@ -282,19 +337,8 @@
     }
 
     /// Returns what the other hosts have running at a target.
-    ///
-    /// A silent host's last word still counts for a while: its runs go on, and one that
-    /// was killed soon shows in the target's own answers.
-    pub fn load_of(&self, now_ms: u64, target: &TargetName) -> Load {
-        let mut sum = Load::default();
-        for (_, peer) in self.heard(now_ms) {
-            for (name, load) in &peer.last.loads {
-                if name == target {
-                    sum.join(*load);
-                }
-            }
-        }
-        sum
+    pub fn load_of(&self, target: &TargetName) -> Load {
+        self.sum.get(target).copied().unwrap_or_default()
     }
 
     /// Returns the movable runs of each host heard at a target.
@@ -310,35 +354,40 @@
             })
             .collect()
     }
+}
 
-    /// Returns which messages were heard lately, to be told to their senders.
-    pub fn echoes(&self, now_ms: u64) -> Vec<Echo> {
-        self.heard(now_ms)
-            .map(|(host, peer)| Echo {
-                host: host.clone(),
-                incarnation: peer.last.incarnation,
-                sent_ms: peer.last.sent_ms,
-                held_ms: now_ms.saturating_sub(peer.heard_ms),
-            })
-            .collect()
+fn interval_for(told: usize) -> u64 {
+    (told as u64 * MESSAGE_INTERVAL_PER_HOST_MS)
+        .clamp(MESSAGE_INTERVAL_MIN_MS, MESSAGE_INTERVAL_MAX_MS)
+}
+
+fn add_to(sum: &mut IndexMap<TargetName, Load>, loads: &[(TargetName, Load)]) {
+    for (target, load) in loads {
+        sum.entry(target.clone()).or_default().join(*load);
     }
 }
 
-fn heard_ms_share(heard_age_ms: u64) -> u64 {
-    heard_age_ms / 2
+fn take_from(sum: &mut IndexMap<TargetName, Load>, loads: &[(TargetName, Load)]) {
+    for (target, load) in loads {
+        if let Some(left) = sum.get_mut(target) {
+            left.part(*load);
+            if left.runs == 0 {
+                sum.swap_remove(target);
+            }
+        }
+    }
 }
 
 /// Returns a time of the own clock before which a message can't have been sent.
 pub fn sent_no_earlier_ms(
     message: &Message,
-    own: &HostName,
     own_incarnation: u64,
     now_ms: u64,
 ) -> Option<u64> {
-    let echo = message
-        .echoes
-        .iter()
-        .find(|echo| echo.host == *own && echo.incarnation == own_incarnation)?;
+    let echo = message.echo.as_ref()?;
+    if echo.incarnation != own_incarnation {
+        return None;
+    }
     let sent_ms = echo.sent_ms.checked_add(echo.held_ms)?;
     (sent_ms <= now_ms).then_some(sent_ms)
 }
--- a/crates/toucancleat-fleet/src/reduce/knowledge.rs
+++ b/crates/toucancleat-fleet/src/reduce/knowledge.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-
 use super::{requests, speech};
 use crate::configuration::Configuration;
 use crate::event::{Effect, Note};
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -207,7 +207,7 @@
             .filter(|_| is_move)
             .unwrap_or(&state.identity.zone),
         tokens: request.arrival.expected_tokens(),
-        is_stream_once: request.route().repetition == Repetition::StreamOnce,
+        is_stream: request.route().repetition.is_stream(),
         engine,
     };
     let tried = &request.tried;
@@ -218,7 +218,7 @@
         .map(|(target, entry)| Candidate {
             target,
             entry,
-            load: load_at(state, now_ms, target),
+            load: load_at(state, target),
         });
     let choice = choose(now_ms, candidates, demand, &state.health, || {
         draw(&mut random)
@@ -227,8 +227,8 @@
     choice
 }
 
-fn load_at(state: &State, now_ms: u64, target: &TargetName) -> Load {
-    let mut load = state.peers.load_of(now_ms, target);
+fn load_at(state: &State, target: &TargetName) -> Load {
+    let mut load = state.peers.load_of(target);
     if let Some(own) = state.loads.get(target) {
         load.join(*own);
     }
@@ -451,7 +451,7 @@
             Some(Destination {
                 target: target.clone(),
                 zone: entry.zone.clone(),
-                used_tokens: load_at(state, now_ms, target).tokens,
+                used_tokens: load_at(state, target).tokens,
                 memory_tokens: engine.memory_tokens,
             })
         })
--- a/crates/toucancleat-fleet/src/reduce/speech.rs
+++ b/crates/toucancleat-fleet/src/reduce/speech.rs
@@ -2,17 +2,27 @@
 
 use super::knowledge;
 use crate::event::Effect;
-use crate::peers::{Message, News, sent_no_earlier_ms};
+use crate::peers::{Message, News, Receiver, sent_no_earlier_ms};
 use crate::state::State;
 
-/// Sends the regular message when it is due.
+/// Sends the regular messages that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
     state.peers.expire(now_ms);
+    let zone = state.identity.zone.clone();
+    let zone_interval_ms = state.peers.zone_interval_ms(&zone);
     if now_ms.saturating_sub(state.said_ms) >= state.peers.interval_ms() {
         say(state, now_ms, None, effects);
+    } else if now_ms.saturating_sub(state.said_to_zone_ms) >= zone_interval_ms {
+        say_to_zone(state, now_ms, effects);
     }
 }
 
+/// Sends a message to the hosts of the own zone.
+pub(super) fn say_to_zone(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    let receivers = state.peers.receivers(now_ms, Some(&state.identity.zone));
+    send(state, now_ms, receivers, None, effects);
+}
+
 /// Sends a message to all hosts.
 pub(super) fn say(
     state: &mut State,
@@ -20,8 +30,19 @@
     news: Option<News>,
     effects: &mut Vec<Effect>,
 ) {
-    let to = state.peers.addresses();
     state.said_ms = now_ms;
+    let receivers = state.peers.receivers(now_ms, None);
+    send(state, now_ms, receivers, news, effects);
+}
+
+fn send(
+    state: &mut State,
+    now_ms: u64,
+    to: Vec<Receiver>,
+    news: Option<News>,
+    effects: &mut Vec<Effect>,
+) {
+    state.said_to_zone_ms = now_ms;
     if to.is_empty() {
         return;
     }
@@ -33,6 +54,7 @@
     let message = Message {
         from: state.identity.host.clone(),
         incarnation: state.identity.incarnation,
+        zone: state.identity.zone.clone(),
         address: state.identity.address,
         sent_ms: now_ms,
         is_stopping: state.stopping_since_ms.is_some(),
@@ -45,7 +67,7 @@
             .map(|(target, load)| (target.clone(), *load))
             .collect(),
         counts: counts.into_iter().collect(),
-        echoes: state.peers.echoes(now_ms),
+        echo: None,
         addresses: state.peers.sample(state.turn),
         news,
     };
@@ -102,12 +124,8 @@
         state.missed_since_ms.get_or_insert(now_ms);
     } else if message.configuration_version == own_version
         && let Some(age_ms) = message.configuration_age_ms
-        && let Some(sent_ms) = sent_no_earlier_ms(
-            message,
-            &state.identity.host,
-            state.identity.incarnation,
-            now_ms,
-        )
+        && let Some(sent_ms) =
+            sent_no_earlier_ms(message, state.identity.incarnation, now_ms)
         && let Some(confirmed_ms) = sent_ms.checked_sub(age_ms)
     {
         knowledge::confirm(state, confirmed_ms);
--- a/crates/toucancleat-gateway/src/peers.rs
+++ b/crates/toucancleat-gateway/src/peers.rs
@@ -3,13 +3,12 @@
 //! A lost datagram is made up for by the next one, and there is no connection that could
 //! hang in a partition. See docs/design/platform.md, "What hosts tell each other".
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 use toucancleat_fleet::event::Event;
-use toucancleat_fleet::peers::Message;
+use toucancleat_fleet::peers::{Echo, Message, Receiver};
 
 use crate::Error;
 use crate::host::Host;
@@ -27,8 +26,8 @@
 /// A message on its way out.
 #[derive(Debug)]
 pub struct Outgoing {
-    /// Where to.
-    pub to: Vec<SocketAddr>,
+    /// Where to, with the echo for each receiver.
+    pub to: Vec<Receiver>,
     /// What.
     pub message: Box<Message>,
 }
@@ -55,7 +54,7 @@
                 continue;
             }
         };
-        match serde_json::from_slice::<Message>(&buffer[..length]) {
+        match decode(&buffer[..length]) {
             Ok(message) => host.apply(Event::Heard(Box::new(message))),
             Err(error) => {
                 log::warn!(error:% = error; "a datagram is no message of an entry host");
@@ -71,15 +70,29 @@
     mut outgoing: UnboundedReceiver<Outgoing>,
 ) {
     while let Some(Outgoing { to, message }) = outgoing.recv().await {
-        let Ok(bytes) = serde_json::to_vec(&message) else {
-            continue;
+        let message = match postcard::to_stdvec(&message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!(error:% = error; "a message to other hosts can't be encoded");
+                continue;
+            }
         };
         host.metrics.datagrams.inc_by(to.len() as u64);
-        for address in to {
+        for (address, echo) in to {
+            let Ok(datagram) = postcard::to_extend(&echo, message.clone()) else {
+                continue;
+            };
             // Nothing waits for a datagram, so a full link must not hold up the next.
-            if let Err(error) = socket.0.try_send_to(&bytes, address) {
+            if let Err(error) = socket.0.try_send_to(&datagram, address) {
                 log::debug!(error:% = error, address:% = address; "a datagram was not sent");
             }
         }
     }
 }
+
+/// Reads a message and the echo behind it.
+fn decode(datagram: &[u8]) -> postcard::Result<Message> {
+    let (mut message, rest) = postcard::take_from_bytes::<Message>(datagram)?;
+    message.echo = postcard::from_bytes::<Option<Echo>>(rest)?;
+    Ok(message)
+}
