--- a/crates/toucancleat-fleet/src/configuration.rs
+++ b/crates/toucancleat-fleet/src/configuration.rs
@@ -94,6 +94,8 @@
     pub slots: u32,
     /// Tokens for which an engine has memory.
     pub memory_tokens: u64,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u64,
     /// Whether a run's memory can be moved to another engine.
     pub can_move: bool,
 }
--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -46,6 +46,13 @@
         /// How.
         outcome: Outcome,
     },
+    /// A stream has brought events.
+    Progressed {
+        /// The request.
+        ticket: Ticket,
+        /// Events so far, over all targets.
+        events: u64,
+    },
     /// A run needs another destination than the one that was chosen.
     DestinationFailed {
         /// The request.
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -15,6 +15,7 @@
     match event {
         Event::Tick => {
             knowledge::tick(state, now_ms, effects);
+            requests::tick(state, now_ms, effects);
             speech::tick(state, now_ms, effects);
         }
         Event::Store { query, reply } => {
@@ -33,6 +34,9 @@
         Event::AttemptEnded { ticket, outcome } => {
             requests::attempt_ended(state, now_ms, ticket, outcome, effects);
         }
+        Event::Progressed { ticket, events } => {
+            requests::progressed(state, ticket, events);
+        }
         Event::DestinationFailed { ticket } => {
             requests::evacuate(state, now_ms, ticket, effects);
         }
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -31,6 +31,17 @@
 /// Time after which a caller may come back where targets are missing or full.
 const RETRY_LATER_MS: u64 = 900;
 
+/// Share of the latency objective that a request may wait here for room. The rest is for
+/// the engine to read the prompt.
+const WAIT_SHARE: f64 = 0.5;
+
+/// Share of an engine's memory up to which it takes long streams; the rest is for what
+/// they grow by, for short streams and for runs that move there.
+const LONG_STREAM_SHARE: f64 = 0.88;
+
+/// Share of an engine's memory up to which it takes short streams.
+const SHORT_STREAM_SHARE: f64 = 0.97;
+
 /// Times the latency objective that a stream that may be run again is waited for.
 const STREAM_PATIENCE: u64 = 2;
 
@@ -48,7 +59,7 @@
             let window_ms = state.config.retry_window_ms;
             state.budget.count_request(now_ms, window_ms, &request.pool);
             state.requests.insert(ticket, request);
-            dispatch(state, now_ms, ticket, effects);
+            place(state, now_ms, ticket, effects);
         }
     }
 }
@@ -119,9 +130,86 @@
         verdict: Verdict::NotRun,
         running: None,
         moving_to: None,
+        made_tokens: 0,
     })
 }
 
+/// Sends a request to a target, or lets it wait while all engines are full.
+///
+/// An engine that runs out of memory throws out a run that has begun and reads its prompt
+/// anew, which costs every run there; a request that has not begun waits for less.
+fn place(state: &mut State, now_ms: u64, ticket: Ticket, effects: &mut Vec<Effect>) {
+    if should_wait(state, now_ms, ticket) {
+        state.waiting.push(ticket);
+    } else {
+        dispatch(state, now_ms, ticket, effects);
+    }
+}
+
+/// Sends the requests that wait and now have room, the most urgent first.
+pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    let mut waiting = std::mem::take(&mut state.waiting);
+    waiting.retain(|ticket| state.requests.contains_key(ticket));
+    waiting.sort_by_key(|ticket| {
+        let request = &state.requests[ticket];
+        let due_ms = request.arrived_ms + request.route().latency_objective_ms;
+        (request.priority, due_ms)
+    });
+    for ticket in waiting {
+        place(state, now_ms, ticket, effects);
+    }
+}
+
+fn should_wait(state: &mut State, now_ms: u64, ticket: Ticket) -> bool {
+    let Some(request) = state.requests.get(&ticket) else {
+        return false;
+    };
+    let Some(engine) = request.configuration.engine(&request.pool) else {
+        return false;
+    };
+    let objective_ms = request.route().latency_objective_ms as f64;
+    let waited_ms = now_ms.saturating_sub(request.arrived_ms) as f64;
+    if waited_ms >= WAIT_SHARE * objective_ms {
+        return false;
+    }
+    let share = match request.route().repetition {
+        Repetition::StreamOnce => LONG_STREAM_SHARE,
+        _ => SHORT_STREAM_SHARE,
+    };
+    let tokens = request.memory_tokens();
+    let room_for = (share * engine.memory_tokens as f64) as u64;
+    let mut ready = state
+        .directory
+        .ready(&request.pool)
+        .filter(|(target, _)| !state.health.is_avoided(now_ms, target))
+        .peekable();
+    if ready.peek().is_none() {
+        return false;
+    }
+    !ready.any(|(target, _)| load_at(state, target).tokens + tokens <= room_for)
+}
+
+/// Notes how far a stream has come.
+pub(super) fn progressed(state: &mut State, ticket: Ticket, events: u64) {
+    let Some(request) = state.requests.get_mut(&ticket) else {
+        return;
+    };
+    let event_tokens = request
+        .configuration
+        .engine(&request.pool)
+        .map_or(1, |engine| engine.event_tokens);
+    request.made_tokens = events * event_tokens;
+    let needed = request.memory_tokens();
+    let is_movable = request.route().repetition == Repetition::StreamOnce;
+    let Some((target, tokens)) = &mut request.running else {
+        return;
+    };
+    let load = state.loads.entry(target.clone()).or_default();
+    load.take_off(*tokens, is_movable);
+    load.add(needed, is_movable);
+    *tokens = needed;
+}
+
 /// Sends a request to the best target, or refuses it.
 fn dispatch(state: &mut State, now_ms: u64, ticket: Ticket, effects: &mut Vec<Effect>) {
     let Some(request) = state.requests.get(&ticket) else {
@@ -158,7 +246,7 @@
     };
     request.sends += 1;
     request.tried.push(choice.target.clone());
-    let tokens = request.arrival.expected_tokens();
+    let tokens = request.memory_tokens();
     request.running = Some((choice.target.clone(), tokens));
     let route = request.route();
     let left_ms = request.give_up_at_ms - now_ms;
@@ -206,7 +294,7 @@
         zone: source_zone
             .filter(|_| is_move)
             .unwrap_or(&state.identity.zone),
-        tokens: request.arrival.expected_tokens(),
+        tokens: request.memory_tokens(),
         is_stream: request.route().repetition.is_stream(),
         engine,
     };
@@ -413,7 +501,7 @@
         let tokens = tickets
             .iter()
             .filter_map(|ticket| state.requests.get(ticket))
-            .map(|request| request.arrival.expected_tokens());
+            .map(Request::memory_tokens);
         runs.push(HostRuns {
             host: state.identity.host.clone(),
             runs: tickets.len() as u32,
@@ -483,9 +571,9 @@
     else {
         return effects.push(Effect::NoDestination { ticket });
     };
-    let tokens = request.arrival.expected_tokens();
+    let tokens = request.memory_tokens();
     request.tried.push(place.clone());
-    request.moving_to = Some(place.clone());
+    request.moving_to = Some((place.clone(), tokens));
     state
         .loads
         .entry(place.clone())
@@ -502,8 +590,7 @@
 pub(super) fn moved(state: &mut State, ticket: Ticket) {
     release(state, ticket);
     if let Some(request) = state.requests.get_mut(&ticket) {
-        let tokens = request.arrival.expected_tokens();
-        request.running = request.moving_to.take().map(|target| (target, tokens));
+        request.running = request.moving_to.take();
         // A target that it has left may take it again when it has started anew.
         request.tried.clear();
     }
@@ -533,8 +620,7 @@
     let Some(request) = state.requests.get_mut(&ticket) else {
         return;
     };
-    let tokens = request.arrival.expected_tokens();
-    if let Some(target) = request.moving_to.take() {
+    if let Some((target, tokens)) = request.moving_to.take() {
         take_off(state, &target, tokens, true);
     }
 }
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -32,19 +32,18 @@
     pub output_tokens_hint: Option<u64>,
 }
 
+/// Tokens that a run may generate before its host has told the others of them: what an
+/// engine makes in about a second.
+const LOOK_AHEAD_TOKENS: u64 = 130;
+
 impl Arrival {
-    /// Returns the memory that the request is expected to need, in tokens.
+    /// Returns the memory that a run needs now and soon, in tokens.
     ///
-    /// The hint is right at the median only, so where there is one it counts half and the
-    /// most that may come counts for the rest.
-    pub fn expected_tokens(&self) -> u64 {
-        let output = match self.output_tokens_hint {
-            Some(hint) => {
-                (3 * hint.min(self.output_tokens_max) + self.output_tokens_max) / 4
-            }
-            None => self.output_tokens_max / 2,
-        };
-        self.prompt_tokens + output
+    /// The length of an answer isn't known and the caller's hint is often far off, so what
+    /// a run has made so far counts, and a little of what comes next.
+    pub fn memory_tokens(&self, made_tokens: u64) -> u64 {
+        let end = self.output_tokens_max.max(made_tokens);
+        self.prompt_tokens + (made_tokens + LOOK_AHEAD_TOKENS).min(end)
     }
 }
 
@@ -210,11 +209,18 @@
     pub verdict: Verdict,
     /// Where it is now, and the memory that is set aside for it there.
     pub running: Option<(TargetName, u64)>,
-    /// Where it is moving.
-    pub moving_to: Option<TargetName>,
+    /// Where it is moving, and the memory that is set aside for it there.
+    pub moving_to: Option<(TargetName, u64)>,
+    /// Tokens that it has made.
+    pub made_tokens: u64,
 }
 
 impl Request {
+    /// Returns the memory that it needs now and soon, in tokens.
+    pub fn memory_tokens(&self) -> u64 {
+        self.arrival.memory_tokens(self.made_tokens)
+    }
+
     /// Returns the route.
     pub fn route(&self) -> &Route {
         &self.configuration.routes[self.route]
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -48,6 +48,7 @@
     pub(crate) budget: Budget,
     pub(crate) health: HealthTable,
     pub(crate) requests: IndexMap<Ticket, Request>,
+    pub(crate) waiting: Vec<Ticket>,
     pub(crate) loads: IndexMap<TargetName, Load>,
     pub(crate) stopping_since_ms: Option<u64>,
     pub(crate) random: u64,
@@ -79,6 +80,7 @@
             budget: Budget::default(),
             health: HealthTable::default(),
             requests: IndexMap::new(),
+            waiting: Vec::new(),
             loads: IndexMap::new(),
             stopping_since_ms: None,
         }
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -25,6 +25,10 @@
 /// Events that may wait for a caller that reads slowly.
 const EVENTS_WAITING: usize = 64;
 
+/// Events between two notes of how far a stream has come; an engine makes as many in about
+/// half a second.
+const PROGRESS_EVENTS: u64 = 16;
+
 /// Longest wait for a copy; targets that leave give less notice than this.
 const COPY_TIMEOUT: Duration = Duration::from_millis(3_000);
 
@@ -51,6 +55,7 @@
     began_ms: u64,
     first_event_ms: Option<u64>,
     last_event_ms: u64,
+    event_count: u64,
     moving: Option<Moving>,
     moves: u32,
 }
@@ -119,6 +124,7 @@
             began_ms: now_ms,
             first_event_ms: None,
             last_event_ms: now_ms,
+            event_count: 0,
             moving: None,
             moves: 0,
         };
@@ -215,6 +221,13 @@
     fn note_event(&mut self) {
         let now_ms = clock::now_ms();
         self.last_event_ms = now_ms;
+        self.event_count += 1;
+        if self.event_count.is_multiple_of(PROGRESS_EVENTS) {
+            self.host.apply(Event::Progressed {
+                ticket: self.open.ticket,
+                events: self.event_count,
+            });
+        }
         if self.first_event_ms.is_none() {
             self.first_event_ms = Some(now_ms);
             let waited_ms = now_ms.saturating_sub(self.began_ms);
