--- a/crates/toucancleat-fleet/src/choice.rs
+++ b/crates/toucancleat-fleet/src/choice.rs
@@ -28,7 +28,18 @@
 const JITTER_COST: f64 = 0.04;
 
 /// Weight of the number of runs beside their memory: each run slows the others' steps.
-const RUNS_WEIGHT: f64 = 0.35;
+const RUNS_WEIGHT: f64 = 0.2;
+
+/// Cost of prompts that an engine has yet to read, for as many tokens as it has memory
+/// for. Prompts are read one after another in the pauses of the others' steps, so a prompt
+/// behind two others waits for about a second, while memory that is half full costs nobody.
+const UNREAD_WEIGHT: f64 = 2.5;
+
+/// Cost of an engine without room for the request: it waits until another run has ended.
+const FULL_COST: f64 = 1.5;
+
+/// Share of an engine's memory above which it counts as full.
+const FULL_SHARE: f64 = 0.95;
 
 /// A target that could be chosen, with what is known of its load.
 #[derive(Clone, Copy, Debug)]
@@ -115,6 +126,9 @@
     let Some(engine) = demand.engine else {
         return runs;
     };
-    let tokens = (candidate.load.tokens + demand.tokens) as f64;
-    tokens / engine.memory_tokens.max(1) as f64 + RUNS_WEIGHT * runs
+    let memory = engine.memory_tokens.max(1) as f64;
+    let fill = (candidate.load.tokens + demand.tokens) as f64 / memory;
+    let unread = candidate.load.unread_tokens as f64 / memory;
+    let full = if fill > FULL_SHARE { FULL_COST } else { 0.0 };
+    fill + RUNS_WEIGHT * runs + UNREAD_WEIGHT * unread + full
 }
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -98,8 +98,10 @@
 pub struct Load {
     /// Requests.
     pub runs: u32,
-    /// Memory that they will need, in tokens.
+    /// Memory that they need now and soon, in tokens.
     pub tokens: u64,
+    /// Prompts among it that the target has yet to read, in tokens.
+    pub unread_tokens: u64,
     /// Those of the requests that have to move when the target leaves.
     pub movable_runs: u32,
     /// The memory of these.
@@ -107,41 +109,23 @@
 }
 
 impl Load {
-    /// Adds one request.
-    pub fn add(&mut self, tokens: u64, is_movable: bool) {
-        self.runs += 1;
-        self.tokens += tokens;
-        if is_movable {
-            self.movable_runs += 1;
-            self.movable_tokens += tokens;
-        }
-    }
-
-    /// Takes one request off.
-    pub fn take_off(&mut self, tokens: u64, is_movable: bool) {
-        self.runs = self.runs.saturating_sub(1);
-        self.tokens = self.tokens.saturating_sub(tokens);
-        if is_movable {
-            self.movable_runs = self.movable_runs.saturating_sub(1);
-            self.movable_tokens = self.movable_tokens.saturating_sub(tokens);
-        }
+    /// Adds all of another load.
+    pub fn join(&mut self, other: Load) {
+        self.runs += other.runs;
+        self.tokens += other.tokens;
+        self.unread_tokens += other.unread_tokens;
+        self.movable_runs += other.movable_runs;
+        self.movable_tokens += other.movable_tokens;
     }
 
     /// Takes all of another load off.
     pub fn part(&mut self, other: Load) {
         self.runs = self.runs.saturating_sub(other.runs);
         self.tokens = self.tokens.saturating_sub(other.tokens);
+        self.unread_tokens = self.unread_tokens.saturating_sub(other.unread_tokens);
         self.movable_runs = self.movable_runs.saturating_sub(other.movable_runs);
         self.movable_tokens = self.movable_tokens.saturating_sub(other.movable_tokens);
     }
-
-    /// Adds all of another load.
-    pub fn join(&mut self, other: Load) {
-        self.runs += other.runs;
-        self.tokens += other.tokens;
-        self.movable_runs += other.movable_runs;
-        self.movable_tokens += other.movable_tokens;
-    }
 }
 
 /// The last message heard of a host.
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -199,15 +199,14 @@
         .engine(&request.pool)
         .map_or(1, |engine| engine.event_tokens);
     request.made_tokens = events * event_tokens;
-    let needed = request.memory_tokens();
-    let is_movable = request.route().repetition == Repetition::StreamOnce;
-    let Some((target, tokens)) = &mut request.running else {
+    let needed = request.load();
+    let Some((target, counted)) = &mut request.running else {
         return;
     };
     let load = state.loads.entry(target.clone()).or_default();
-    load.take_off(*tokens, is_movable);
-    load.add(needed, is_movable);
-    *tokens = needed;
+    load.part(*counted);
+    load.join(needed);
+    *counted = needed;
 }
 
 /// Sends a request to the best target, or refuses it.
@@ -246,8 +245,8 @@
     };
     request.sends += 1;
     request.tried.push(choice.target.clone());
-    let tokens = request.memory_tokens();
-    request.running = Some((choice.target.clone(), tokens));
+    let added = request.load();
+    request.running = Some((choice.target.clone(), added));
     let route = request.route();
     let left_ms = request.give_up_at_ms - now_ms;
     let patience_ms = match route.repetition {
@@ -270,9 +269,7 @@
         repetition: route.repetition,
         basis,
     };
-    let is_movable = route.repetition == Repetition::StreamOnce;
-    let load = state.loads.entry(choice.target).or_default();
-    load.add(tokens, is_movable);
+    state.loads.entry(choice.target).or_default().join(added);
     effects.push(Effect::Dispatch(Box::new(dispatch)));
 }
 
@@ -331,7 +328,7 @@
     outcome: Outcome,
     effects: &mut Vec<Effect>,
 ) {
-    let Some((target, _)) = release(state, ticket) else {
+    let Some(target) = release(state, ticket) else {
         return;
     };
     state.health.note(now_ms, &target, evidence(outcome));
@@ -571,14 +568,10 @@
     else {
         return effects.push(Effect::NoDestination { ticket });
     };
-    let tokens = request.memory_tokens();
+    let added = request.load();
     request.tried.push(place.clone());
-    request.moving_to = Some((place.clone(), tokens));
-    state
-        .loads
-        .entry(place.clone())
-        .or_default()
-        .add(tokens, true);
+    request.moving_to = Some((place.clone(), added));
+    state.loads.entry(place.clone()).or_default().join(added);
     effects.push(Effect::Evacuate {
         ticket,
         to: place,
@@ -608,26 +601,25 @@
     state.requests.swap_remove(&ticket);
 }
 
-fn release(state: &mut State, ticket: Ticket) -> Option<(TargetName, u64)> {
+fn release(state: &mut State, ticket: Ticket) -> Option<TargetName> {
     let request = state.requests.get_mut(&ticket)?;
-    let (target, tokens) = request.running.take()?;
-    let is_movable = request.route().repetition == Repetition::StreamOnce;
-    take_off(state, &target, tokens, is_movable);
-    Some((target, tokens))
+    let (target, counted) = request.running.take()?;
+    take_off(state, &target, counted);
+    Some(target)
 }
 
 fn release_destination(state: &mut State, ticket: Ticket) {
     let Some(request) = state.requests.get_mut(&ticket) else {
         return;
     };
-    if let Some((target, tokens)) = request.moving_to.take() {
-        take_off(state, &target, tokens, true);
+    if let Some((target, counted)) = request.moving_to.take() {
+        take_off(state, &target, counted);
     }
 }
 
-fn take_off(state: &mut State, target: &TargetName, tokens: u64, is_movable: bool) {
+fn take_off(state: &mut State, target: &TargetName, counted: Load) {
     if let Some(load) = state.loads.get_mut(target) {
-        load.take_off(tokens, is_movable);
+        load.part(counted);
         if load.runs == 0 {
             state.loads.swap_remove(target);
         }
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -6,6 +6,7 @@
 use toucancleat_core::prelude::*;
 
 use crate::configuration::{Configuration, Repetition, Route};
+use crate::peers::Load;
 
 /// Number of a request within one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -207,10 +208,10 @@
     pub sends: u32,
     /// Whether it may have run.
     pub verdict: Verdict,
-    /// Where it is now, and the memory that is set aside for it there.
-    pub running: Option<(TargetName, u64)>,
-    /// Where it is moving, and the memory that is set aside for it there.
-    pub moving_to: Option<(TargetName, u64)>,
+    /// Where it is now, and what is counted for it there.
+    pub running: Option<(TargetName, Load)>,
+    /// Where it is moving, and what is counted for it there.
+    pub moving_to: Option<(TargetName, Load)>,
     /// Tokens that it has made.
     pub made_tokens: u64,
 }
@@ -221,6 +222,26 @@
         self.arrival.memory_tokens(self.made_tokens)
     }
 
+    /// Returns what it adds to the load of a target.
+    ///
+    /// A prompt counts as unread until the first event; the memory of a run that moves is
+    /// not read again.
+    pub fn load(&self) -> Load {
+        let tokens = self.memory_tokens();
+        let is_movable = self.route().repetition == Repetition::StreamOnce;
+        Load {
+            runs: 1,
+            tokens,
+            unread_tokens: if self.made_tokens == 0 {
+                self.arrival.prompt_tokens
+            } else {
+                0
+            },
+            movable_runs: u32::from(is_movable),
+            movable_tokens: if is_movable { tokens } else { 0 },
+        }
+    }
+
     /// Returns the route.
     pub fn route(&self) -> &Route {
         &self.configuration.routes[self.route]
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -222,7 +222,7 @@
         let now_ms = clock::now_ms();
         self.last_event_ms = now_ms;
         self.event_count += 1;
-        if self.event_count.is_multiple_of(PROGRESS_EVENTS) {
+        if self.event_count % PROGRESS_EVENTS == 1 {
             self.host.apply(Event::Progressed {
                 ticket: self.open.ticket,
                 events: self.event_count,
