Tell the zone of each stream at once, and cross zones only for room

Cause: engines' own reports beside the hosts' estimate showed that the estimate is right (22.4 k tokens an engine, waiting ones included), and that work is uneven: engines with 10 to 14 requests for five places while others idled. Whatever engine had just joined was chosen by 61 hosts within the 0.9 s that loads are old in other zones.

--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -2,6 +2,7 @@
 
 use toucancleat_core::prelude::*;
 
+use super::speech;
 use crate::budget::Bound;
 use crate::choice::{Candidate, Choice, Demand, choose};
 use crate::configuration::Repetition;
@@ -31,9 +32,16 @@
 /// Time after which a caller may come back where targets are missing or full.
 const RETRY_LATER_MS: u64 = 900;
 
-/// Share of the latency objective that a request may wait here for room. The rest is for
-/// the engine to read the prompt.
-const WAIT_SHARE: f64 = 0.5;
+/// Part of the latency objective that a request may wait here for room, as a divisor. A
+/// caller who is told within that time loses little by coming back.
+const WAIT_DIVISOR: u64 = 8;
+
+/// Shortest time after which a caller may come back where all engines are full; about what
+/// a long stream still runs for.
+const COME_BACK_MIN_MS: u64 = 2_000;
+
+/// Span over which callers are spread who come back, so that they don't come at once.
+const COME_BACK_SPREAD_MS: f64 = 4_000.0;
 
 /// Share of an engine's memory up to which it takes long streams; the rest is for what
 /// they grow by, for short streams and for runs that move there.
@@ -42,6 +50,10 @@
 /// Share of an engine's memory up to which it takes short streams.
 const SHORT_STREAM_SHARE: f64 = 0.97;
 
+/// Share of the memory of an engine in another zone up to which it is used when the own
+/// zone is full. What is known of it is older, and hosts of several zones may come.
+const OTHER_ZONE_SHARE: f64 = 0.7;
+
 /// Times the latency objective that a stream that may be run again is waited for.
 const STREAM_PATIENCE: u64 = 2;
 
@@ -139,10 +151,22 @@
 /// An engine that runs out of memory throws out a run that has begun and reads its prompt
 /// anew, which costs every run there; a request that has not begun waits for less.
 fn place(state: &mut State, now_ms: u64, ticket: Ticket, effects: &mut Vec<Effect>) {
-    if should_wait(state, now_ms, ticket) {
+    let Some(request) = state.requests.get(&ticket) else {
+        return;
+    };
+    if has_room(state, now_ms, request, Reach::OwnZone) {
+        return dispatch(state, now_ms, ticket, effects);
+    }
+    let objective_ms = request.route().latency_objective_ms;
+    let waited_ms = now_ms.saturating_sub(request.arrived_ms);
+    if waited_ms < objective_ms / WAIT_DIVISOR {
         state.waiting.push(ticket);
-    } else {
+    } else if has_room(state, now_ms, request, Reach::OtherZones) {
         dispatch(state, now_ms, ticket, effects);
+    } else {
+        let retry_ms =
+            COME_BACK_MIN_MS + (draw(&mut state.random) * COME_BACK_SPREAD_MS) as u64;
+        refuse(state, ticket, Reason::TargetsFull, Some(retry_ms), effects);
     }
 }
 
@@ -160,33 +184,41 @@
     }
 }
 
-fn should_wait(state: &mut State, now_ms: u64, ticket: Ticket) -> bool {
-    let Some(request) = state.requests.get(&ticket) else {
-        return false;
-    };
+/// Which zones' engines are looked at for room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reach {
+    OwnZone,
+    OtherZones,
+}
+
+/// Says whether a request can start at some target now.
+///
+/// Plain services take what comes, and where the zone has no engine that works there is
+/// no point in waiting for one.
+fn has_room(state: &State, now_ms: u64, request: &Request, reach: Reach) -> bool {
     let Some(engine) = request.configuration.engine(&request.pool) else {
-        return false;
+        return true;
     };
-    let objective_ms = request.route().latency_objective_ms as f64;
-    let waited_ms = now_ms.saturating_sub(request.arrived_ms) as f64;
-    if waited_ms >= WAIT_SHARE * objective_ms {
-        return false;
-    }
-    let share = match request.route().repetition {
-        Repetition::StreamOnce => LONG_STREAM_SHARE,
-        _ => SHORT_STREAM_SHARE,
+    let share = match (reach, request.route().repetition) {
+        (Reach::OtherZones, _) => OTHER_ZONE_SHARE,
+        (Reach::OwnZone, Repetition::StreamOnce) => LONG_STREAM_SHARE,
+        (Reach::OwnZone, _) => SHORT_STREAM_SHARE,
     };
     let tokens = request.memory_tokens();
     let room_for = (share * engine.memory_tokens as f64) as u64;
-    let mut ready = state
+    let own_zone = &state.identity.zone;
+    let mut reached = state
         .directory
         .ready(&request.pool)
-        .filter(|(target, _)| !state.health.is_avoided(now_ms, target))
+        .filter(|(target, entry)| {
+            (entry.zone == *own_zone) == (reach == Reach::OwnZone)
+                && !state.health.is_avoided(now_ms, target)
+        })
         .peekable();
-    if ready.peek().is_none() {
-        return false;
+    if reached.peek().is_none() {
+        return reach == Reach::OwnZone;
     }
-    !ready.any(|(target, _)| load_at(state, target).tokens + tokens <= room_for)
+    reached.any(|(target, _)| load_at(state, target).tokens + tokens <= room_for)
 }
 
 /// Notes how far a stream has come.
@@ -270,7 +302,12 @@
         basis,
     };
     state.loads.entry(choice.target).or_default().join(added);
+    let is_stream = dispatch.repetition.is_stream();
     effects.push(Effect::Dispatch(Box::new(dispatch)));
+    if is_stream {
+        // Hosts that choose among the same engines learn of it before they choose next.
+        speech::say_to_zones(state, now_ms, &entry.zone, effects);
+    }
 }
 
 fn choose_for(
