--- /dev/null
+++ b/crates/toucancleat-gateway/tests/support/store.rs
@@ -0,0 +1,159 @@
+//! A stand-in of the platform's store: rows, reads of a table, and feeds of changes.
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+
+/// The store's rows.
+#[derive(Debug)]
+pub struct Store {
+    pub address: SocketAddr,
+    rows: RefCell<Vec<Row>>,
+    version: Cell<u64>,
+    changed: Notify,
+    /// Whether the store answers 503 to everything.
+    pub is_down: Cell<bool>,
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    table: String,
+    key: String,
+    value: Option<String>,
+    version: u64,
+}
+
+impl Store {
+    /// Starts an empty store.
+    pub async fn start() -> Rc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let store = Rc::new(Store {
+            address: listener.local_addr().unwrap(),
+            rows: RefCell::default(),
+            version: Cell::new(0),
+            changed: Notify::new(),
+            is_down: Cell::new(false),
+        });
+        tokio::task::spawn_local(serve(store.clone(), listener));
+        store
+    }
+
+    /// Writes a row, or removes it.
+    pub fn write(&self, table: &str, key: &str, value: Option<&Value>) {
+        let text = value.map(|value| BASE64.encode(value.to_string()));
+        self.write_text(table, key, text);
+    }
+
+    fn write_text(&self, table: &str, key: &str, value: Option<String>) {
+        let version = self.version.get() + 1;
+        self.version.set(version);
+        let mut rows = self.rows.borrow_mut();
+        rows.retain(|row| row.table != table || row.key != key);
+        rows.push(Row {
+            table: table.to_owned(),
+            key: key.to_owned(),
+            value,
+            version,
+        });
+        drop(rows);
+        self.changed.notify_waiters();
+    }
+
+    fn list(&self, table: &str, after: Option<u64>) -> Vec<Value> {
+        let rows = self.rows.borrow();
+        rows.iter()
+            .filter(|row| row.table == table)
+            .filter(|row| after.map_or(row.value.is_some(), |after| row.version > after))
+            .map(|row| match &row.value {
+                Some(value) => json!({"table": table, "part": "", "key": row.key,
+                    "value": value, "ver": row.version}),
+                None => json!({"table": table, "part": "", "key": row.key,
+                    "ver": row.version, "removed": true}),
+            })
+            .collect()
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> (StatusCode, Value) {
+        if self.is_down.get() {
+            return (StatusCode::SERVICE_UNAVAILABLE, Value::Null);
+        }
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let part = |name: &str| {
+            query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .find(|(key, _)| *key == name)
+                .map(|(_, value)| value.to_owned())
+        };
+        let table = part("table").unwrap_or_default();
+        match request.uri().path() {
+            "/v1/rows-get" => (StatusCode::OK, self.page(self.list(&table, None))),
+            "/v1/rows-feed" => {
+                let after = part("after").and_then(|text| text.parse().ok());
+                let wait = part("wait_ms").and_then(|text| text.parse().ok());
+                let end = Duration::from_millis(wait.unwrap_or_default());
+                let _ = tokio::time::timeout(end, async {
+                    loop {
+                        let changed = self.changed.notified();
+                        if !self.list(&table, after).is_empty() {
+                            return;
+                        }
+                        changed.await;
+                    }
+                })
+                .await;
+                (StatusCode::OK, self.page(self.list(&table, after)))
+            }
+            "/v1/rows-tx" => {
+                let body = request.into_body().collect().await.unwrap().to_bytes();
+                let body: Value = serde_json::from_slice(&body).unwrap();
+                for row in body["put"].as_array().into_iter().flatten() {
+                    let text = |name: &str| row[name].as_str().unwrap().to_owned();
+                    self.write_text(&text("table"), &text("key"), Some(text("value")));
+                }
+                (
+                    StatusCode::OK,
+                    json!({"ver": self.version.get(), "now_ms": 1}),
+                )
+            }
+            _ => (StatusCode::NOT_FOUND, Value::Null),
+        }
+    }
+
+    fn page(&self, rows: Vec<Value>) -> Value {
+        json!({"rows": rows, "more_pages": false, "ver": self.version.get(), "now_ms": 1})
+    }
+}
+
+async fn serve(store: Rc<Store>, listener: TcpListener) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let store = store.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|request| async {
+                let (status, body) = store.answer(request).await;
+                let mut response =
+                    Response::new(Full::new(Bytes::from(body.to_string())));
+                *response.status_mut() = status;
+                Ok::<_, Infallible>(response)
+            });
+            // A caller that leaves ends its connection.
+            let _ = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
