--- a/crates/toucancleat-gateway/src/main.rs
+++ b/crates/toucancleat-gateway/src/main.rs
@@ -18,10 +18,18 @@
     /// Port at which metrics are served, at the address of the callers
     #[bpaf(argument("PORT"))]
     metrics_port: Option<u16>,
+    /// Only read and check the settings
+    check: bool,
 }
 
 fn main() -> ExitCode {
     let options = options().run();
+    if options.check {
+        return match toucancleat_gateway::Settings::read(&options.settings) {
+            Ok(_) => ExitCode::SUCCESS,
+            Err(error) => fail(&error),
+        };
+    }
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build();
