Tell looks from before a pause by when they were asked for

Cause of no_new_work_from_a_host_that_was_paused_meanwhile, as far as reading shows: looks under way at a pause were only counted, so when one from after the pause came back first it was taken for the old one, and the old one, which says that the target serves, released what was held. Ruled out: dispatches older than a second (dropped) and looks without an answer. The new case in tests/freshness fails with the counts. Whether it is the whole cause is being measured.

--- a/crates/toucancleat-core/src/effect.rs
+++ b/crates/toucancleat-core/src/effect.rs
@@ -138,6 +138,8 @@
     Observe {
         /// The target.
         target: TargetName,
+        /// When this is asked, to come back with what is seen.
+        asked_ms: u64,
         /// What it is.
         class: TargetClass,
         /// Its address, IP and port.
--- a/crates/toucancleat-core/src/event.rs
+++ b/crates/toucancleat-core/src/event.rs
@@ -45,6 +45,8 @@
     Observed {
         /// The target.
         target: TargetName,
+        /// When the look was asked for.
+        asked_ms: u64,
         /// What was seen.
         observation: Observation,
     },
--- a/crates/toucancleat-core/src/freshness.rs
+++ b/crates/toucancleat-core/src/freshness.rs
@@ -20,13 +20,9 @@
 #[derive(Debug, Default)]
 pub struct State {
     ticked_ms: Option<u64>,
-    /// Whether the host was ever paused.
-    was_paused: bool,
+    /// When the end of the last pause was noticed.
+    woke_ms: Option<u64>,
     looked_at: IndexSet<TargetName>,
-    /// Looks that were asked for and have not come back.
-    asked: IndexMap<TargetName, u32>,
-    /// Looks among them from before the pause, which say how things were then.
-    stale: IndexMap<TargetName, u32>,
     held: IndexMap<TargetName, Vec<Dispatch>>,
 }
 
@@ -37,10 +33,9 @@
             .ticked_ms
             .is_some_and(|ticked_ms| now_ms.saturating_sub(ticked_ms) > PAUSE_MS);
         if paused {
-            self.was_paused = true;
+            self.woke_ms = Some(now_ms);
             self.ticked_ms = Some(now_ms);
             self.looked_at.clear();
-            self.stale = self.asked.clone();
         }
         paused
     }
@@ -52,7 +47,7 @@
 
     /// Says whether a target has to be looked at before it is given a request.
     pub fn must_look(&self, target: &TargetName) -> bool {
-        self.was_paused && !self.looked_at.contains(target)
+        self.woke_ms.is_some() && !self.looked_at.contains(target)
     }
 
     /// Keeps a dispatch until its target has been looked at; returns whether it is the
@@ -63,34 +58,27 @@
         held.len() == 1
     }
 
-    /// Notes that a look at a target was asked for.
-    pub fn asked(&mut self, target: &TargetName) {
-        *self.asked.entry(target.clone()).or_default() += 1;
-    }
-
     /// Notes that a look at a target has come back, and returns what was held for it.
     ///
-    /// A look without an answer shows nothing: what was held must go elsewhere.
-    pub fn looked(&mut self, target: &TargetName, answered: bool) -> Vec<Dispatch> {
-        take_one(&mut self.asked, target);
-        if take_one(&mut self.stale, target) {
+    /// A look that was asked for before the pause says how things were then, in whatever
+    /// order looks come back, so it shows nothing and what is held stays held. A look
+    /// without an answer shows nothing either, but nothing better may come: what was held
+    /// must go elsewhere.
+    pub fn looked(
+        &mut self,
+        target: &TargetName,
+        asked_ms: u64,
+        answered: bool,
+    ) -> Vec<Dispatch> {
+        let Some(woke_ms) = self.woke_ms else {
+            return Vec::new();
+        };
+        if asked_ms < woke_ms {
             return Vec::new();
         }
-        if self.was_paused && answered {
+        if answered {
             self.looked_at.insert(target.clone());
         }
         self.held.swap_remove(target).unwrap_or_default()
     }
 }
-
-/// Counts one down; says whether there was one.
-fn take_one(counts: &mut IndexMap<TargetName, u32>, target: &TargetName) -> bool {
-    let Some(count) = counts.get_mut(target) else {
-        return false;
-    };
-    *count -= 1;
-    if *count == 0 {
-        counts.swap_remove(target);
-    }
-    true
-}
--- a/crates/toucancleat-core/src/reduce/observations.rs
+++ b/crates/toucancleat-core/src/reduce/observations.rs
@@ -50,9 +50,9 @@
         };
         let at_ms = now_ms + interval_ms;
         state.observe_at_ms.insert(name.clone(), at_ms);
-        state.freshness.asked(name);
         effects.push(Effect::Observe {
             target: name.clone(),
+            asked_ms: now_ms,
             class,
             address: target.address.clone(),
         });
@@ -115,9 +115,9 @@
     };
     let at_ms = now_ms + OBSERVE_HOME_MS;
     state.observe_at_ms.insert(target.clone(), at_ms);
-    state.freshness.asked(target);
     effects.push(Effect::Observe {
         target: target.clone(),
+        asked_ms: now_ms,
         class: pool.class,
         address: found.address.clone(),
     });
@@ -128,13 +128,14 @@
     state: &mut State,
     now_ms: u64,
     target: TargetName,
+    asked_ms: u64,
     observation: Observation,
     effects: &mut Vec<Effect>,
 ) {
     let answered = observation != Observation::Silent;
     take(state, now_ms, target.clone(), observation, effects);
     // N.B. only now is it known whether the target leaves.
-    for dispatch in state.freshness.looked(&target, answered) {
+    for dispatch in state.freshness.looked(&target, asked_ms, answered) {
         dispatch::dispatch_held(state, now_ms, dispatch, answered, effects);
     }
 }
--- a/crates/toucancleat-core/tests/freshness.rs
+++ b/crates/toucancleat-core/tests/freshness.rs
@@ -68,18 +68,16 @@
     let other = TargetName::new("plan-llm-1");
     let mut state = State::default();
     state.ticked(1_000);
-    state.asked(&target);
     assert!(state.runs(9_000));
     assert!(state.hold(dispatch(1, "plan-llm-0")));
     assert!(!state.hold(dispatch(2, "plan-llm-0")));
-    state.asked(&target);
 
-    // The first look was asked for before the pause, and says how things were then.
-    assert!(state.looked(&target, true).is_empty());
+    // This look was asked for before the pause, and says how things were then.
+    assert!(state.looked(&target, 990, true).is_empty());
     assert!(state.must_look(&target));
 
     let released: Vec<_> = state
-        .looked(&target, true)
+        .looked(&target, 9_000, true)
         .iter()
         .map(|d| d.request.0)
         .collect();
@@ -92,6 +90,27 @@
     assert!(state.must_look(&target));
 }
 
+/// Looks were counted once, so that the first to come back was taken for the one from
+/// before the pause, and that one for the one after it.
+#[test]
+fn looks_that_come_back_in_another_order() {
+    let target = TargetName::new("plan-llm-0");
+    let mut state = State::default();
+    state.ticked(1_000);
+    assert!(state.runs(9_000));
+    state.hold(dispatch(1, "plan-llm-0"));
+    assert_eq!(state.looked(&target, 9_000, true).len(), 1);
+    assert!(!state.must_look(&target));
+
+    state.ticked(9_050);
+    assert!(state.runs(20_000));
+    state.hold(dispatch(2, "plan-llm-0"));
+    assert_eq!(state.looked(&target, 20_000, false).len(), 1, "goes elsewhere");
+    state.hold(dispatch(3, "plan-llm-0"));
+    assert!(state.looked(&target, 9_040, true).is_empty(), "from before");
+    assert!(state.must_look(&target));
+}
+
 #[test]
 fn a_look_without_an_answer_shows_nothing() {
     let target = TargetName::new("plan-llm-0");
@@ -99,7 +118,6 @@
     state.ticked(1_000);
     assert!(state.runs(9_000));
     state.hold(dispatch(1, "plan-llm-0"));
-    state.asked(&target);
-    assert_eq!(state.looked(&target, false).len(), 1);
+    assert_eq!(state.looked(&target, 9_010, false).len(), 1);
     assert!(state.must_look(&target));
 }
--- a/crates/toucancleat-core/tests/host_list.rs
+++ b/crates/toucancleat-core/tests/host_list.rs
@@ -45,6 +45,7 @@
 fn serving_since(started_unix_ms: u64) -> Event {
     Event::Observed {
         target: TargetName::new("plan-llm-0"),
+        asked_ms: 0,
         observation: Observation::Serving {
             started_unix_ms,
             load: None,
--- a/crates/toucancleat-entry/src/driver.rs
+++ b/crates/toucancleat-entry/src/driver.rs
@@ -219,11 +219,12 @@
             }
             Effect::Observe {
                 target,
+                asked_ms,
                 class,
                 address,
             } => {
                 let host = self.host.clone();
-                tokio::spawn(observe::observe(host, target, class, address));
+                tokio::spawn(observe::observe(host, target, asked_ms, class, address));
             }
             Effect::ApplySettings(settings) => {
                 log::info!(revision = settings.revision.0; "settings are in force");
--- a/crates/toucancleat-entry/src/observe.rs
+++ b/crates/toucancleat-entry/src/observe.rs
@@ -24,6 +24,7 @@
 pub(crate) async fn observe(
     host: Arc<Host>,
     target: TargetName,
+    asked_ms: u64,
     class: TargetClass,
     address: String,
 ) {
@@ -43,6 +44,7 @@
     }
     host.tell(Input::Event(Event::Observed {
         target,
+        asked_ms,
         observation,
     }));
 }
