Ask the store less where it doesn't answer or the host is alone; settle the lease

Now failures back off, and a host that hears no other reads lists only.

Lease: a_new_holder_orders_under_a_higher_number failed when the process ended after its release was sent and before the table had it: the lease counts as not held from the sending on, and the stop waited for that.

--- a/crates/toucancleat-core/src/orders/lease.rs
+++ b/crates/toucancleat-core/src/orders/lease.rs
@@ -105,6 +105,11 @@
         self.held(now_ms).map(|held| held.term)
     }
 
+    /// Says whether the lease is neither held nor on its way to or from being held.
+    pub(super) fn is_settled(&self) -> bool {
+        matches!(self.step, Step::Watching { .. })
+    }
+
     /// Says whether an order may be given now.
     pub(super) fn may_order(&self, now_ms: u64) -> bool {
         let held = self.held(now_ms);
--- a/crates/toucancleat-core/src/orders/mod.rs
+++ b/crates/toucancleat-core/src/orders/mod.rs
@@ -88,6 +88,14 @@
     pub fn term(&self, now_ms: u64) -> Option<FencingNumber> {
         self.lease.term(now_ms)
     }
+
+    /// Says whether this host neither holds the lease nor waits for a write of its row.
+    ///
+    /// A host that ends before then may leave the row as it was, and the next holder would
+    /// wait out the lease and the orders that may be open under it.
+    pub fn is_lease_settled(&self) -> bool {
+        self.lease.is_settled()
+    }
 }
 
 /// Applies one event.
--- a/crates/toucancleat-core/src/reduce/mod.rs
+++ b/crates/toucancleat-core/src/reduce/mod.rs
@@ -55,7 +55,9 @@
             target,
             asked_ms,
             observation,
-        } => observations::observed(state, now_ms, target, asked_ms, observation, effects),
+        } => {
+            observations::observed(state, now_ms, target, asked_ms, observation, effects)
+        }
         Event::Streams(event) => streams::apply(state, now_ms, event, effects),
         Event::Orders(event) => orders::apply(state, now_ms, event, effects),
         Event::Drain => drain(state, now_ms, effects),
--- a/crates/toucancleat-core/tests/freshness.rs
+++ b/crates/toucancleat-core/tests/freshness.rs
@@ -105,7 +105,11 @@
     state.ticked(9_050);
     assert!(state.runs(20_000));
     state.hold(dispatch(2, "plan-llm-0"));
-    assert_eq!(state.looked(&target, 20_000, false).len(), 1, "goes elsewhere");
+    assert_eq!(
+        state.looked(&target, 20_000, false).len(),
+        1,
+        "goes elsewhere"
+    );
     state.hold(dispatch(3, "plan-llm-0"));
     assert!(state.looked(&target, 9_040, true).is_empty(), "from before");
     assert!(state.must_look(&target));
--- a/crates/toucancleat-core/tests/orders/main.rs
+++ b/crates/toucancleat-core/tests/orders/main.rs
@@ -226,6 +226,44 @@
     assert_eq!(world.term(0), None);
 }
 
+/// A process that ended when its release was sent took the release with it.
+#[test]
+fn lease_is_settled_only_when_the_table_has_the_release() {
+    let config = Config::default();
+    let zone = ZoneName::new("upp-a");
+    let mut state = State::new(config, &zone, &HostName::new("entry-1"), 1);
+    let feed = |state: &mut State, now_ms, event| {
+        let mut effects = Vec::new();
+        orders::reduce(state, now_ms, event, &mut effects);
+        effects
+    };
+    let written = |write, version| Event::LeaseWritten {
+        write,
+        outcome: WriteOutcome::Applied { version },
+    };
+    assert!(state.is_lease_settled());
+    feed(&mut state, 0, Event::Candidate { is_candidate: true });
+    feed(&mut state, 0, Event::Tick);
+    feed(&mut state, 0, Event::LeaseRead { row: Some(None) });
+    assert!(!state.is_lease_settled(), "on its way");
+    feed(&mut state, 10, written(1, 1));
+    assert!(!state.is_lease_settled(), "held");
+    let candidate = Event::Candidate {
+        is_candidate: false,
+    };
+    feed(&mut state, 20, candidate);
+    let effects = feed(&mut state, 50, Event::Tick);
+    let release = effects.iter().find_map(|effect| match effect {
+        Effect::WriteLease { write, value, .. } if value.released => Some(*write),
+        _ => None,
+    });
+    let release = release.expect("the lease is given back");
+    assert_eq!(state.term(50), None, "not used from now on");
+    assert!(!state.is_lease_settled(), "the table may not have it yet");
+    feed(&mut state, 60, written(release, 2));
+    assert!(state.is_lease_settled());
+}
+
 #[test]
 fn late_reply_does_not_revive_a_lapsed_lease() {
     let config = Config::default();
--- a/crates/toucancleat-entry/src/serving.rs
+++ b/crates/toucancleat-entry/src/serving.rs
@@ -163,10 +163,11 @@
     }
 
     async fn is_settled(&self) -> bool {
-        let now_ms = self.host.clock.now_ms();
-        let settled = self.host.inspect(move |state| {
-            state.claims.is_empty() && state.orders.term(now_ms).is_none()
-        });
+        // N.B. the lease is of no use from the moment its release is sent, but it is given
+        // back only when the table has the release.
+        let settled = self
+            .host
+            .inspect(|state| state.claims.is_empty() && state.orders.is_lease_settled());
         settled.await.unwrap_or(true)
     }
 
--- a/crates/toucancleat-fleet/src/reduce/knowledge.rs
+++ b/crates/toucancleat-fleet/src/reduce/knowledge.rs
@@ -27,7 +27,7 @@
     if state.reads || has_missed || lacks_configuration {
         start(state, now_ms, Query::Configuration, effects);
     }
-    if state.reads && !lacks_targets {
+    if state.reads && !lacks_targets && follows_feeds(state, now_ms) {
         let after = state.directory.known_version();
         start(state, now_ms, Query::TargetFeed { after }, effects);
         let after = state.calls.configuration_feed_after();
@@ -44,6 +44,16 @@
     }
 }
 
+/// Says whether feeds are worth their calls.
+///
+/// While the store doesn't answer, the lists show when it does again. A host of a fleet
+/// that hears no other is most likely cut off alone, and so may be many at once, each a
+/// reader: lists are enough for the few runs of one host.
+fn follows_feeds(state: &State, now_ms: u64) -> bool {
+    let hears_others = state.peers.heard(now_ms).next().is_some();
+    state.calls.failures() == 0 && (hears_others || state.peers.fleet_size() == 1)
+}
+
 fn choose_reader(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
     let own = &state.identity.host;
     let reads = if state.peers.has_reader(now_ms, own, state.reads) {
@@ -142,6 +152,7 @@
             state.missed_since_ms = None;
             state.calls.note_configuration_feed(store_version);
             let shifts = state.directory.replace(store_version, list);
+            state.calls.note_targets(state.directory.iter().count());
             take_shifts(state, now_ms, shifts, effects);
         }
         Reply::TargetFeed {
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -22,11 +22,22 @@
 /// Time between two reads of the whole host list by a reader, for the same reason.
 pub const LIST_INTERVAL_MS: u64 = 1_000;
 
-/// Shortest time between two calls to the feed; bounds its calls when targets are many.
-pub const FEED_INTERVAL_MS: u64 = 40;
+/// Shortest time between two calls to a feed.
+pub const FEED_INTERVAL_MIN_MS: u64 = 40;
 
-/// Pause after a call that failed.
-pub const RETRY_INTERVAL_MS: u64 = 150;
+/// Longest such time: a target that leaves has to be known of within about 100 ms.
+pub const FEED_INTERVAL_MAX_MS: u64 = 100;
+
+/// Time between two calls to a feed for each target. Each heartbeat of a target ends a
+/// call, so that with many targets every call would find a change and cost for little.
+pub const FEED_INTERVAL_PER_TARGET_MS: u64 = 2;
+
+/// Pause after a call that failed; doubled with each failure in a row.
+pub const RETRY_INTERVAL_MIN_MS: u64 = 150;
+
+/// Longest such pause. Calls that fail cost as much as others, and the bounds of the
+/// configuration allow for it.
+pub const RETRY_INTERVAL_MAX_MS: u64 = 1_000;
 
 /// Longest time that a feed may wait for a change.
 pub const FEED_WAIT_MS: u64 = 1_000;
@@ -127,6 +138,7 @@
     last_success_ms: Option<u64>,
     failures: u32,
     configuration_feed_after: u64,
+    feed_interval_ms: u64,
 }
 
 impl Calls {
@@ -160,11 +172,13 @@
             self.failures = self.failures.saturating_add(1);
         }
         let pause_ms = match (succeeded, query) {
-            (false, _) => RETRY_INTERVAL_MS,
+            (false, _) => {
+                (RETRY_INTERVAL_MIN_MS << self.failures.min(4)).min(RETRY_INTERVAL_MAX_MS)
+            }
             (true, Query::Configuration) => CONFIRM_INTERVAL_MS,
             (true, Query::Targets) => LIST_INTERVAL_MS,
             (true, Query::TargetFeed { .. } | Query::ConfigurationFeed { .. }) => {
-                FEED_INTERVAL_MS
+                self.feed_interval_ms.max(FEED_INTERVAL_MIN_MS)
             }
             (true, Query::Hosts | Query::Register) => 0,
         };
@@ -179,6 +193,12 @@
         started_ms
     }
 
+    /// Notes how many targets there are, on which the pace of feeds depends.
+    pub fn note_targets(&mut self, targets: usize) {
+        self.feed_interval_ms = (targets as u64 * FEED_INTERVAL_PER_TARGET_MS)
+            .clamp(FEED_INTERVAL_MIN_MS, FEED_INTERVAL_MAX_MS);
+    }
+
     /// Returns the time since the last answer of the store.
     pub fn success_age_ms(&self, now_ms: u64) -> Option<u64> {
         self.last_success_ms
--- a/crates/toucancleat-fleet/tests/knowledge.rs
+++ b/crates/toucancleat-fleet/tests/knowledge.rs
@@ -17,6 +17,8 @@
     silent: IndexSet<usize>,
     /// Hosts that have asked the store.
     asked: IndexSet<usize>,
+    /// What they have asked.
+    queries: Vec<Query>,
 }
 
 impl Fleet {
@@ -32,6 +34,7 @@
             now_ms: START_MS,
             silent: IndexSet::new(),
             asked: IndexSet::new(),
+            queries: Vec::new(),
         };
         for host in &mut fleet.hosts {
             inform(host, START_MS, targets);
@@ -68,6 +71,7 @@
         for effect in effects {
             if let Effect::Read(query) = effect {
                 self.asked.insert(place);
+                self.queries.push(query);
                 let reply = match query {
                     _ if !store_answers => Reply::Failed,
                     Query::Configuration => Reply::Configuration(Some(configuration(1))),
@@ -138,6 +142,35 @@
     assert!(ages.flatten().all(|age_ms| age_ms < 1_600));
 }
 
+/// On a grown site 30 hosts that were cut off from each other made 7,000 calls.
+#[test]
+fn a_host_that_is_cut_off_alone_reads_lists_only() {
+    let mut fleet = Fleet::new(3, &[]);
+    fleet.pass(1_000);
+    fleet.silent.extend([0, 1]);
+    fleet.pass(2_000);
+    fleet.queries.clear();
+    fleet.pass(4_000);
+    let feeds = |query: &&Query| {
+        matches!(
+            query,
+            Query::TargetFeed { .. } | Query::ConfigurationFeed { .. }
+        )
+    };
+    assert_eq!(fleet.queries.iter().filter(feeds).count(), 0);
+    assert!(!fleet.queries.is_empty());
+}
+
+#[test]
+fn a_store_that_does_not_answer_is_asked_less_and_less() {
+    let mut fleet = Fleet::new(1, &[]);
+    fleet.pass_with(1_000, false);
+    fleet.queries.clear();
+    fleet.pass_with(10_000, false);
+    let asked = fleet.queries.len();
+    assert!((10..=25).contains(&asked), "{asked} in 10 s");
+}
+
 #[test]
 fn keys_fail_closed_when_nobody_reaches_the_store() {
     let mut fleet = Fleet::new(3, &[("roster-1", entry("roster", "upp-a", 201))]);
