--- a/crates/toucancleat-fleet/src/reduce/knowledge.rs
+++ b/crates/toucancleat-fleet/src/reduce/knowledge.rs
@@ -16,9 +16,7 @@
 /// Starts the reads that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
     choose_reader(state, now_ms, effects);
-    let has_missed = state
-        .missed_since_ms
-        .is_some_and(|since_ms| now_ms >= since_ms + MISSED_CHANGE_MS);
+    let has_missed = has_missed(state, now_ms);
     let lacks_targets = state.directory.known_version() == 0;
     let lacks_configuration = state.configuration.is_none();
     if state.reads || has_missed || lacks_targets {
@@ -44,6 +42,16 @@
     }
 }
 
+/// Says whether this host has been behind others for longer than news may be on its way.
+fn has_missed(state: &mut State, now_ms: u64) -> bool {
+    if !state.is_behind() {
+        state.missed_since_ms = None;
+        return false;
+    }
+    let since_ms = *state.missed_since_ms.get_or_insert(now_ms);
+    now_ms >= since_ms + MISSED_CHANGE_MS
+}
+
 /// Says whether feeds are worth their calls.
 ///
 /// While the store doesn't answer, the lists show when it does again. A host of a fleet
@@ -108,7 +116,6 @@
     }
     match reply {
         Reply::Configuration(configuration) => {
-            state.missed_since_ms = None;
             let Some(configuration) = configuration else {
                 return;
             };
@@ -149,7 +156,6 @@
             store_version,
             list,
         } => {
-            state.missed_since_ms = None;
             state.calls.note_configuration_feed(store_version);
             let shifts = state.directory.replace(store_version, list);
             state.calls.note_targets(state.directory.iter().count());
--- a/crates/toucancleat-fleet/src/reduce/speech.rs
+++ b/crates/toucancleat-fleet/src/reduce/speech.rs
@@ -95,11 +95,24 @@
     message: Message,
     effects: &mut Vec<Effect>,
 ) {
-    if !state.peers.hear(now_ms, state.identity.address, &message) {
+    if message.address == state.identity.address {
         return;
     }
-    let counts = message.counts.iter().cloned().collect();
-    state.budget.hear(now_ms, message.from.clone(), counts);
+    // News counts also where a later message has overtaken it.
+    take_news(state, now_ms, &message, effects);
+    if state.peers.hear(now_ms, state.identity.address, &message) {
+        let counts = message.counts.iter().cloned().collect();
+        state.budget.hear(now_ms, message.from.clone(), counts);
+        catch_up(state, now_ms, &message);
+    }
+}
+
+fn take_news(
+    state: &mut State,
+    now_ms: u64,
+    message: &Message,
+    effects: &mut Vec<Effect>,
+) {
     match &message.news {
         Some(News::Configuration(configuration)) => {
             knowledge::adopt(state, configuration, effects);
@@ -125,15 +138,18 @@
         }
         None => {}
     }
-    catch_up(state, now_ms, &message);
 }
 
 /// Compares what the sender knows with what is known here.
 fn catch_up(state: &mut State, now_ms: u64, message: &Message) {
+    let spoken_of = &mut state.spoken_of;
+    spoken_of.configuration = spoken_of.configuration.max(message.configuration_version);
+    spoken_of.host_list = spoken_of.host_list.max(message.content_version);
+    if message.content_version <= state.directory.known_version() {
+        state.directory.advance(message.known_version);
+    }
     let own_version = state.configuration.as_ref().map(|known| known.version);
-    if message.configuration_version > own_version {
-        state.missed_since_ms.get_or_insert(now_ms);
-    } else if message.configuration_version == own_version
+    if message.configuration_version == own_version
         && let Some(age_ms) = message.configuration_age_ms
         && let Some(sent_ms) =
             sent_no_earlier_ms(message, state.identity.incarnation, now_ms)
@@ -141,9 +157,4 @@
     {
         knowledge::confirm(state, confirmed_ms);
     }
-    if message.content_version > state.directory.known_version() {
-        state.missed_since_ms.get_or_insert(now_ms);
-    } else {
-        state.directory.advance(message.known_version);
-    }
 }
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -28,6 +28,13 @@
     pub incarnation: u64,
 }
 
+/// Versions of what all hosts should know.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Versions {
+    pub(crate) configuration: Option<u64>,
+    pub(crate) host_list: u64,
+}
+
 /// Everything that the decisions of one entry host depend on.
 #[derive(Debug)]
 pub struct State {
@@ -39,6 +46,8 @@
     pub(crate) leaves_at_ms: IndexMap<TargetName, u64>,
     pub(crate) calls: Calls,
     pub(crate) reads: bool,
+    /// Highest versions that other hosts have spoken of.
+    pub(crate) spoken_of: Versions,
     pub(crate) missed_since_ms: Option<u64>,
     pub(crate) is_registered: bool,
     pub(crate) peers: Peers,
@@ -71,6 +80,7 @@
             leaves_at_ms: IndexMap::new(),
             calls: Calls::default(),
             reads: true,
+            spoken_of: Versions::default(),
             missed_since_ms: None,
             is_registered: false,
             peers,
@@ -110,6 +120,13 @@
             && self.directory.known_version() > 0
     }
 
+    /// Says whether another host knows of something that this one doesn't.
+    pub(crate) fn is_behind(&self) -> bool {
+        let own_version = self.configuration.as_ref().map(|known| known.version);
+        self.spoken_of.configuration > own_version
+            || self.spoken_of.host_list > self.directory.known_version()
+    }
+
     /// Says whether keys may still be trusted.
     pub(crate) fn is_fresh(&self, now_ms: u64) -> bool {
         self.configuration_age_ms(now_ms)
--- a/crates/toucancleat-fleet/tests/knowledge.rs
+++ b/crates/toucancleat-fleet/tests/knowledge.rs
@@ -261,10 +261,36 @@
     for (to, message) in messages(&effects) {
         fleet.deliver(to, message);
     }
+    let effects = apply(&mut fleet.hosts[1], now_ms + 210, Event::Tick);
+    assert!(reads(&effects).is_empty(), "the news may only be late");
     let effects = apply(&mut fleet.hosts[1], now_ms + 300, Event::Tick);
     assert!(reads(&effects).contains(&Query::Targets));
 }
 
+/// Regular messages of many hosts overtake the news of one; on a grown site each of 60
+/// hosts read the store for that.
+#[test]
+fn a_host_that_hears_the_news_late_does_not_ask() {
+    let mut fleet = Fleet::new(3, &[("engine-1", entry("engines", "upp-a", 101))]);
+    let now_ms = fleet.now_ms;
+    let feed = Query::TargetFeed { after: 10 };
+    let gone = Reply::TargetFeed {
+        store_version: 30,
+        changes: vec![change("engine-1", 30, None)],
+    };
+    let news = answer(&mut fleet.hosts[0], now_ms, feed, gone);
+    let regular = apply(&mut fleet.hosts[0], now_ms + 200, Event::Tick);
+    for (to, message) in messages(&regular) {
+        fleet.deliver(to, message);
+    }
+    apply(&mut fleet.hosts[1], now_ms + 210, Event::Tick);
+    for (to, message) in messages(&news) {
+        fleet.deliver(to, message);
+    }
+    let effects = apply(&mut fleet.hosts[1], now_ms + 400, Event::Tick);
+    assert!(!reads(&effects).contains(&Query::Targets));
+}
+
 /// On the grown site's quiet day an engine that had just joined got 14 requests for five
 /// places within the time in which hosts didn't know of each other's choices.
 #[test]
