Give logs, pages and the platform's calls one copy each of what they share

duplicates named four: the JSON line of a log record (entry and gateway), the headers of one connection and the building of calls (platform), and the loop of a small server (readiness and metrics).

--- a/crates/toucancleat-gateway/src/lib.rs
+++ b/crates/toucancleat-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod idle;
 mod logging;
 mod metrics;
+mod page;
 mod peers;
 mod readiness;
 mod relay;
@@ -57,16 +58,16 @@
     };
     let state = State::new(identity, settings.fleet_config(), &settings.seed_addresses);
     let callers = connection::listen(settings.callers_address)?;
-    let readiness = connection::listen(settings.readiness_address)?;
+    let ready_listener = connection::listen(settings.readiness_address)?;
     let (host, inputs) = Host::new(settings, state);
     let peers = peers::Socket::bind(&host).await?;
     tokio::task::spawn_local(peers::receive(host.clone(), peers.clone()));
     tokio::task::spawn_local(peers::send(host.clone(), peers, inputs));
-    tokio::task::spawn_local(readiness::serve(host.clone(), readiness));
+    tokio::task::spawn_local(page::serve(host.clone(), ready_listener, readiness::page));
     if let Some(port) = metrics_port {
         let address = SocketAddr::new(host.settings.callers_address.ip(), port);
         let listener = connection::listen(address)?;
-        tokio::task::spawn_local(metrics::serve(host.clone(), listener));
+        tokio::task::spawn_local(page::serve(host.clone(), listener, metrics::page));
     }
     tokio::task::spawn_local(stop::watch_reload(settings_path.to_owned(), host.clone()));
     tokio::task::spawn_local(tick(host.clone()));
--- a/crates/toucancleat-gateway/src/logging.rs
+++ b/crates/toucancleat-gateway/src/logging.rs
@@ -7,10 +7,9 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
-use log::kv::{self, Key, Value, VisitSource};
-use serde_json::{Map, json};
+use serde_json::json;
 
 /// Name of the environment variable that sets the level.
 const LEVEL_VARIABLE: &str = "TOUCANCLEAT_LOG";
@@ -36,17 +35,7 @@
     let started = env_logger::Builder::from_env(env)
         .target(env_logger::Target::Pipe(Box::new(Queue(lines))))
         .format(move |out, record| {
-            let at = SystemTime::now().duration_since(UNIX_EPOCH);
-            let at_unix_ms = at.map_or(0, |since| since.as_millis() as u64);
-            let mut line = Map::new();
-            line.insert("at_unix_ms".to_owned(), json!(at_unix_ms));
-            line.insert("level".to_owned(), json!(record.level().as_str()));
-            line.insert("process".to_owned(), json!(process));
-            line.insert("message".to_owned(), json!(record.args().to_string()));
-            let mut fields = Fields(line);
-            // N.B. the visitor never fails, so no field is lost here.
-            let _ = record.key_values().visit(&mut fields);
-            writeln!(out, "{}", serde_json::Value::Object(fields.0))
+            writeln!(out, "{}", toucancleat_log::line(&process, record))
         })
         .try_init();
     drop(started);
@@ -93,22 +82,3 @@
         }
     }
 }
-
-struct Fields(Map<String, serde_json::Value>);
-
-impl<'kvs> VisitSource<'kvs> for Fields {
-    fn visit_pair(
-        &mut self,
-        key: Key<'kvs>,
-        value: Value<'kvs>,
-    ) -> Result<(), kv::Error> {
-        let value = match (value.to_u64(), value.to_f64(), value.to_bool()) {
-            (Some(number), _, _) => json!(number),
-            (_, Some(number), _) => json!(number),
-            (_, _, Some(flag)) => json!(flag),
-            _ => json!(value.to_string()),
-        };
-        self.0.insert(key.as_str().to_owned(), value);
-        Ok(())
-    }
-}
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -1,13 +1,8 @@
 //! Counters and histograms.
 
-use std::convert::Infallible;
-use std::rc::Rc;
-
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::service::service_fn;
 use hyper::{Response, header};
-use hyper_util::rt::TokioIo;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -15,7 +10,6 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
-use tokio::net::TcpListener;
 
 use crate::host::Host;
 
@@ -128,34 +122,13 @@
     }
 }
 
-/// Serves the figures as text.
-pub async fn serve(host: Rc<Host>, listener: TcpListener) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!(error:% = error; "a question for metrics was not accepted");
-                tokio::task::yield_now().await;
-                continue;
-            }
-        };
-        let host = host.clone();
-        tokio::task::spawn_local(async move {
-            let answer = service_fn(|_| {
-                let mut text = String::new();
-                // Writing to a text can't fail.
-                let _ = encode(&mut text, &host.metrics.registry);
-                let response = Response::builder()
-                    .header(header::CONTENT_TYPE, "text/plain; version=1.0.0")
-                    .body(Full::new(Bytes::from(text)))
-                    .unwrap_or_default();
-                std::future::ready(Ok::<_, Infallible>(response))
-            });
-            let connection = hyper::server::conn::http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), answer);
-            if let Err(error) = connection.await {
-                log::debug!(error:% = error; "a question for metrics broke off");
-            }
-        });
-    }
+/// Gives the figures as text.
+pub fn page(host: &Host) -> Response<Full<Bytes>> {
+    let mut text = String::new();
+    // Writing to a text can't fail.
+    let _ = encode(&mut text, &host.metrics.registry);
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    let kind = header::HeaderValue::from_static("text/plain; version=1.0.0");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
 }
