--- a/crates/toucancleat-entry/tests/claim_failures.rs
+++ b/crates/toucancleat-entry/tests/claim_failures.rs
@@ -138,6 +138,7 @@
             faults.cut_reply = Some(CutReply {
                 after_bytes: 20,
                 times: 1,
+                posts_only: true,
             })
         },
     },
--- a/crates/toucancleat-entry/tests/http_client.rs
+++ b/crates/toucancleat-entry/tests/http_client.rs
@@ -40,6 +40,7 @@
             faults.cut_reply = Some(CutReply {
                 after_bytes: 0,
                 times: 1,
+                posts_only: false,
             })
         },
         reset_idle: false,
--- a/crates/toucancleat-standin/src/proxy/faults.rs
+++ b/crates/toucancleat-standin/src/proxy/faults.rs
@@ -36,6 +36,10 @@
     pub after_bytes: u64,
     /// The number of connections that it happens to.
     pub times: u32,
+    /// Whether it only happens to connections that carry a `POST`. A host's look at a
+    /// target passes the same link and would otherwise take the cut.
+    #[serde(default)]
+    pub posts_only: bool,
 }
 
 /// One direction of a proxied connection.
--- a/crates/toucancleat-standin/src/proxy/link.rs
+++ b/crates/toucancleat-standin/src/proxy/link.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,9 @@
 /// The pieces that may be under way in one direction while they are delayed.
 const QUEUE_CHUNKS: usize = 64;
 
+/// How a request begins that may do something.
+const POST: &[u8] = b"POST ";
+
 /// Bytes that are due at the other side, or their end.
 struct Chunk {
     due: Instant,
@@ -38,8 +42,9 @@
     let _ = client.set_nodelay(true).and(upstream.set_nodelay(true));
     let (client_read, client_write) = client.split();
     let (upstream_read, upstream_write) = upstream.split();
-    let to_upstream = Pump::new(&shared, Direction::ToUpstream);
-    let to_client = Pump::new(&shared, Direction::ToClient);
+    let has_posted = AtomicBool::new(false);
+    let to_upstream = Pump::new(&shared, Direction::ToUpstream, &has_posted);
+    let to_client = Pump::new(&shared, Direction::ToClient, &has_posted);
     let ended = tokio::select! {
         ended = async {
             tokio::try_join!(
@@ -65,11 +70,21 @@
 struct Pump<'a> {
     shared: &'a Shared,
     direction: Direction,
+    /// Whether a request with the method `POST` came on the connection.
+    has_posted: &'a AtomicBool,
 }
 
 impl<'a> Pump<'a> {
-    fn new(shared: &'a Shared, direction: Direction) -> Pump<'a> {
-        Pump { shared, direction }
+    fn new(
+        shared: &'a Shared,
+        direction: Direction,
+        has_posted: &'a AtomicBool,
+    ) -> Pump<'a> {
+        Pump {
+            shared,
+            direction,
+            has_posted,
+        }
     }
 
     /// Forwards bytes until the source ends; an error stands for a broken side.
@@ -120,6 +135,9 @@
                 self.shared.state().records.discarded_bytes += length as u64;
                 continue;
             }
+            if self.direction == Direction::ToUpstream && buffer.starts_with(POST) {
+                self.has_posted.store(true, Ordering::SeqCst);
+            }
             let chunk = Chunk {
                 due: self.due(),
                 bytes: Some(Bytes::copy_from_slice(&buffer[..length])),
@@ -144,7 +162,8 @@
                 return sink.shutdown().await;
             };
             if self.direction == Direction::ToClient && budget_bytes.is_none() {
-                budget_bytes = self.shared.take_cut_reply();
+                let has_posted = self.has_posted.load(Ordering::SeqCst);
+                budget_bytes = self.shared.take_cut_reply(has_posted);
             }
             if let Some(budget_bytes) = &mut budget_bytes {
                 bytes.truncate(usize::try_from(*budget_bytes).unwrap_or(usize::MAX));
--- a/crates/toucancleat-standin/src/proxy/mod.rs
+++ b/crates/toucancleat-standin/src/proxy/mod.rs
@@ -191,13 +191,13 @@
     }
 
     /// Uses up one cut reply, and returns the bytes that it lets through.
-    fn take_cut_reply(&self) -> Option<u64> {
+    fn take_cut_reply(&self, has_posted: bool) -> Option<u64> {
         let mut after_bytes = None;
         self.faults.send_if_modified(|faults| {
             let Some(cut) = &mut faults.cut_reply else {
                 return false;
             };
-            if cut.times == 0 {
+            if cut.times == 0 || (cut.posts_only && !has_posted) {
                 return false;
             }
             cut.times -= 1;
--- a/crates/toucancleat-standin/tests/proxy.rs
+++ b/crates/toucancleat-standin/tests/proxy.rs
@@ -157,6 +157,7 @@
         let cut = CutReply {
             after_bytes,
             times: 1,
+            posts_only: false,
         };
         pair.proxy.set_faults(|faults| faults.cut_reply = Some(cut));
         pair.client.write_all(b"ping").await.expect("written");
@@ -180,6 +181,33 @@
     }
 }
 
+/// A cut for a booking was taken by the reply to a host's look at the same service.
+#[tokio::test]
+async fn a_cut_for_posts_passes_over_other_requests() {
+    let mut pair = Pair::open().await;
+    let cut = CutReply {
+        after_bytes: 0,
+        times: 1,
+        posts_only: true,
+    };
+    pair.proxy.set_faults(|faults| faults.cut_reply = Some(cut));
+    let mut four = [0; 4];
+    pair.client.write_all(b"GET ").await.expect("written");
+    pair.upstream.read_exact(&mut four).await.expect("read");
+    pair.upstream.write_all(b"pong").await.expect("written");
+    pair.client.read_exact(&mut four).await.expect("not cut");
+    let mut client = TcpStream::connect(pair.proxy.address())
+        .await
+        .expect("a client");
+    let (mut upstream, _) = pair.listener.accept().await.expect("an upstream");
+    client.write_all(b"POST ").await.expect("written");
+    let mut five = [0; 5];
+    upstream.read_exact(&mut five).await.expect("read");
+    upstream.write_all(b"pong").await.expect("written");
+    assert!(client.read_exact(&mut four).await.is_err(), "cut");
+    assert_eq!(pair.proxy.records().cut_replies, 1);
+}
+
 #[tokio::test]
 async fn a_half_close_ends_one_direction() {
     let mut pair = Pair::open().await;
