--- a/crates/toucancleat-gateway/tests/answers.rs
+++ b/crates/toucancleat-gateway/tests/answers.rs
@@ -168,11 +168,15 @@
         let target = Target::start("api-1", says(GOOD)).await;
         let store = deployment("api", &[&target]).await;
         let host = Process::start(&store).await;
-        let mut stream = tokio::net::TcpStream::connect(host.callers).await.unwrap();
+        let mut stream = tokio::net::TcpStream::connect(host.place.callers)
+            .await
+            .unwrap();
         let head = "POST /book/1 HTTP/1.1\r\nHost: plans.example\r\nContent-Length: 90000\r\n\r\n";
         stream.write_all(head.as_bytes()).await.unwrap();
         assert_eq!(caller::read(&mut stream).await.status, 413);
-        let mut stream = tokio::net::TcpStream::connect(host.callers).await.unwrap();
+        let mut stream = tokio::net::TcpStream::connect(host.place.callers)
+            .await
+            .unwrap();
         let long = "x".repeat(40_000);
         let head = format!(
             "GET /look/1 HTTP/1.1\r\nHost: plans.example\r\nLong: {long}\r\n\r\n"
@@ -198,7 +202,7 @@
         let host = Process::start(&store).await;
         for path in ["/book/1", "/look/1"] {
             let before = target.left.get();
-            let stream = caller::send(host.callers, path, "a-1").await;
+            let stream = caller::send(host.place.callers, path, "a-1").await;
             let asked = target.count("POST") + 1;
             until("the request at the target", || {
                 target.count("POST") >= asked
--- a/crates/toucancleat-gateway/tests/streams.rs
+++ b/crates/toucancleat-gateway/tests/streams.rs
@@ -125,7 +125,7 @@
         let two = Target::start("llm-2", behaviour).await;
         let store = deployment("llm", &[&one, &two]).await;
         let host = Process::start(&store).await;
-        let mut caller = caller::send(host.callers, "/draft/1", "a-1").await;
+        let mut caller = caller::send(host.place.callers, "/draft/1", "a-1").await;
         until("the run", || {
             one.count("POST /draft") + two.count("POST /draft") == 1
         })
@@ -175,7 +175,7 @@
         let engine = Target::start("llm-1", behaviour).await;
         let store = deployment("llm", &[&engine]).await;
         let mut host = Process::start(&store).await;
-        let mut begun = caller::send(host.callers, "/draft/1", "a-1").await;
+        let mut begun = caller::send(host.place.callers, "/draft/1", "a-1").await;
         let mut first = [0; 16];
         begun.read_exact(&mut first).await.unwrap();
         assert_eq!(&first[..12], b"HTTP/1.1 200");
@@ -217,7 +217,7 @@
             of("a-77") == 2 && of("a-78") == 1
         })
         .await;
-        let figures = caller::ask(host.metrics, "/metrics", "m").await.body;
+        let figures = caller::ask(host.place.metrics, "/metrics", "m").await.body;
         assert!(figures.contains(r#"toucancleat_requests_total{outcome="answered"} 1"#));
         assert!(figures.contains(r#"toucancleat_requests_total{outcome="no_route"} 1"#));
         assert!(figures.contains("toucancleat_first_event_seconds_count 1"));
--- a/crates/toucancleat-gateway/tests/support/caller.rs
+++ b/crates/toucancleat-gateway/tests/support/caller.rs
@@ -33,18 +33,32 @@
     }
 }
 
+/// Time for which callers wait who don't say otherwise.
+const DEADLINE_MS: u64 = 15_000;
+
 /// Sends a request on a connection of its own.
 pub async fn send(address: SocketAddr, path: &str, id: &str) -> TcpStream {
-    let mut stream = TcpStream::connect(address).await.unwrap();
+    let sent = send_within(address, path, id, DEADLINE_MS).await;
+    sent.unwrap()
+}
+
+/// Sends a request of a caller that waits for some time only.
+pub async fn send_within(
+    address: SocketAddr,
+    path: &str,
+    id: &str,
+    deadline_ms: u64,
+) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(address).await?;
     let body = "what is asked";
     let request = format!(
         "POST {path} HTTP/1.1\r\nHost: plans.example\r\nX-Attempt-Id: {id}\r\n\
-         X-Deadline-Ms: 15000\r\nX-Token-Usage: 100,80\r\nX-Model: m\r\n\
+         X-Deadline-Ms: {deadline_ms}\r\nX-Token-Usage: 100,80\r\nX-Model: m\r\n\
          Authorization: Bearer k-1\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     );
-    stream.write_all(request.as_bytes()).await.unwrap();
-    stream
+    stream.write_all(request.as_bytes()).await?;
+    Ok(stream)
 }
 
 /// Sends a request and reads the answer.
--- a/crates/toucancleat-gateway/tests/support/process.rs
+++ b/crates/toucancleat-gateway/tests/support/process.rs
@@ -13,13 +13,38 @@
 use super::target::Target;
 use super::{WAIT, free_address, until};
 
+/// Where a host runs; it keeps its place when it is started again.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub host: String,
+    pub zone: &'static str,
+    pub store: SocketAddr,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub metrics: SocketAddr,
+    pub peers: SocketAddr,
+}
+
+impl Place {
+    /// Chooses free addresses for a host.
+    pub fn new(host: &str, zone: &'static str, store: SocketAddr) -> Self {
+        Place {
+            host: host.to_owned(),
+            zone,
+            store,
+            callers: free_address(),
+            readiness: free_address(),
+            metrics: free_address(),
+            peers: free_address(),
+        }
+    }
+}
+
 /// A host process, ended with the test.
 pub struct Process {
     child: Child,
     directory: PathBuf,
-    pub callers: SocketAddr,
-    pub readiness: SocketAddr,
-    pub metrics: SocketAddr,
+    pub place: Place,
 }
 
 impl Drop for Process {
@@ -41,17 +66,19 @@
 
     /// Starts a host.
     pub fn start_unready(store: &Store) -> Self {
-        let callers = free_address();
-        let readiness = free_address();
-        let metrics = free_address();
+        Process::start_at(Place::new("host-1", "z-1", store.address))
+    }
+
+    /// Starts a host at its place.
+    pub fn start_at(place: Place) -> Self {
         let directory =
-            std::env::temp_dir().join(format!("toucancleat-{}", callers.port()));
+            std::env::temp_dir().join(format!("toucancleat-{}", place.callers.port()));
         std::fs::create_dir_all(&directory).unwrap();
         let settings = json!({
-            "host": "host-1", "availability_zone": "z-1",
-            "callers_address": callers, "readiness_address": readiness,
-            "peers_address": free_address(), "seed_addresses": [],
-            "store_address": store.address, "revocation_bound_ms": 5000,
+            "host": place.host, "availability_zone": place.zone,
+            "callers_address": place.callers, "readiness_address": place.readiness,
+            "peers_address": place.peers, "seed_addresses": [],
+            "store_address": place.store, "revocation_bound_ms": 5000,
             "retry_ratio": 0.2, "retry_window_s": 10, "retry_allowance": 56,
             "stop_grace_s": 8, "target_heartbeat_ms": 1200,
         });
@@ -60,7 +87,7 @@
         let log = std::fs::File::create(directory.join("log")).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_toucancleat-gateway"))
             .arg("--metrics-port")
-            .arg(metrics.port().to_string())
+            .arg(place.metrics.port().to_string())
             .env("TOUCANCLEAT_CONFIG", &path)
             .stdout(Stdio::from(log))
             .spawn()
@@ -68,9 +95,7 @@
         Process {
             child,
             directory,
-            callers,
-            readiness,
-            metrics,
+            place,
         }
     }
 
@@ -87,20 +112,20 @@
 
     /// Asks whether the host is ready; 0 where nothing listens.
     pub async fn readiness(&self) -> u16 {
-        if tokio::net::TcpStream::connect(self.readiness)
+        if tokio::net::TcpStream::connect(self.place.readiness)
             .await
             .is_err()
         {
             return 0;
         }
-        caller::ask(self.readiness, "/v1/readyz", "ready")
+        caller::ask(self.place.readiness, "/v1/readyz", "ready")
             .await
             .status
     }
 
     /// Sends a request and reads its answer.
     pub async fn ask(&self, path: &str, id: &str) -> Seen {
-        caller::ask(self.callers, path, id).await
+        caller::ask(self.place.callers, path, id).await
     }
 
     pub fn signal(&self, signal: Signal) {
