--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -5,7 +5,7 @@
 use super::speech;
 use crate::budget::Bound;
 use crate::choice::{Candidate, Choice, Demand, choose};
-use crate::configuration::{Repetition, Route};
+use crate::configuration::Repetition;
 use crate::event::Effect;
 use crate::health::Evidence;
 use crate::peers::Load;
@@ -295,7 +295,7 @@
         target: choice.target.clone(),
         address: entry.address,
         organisation: request.organisation.clone(),
-        priority: engine_priority(route, request.priority),
+        priority: request.priority,
         give_up_at_ms: request.give_up_at_ms,
         answer_by_ms: now_ms + patience_ms.min(left_ms),
         repetition: route.repetition,
@@ -310,18 +310,6 @@
     }
 }
 
-/// Returns the rank of a request at its target.
-///
-/// An engine whose memory runs out throws out the newest of its least urgent runs. A long
-/// stream that can't be run again is not thrown out for a short one: both get the first
-/// rank, and the newest, which has cost least, goes.
-fn engine_priority(route: &Route, priority: u8) -> u8 {
-    match route.repetition {
-        Repetition::StreamOnce => 0,
-        _ => priority,
-    }
-}
-
 fn choose_for(
     state: &mut State,
     now_ms: u64,
