--- a/crates/toucancleat-fleet/src/settings.rs
+++ b/crates/toucancleat-fleet/src/settings.rs
@@ -13,8 +13,6 @@
     pub retry_allowance: f64,
     /// Time from the request to stop until the process is ended by force.
     pub stop_grace_ms: u64,
-    /// Time between two entries that a live target writes to the host list.
-    pub target_heartbeat_ms: u64,
 }
 
 impl Default for Config {
@@ -26,7 +24,6 @@
             retry_window_ms: 10_000,
             retry_allowance: 10.0,
             stop_grace_ms: 8_000,
-            target_heartbeat_ms: 1_200,
         }
     }
 }
--- a/crates/toucancleat-gateway/src/settings.rs
+++ b/crates/toucancleat-gateway/src/settings.rs
@@ -37,12 +37,6 @@
     pub retry_allowance: Option<f64>,
     /// Time from the request to stop until the process is ended by force.
     pub stop_grace_s: Option<f64>,
-    /// Time between two entries of a live target.
-    pub target_heartbeat_ms: Option<f64>,
-    /// Memory that the process may use.
-    pub memory_mb: Option<f64>,
-    /// Descriptors that the process may have open.
-    pub descriptors: Option<f64>,
 }
 
 impl Settings {
@@ -68,7 +62,6 @@
             ("retry_window_s", self.retry_window_s),
             ("retry_allowance", self.retry_allowance),
             ("stop_grace_s", self.stop_grace_s),
-            ("target_heartbeat_ms", self.target_heartbeat_ms),
         ];
         for (name, figure) in figures {
             if figure.is_some_and(|figure| !figure.is_finite() || figure < 0.0) {
@@ -94,10 +87,6 @@
             retry_window_ms: s(self.retry_window_s, default.retry_window_ms),
             retry_allowance: self.retry_allowance.unwrap_or(default.retry_allowance),
             stop_grace_ms: s(self.stop_grace_s, default.stop_grace_ms),
-            target_heartbeat_ms: ms(
-                self.target_heartbeat_ms,
-                default.target_heartbeat_ms,
-            ),
         }
     }
 }
--- a/crates/toucancleat-gateway/tests/support/process.rs
+++ b/crates/toucancleat-gateway/tests/support/process.rs
@@ -80,7 +80,7 @@
             "peers_address": place.peers, "seed_addresses": [],
             "store_address": place.store, "revocation_bound_ms": 5000,
             "retry_ratio": 0.2, "retry_window_s": 10, "retry_allowance": 56,
-            "stop_grace_s": 8, "target_heartbeat_ms": 1200,
+            "stop_grace_s": 8,
         });
         let path = directory.join("settings.json");
         std::fs::write(&path, format!("// one host\n{settings}")).unwrap();
