Use lapsed targets for a moment, and look for other hosts again

Found by reading. A host that heard nobody looked for others only when its clock was a multiple of two seconds, which a tick of 25 ms seldom meets: two hosts that start together without seeds might never have met. And when all entries of a pool had expired during an outage of the store, everything was refused until they were back, and moves without a destination used up retries. New tests fail without.

--- a/crates/toucancleat-fleet/src/reduce/knowledge.rs
+++ b/crates/toucancleat-fleet/src/reduce/knowledge.rs
@@ -7,15 +7,15 @@
 use crate::event::{Effect, Note};
 use crate::peers::News;
 use crate::state::State;
-use crate::store::{MISSED_CHANGE_MS, Query, READER_STAGGER_MS, Reply};
+use crate::store::{LAPSE_GRACE_MS, MISSED_CHANGE_MS, Query, READER_STAGGER_MS, Reply};
 use crate::target::Shift;
 
-/// Time between two looks for other hosts while none is heard.
-const HOSTS_INTERVAL_MS: u64 = 2_000;
-
 /// Starts the reads that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
     choose_reader(state, now_ms, effects);
+    state
+        .lapsed
+        .retain(|_, (_, since_ms)| now_ms < *since_ms + LAPSE_GRACE_MS);
     let has_missed = has_missed(state, now_ms);
     let lacks_targets = state.directory.known_version() == 0;
     let lacks_configuration = state.configuration.is_none();
@@ -37,7 +37,7 @@
         start(state, now_ms, Query::Register, effects);
     }
     let hears_nobody = state.peers.heard(now_ms).next().is_none();
-    if hears_nobody && now_ms.is_multiple_of(HOSTS_INTERVAL_MS) || !state.is_registered {
+    if hears_nobody || !state.is_registered {
         start(state, now_ms, Query::Hosts, effects);
     }
 }
@@ -231,6 +231,7 @@
     for shift in shifts {
         match shift {
             Shift::Joined(target) => {
+                state.lapsed.swap_remove(&target);
                 state.health.forget(&target);
                 state.leaves_at_ms.swap_remove(&target);
                 effects.push(Effect::Note(Note::TargetJoined {
@@ -251,6 +252,11 @@
                         address: entry.address,
                     });
                 }
+                if !entry.is_leaving {
+                    // Its entry is gone without a notice.
+                    let lapsed = (entry.clone(), now_ms);
+                    state.lapsed.insert(target.clone(), lapsed);
+                }
                 leaving.push((target, entry));
             }
         }
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -258,7 +258,9 @@
         let retry_ms = Some(RETRY_LATER_MS);
         return refuse(state, ticket, Reason::NoTarget, retry_ms, effects);
     };
-    let Some(entry) = state.directory.get(&choice.target).cloned() else {
+    let listed = state.directory.get(&choice.target);
+    let lapsed = state.lapsed.get(&choice.target).map(|(entry, _)| entry);
+    let Some(entry) = listed.or(lapsed).cloned() else {
         return;
     };
     let basis = Basis {
@@ -334,8 +336,8 @@
     };
     let tried = &request.tried;
     let candidates = state
-        .directory
-        .ready(&request.pool)
+        .usable(&request.pool)
+        .into_iter()
         .filter(|(target, _)| !tried.contains(*target))
         .map(|(target, entry)| Candidate {
             target,
@@ -512,13 +514,11 @@
     for (target, _) in leaving {
         let mut places = plan.swap_remove(target).unwrap_or_default();
         for ticket in movable_at(state, target) {
-            if !take_retry(state, now_ms, ticket) {
-                effects.push(Effect::NoDestination { ticket });
-                continue;
-            }
             match places.pop() {
-                Some(place) => send_to(state, ticket, place, effects),
-                None => evacuate(state, now_ms, ticket, effects),
+                Some(place) if take_retry(state, now_ms, ticket) => {
+                    send_to(state, ticket, place, effects);
+                }
+                _ => effects.push(Effect::NoDestination { ticket }),
             }
         }
     }
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -13,7 +13,7 @@
 use crate::request::{Request, Ticket};
 use crate::settings::Config;
 use crate::store::Calls;
-use crate::target::Directory;
+use crate::target::{Directory, TargetEntry};
 
 /// Who this host is.
 #[derive(Clone, Debug)]
@@ -43,6 +43,8 @@
     pub(crate) configuration: Option<Arc<Configuration>>,
     pub(crate) confirmed_ms: Option<u64>,
     pub(crate) directory: Directory,
+    /// Targets whose entries are gone without a notice, and since when.
+    pub(crate) lapsed: IndexMap<TargetName, (TargetEntry, u64)>,
     pub(crate) leaves_at_ms: IndexMap<TargetName, u64>,
     pub(crate) calls: Calls,
     pub(crate) reads: bool,
@@ -77,6 +79,7 @@
             configuration: None,
             confirmed_ms: None,
             directory: Directory::default(),
+            lapsed: IndexMap::new(),
             leaves_at_ms: IndexMap::new(),
             calls: Calls::default(),
             reads: true,
@@ -120,6 +123,24 @@
             && self.directory.known_version() > 0
     }
 
+    /// Returns the targets of a pool that may get new work.
+    ///
+    /// Where the host list names none, those count that it named until just now.
+    pub(crate) fn usable<'a>(
+        &'a self,
+        pool: &'a PoolName,
+    ) -> Vec<(&'a TargetName, &'a TargetEntry)> {
+        let ready: Vec<_> = self.directory.ready(pool).collect();
+        if !ready.is_empty() {
+            return ready;
+        }
+        let lapsed = self
+            .lapsed
+            .iter()
+            .map(|(target, (entry, _))| (target, entry));
+        lapsed.filter(|(_, entry)| entry.pool == *pool).collect()
+    }
+
     /// Says whether another host knows of something that this one doesn't.
     pub(crate) fn is_behind(&self) -> bool {
         let own_version = self.configuration.as_ref().map(|known| known.version);
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -42,6 +42,15 @@
 /// Longest time that a feed may wait for a change.
 pub const FEED_WAIT_MS: u64 = 1_000;
 
+/// Time for which targets are still used whose entries are gone without a notice, where
+/// their pool has no other. After an outage of the store all entries may have expired; those
+/// of live targets are back within some two seconds. Shorter than any bound within which
+/// work to a target that leaves has to end.
+pub const LAPSE_GRACE_MS: u64 = 1_500;
+
+/// Time between two looks for other hosts while none is heard.
+pub const HOSTS_INTERVAL_MS: u64 = 2_000;
+
 /// Delay before a host that has missed a change asks the store itself: the message with
 /// the change may only have been overtaken.
 pub const MISSED_CHANGE_MS: u64 = 60;
@@ -180,7 +189,8 @@
             (true, Query::TargetFeed { .. } | Query::ConfigurationFeed { .. }) => {
                 self.feed_interval_ms.max(FEED_INTERVAL_MIN_MS)
             }
-            (true, Query::Hosts | Query::Register) => 0,
+            (true, Query::Hosts) => HOSTS_INTERVAL_MS,
+            (true, Query::Register) => 0,
         };
         self.due_ms[slot] = match query {
             // N.B. a feed's interval counts from its start, so that one which waited long
--- a/crates/toucancleat-fleet/tests/knowledge.rs
+++ b/crates/toucancleat-fleet/tests/knowledge.rs
@@ -76,6 +76,7 @@
                     _ if !store_answers => Reply::Failed,
                     Query::Configuration => Reply::Configuration(Some(configuration(1))),
                     Query::Register => Reply::Registered,
+                    Query::Hosts => Reply::Hosts(Vec::new()),
                     // Feeds and lists stay open; what they would tell is told by the tests.
                     _ => continue,
                 };
@@ -161,6 +162,17 @@
     assert!(!fleet.queries.is_empty());
 }
 
+/// Two hosts that start at the same moment read a list on which neither stands yet.
+#[test]
+fn a_host_that_hears_nobody_looks_for_others_again() {
+    let mut fleet = Fleet::new(1, &[]);
+    fleet.pass(1_013);
+    fleet.queries.clear();
+    fleet.pass(6_000);
+    let looks = fleet.queries.iter().filter(|query| **query == Query::Hosts);
+    assert!((1..=4).contains(&looks.count()));
+}
+
 #[test]
 fn a_store_that_does_not_answer_is_asked_less_and_less() {
     let mut fleet = Fleet::new(1, &[]);
--- a/crates/toucancleat-fleet/tests/requests.rs
+++ b/crates/toucancleat-fleet/tests/requests.rs
@@ -325,3 +325,54 @@
     let most = after.iter().max().copied().unwrap_or_default();
     assert!(least >= 2_000 && most >= least + 2_000, "{least} to {most}");
 }
+
+/// After an outage of the store the entries of all targets may have expired, while the
+/// targets serve as before.
+#[test]
+fn targets_whose_entries_lapsed_together_are_used_for_a_moment() {
+    struct Case {
+        after_ms: u64,
+        is_served: bool,
+    }
+    let cases = [
+        Case {
+            after_ms: 100,
+            is_served: true,
+        },
+        Case {
+            after_ms: 1_400,
+            is_served: true,
+        },
+        Case {
+            after_ms: 1_600,
+            is_served: false,
+        },
+    ];
+    for case in cases {
+        let mut state = informed();
+        let empty = Reply::Targets {
+            store_version: 30,
+            list: Vec::new(),
+        };
+        answer(&mut state, START_MS, Query::Targets, empty);
+        let now_ms = START_MS + case.after_ms;
+        apply(&mut state, now_ms, Event::Tick);
+        let effects = arrive(&mut state, now_ms, 1, arrival("lookup"));
+        let is_served = !dispatches(&effects).is_empty();
+        assert_eq!(is_served, case.is_served, "after {} ms", case.after_ms);
+    }
+}
+
+#[test]
+fn a_target_that_went_alone_gets_nothing_more() {
+    let mut state = informed();
+    let gone = Reply::TargetFeed {
+        store_version: 30,
+        changes: vec![change("roster-1", 30, None)],
+    };
+    answer(&mut state, START_MS, Query::TargetFeed { after: 10 }, gone);
+    for ticket in 0..12 {
+        let effects = arrive(&mut state, START_MS + 10, ticket, arrival("lookup"));
+        assert_ne!(dispatches(&effects)[0].target.as_str(), "roster-1");
+    }
+}
