End an answer whose run ends while it is being stopped

Found by reading the relay. Cause: while a run was told to stop, every end of its stream was taken for the stop, also the end of a run that had come to its end by itself; the engine then answers that it knows no such run, and the caller waited until its deadline with the whole answer and saw it broken off.

--- a/crates/toucancleat-gateway/src/attempt.rs
+++ b/crates/toucancleat-gateway/src/attempt.rs
@@ -85,6 +85,8 @@
 pub struct Upstream {
     /// The stream.
     pub body: Incoming,
+    /// Whether its end can be told from a close in the middle.
+    pub is_framed: bool,
     _driver: Driver,
 }
 
@@ -133,11 +135,14 @@
         Meaning::Misdirected => return Err(Outcome::Misdirected),
         Meaning::Foreign => return Err(Outcome::Broken),
         Meaning::Success if is_stream(&head.headers) => {
+            let is_framed = head.headers.contains_key(header::TRANSFER_ENCODING)
+                || head.headers.contains_key(header::CONTENT_LENGTH);
             return Ok(Attempt::Stream(StreamStart {
                 status: head.status,
                 headers: head.headers,
                 upstream: Upstream {
                     body,
+                    is_framed,
                     _driver: driver,
                 },
             }));
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -68,6 +68,8 @@
     address: SocketAddr,
     copy: Option<Pin<Box<dyn Future<Output = Copied>>>>,
     handle: Option<String>,
+    /// Whether the stream of the run was closed, and not reset, when the run was stopped.
+    was_closed_in_order: bool,
 }
 
 struct Copied {
@@ -182,17 +184,32 @@
             Happened::Command(None) => Next::End("stopped"),
             Happened::Command(Some(command)) => self.obey(command).await,
             Happened::Bytes(bytes) => self.pass_on(&bytes).await,
+            Happened::Ended if self.has_ended_whole() => self.finish(),
             Happened::Ended | Happened::Broke if self.is_stopping_run() => {
                 // The engine closes the stream of a run that it has stopped.
                 self.upstream = None;
+                if let Some(moving) = &mut self.moving {
+                    moving.was_closed_in_order = matches!(happened, Happened::Ended);
+                }
                 Next::GoOn
             }
-            Happened::Ended if !self.splitter.is_torn() => self.finish(),
             Happened::Ended | Happened::Broke => self.broke().await,
             Happened::Copied(copied) => self.copied(copied).await,
         }
     }
 
+    /// Says whether the end of a stream is the end of its run.
+    ///
+    /// A run may end by itself while it is being stopped. The end of a stream whose bytes
+    /// are framed shows that; a close alone may also be that of a run that was stopped.
+    fn has_ended_whole(&self) -> bool {
+        let is_framed = self
+            .upstream
+            .as_ref()
+            .is_some_and(|stream| stream.is_framed);
+        !self.splitter.is_torn() && (is_framed || !self.is_stopping_run())
+    }
+
     fn is_stopping_run(&self) -> bool {
         self.moving
             .as_ref()
@@ -331,6 +348,7 @@
             address,
             copy: None,
             handle: None,
+            was_closed_in_order: false,
         });
         if let Step::Copy { is_last, after_ms } = step {
             self.copy(is_last, after_ms);
@@ -411,8 +429,17 @@
             Step::ResumeAtDestination => self.resume(false).await,
             Step::ResumeAtSource => self.resume(true).await,
             Step::Stay => {
+                let was_closed_in_order = moving.was_closed_in_order;
                 self.abandon_move();
-                Next::GoOn
+                match (&self.upstream, was_closed_in_order) {
+                    (Some(_), _) => Next::GoOn,
+                    // The engine knows no such run and has closed its stream: it has ended.
+                    (None, true) => self.finish(),
+                    (None, false) => {
+                        self.end_attempt(Outcome::Broken);
+                        Next::GoOn
+                    }
+                }
             }
             // What was copied before the source went can still be gone on from.
             Step::GiveUp if moving.handle.is_some() => self.resume(false).await,
--- a/crates/toucancleat-gateway/tests/streams.rs
+++ b/crates/toucancleat-gateway/tests/streams.rs
@@ -158,6 +158,57 @@
     });
 }
 
+/// The run comes to its end by itself while it is told to stop; the engine then knows no
+/// such run. The caller has the whole answer and must be told so.
+#[test]
+fn a_run_that_ends_while_it_is_stopped() {
+    run(async {
+        let finish = Rc::new(Notify::new());
+        let finished = Rc::new(Notify::new());
+        let behaviour: Behaviour = Rc::new(move |mut call| {
+            let (finish, finished) = (finish.clone(), finished.clone());
+            Box::pin(async move {
+                if call.head.starts_with("POST /v1/kv-move") {
+                    if call.body.contains("\"last\":true") {
+                        finish.notify_one();
+                        finished.notified().await;
+                        call.answer("404 Not Found", "{}").await;
+                    } else {
+                        call.answer("200 OK", r#"{"handle":"h-1"}"#).await;
+                    }
+                } else if call.head.starts_with("POST /draft") {
+                    stream(&mut call, 3).await;
+                    finish.notified().await;
+                    call.event(4).await;
+                    call.end_stream().await;
+                    finished.notify_one();
+                } else {
+                    call.answer("200 OK", "{}").await;
+                }
+            })
+        });
+        let one = Target::start("llm-1", behaviour.clone()).await;
+        let two = Target::start("llm-2", behaviour).await;
+        let store = deployment("llm", &[&one, &two]).await;
+        let host = Process::start(&store).await;
+        let mut caller = caller::send(host.place.callers, "/draft/1", "a-1").await;
+        until("the run", || {
+            one.count("POST /draft") + two.count("POST /draft") == 1
+        })
+        .await;
+        let source = if one.count("POST /draft") == 1 {
+            &one
+        } else {
+            &two
+        };
+        let entry = source.entry("llm", "draining");
+        store.write("servers", &source.name, Some(&entry));
+        let seen = caller::read(&mut caller).await;
+        assert_eq!(seen.events(), [1, 2, 3, 4]);
+        assert!(seen.is_whole);
+    });
+}
+
 #[test]
 fn a_planned_stop_finishes_what_has_begun() {
     run(async {
