--- a/crates/toucancleat-fleet/src/reduce/knowledge.rs
+++ b/crates/toucancleat-fleet/src/reduce/knowledge.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{requests, speech};
+use super::{moves, speech};
 use crate::configuration::Configuration;
 use crate::event::{Effect, Note};
 use crate::peers::News;
@@ -246,7 +246,7 @@
                     store_version,
                     runs,
                 }));
-                if !requests::movable_at(state, &target).is_empty() {
+                if !moves::movable_at(state, &target).is_empty() {
                     effects.push(Effect::AskLeaveTime {
                         target: target.clone(),
                         address: entry.address,
@@ -262,7 +262,7 @@
         }
     }
     if !leaving.is_empty() {
-        requests::evacuate_all(state, now_ms, &leaving, effects);
+        moves::evacuate_all(state, now_ms, &leaving, effects);
         // The others learn at once what is on its way to which target.
         speech::say(state, now_ms, None, effects);
     }
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -1,6 +1,8 @@
 //! The one reducer over all events of an entry host.
 
 mod knowledge;
+mod moves;
+mod placing;
 mod requests;
 mod speech;
 
@@ -15,7 +17,7 @@
     match event {
         Event::Tick => {
             knowledge::tick(state, now_ms, effects);
-            requests::tick(state, now_ms, effects);
+            placing::tick(state, now_ms, effects);
             speech::tick(state, now_ms, effects);
         }
         Event::Store { query, reply } => {
@@ -38,10 +40,10 @@
             requests::progressed(state, ticket, events);
         }
         Event::DestinationFailed { ticket } => {
-            requests::evacuate(state, now_ms, ticket, effects);
+            moves::evacuate(state, now_ms, ticket, effects);
         }
-        Event::Moved { ticket } => requests::moved(state, ticket),
-        Event::Stayed { ticket } => requests::stayed(state, ticket),
+        Event::Moved { ticket } => moves::moved(state, ticket),
+        Event::Stayed { ticket } => moves::stayed(state, ticket),
         Event::Closed { ticket } => requests::closed(state, ticket),
         Event::Stop => {
             state.stopping_since_ms.get_or_insert(now_ms);
