--- a/crates/toucancleat-fleet/src/configuration.rs
+++ b/crates/toucancleat-fleet/src/configuration.rs
@@ -101,7 +101,7 @@
 }
 
 /// What a caller may send, and how slowly.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Most bytes of a request's head.
     pub head_max_bytes: usize,
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -57,16 +57,13 @@
     pub metrics: Metrics,
     state: RefCell<State>,
     commands: RefCell<IndexMap<Ticket, UnboundedSender<Command>>>,
-    limits: Cell<CallerLimitsMs>,
+    limits: Cell<CallerLimits>,
     outgoing: UnboundedSender<Outgoing>,
     stopping: watch::Sender<Option<u64>>,
     next_ticket: Cell<u64>,
     weak: std::rc::Weak<Host>,
 }
 
-/// What callers may send, in a form that is cheap to copy.
-type CallerLimitsMs = (usize, usize, u64, u64);
-
 /// A request that is open until this is dropped.
 #[derive(Debug)]
 pub struct Open {
@@ -99,7 +96,7 @@
             metrics: Metrics::new(),
             state: RefCell::new(state),
             commands: RefCell::default(),
-            limits: Cell::new(in_force(&CallerLimits::default())),
+            limits: Cell::new(CallerLimits::default()),
             outgoing,
             stopping,
             next_ticket: Cell::new(0),
@@ -139,14 +136,7 @@
 
     /// Returns what callers may send.
     pub fn caller_limits(&self) -> CallerLimits {
-        let (head_max_bytes, body_max_bytes, head_timeout_ms, idle_timeout_ms) =
-            self.limits.get();
-        CallerLimits {
-            head_max_bytes,
-            body_max_bytes,
-            head_timeout_ms,
-            idle_timeout_ms,
-        }
+        self.limits.get()
     }
 
     /// Begins the planned stop.
@@ -212,7 +202,7 @@
     }
 
     fn put_in_force(&self, configuration: &Configuration) {
-        self.limits.set(in_force(&configuration.limits));
+        self.limits.set(configuration.limits);
         let version = i64::try_from(configuration.version).unwrap_or(i64::MAX);
         self.metrics.configuration_version.set(version);
         log::info!(
@@ -230,15 +220,6 @@
     }
 }
 
-fn in_force(limits: &CallerLimits) -> CallerLimitsMs {
-    (
-        limits.head_max_bytes,
-        limits.body_max_bytes,
-        limits.head_timeout_ms,
-        limits.idle_timeout_ms,
-    )
-}
-
 async fn ask_leave_time(host: Rc<Host>, target: TargetName, address: SocketAddr) {
     tokio::time::sleep(LEAVE_TIME_DELAY).await;
     let asked_ms = clock::now_ms();
--- a/crates/toucancleat-gateway/src/peers.rs
+++ b/crates/toucancleat-gateway/src/peers.rs
@@ -16,12 +16,9 @@
 /// Most bytes of a datagram.
 const DATAGRAM_MAX_BYTES: usize = 65_000;
 
-/// The socket on which hosts hear each other.
-pub type Socket = SharedSocket;
-
-/// One socket for both directions.
+/// The socket on which hosts hear each other, shared by both directions.
 #[derive(Clone, Debug)]
-pub struct SharedSocket(Rc<UdpSocket>);
+pub struct Socket(Rc<UdpSocket>);
 
 /// A message on its way out.
 #[derive(Debug)]
@@ -32,19 +29,19 @@
     pub message: Box<Message>,
 }
 
-impl SharedSocket {
+impl Socket {
     /// Opens the socket.
     pub async fn bind(host: &Host) -> Result<Self, Error> {
         let address = host.settings.peers_address;
         let socket = UdpSocket::bind(address)
             .await
             .map_err(|error| Error::listen(address, error))?;
-        Ok(SharedSocket(Rc::new(socket)))
+        Ok(Socket(Rc::new(socket)))
     }
 }
 
 /// Tells the reducer what other hosts say.
-pub async fn receive(host: Rc<Host>, socket: SharedSocket) {
+pub async fn receive(host: Rc<Host>, socket: Socket) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
         let length = match socket.0.recv_from(&mut buffer).await {
@@ -66,7 +63,7 @@
 /// Sends what the reducer has to say.
 pub async fn send(
     host: Rc<Host>,
-    socket: SharedSocket,
+    socket: Socket,
     mut outgoing: UnboundedReceiver<Outgoing>,
 ) {
     while let Some(Outgoing { to, message }) = outgoing.recv().await {
