Count prompts twice at targets that have just started

An engine that joins is empty, so it costs least; its entry says for how much longer it is slow, and nothing read that.

Ruled out: the moves of runs (6 of 222 pauses over 180 ms).

The entry's time left is read into the host list; it is no news when it only goes down. Until then a target counts as half as fast. The end of a stream's line in the log has the time to the first event and the longest pause, by which late streams were told apart.

--- a/crates/toucancleat-fleet/src/choice.rs
+++ b/crates/toucancleat-fleet/src/choice.rs
@@ -35,6 +35,10 @@
 /// behind two others waits for about a second, while memory that is half full costs nobody.
 const UNREAD_WEIGHT: f64 = 2.5;
 
+/// How many times longer a target that has just started takes for its work. An engine that
+/// joins is empty, so without this all hosts send their prompts there at once.
+const START_SLOWNESS: f64 = 2.0;
+
 /// Cost of an engine without room for the request: it waits until another run has ended.
 const FULL_COST: f64 = 1.5;
 
@@ -50,6 +54,8 @@
     pub entry: &'a TargetEntry,
     /// What all hosts have running there.
     pub load: Load,
+    /// Whether it has just started and is still slow.
+    pub is_starting: bool,
 }
 
 /// What a request would add.
@@ -59,6 +65,8 @@
     pub zone: &'a ZoneName,
     /// Memory that the request will need.
     pub tokens: u64,
+    /// Its prompt, as far as the target has yet to read it.
+    pub unread_tokens: u64,
     /// Whether its answer is a stream.
     pub is_stream: bool,
     /// What the pool's targets are able to do, where they are engines.
@@ -123,12 +131,18 @@
 fn occupancy(candidate: &Candidate<'_>, demand: Demand<'_>) -> f64 {
     let slots = f64::from(candidate.entry.slots.max(1));
     let runs = f64::from(candidate.load.runs + 1) / slots;
+    let slowness = if candidate.is_starting {
+        START_SLOWNESS
+    } else {
+        1.0
+    };
     let Some(engine) = demand.engine else {
-        return runs;
+        return slowness * runs;
     };
     let memory = engine.memory_tokens.max(1) as f64;
     let fill = (candidate.load.tokens + demand.tokens) as f64 / memory;
-    let unread = candidate.load.unread_tokens as f64 / memory;
+    let unread_tokens = candidate.load.unread_tokens + demand.unread_tokens;
+    let unread = slowness * unread_tokens as f64 / memory;
     let full = if fill > FULL_SHARE { FULL_COST } else { 0.0 };
     fill + RUNS_WEIGHT * runs + UNREAD_WEIGHT * unread + full
 }
--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -141,6 +141,8 @@
         target: TargetName,
         /// Version of the host list.
         store_version: u64,
+        /// For how much longer it is slow.
+        slow_start_left_ms: u64,
     },
     /// A target takes no new work.
     TargetLeaving {
--- a/crates/toucancleat-fleet/src/reduce/knowledge.rs
+++ b/crates/toucancleat-fleet/src/reduce/knowledge.rs
@@ -230,17 +230,22 @@
     let mut leaving = Vec::new();
     for shift in shifts {
         match shift {
-            Shift::Joined(target) => {
+            Shift::Joined(target, entry) => {
                 state.lapsed.swap_remove(&target);
                 state.health.forget(&target);
                 state.leaves_at_ms.swap_remove(&target);
+                let slow_start_left_ms = entry.slow_start_left_ms;
+                let until_ms = now_ms + slow_start_left_ms;
+                state.slow_until_ms.insert(target.clone(), until_ms);
                 effects.push(Effect::Note(Note::TargetJoined {
                     target,
                     store_version,
+                    slow_start_left_ms,
                 }));
             }
             Shift::Leaving(target, entry) => {
                 let runs = state.loads.get(&target).map_or(0, |load| load.runs);
+                state.slow_until_ms.swap_remove(&target);
                 effects.push(Effect::Note(Note::TargetLeaving {
                     target: target.clone(),
                     store_version,
--- a/crates/toucancleat-fleet/src/reduce/placing.rs
+++ b/crates/toucancleat-fleet/src/reduce/placing.rs
@@ -211,6 +211,7 @@
             .filter(|_| is_move)
             .unwrap_or(&state.identity.zone),
         tokens: request.memory_tokens(),
+        unread_tokens: request.load().unread_tokens,
         is_stream: request.route().repetition.is_stream(),
         engine,
     };
@@ -223,6 +224,10 @@
             target,
             entry,
             load: load_at(state, target),
+            is_starting: state
+                .slow_until_ms
+                .get(target)
+                .is_some_and(|until_ms| now_ms < *until_ms),
         });
     let choice = choose(now_ms, candidates, demand, &state.health, || {
         draw(&mut random)
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -46,6 +46,8 @@
     /// Targets whose entries are gone without a notice, and since when.
     pub(crate) lapsed: IndexMap<TargetName, (TargetEntry, u64)>,
     pub(crate) leaves_at_ms: IndexMap<TargetName, u64>,
+    /// Until when targets that have just started are slow.
+    pub(crate) slow_until_ms: IndexMap<TargetName, u64>,
     pub(crate) calls: Calls,
     pub(crate) reads: bool,
     /// Highest versions that other hosts have spoken of.
@@ -81,6 +83,7 @@
             directory: Directory::default(),
             lapsed: IndexMap::new(),
             leaves_at_ms: IndexMap::new(),
+            slow_until_ms: IndexMap::new(),
             calls: Calls::default(),
             reads: true,
             spoken_of: Versions::default(),
--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -21,6 +21,21 @@
     pub slots: u32,
     /// When it started, in Unix time; a new start under an old name shows by this.
     pub started_unix_ms: Option<u64>,
+    /// For how much longer it is slow after its start, as of this entry.
+    pub slow_start_left_ms: u64,
+}
+
+impl TargetEntry {
+    /// Says whether this entry tells something that the one before didn't.
+    ///
+    /// The time left of a slow start goes down with each heartbeat, which is no news.
+    fn is_news_after(&self, before: &TargetEntry) -> bool {
+        let same_moment = TargetEntry {
+            slow_start_left_ms: before.slow_start_left_ms,
+            ..self.clone()
+        };
+        same_moment != *before
+    }
 }
 
 /// One change of the host list.
@@ -45,8 +60,8 @@
 /// What a change meant for one target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Shift {
-    /// It is new, or has started again.
-    Joined(TargetName),
+    /// It is new, or has started again; its entry comes along.
+    Joined(TargetName, TargetEntry),
     /// It takes no new work any more; its last entry comes along.
     Leaving(TargetName, TargetEntry),
 }
@@ -146,7 +161,12 @@
         shifts: &mut Vec<Shift>,
     ) {
         let before = self.targets.get(&target);
-        if before == entry.as_ref() {
+        let is_news = match (before, &entry) {
+            (Some(before), Some(entry)) => entry.is_news_after(before),
+            (None, None) => false,
+            _ => true,
+        };
+        if !is_news {
             return;
         }
         self.content_version = self.content_version.max(store_version);
@@ -165,7 +185,7 @@
                 if entry.is_leaving && (was_ready || before.is_none()) {
                     shifts.push(Shift::Leaving(target.clone(), entry.clone()));
                 } else if !entry.is_leaving && (!was_ready || restarted) {
-                    shifts.push(Shift::Joined(target.clone()));
+                    shifts.push(Shift::Joined(target.clone(), entry.clone()));
                 }
                 self.targets.insert(target, entry);
             }
--- a/crates/toucancleat-fleet/tests/directory.rs
+++ b/crates/toucancleat-fleet/tests/directory.rs
@@ -21,6 +21,8 @@
     let ready = || entry("engines", "upp-a", 101);
     let mut leaving = ready();
     leaving.is_leaving = true;
+    let mut still_slow = ready();
+    still_slow.slow_start_left_ms = 400;
     let mut restarted = ready();
     restarted.started_unix_ms = Some(2);
     struct Case {
@@ -36,6 +38,12 @@
             joins: false,
             leaves: false,
         },
+        Case {
+            name: "a heartbeat with less of the slow start left",
+            after: Some(still_slow),
+            joins: false,
+            leaves: false,
+        },
         Case {
             name: "told to leave",
             after: Some(leaving),
@@ -59,10 +67,12 @@
         let mut directory = Directory::default();
         directory.replace(1, vec![change("engine-1", 1, Some(ready()))]);
         let shifts = directory.change(2, vec![change("engine-1", 2, case.after)]);
-        let joins = shifts.iter().any(|s| matches!(s, Shift::Joined(_)));
+        let joins = shifts.iter().any(|s| matches!(s, Shift::Joined(..)));
         let leaves = shifts.iter().any(|s| matches!(s, Shift::Leaving(..)));
         assert_eq!((joins, leaves), (case.joins, case.leaves), "{}", case.name);
         assert_eq!(directory.known_version(), 2, "{}", case.name);
+        let is_news = directory.content_version() == 2;
+        assert_eq!(is_news, joins || leaves, "{}", case.name);
     }
 }
 
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -92,6 +92,7 @@
         is_leaving: false,
         slots: 24,
         started_unix_ms: Some(1),
+        slow_start_left_ms: 0,
     }
 }
 
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -252,7 +252,10 @@
         Note::TargetJoined {
             target,
             store_version,
-        } => log::info!(target_name:% = target, store_version; "a target takes work"),
+            slow_start_left_ms,
+        } => {
+            log::info!(target_name:% = target, store_version, slow_start_left_ms; "a target takes work");
+        }
         Note::TargetLeaving {
             target,
             store_version,
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -56,6 +56,7 @@
     first_event_ms: Option<u64>,
     last_event_ms: u64,
     event_count: u64,
+    longest_pause_ms: u64,
     moving: Option<Moving>,
     moves: u32,
 }
@@ -127,6 +128,7 @@
             first_event_ms: None,
             last_event_ms: now_ms,
             event_count: 0,
+            longest_pause_ms: 0,
             moving: None,
             moves: 0,
         };
@@ -154,6 +156,9 @@
             took_ms,
             target_name:% = self.dispatch.target,
             moves = self.moves,
+            events = self.event_count,
+            first_event_ms = self.first_event_ms.map_or(0, |at_ms| at_ms.saturating_sub(arrived_ms)),
+            longest_pause_ms = self.longest_pause_ms,
             last_event = self.order.last().unwrap_or_default();
             "a stream ended"
         );
@@ -237,6 +242,10 @@
 
     fn note_event(&mut self) {
         let now_ms = clock::now_ms();
+        if self.event_count > 0 {
+            let pause_ms = now_ms.saturating_sub(self.last_event_ms);
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        }
         self.last_event_ms = now_ms;
         self.event_count += 1;
         if self.event_count % PROGRESS_EVENTS == 1 {
