Tell all hosts of each stream that is sent

One engine's history: within half a second four hosts of three other zones had sent a stream there, at the load that they had known for up to 1.2 s. Only the hosts of the own zone and of the engine's zone were told at once.

The test plays it with hosts of three zones: 6 drafts at an engine for five before, 5 after.

--- a/crates/toucancleat-fleet/src/reduce/placing.rs
+++ b/crates/toucancleat-fleet/src/reduce/placing.rs
@@ -187,8 +187,9 @@
     let is_stream = dispatch.repetition.is_stream();
     effects.push(Effect::Dispatch(Box::new(dispatch)));
     if is_stream {
-        // Hosts that choose among the same engines learn of it before they choose next.
-        speech::say_to_zones(state, now_ms, &entry.zone, effects);
+        // Hosts that choose among the same engines learn of it before they choose next; where
+        // zones are full, those are the hosts of all zones.
+        speech::say(state, now_ms, None, effects);
     }
 }
 
--- a/crates/toucancleat-fleet/src/reduce/speech.rs
+++ b/crates/toucancleat-fleet/src/reduce/speech.rs
@@ -1,7 +1,5 @@
 //! What hosts tell each other.
 
-use toucancleat_core::prelude::*;
-
 use super::knowledge;
 use crate::event::Effect;
 use crate::peers::{Message, News, Receiver, sent_no_earlier_ms};
@@ -15,23 +13,9 @@
     if now_ms.saturating_sub(state.said_ms) >= state.peers.interval_ms() {
         say(state, now_ms, None, effects);
     } else if now_ms.saturating_sub(state.said_to_zone_ms) >= zone_interval_ms {
-        say_to_zones(state, now_ms, &zone, effects);
-    }
-}
-
-/// Sends a message to the hosts of the own zone and of another.
-pub(super) fn say_to_zones(
-    state: &mut State,
-    now_ms: u64,
-    other: &ZoneName,
-    effects: &mut Vec<Effect>,
-) {
-    let own = &state.identity.zone;
-    let mut receivers = state.peers.receivers(now_ms, Some(own));
-    if own != other {
-        receivers.extend(state.peers.receivers(now_ms, Some(other)));
+        let receivers = state.peers.receivers(now_ms, Some(&zone));
+        send(state, now_ms, receivers, None, effects);
     }
-    send(state, now_ms, receivers, None, effects);
 }
 
 /// Sends a message to all hosts.
--- /dev/null
+++ b/crates/toucancleat-fleet/tests/crowding.rs
@@ -0,0 +1,89 @@
+//! Streams that look for room while most engines are full: who goes where, and who waits.
+
+mod support;
+
+use indexmap::IndexMap;
+use support::fleet::Fleet;
+use support::*;
+use toucancleat_fleet::prelude::*;
+use toucancleat_fleet::target::TargetEntry;
+
+/// Lets a stream arrive at one of the hosts and tells the others; returns its target.
+fn send(fleet: &mut Fleet, place: usize, ticket: u64, kind: &str) -> Option<TargetName> {
+    let now_ms = fleet.now_ms;
+    let effects = arrive(&mut fleet.hosts[place], now_ms, ticket, arrival(kind));
+    let target = dispatches(&effects).first().map(|sent| sent.target.clone());
+    fleet.carry_out(place, effects, true);
+    target
+}
+
+/// Lets one tick pass at each host in turn; returns where waiting streams went.
+fn look_for_room(fleet: &mut Fleet, after_ms: u64) -> Vec<TargetName> {
+    fleet.now_ms += after_ms;
+    let mut sent = Vec::new();
+    for place in 0..fleet.hosts.len() {
+        let effects = apply(&mut fleet.hosts[place], fleet.now_ms, Event::Tick);
+        sent.extend(dispatches(&effects).iter().map(|sent| sent.target.clone()));
+        fleet.carry_out(place, effects, true);
+    }
+    sent
+}
+
+/// Returns engines with a number for each, by the zones in which they are.
+fn engines(zones: &[&str]) -> Vec<(String, TargetEntry)> {
+    let engine = |(place, zone): (usize, &&str)| {
+        let number = 101 + place as u16;
+        (
+            format!("engine-{}", place + 1),
+            entry("engines", zone, number),
+        )
+    };
+    zones.iter().enumerate().map(engine).collect()
+}
+
+fn fleet(size: u16, zones: &[&str], engines: &[(String, TargetEntry)]) -> Fleet {
+    let targets: Vec<(&str, TargetEntry)> = engines
+        .iter()
+        .map(|(name, entry)| (name.as_str(), entry.clone()))
+        .collect();
+    Fleet::new(size, zones, &targets)
+}
+
+/// On the quiet day of a deployment with 61 hosts an engine that had just joined got 14
+/// requests for five places within the time in which hosts didn't know of each other's
+/// choices.
+#[test]
+fn an_engine_that_joins_is_not_rushed() {
+    let engines = engines(&["upp-a", "upp-a", "upp-a"]);
+    let mut fleet = fleet(12, &["upp-a"], &engines);
+    let mut sent = IndexMap::<TargetName, u64>::new();
+    // Three engines of 20,000 tokens hold 15 drafts; 12 hosts get two each.
+    for request in 0..24 {
+        if let Some(target) = send(&mut fleet, request % 12, request as u64, "draft") {
+            *sent.entry(target).or_default() += 1;
+        }
+    }
+    assert_eq!(sent.values().sum::<u64>(), 15, "{sent:?}");
+    assert!(sent.values().all(|runs| *runs == 5), "{sent:?}");
+}
+
+/// On the same day engines were 1.3 to 1.6 times full while others were half empty: hosts of
+/// several zones without room found the same engine in another zone, and learned of each
+/// other's choices only a second later.
+#[test]
+fn hosts_of_several_zones_do_not_meet_at_one_engine() {
+    let engines = engines(&["upp-a", "upp-b", "vas-a"]);
+    let mut fleet = fleet(12, &["upp-a", "upp-b", "vas-a"], &engines);
+    // Three engines hold 15 drafts; hosts of two zones get nine each.
+    let mut sent = IndexMap::<TargetName, u64>::new();
+    for request in 0..18 {
+        let place = request % 2 + 3 * (request / 2 % 4);
+        if let Some(target) = send(&mut fleet, place, request as u64, "draft") {
+            *sent.entry(target).or_default() += 1;
+        }
+    }
+    for target in look_for_room(&mut fleet, 250) {
+        *sent.entry(target).or_default() += 1;
+    }
+    assert!(sent.values().all(|runs| *runs <= 5), "{sent:?}");
+}
--- a/crates/toucancleat-fleet/tests/knowledge.rs
+++ b/crates/toucancleat-fleet/tests/knowledge.rs
@@ -3,102 +3,12 @@
 mod support;
 
 use indexmap::IndexSet;
+use support::fleet::Fleet;
 use support::*;
 use toucancleat_fleet::event::Effect;
-use toucancleat_fleet::peers::Message;
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::store::{Query, Reply};
 
-/// Hosts that hear each other at once.
-struct Fleet {
-    hosts: Vec<State>,
-    now_ms: u64,
-    /// Hosts that do nothing and hear nothing.
-    silent: IndexSet<usize>,
-    /// Hosts that have asked the store.
-    asked: IndexSet<usize>,
-    /// What they have asked.
-    queries: Vec<Query>,
-}
-
-impl Fleet {
-    /// Makes hosts of one zone that know the targets and each other.
-    fn new(
-        size: u16,
-        targets: &[(&str, toucancleat_fleet::target::TargetEntry)],
-    ) -> Self {
-        let mut fleet = Fleet {
-            hosts: (1..=size)
-                .map(|n| unknowing(&format!("host-{n:02}"), "upp-a", n))
-                .collect(),
-            now_ms: START_MS,
-            silent: IndexSet::new(),
-            asked: IndexSet::new(),
-            queries: Vec::new(),
-        };
-        for host in &mut fleet.hosts {
-            inform(host, START_MS, targets);
-            let addresses = (1..=size).map(address).collect();
-            answer(host, START_MS, Query::Hosts, Reply::Hosts(addresses));
-        }
-        fleet.pass(1_200);
-        fleet
-    }
-
-    /// Lets time pass, with answers of the store to those that ask.
-    fn pass(&mut self, time_ms: u64) {
-        self.pass_with(time_ms, true);
-    }
-
-    fn pass_with(&mut self, time_ms: u64, store_answers: bool) {
-        let end_ms = self.now_ms + time_ms;
-        while self.now_ms < end_ms {
-            self.now_ms += 25;
-            for place in 0..self.hosts.len() {
-                if self.silent.contains(&place) {
-                    continue;
-                }
-                let effects = apply(&mut self.hosts[place], self.now_ms, Event::Tick);
-                self.carry_out(place, effects, store_answers);
-            }
-        }
-    }
-
-    fn carry_out(&mut self, place: usize, effects: Vec<Effect>, store_answers: bool) {
-        for (to, message) in messages(&effects) {
-            self.deliver(to, message);
-        }
-        for effect in effects {
-            if let Effect::Read(query) = effect {
-                self.asked.insert(place);
-                self.queries.push(query);
-                let reply = match query {
-                    _ if !store_answers => Reply::Failed,
-                    Query::Configuration => Reply::Configuration(Some(configuration(1))),
-                    Query::Register => Reply::Registered,
-                    Query::Hosts => Reply::Hosts(Vec::new()),
-                    // Feeds and lists stay open; what they would tell is told by the tests.
-                    _ => continue,
-                };
-                let answered = answer(&mut self.hosts[place], self.now_ms, query, reply);
-                for (to, message) in messages(&answered) {
-                    self.deliver(to, message);
-                }
-            }
-        }
-    }
-
-    fn deliver(&mut self, to: std::net::SocketAddr, message: Message) {
-        let place = usize::from(to.port()) - 1;
-        if self.silent.contains(&place) {
-            return;
-        }
-        if let Some(host) = self.hosts.get_mut(place) {
-            apply(host, self.now_ms, Event::Heard(Box::new(message)));
-        }
-    }
-}
-
 /// Returns the reads among effects.
 fn reads(effects: &[Effect]) -> Vec<Query> {
     effects
@@ -112,7 +22,7 @@
 
 #[test]
 fn one_host_reads_for_all_and_another_takes_over() {
-    let mut fleet = Fleet::new(4, &[]);
+    let mut fleet = Fleet::new(4, &["upp-a"], &[]);
     fleet.pass(2_000);
     fleet.asked.clear();
     fleet.pass(2_000);
@@ -146,7 +56,7 @@
 /// On a grown site 30 hosts that were cut off from each other made 7,000 calls.
 #[test]
 fn a_host_that_is_cut_off_alone_reads_lists_only() {
-    let mut fleet = Fleet::new(3, &[]);
+    let mut fleet = Fleet::new(3, &["upp-a"], &[]);
     fleet.pass(1_000);
     fleet.silent.extend([0, 1]);
     fleet.pass(2_000);
@@ -165,7 +75,7 @@
 /// Two hosts that start at the same moment read a list on which neither stands yet.
 #[test]
 fn a_host_that_hears_nobody_looks_for_others_again() {
-    let mut fleet = Fleet::new(1, &[]);
+    let mut fleet = Fleet::new(1, &["upp-a"], &[]);
     fleet.pass(1_013);
     fleet.queries.clear();
     fleet.pass(6_000);
@@ -175,7 +85,7 @@
 
 #[test]
 fn a_store_that_does_not_answer_is_asked_less_and_less() {
-    let mut fleet = Fleet::new(1, &[]);
+    let mut fleet = Fleet::new(1, &["upp-a"], &[]);
     fleet.pass_with(1_000, false);
     fleet.queries.clear();
     fleet.pass_with(10_000, false);
@@ -185,7 +95,11 @@
 
 #[test]
 fn keys_fail_closed_when_nobody_reaches_the_store() {
-    let mut fleet = Fleet::new(3, &[("roster-1", entry("roster", "upp-a", 201))]);
+    let mut fleet = Fleet::new(
+        3,
+        &["upp-a"],
+        &[("roster-1", entry("roster", "upp-a", 201))],
+    );
     fleet.pass(1_000);
     let now_ms = fleet.now_ms;
     assert!(fleet.hosts.iter().all(|host| host.is_ready(now_ms)));
@@ -202,7 +116,11 @@
 /// asleep; what they say is as old as its sleep.
 #[test]
 fn a_message_that_waited_proves_nothing_about_now() {
-    let mut fleet = Fleet::new(2, &[("roster-1", entry("roster", "upp-a", 201))]);
+    let mut fleet = Fleet::new(
+        2,
+        &["upp-a"],
+        &[("roster-1", entry("roster", "upp-a", 201))],
+    );
     fleet.pass(1_000);
     let asleep_ms = fleet.now_ms;
     let effects = apply(&mut fleet.hosts[0], asleep_ms + 200, Event::Tick);
@@ -219,7 +137,7 @@
 
 #[test]
 fn a_newer_configuration_is_in_force_at_once_and_never_goes_back() {
-    let mut fleet = Fleet::new(3, &[]);
+    let mut fleet = Fleet::new(3, &["upp-a"], &[]);
     let now_ms = fleet.now_ms;
     let feed = Query::ConfigurationFeed { after: 10 };
     let newer = Reply::ConfigurationFeed {
@@ -260,7 +178,11 @@
 
 #[test]
 fn a_host_that_missed_a_change_asks_the_store() {
-    let mut fleet = Fleet::new(2, &[("engine-1", entry("engines", "upp-a", 101))]);
+    let mut fleet = Fleet::new(
+        2,
+        &["upp-a"],
+        &[("engine-1", entry("engines", "upp-a", 101))],
+    );
     let now_ms = fleet.now_ms;
     let feed = Query::TargetFeed { after: 10 };
     let gone = Reply::TargetFeed {
@@ -283,7 +205,11 @@
 /// hosts read the store for that.
 #[test]
 fn a_host_that_hears_the_news_late_does_not_ask() {
-    let mut fleet = Fleet::new(3, &[("engine-1", entry("engines", "upp-a", 101))]);
+    let mut fleet = Fleet::new(
+        3,
+        &["upp-a"],
+        &[("engine-1", entry("engines", "upp-a", 101))],
+    );
     let now_ms = fleet.now_ms;
     let feed = Query::TargetFeed { after: 10 };
     let gone = Reply::TargetFeed {
@@ -302,37 +228,3 @@
     let effects = apply(&mut fleet.hosts[1], now_ms + 400, Event::Tick);
     assert!(!reads(&effects).contains(&Query::Targets));
 }
-
-/// On the grown site's quiet day an engine that had just joined got 14 requests for five
-/// places within the time in which hosts didn't know of each other's choices.
-#[test]
-fn an_engine_that_joins_is_not_rushed() {
-    let targets: Vec<(String, _)> = (1..=3)
-        .map(|n| (format!("engine-{n}"), entry("engines", "upp-a", 100 + n)))
-        .collect();
-    let named: Vec<(&str, _)> = targets
-        .iter()
-        .map(|(name, entry)| (name.as_str(), entry.clone()))
-        .collect();
-    let mut fleet = Fleet::new(12, &named);
-    let mut sent = indexmap::IndexMap::<TargetName, u64>::new();
-    // Three engines of 20,000 tokens hold 15 drafts; 12 hosts get two each.
-    for request in 0..24 {
-        let place = request % 12;
-        let now_ms = fleet.now_ms;
-        let effects = arrive(
-            &mut fleet.hosts[place],
-            now_ms,
-            request as u64,
-            arrival("draft"),
-        );
-        for dispatch in dispatches(&effects) {
-            *sent.entry(dispatch.target.clone()).or_default() += 1;
-        }
-        for (to, message) in messages(&effects) {
-            fleet.deliver(to, message);
-        }
-    }
-    assert_eq!(sent.values().sum::<u64>(), 15, "{sent:?}");
-    assert!(sent.values().all(|runs| *runs == 5), "{sent:?}");
-}
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test uses a part of this")]
 
+pub mod fleet;
+
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
