Refuse a request that breaks off wherever it runs

A request that crashes each target that begins to run it was bounded only by the attempts of each try of its caller, who sends it again to any host. Hosts now add up, by host, path, key and body, how often a request broke off without an answer between; from the third break on all of them refuse it, with no byte sent.

Ruled out: the crash marks of toucancleat-core, which need looks at targets, homes and isolated runs to find out which of the requests at a crashed target it was; here each request has a connection of its own and its own break is enough. An answer clears the count, so a key that much of the traffic is about isn't refused for what happens beside it.

State::request_count, which nothing used, goes.

--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -12,6 +12,8 @@
 //! - Keys are trusted only while the configuration is known to be recent.
 //! - Retries of the whole fleet stay within one bound, also between hosts that can't hear
 //!   each other ([`budget`]).
+//! - A request that breaks off at each target that runs it is refused by all hosts
+//!   ([`crashers`]).
 //!
 //! # What it costs
 //!
@@ -24,6 +26,7 @@
 pub mod budget;
 pub mod choice;
 pub mod configuration;
+pub mod crashers;
 pub mod evacuation;
 pub mod event;
 pub mod events;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -12,6 +12,7 @@
 
 use crate::budget::Counts;
 use crate::configuration::Configuration;
+use crate::crashers::Fingerprint;
 use crate::spreading::HostRuns;
 use crate::store::READER_SILENCE_MS;
 use crate::target::TargetChange;
@@ -67,6 +68,8 @@
     pub loads: Vec<(TargetName, Load)>,
     /// What the sender has counted against the retry budget.
     pub counts: Vec<(PoolName, Counts)>,
+    /// Requests that broke off at the sender, and how often.
+    pub broken: Vec<(Fingerprint, u32)>,
     /// The last message that the sender has heard of the receiver. It is the only part
     /// that differs between receivers, so it is encoded apart.
     #[serde(skip)]
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -6,6 +6,7 @@
 use super::placing::{dispatch, place};
 use crate::budget::Bound;
 use crate::configuration::Repetition;
+use crate::crashers::REMEMBER_MS;
 use crate::event::Effect;
 use crate::health::Evidence;
 use crate::peers::Load;
@@ -79,6 +80,9 @@
     if !route.is_public && !state.is_fresh(now_ms) {
         return Err(not_run(Reason::StaleConfiguration, Some(RETRY_SOON_MS)));
     }
+    if state.crashers.is_refused(now_ms, arrival.fingerprint) {
+        return Err(not_run(Reason::CrashesTargets, Some(REMEMBER_MS)));
+    }
     // A stream of unknown length may not end within the time to stop, and another host
     // can take it at once.
     if state.stopping_since_ms.is_some() && route.repetition == Repetition::StreamOnce {
@@ -152,6 +156,12 @@
     let Some(request) = state.requests.get_mut(&ticket) else {
         return;
     };
+    let fingerprint = request.arrival.fingerprint;
+    match outcome {
+        Outcome::Answered { .. } => state.crashers.note_answered(now_ms, fingerprint),
+        Outcome::Broken => state.crashers.note_broken(now_ms, fingerprint),
+        _ => {}
+    }
     let verdict = outcome.verdict();
     request.verdict = request.verdict.max(verdict);
     if verdict != Verdict::NotRun {
@@ -219,6 +229,9 @@
             .verdict
             .permits_retry(route.repetition.is_idempotent());
     is_allowed
+        && !state
+            .crashers
+            .is_refused(now_ms, request.arrival.fingerprint)
         && request.runs < route.attempts_max
         && request.sends < SENDS_MAX
         && now_ms + ATTEMPT_MIN_MS < request.give_up_at_ms
--- a/crates/toucancleat-fleet/src/reduce/speech.rs
+++ b/crates/toucancleat-fleet/src/reduce/speech.rs
@@ -62,6 +62,7 @@
             .map(|(target, load)| (target.clone(), *load))
             .collect(),
         counts: counts.into_iter().collect(),
+        broken: state.crashers.own_counts(),
         echo: None,
         addresses: state.peers.sample(state.turn),
         news,
@@ -87,6 +88,8 @@
     if state.peers.hear(now_ms, state.identity.address, &message) {
         let counts = message.counts.iter().cloned().collect();
         state.budget.hear(now_ms, message.from.clone(), counts);
+        let from = message.from.clone();
+        state.crashers.hear(now_ms, from, &message.broken);
         catch_up(state, now_ms, &message);
     }
 }
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -6,6 +6,7 @@
 use toucancleat_core::prelude::*;
 
 use crate::configuration::{Configuration, Repetition, Route};
+use crate::crashers::Fingerprint;
 use crate::peers::Load;
 
 /// Number of a request within one process.
@@ -23,6 +24,8 @@
     pub path: String,
     /// Its API key.
     pub key: Option<String>,
+    /// What it is recognised by when it comes again under another name.
+    pub fingerprint: Fingerprint,
     /// How long its caller waits.
     pub deadline_ms: Option<u64>,
     /// Tokens of its prompt.
@@ -114,6 +117,8 @@
     TimedOut,
     /// Time ran out before the request was sent to any target.
     TooLate,
+    /// The same request has broken off at each target that ran it.
+    CrashesTargets,
 }
 
 impl Reason {
@@ -131,6 +136,7 @@
             Reason::TargetFailed => "target_failed",
             Reason::TimedOut => "timed_out",
             Reason::TooLate => "too_late",
+            Reason::CrashesTargets => "crashes_targets",
         }
     }
 }
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -8,6 +8,7 @@
 
 use crate::budget::Budget;
 use crate::configuration::Configuration;
+use crate::crashers::Crashers;
 use crate::health::HealthTable;
 use crate::peers::{Load, Peers};
 use crate::request::{Request, Ticket};
@@ -59,6 +60,7 @@
     pub(crate) said_to_zone_ms: u64,
     pub(crate) turn: usize,
     pub(crate) budget: Budget,
+    pub(crate) crashers: Crashers,
     pub(crate) health: HealthTable,
     pub(crate) requests: IndexMap<Ticket, Request>,
     pub(crate) waiting: Vec<Ticket>,
@@ -94,6 +96,7 @@
             said_to_zone_ms: 0,
             turn: 0,
             budget: Budget::default(),
+            crashers: Crashers::default(),
             health: HealthTable::default(),
             requests: IndexMap::new(),
             waiting: Vec::new(),
@@ -156,11 +159,6 @@
         self.configuration_age_ms(now_ms)
             .is_some_and(|age_ms| age_ms < self.config.revocation_bound_ms)
     }
-
-    /// Returns how many requests are under way.
-    pub fn request_count(&self) -> usize {
-        self.requests.len()
-    }
 }
 
 /// Draws a number from 0 to 1 by xorshift: the draws only spread load, and are the same in
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -118,6 +118,7 @@
         hostname: "plans.example".to_owned(),
         path: format!("/{kind}/7"),
         key: Some(KEY.to_owned()),
+        fingerprint: 0,
         deadline_ms: Some(6_000),
         prompt_tokens: 3_000,
         output_tokens_max: 900,
--- a/crates/toucancleat-gateway/src/request.rs
+++ b/crates/toucancleat-gateway/src/request.rs
@@ -1,5 +1,6 @@
 //! One request, from its head to its answer.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -7,8 +8,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::{HeaderMap, Request, Response, StatusCode, header};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri, header};
 use tokio::sync::mpsc::Receiver;
+use toucancleat_fleet::crashers::Fingerprint;
 use toucancleat_fleet::prelude::*;
 use toucancleat_platform::{answer, caller};
 
@@ -88,6 +90,7 @@
         }
     };
     let mut arrival = caller::decode(&parts);
+    arrival.fingerprint = fingerprint(&parts.uri, &arrival, &body);
     let spent_ms = clock::now_ms().saturating_sub(arrived_ms);
     arrival.deadline_ms = arrival
         .deadline_ms
@@ -219,6 +222,15 @@
     response.headers_mut().insert(header::CONNECTION, close);
 }
 
+/// Returns what a request is recognised by when it comes again.
+///
+/// The hash has no secret: all hosts have to find the same number.
+fn fingerprint(uri: &Uri, arrival: &Arrival, body: &[u8]) -> Fingerprint {
+    let mut hasher = DefaultHasher::new();
+    (&arrival.hostname, uri, &arrival.key, body).hash(&mut hasher);
+    hasher.finish()
+}
+
 async fn read_body(host: &Host, body: Incoming) -> Result<Bytes, StatusCode> {
     let max_bytes = host.caller_limits().body_max_bytes;
     if body.size_hint().lower() > max_bytes as u64 {
