Bound all bodies together; answer heads and bodies that are too slow

Cause, found by reading: each body is kept until its answer and only one of them was bounded, so some thirty callers with large bodies could fill a machine of 110 MB; a head that was too slow was closed without an answer, and a body could take for ever.

Bodies now count against a quarter of the process's memory, which the settings name; what is beyond is refused with 503 before it is read. Heads and bodies that are too slow get 408: nothing of them has run.

Ruled out: hyper's own limit for heads, which also runs while a kept connection is idle and answers nothing.

--- a/crates/toucancleat-gateway/src/attempt.rs
+++ b/crates/toucancleat-gateway/src/attempt.rs
@@ -13,6 +13,7 @@
 use toucancleat_platform::answer::{Meaning, inspect};
 use toucancleat_platform::caller::{Forward, MemoryAt, forward};
 
+use crate::bodies::Body;
 use crate::clock;
 use crate::connection::{Connection, Driver};
 use crate::host::Host;
@@ -32,7 +33,7 @@
     /// Its head.
     pub parts: Parts,
     /// Its body.
-    pub body: Bytes,
+    pub body: Body,
 }
 
 /// From where a stream goes on.
@@ -194,7 +195,7 @@
             }),
         },
     );
-    let mut request = Request::new(Full::new(outbound.body.clone()));
+    let mut request = Request::new(Full::new(outbound.body.bytes.clone()));
     *request.method_mut() = outbound.parts.method.clone();
     *request.uri_mut() = outbound.parts.uri.clone();
     *request.version_mut() = Version::HTTP_11;
--- a/crates/toucancleat-gateway/src/callers.rs
+++ b/crates/toucancleat-gateway/src/callers.rs
@@ -1,10 +1,12 @@
 //! Connections of callers.
 
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -15,6 +17,13 @@
 /// Least size of a connection's buffer that `hyper` takes.
 const BUFFER_MIN_BYTES: usize = 8_192;
 
+/// The answer to a head that did not come in time; no part of it has run.
+const HEAD_TOO_SLOW: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+/// Longest time for that answer; a caller that doesn't read it is not waited for.
+const HEAD_ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Time between two looks whether the last request has ended.
 const STOP_LOOK: Duration = Duration::from_millis(20);
 
@@ -68,10 +77,9 @@
     };
     let limits = host.caller_limits();
     let io = TokioIo::new(Watched::new(stream, activity.clone()));
-    let connection = hyper::server::conn::http1::Builder::new()
+    let mut connection = hyper::server::conn::http1::Builder::new()
         .max_buf_size(limits.head_max_bytes.max(BUFFER_MIN_BYTES))
         .serve_connection(io, service);
-    let mut connection = std::pin::pin!(connection);
     let mut stopping = host.stopping();
     let mut is_closing = false;
     loop {
@@ -80,13 +88,16 @@
             Rest::Until(until_ms) => until_ms,
             Rest::TooIdle if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
                 continue;
             }
-            Rest::TooIdle | Rest::HeadTooSlow => return,
+            Rest::TooIdle => return,
+            Rest::HeadTooSlow => {
+                return refuse_slow_head(connection.into_parts().io.into_inner()).await;
+            }
         };
         tokio::select! {
-            ended = connection.as_mut() => {
+            ended = &mut connection => {
                 if let Err(error) = ended {
                     log::debug!(error:% = error; "a caller's connection broke");
                 }
@@ -95,12 +106,26 @@
             () = clock::sleep_until(until_ms) => {}
             () = idle_close(&mut stopping), if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                Pin::new(&mut connection).graceful_shutdown();
             }
         }
     }
 }
 
+/// Answers a head that did not come in time, which `hyper` would only close.
+async fn refuse_slow_head(mut stream: Watched) {
+    log::info!(status = 408; "a request's head was too slow");
+    let answer = async {
+        stream.write_all(HEAD_TOO_SLOW).await?;
+        stream.shutdown().await
+    };
+    match tokio::time::timeout(HEAD_ANSWER_TIMEOUT, answer).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::debug!(error:% = error; "a caller's connection broke"),
+        Err(_) => log::debug!("a caller does not read"),
+    }
+}
+
 /// Waits until idle connections are closed in a planned stop.
 async fn idle_close(stopping: &mut watch::Receiver<Option<u64>>) {
     loop {
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -12,6 +12,7 @@
 use toucancleat_fleet::prelude::*;
 use toucancleat_platform::engine;
 
+use crate::bodies::Bodies;
 use crate::exchange::call;
 use crate::metrics::Metrics;
 use crate::peers::Outgoing;
@@ -55,6 +56,8 @@
     pub settings: Settings,
     /// Its figures.
     pub metrics: Metrics,
+    /// The bodies of requests at hand.
+    pub bodies: Bodies,
     state: RefCell<State>,
     commands: RefCell<IndexMap<Ticket, UnboundedSender<Command>>>,
     limits: Cell<CallerLimits>,
@@ -91,7 +94,9 @@
     ) -> (Rc<Self>, UnboundedReceiver<Outgoing>) {
         let (outgoing, queue) = unbounded_channel();
         let (stopping, _) = watch::channel(None);
+        let bodies = Bodies::new(settings.bodies_max_bytes());
         let host = Rc::new_cyclic(|weak| Host {
+            bodies,
             settings,
             metrics: Metrics::new(),
             state: RefCell::new(state),
--- a/crates/toucancleat-gateway/src/lib.rs
+++ b/crates/toucancleat-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! See docs/design/platform.md and docs/OPERATIONS.md.
 
 mod attempt;
+mod bodies;
 mod callers;
 mod clock;
 mod connection;
--- a/crates/toucancleat-gateway/src/request.rs
+++ b/crates/toucancleat-gateway/src/request.rs
@@ -6,7 +6,6 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri, header};
 use tokio::sync::mpsc::Receiver;
@@ -15,11 +14,16 @@
 use toucancleat_platform::{answer, caller};
 
 use crate::attempt::{Answer, Attempt, Outbound, Resumption, attempt};
+use crate::bodies::Refused;
 use crate::clock;
 use crate::host::{Command, Host, Open};
 use crate::idle::UnderWay;
 use crate::relay::Relay;
 
+/// Time after which a caller may come back whose body found no room: about what most
+/// requests take.
+const BODY_RETRY_S: u16 = 1;
+
 /// The answer to a caller broke off; `hyper` then closes the connection without the end
 /// that would make it look whole.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
@@ -79,18 +83,12 @@
 ) -> Result<Response<AnswerBody>, BrokenOff> {
     let (parts, body) = request.into_parts();
     let arrived_ms = clock::now_ms();
-    let body = match read_body(&host, body).await {
+    let body = match host.bodies.read(body, &host.caller_limits()).await {
         Ok(body) => body,
-        Err(status) => {
-            log::info!(status = status.as_u16(); "a request's body was refused");
-            let whole = Content::Whole(Some(Bytes::new()));
-            let mut response = respond(status, HeaderMap::new(), whole, under_way);
-            close(&mut response);
-            return Ok(response);
-        }
+        Err(refused) => return Ok(refuse_body(refused, under_way)),
     };
     let mut arrival = caller::decode(&parts);
-    arrival.fingerprint = fingerprint(&parts.uri, &arrival, &body);
+    arrival.fingerprint = fingerprint(&parts.uri, &arrival, &body.bytes);
     let spent_ms = clock::now_ms().saturating_sub(arrived_ms);
     arrival.deadline_ms = arrival
         .deadline_ms
@@ -166,6 +164,19 @@
     Err(BrokenOff)
 }
 
+fn refuse_body(refused: Refused, under_way: UnderWay) -> Response<AnswerBody> {
+    let status = refused.status();
+    log::info!(reason:? = refused, status = status.as_u16(); "a request's body was refused");
+    let mut headers = HeaderMap::new();
+    if refused == Refused::NoRoom {
+        headers.insert(header::RETRY_AFTER, header::HeaderValue::from(BODY_RETRY_S));
+    }
+    let whole = Content::Whole(Some(Bytes::new()));
+    let mut response = respond(status, headers, whole, under_way);
+    close(&mut response);
+    response
+}
+
 fn refuse(
     host: &Host,
     outbound: &Outbound,
@@ -230,18 +241,3 @@
     (&arrival.hostname, uri, &arrival.key, body).hash(&mut hasher);
     hasher.finish()
 }
-
-async fn read_body(host: &Host, body: Incoming) -> Result<Bytes, StatusCode> {
-    let max_bytes = host.caller_limits().body_max_bytes;
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(StatusCode::PAYLOAD_TOO_LARGE);
-    }
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(StatusCode::PAYLOAD_TOO_LARGE)
-        }
-        // The caller broke off, and nobody reads this.
-        Err(_) => Err(StatusCode::BAD_REQUEST),
-    }
-}
--- a/crates/toucancleat-gateway/src/settings.rs
+++ b/crates/toucancleat-gateway/src/settings.rs
@@ -37,8 +37,17 @@
     pub retry_allowance: Option<f64>,
     /// Time from the request to stop until the process is ended by force.
     pub stop_grace_s: Option<f64>,
+    /// Memory that the process may use.
+    pub memory_max_mb: Option<f64>,
 }
 
+/// Memory of a process whose settings leave it out: that of a small machine.
+const MEMORY_DEFAULT_MB: f64 = 128.0;
+
+/// Share of the memory that the bodies of all requests may take together; answers, buffers
+/// of connections and what the host knows have to fit in the rest.
+const BODIES_SHARE: f64 = 0.25;
+
 impl Settings {
     /// Reads and checks a file.
     pub fn read(path: &Path) -> Result<Self, Error> {
@@ -62,6 +71,7 @@
             ("retry_window_s", self.retry_window_s),
             ("retry_allowance", self.retry_allowance),
             ("stop_grace_s", self.stop_grace_s),
+            ("memory_max_mb", self.memory_max_mb),
         ];
         for (name, figure) in figures {
             if figure.is_some_and(|figure| !figure.is_finite() || figure < 0.0) {
@@ -71,6 +81,12 @@
         Ok(())
     }
 
+    /// Returns the most bytes that the bodies of all requests may take together.
+    pub fn bodies_max_bytes(&self) -> u64 {
+        let memory_mb = self.memory_max_mb.unwrap_or(MEMORY_DEFAULT_MB);
+        (BODIES_SHARE * memory_mb * 1e6) as u64
+    }
+
     /// Returns the figures that decisions depend on.
     pub fn fleet_config(&self) -> Config {
         let default = Config::default();
