Tell all hosts of streams that have ended

Ends are told with the next tick, so that many at once make one message; so are moves that change their destination.

--- a/crates/toucancleat-fleet/src/reduce/moves.rs
+++ b/crates/toucancleat-fleet/src/reduce/moves.rs
@@ -140,6 +140,7 @@
     request.tried.push(place.clone());
     request.moving_to = Some((place.clone(), added));
     state.loads.entry(place.clone()).or_default().join(added);
+    state.has_untold_load = true;
     effects.push(Effect::Evacuate {
         ticket,
         to: place,
@@ -168,5 +169,6 @@
     };
     if let Some((target, counted)) = request.moving_to.take() {
         take_off(state, &target, counted);
+        state.has_untold_load = true;
     }
 }
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -273,6 +273,14 @@
 
 /// Forgets a request.
 pub(super) fn closed(state: &mut State, ticket: Ticket) {
+    let is_stream = |request: &Request| request.route().repetition.is_stream();
+    if state
+        .requests
+        .get(&ticket)
+        .is_some_and(|request| is_stream(request) && request.sends > 0)
+    {
+        state.has_untold_load = true;
+    }
     release(state, ticket);
     release_destination(state, ticket);
     state.requests.swap_remove(&ticket);
--- a/crates/toucancleat-fleet/src/reduce/speech.rs
+++ b/crates/toucancleat-fleet/src/reduce/speech.rs
@@ -10,7 +10,10 @@
     state.peers.expire(now_ms);
     let zone = state.identity.zone.clone();
     let zone_interval_ms = state.peers.zone_interval_ms(&zone);
-    if now_ms.saturating_sub(state.said_ms) >= state.peers.interval_ms() {
+    let is_due = now_ms.saturating_sub(state.said_ms) >= state.peers.interval_ms();
+    // Room that nobody knows of stays empty. Ends are told with the tick, so that many at
+    // once, as after a cut, make one message.
+    if is_due || state.has_untold_load {
         say(state, now_ms, None, effects);
     } else if now_ms.saturating_sub(state.said_to_zone_ms) >= zone_interval_ms {
         let receivers = state.peers.receivers(now_ms, Some(&zone));
@@ -26,6 +29,7 @@
     effects: &mut Vec<Effect>,
 ) {
     state.said_ms = now_ms;
+    state.has_untold_load = false;
     let receivers = state.peers.receivers(now_ms, None);
     send(state, now_ms, receivers, news, effects);
 }
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -58,6 +58,8 @@
     pub(crate) peers: Peers,
     pub(crate) said_ms: u64,
     pub(crate) said_to_zone_ms: u64,
+    /// Whether streams have ended or moved since the others were told of the load.
+    pub(crate) has_untold_load: bool,
     pub(crate) turn: usize,
     pub(crate) budget: Budget,
     pub(crate) crashers: Crashers,
@@ -94,6 +96,7 @@
             peers,
             said_ms: 0,
             said_to_zone_ms: 0,
+            has_untold_load: false,
             turn: 0,
             budget: Budget::default(),
             crashers: Crashers::default(),
--- a/crates/toucancleat-fleet/tests/crowding.rs
+++ b/crates/toucancleat-fleet/tests/crowding.rs
@@ -87,3 +87,26 @@
     }
     assert!(sent.values().all(|runs| *runs <= 5), "{sent:?}");
 }
+
+/// On the same day a tenth of the engines' memory was free and nobody knew it: hosts told of
+/// streams that had ended up to 1.2 s later, while others waited or were refused.
+#[test]
+fn room_that_a_stream_leaves_is_taken_by_one_that_waits_elsewhere() {
+    let engines = engines(&["upp-a"]);
+    let mut fleet = fleet(12, &["upp-a", "upp-b", "vas-a"], &engines);
+    for request in 0..5 {
+        let sent = send(&mut fleet, 0, request, "draft");
+        assert!(sent.is_some(), "the engine has room for five");
+    }
+    assert_eq!(send(&mut fleet, 3, 5, "draft"), None);
+    let now_ms = fleet.now_ms;
+    apply(
+        &mut fleet.hosts[0],
+        now_ms,
+        Event::Closed { ticket: Ticket(2) },
+    );
+    // One tick tells of it, and the next one at the latest finds the room.
+    let mut sent = look_for_room(&mut fleet, 25);
+    sent.extend(look_for_room(&mut fleet, 25));
+    assert_eq!(sent.len(), 1, "{sent:?}");
+}
