Look for a place until the engine leaves

Room comes all the time: some 65 streams end in a second.

Such a run now asks again, three destinations at a time with 100 ms between, until no move can end in time. The retry that a move counts as is taken once for each move. A copy that is not needed any more is freed. What is left: copies that never end, since six runs of an engine don't fit through its link into another zone within the notice.

Finding a route returns its place, which was searched for again.

--- a/crates/toucancleat-fleet/src/configuration.rs
+++ b/crates/toucancleat-fleet/src/configuration.rs
@@ -135,13 +135,14 @@
 }
 
 impl Configuration {
-    /// Finds the route with the longest prefix among those of the host.
-    pub fn route_for(&self, hostname: &str, path: &str) -> Option<&Route> {
+    /// Finds the route with the longest prefix among those of the host, and its place.
+    pub fn route_for(&self, hostname: &str, path: &str) -> Option<(usize, &Route)> {
         self.routes
             .iter()
-            .filter(|route| route.hostname.eq_ignore_ascii_case(hostname))
-            .filter(|route| path.starts_with(&route.path_prefix))
-            .max_by_key(|route| route.path_prefix.len())
+            .enumerate()
+            .filter(|(_, route)| route.hostname.eq_ignore_ascii_case(hostname))
+            .filter(|(_, route)| path.starts_with(&route.path_prefix))
+            .max_by_key(|(_, route)| route.path_prefix.len())
     }
 
     /// Returns what the engines of a pool are able to do, if its targets are engines.
--- a/crates/toucancleat-fleet/src/evacuation.rs
+++ b/crates/toucancleat-fleet/src/evacuation.rs
@@ -18,15 +18,23 @@
 /// Notice that targets give where they don't say when they leave.
 pub const NOTICE_DEFAULT_MS: u64 = 1_500;
 
-/// Most destinations that are tried for one run.
-const DESTINATIONS_MAX: u32 = 4;
+/// Destinations that are asked one after another before a pause. Where so many have no room,
+/// most runs that move at this moment are looking for the same places.
+const DESTINATIONS_AT_ONCE: u32 = 3;
+
+/// Pause before a run without a destination, or one that isn't in its engine's memory right
+/// now, is tried again; streams end and free memory in less.
+const TRY_AGAIN_MS: u64 = 100;
+
+/// Least time left for which a move is begun: a copy over an idle link, and the stop.
+const MOVE_MIN_MS: u64 = 150;
 
 /// One run on its way to another target.
 #[derive(Clone, Debug)]
 pub struct Evacuation {
     leaves_at_ms: u64,
     copies: u32,
-    destinations: u32,
+    refusals: u32,
     is_stopping: bool,
 }
 
@@ -40,8 +48,10 @@
         /// How long it took.
         took_ms: u64,
     },
-    /// The target knows no such run: it has ended.
+    /// The target has no such run in its memory: it has ended, or was preempted.
     NoRun,
+    /// No destination has room.
+    NoDestination,
     /// Another copy of the run is still under way.
     Busy,
     /// The destination has no room or can't be reached.
@@ -63,8 +73,11 @@
         /// The pause.
         after_ms: u64,
     },
-    /// Choose another destination, then start over.
-    ChooseAnother,
+    /// Choose another destination after a pause, then start over.
+    ChooseAnother {
+        /// The pause.
+        after_ms: u64,
+    },
     /// Go on at the destination.
     ResumeAtDestination,
     /// Go on at the source, which has stopped the run and kept its memory.
@@ -83,7 +96,7 @@
         Evacuation {
             leaves_at_ms: leaves_at_ms.unwrap_or(now_ms + NOTICE_DEFAULT_MS),
             copies: 0,
-            destinations: 1,
+            refusals: 0,
             is_stopping: false,
         }
     }
@@ -119,7 +132,11 @@
                     after_ms: 0,
                 }
             }
-            Event::NoRun => Step::Stay,
+            Event::NoRun if self.is_stopping || !self.has_time(now_ms) => Step::Stay,
+            Event::NoRun => Step::Copy {
+                is_last: false,
+                after_ms: TRY_AGAIN_MS,
+            },
             Event::Busy => Step::Copy {
                 is_last: self.is_stopping,
                 after_ms: BUSY_PAUSE_MS,
@@ -128,19 +145,29 @@
                 self.is_stopping = false;
                 Step::ResumeAtSource
             }
-            Event::Refused { is_kept: false } | Event::Failed => self.elsewhere(),
+            Event::Refused { is_kept: false } | Event::Failed => {
+                self.refusals += 1;
+                let is_round_over = self.refusals.is_multiple_of(DESTINATIONS_AT_ONCE);
+                self.elsewhere(now_ms, if is_round_over { TRY_AGAIN_MS } else { 0 })
+            }
+            Event::NoDestination => self.elsewhere(now_ms, TRY_AGAIN_MS),
         }
     }
 
-    fn elsewhere(&mut self) -> Step {
+    /// Looks for another place as long as a move can end before the target leaves: a run
+    /// that stays is lost.
+    fn elsewhere(&mut self, now_ms: u64, after_ms: u64) -> Step {
         if self.is_stopping {
             return Step::GiveUp;
         }
-        if self.destinations >= DESTINATIONS_MAX {
+        if !self.has_time(now_ms + after_ms) {
             return Step::Stay;
         }
-        self.destinations += 1;
         self.copies = 0;
-        Step::ChooseAnother
+        Step::ChooseAnother { after_ms }
+    }
+
+    fn has_time(&self, now_ms: u64) -> bool {
+        now_ms + MOVE_MIN_MS < self.leaves_at_ms
     }
 }
--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -53,10 +53,12 @@
         /// Events so far, over all targets.
         events: u64,
     },
-    /// A run needs another destination than the one that was chosen.
-    DestinationFailed {
+    /// A run needs another destination than the one that was chosen, if any was.
+    NeedsDestination {
         /// The request.
         ticket: Ticket,
+        /// Whether those that had no room may be asked again.
+        is_new_round: bool,
     },
     /// A run goes on at another target.
     Moved {
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -39,9 +39,10 @@
         Event::Progressed { ticket, events } => {
             requests::progressed(state, ticket, events);
         }
-        Event::DestinationFailed { ticket } => {
-            moves::evacuate(state, now_ms, ticket, effects);
-        }
+        Event::NeedsDestination {
+            ticket,
+            is_new_round,
+        } => moves::evacuate(state, now_ms, ticket, is_new_round, effects),
         Event::Moved { ticket } => moves::moved(state, ticket),
         Event::Stayed { ticket } => moves::stayed(state, ticket),
         Event::Closed { ticket } => requests::closed(state, ticket),
--- a/crates/toucancleat-fleet/src/reduce/moves.rs
+++ b/crates/toucancleat-fleet/src/reduce/moves.rs
@@ -13,23 +13,36 @@
 
 /// Returns the runs at a target that can move with their memory.
 pub(super) fn movable_at(state: &State, target: &TargetName) -> Vec<Ticket> {
-    let is_movable = |request: &Request| {
-        let engine = request.configuration.engine(&request.pool);
-        request.route().repetition == Repetition::StreamOnce
-            && engine.is_some_and(|engine| engine.can_move)
-            && request
-                .running
-                .as_ref()
-                .is_some_and(|(running_at, _)| running_at == target)
+    let is_there = |request: &Request| {
+        let running = request.running.as_ref();
+        running.is_some_and(|(running_at, _)| running_at == target)
     };
     state
         .requests
         .iter()
-        .filter(|(_, request)| is_movable(request))
+        .filter(|(_, request)| is_there(request) && is_movable(request))
         .map(|(ticket, _)| *ticket)
         .collect()
 }
 
+fn is_movable(request: &Request) -> bool {
+    let engine = request.configuration.engine(&request.pool);
+    request.route().repetition == Repetition::StreamOnce
+        && engine.is_some_and(|engine| engine.can_move)
+}
+
+/// Takes the retry that a move counts as, unless this move has it already.
+fn may_move(state: &mut State, now_ms: u64, ticket: Ticket) -> bool {
+    let Some(request) = state.requests.get(&ticket) else {
+        return false;
+    };
+    let is_allowed = request.has_move || take_retry(state, now_ms, ticket);
+    if let Some(request) = state.requests.get_mut(&ticket) {
+        request.has_move = is_allowed;
+    }
+    is_allowed
+}
+
 /// Moves all runs away from targets that leave, by the plan that all hosts share.
 pub(super) fn evacuate_all(
     state: &mut State,
@@ -46,7 +59,7 @@
         let mut places = plan.swap_remove(target).unwrap_or_default();
         for ticket in movable_at(state, target) {
             match places.pop() {
-                Some(place) if take_retry(state, now_ms, ticket) => {
+                Some(place) if may_move(state, now_ms, ticket) => {
                     send_to(state, ticket, place, effects);
                 }
                 _ => effects.push(Effect::NoDestination { ticket }),
@@ -116,12 +129,22 @@
     state: &mut State,
     now_ms: u64,
     ticket: Ticket,
+    is_new_round: bool,
     effects: &mut Vec<Effect>,
 ) {
     release_destination(state, ticket);
-    match choose_for(state, now_ms, ticket, true) {
-        Some(choice) => send_to(state, ticket, choice.target, effects),
-        None => effects.push(Effect::NoDestination { ticket }),
+    if let Some(request) = state.requests.get_mut(&ticket)
+        && is_new_round
+    {
+        request.tried.clear();
+    }
+    let can_move = state.requests.get(&ticket).is_some_and(is_movable);
+    let choice = can_move.then(|| choose_for(state, now_ms, ticket, true));
+    match choice.flatten() {
+        Some(choice) if may_move(state, now_ms, ticket) => {
+            send_to(state, ticket, choice.target, effects);
+        }
+        _ => effects.push(Effect::NoDestination { ticket }),
     }
 }
 
@@ -153,6 +176,7 @@
     release(state, ticket);
     if let Some(request) = state.requests.get_mut(&ticket) {
         request.running = request.moving_to.take();
+        request.has_move = false;
         // A target that it has left may take it again when it has started anew.
         request.tried.clear();
     }
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -67,7 +67,8 @@
             not_run(Reason::StaleConfiguration, Some(RETRY_SOON_MS))
         }
     };
-    let Some(route) = configuration.route_for(&arrival.hostname, &arrival.path) else {
+    let Some((place, route)) = configuration.route_for(&arrival.hostname, &arrival.path)
+    else {
         return Err(deny(Reason::NoRoute));
     };
     let holder = arrival
@@ -97,11 +98,6 @@
         .deadline_ms
         .unwrap_or(route.timeout_ms)
         .min(route.timeout_ms);
-    let place = configuration
-        .routes
-        .iter()
-        .position(|other| std::ptr::eq(other, route))
-        .unwrap_or_default();
     Ok(Request {
         organisation,
         priority: rank.unwrap_or(route.priority),
@@ -117,6 +113,7 @@
         verdict: Verdict::NotRun,
         running: None,
         moving_to: None,
+        has_move: false,
         made_tokens: 0,
     })
 }
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -218,6 +218,8 @@
     pub running: Option<(TargetName, Load)>,
     /// Where it is moving, and what is counted for it there.
     pub moving_to: Option<(TargetName, Load)>,
+    /// Whether the retry that its next move counts as has been taken.
+    pub has_move: bool,
     /// Tokens that it has made.
     pub made_tokens: u64,
 }
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -57,13 +57,16 @@
     last_event_ms: u64,
     event_count: u64,
     longest_pause_ms: u64,
+    /// The steps of the move away from a target that leaves.
+    evacuation: Option<Evacuation>,
+    /// When another destination is to be chosen.
+    choose_at_ms: Option<u64>,
     moving: Option<Moving>,
     moves: u32,
 }
 
 /// A run on its way to another target.
 struct Moving {
-    evacuation: Evacuation,
     source: SocketAddr,
     to: TargetName,
     address: SocketAddr,
@@ -81,7 +84,6 @@
 impl std::fmt::Debug for Moving {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Moving")
-            .field("evacuation", &self.evacuation)
             .field("to", &self.to)
             .finish_non_exhaustive()
     }
@@ -95,6 +97,7 @@
     Ended,
     Broke,
     Copied(Copied),
+    ChooseNow,
     TimeUp,
 }
 
@@ -129,6 +132,8 @@
             last_event_ms: now_ms,
             event_count: 0,
             longest_pause_ms: 0,
+            evacuation: None,
+            choose_at_ms: None,
             moving: None,
             moves: 0,
         };
@@ -172,12 +177,20 @@
                 None => std::future::pending().await,
             }
         };
+        let choose_at_ms = self.choose_at_ms;
+        let choosing = async {
+            match choose_at_ms {
+                Some(at_ms) => clock::sleep_until(at_ms).await,
+                None => std::future::pending().await,
+            }
+        };
         tokio::select! {
             biased;
             () = self.events.closed() => Happened::CallerLeft,
             command = self.open.commands.recv() => Happened::Command(command),
             happened = read(&mut self.upstream) => happened,
             copied = copying => Happened::Copied(copied),
+            () = choosing => Happened::ChooseNow,
             () = clock::sleep_until(self.dispatch.give_up_at_ms) => Happened::TimeUp,
         }
     }
@@ -200,6 +213,10 @@
             }
             Happened::Ended | Happened::Broke => self.broke().await,
             Happened::Copied(copied) => self.copied(copied).await,
+            Happened::ChooseNow => {
+                self.choose_destination();
+                Next::GoOn
+            }
         }
     }
 
@@ -216,9 +233,9 @@
     }
 
     fn is_stopping_run(&self) -> bool {
-        self.moving
+        self.evacuation
             .as_ref()
-            .is_some_and(|moving| moving.evacuation.is_stopping())
+            .is_some_and(Evacuation::is_stopping)
     }
 
     async fn pass_on(&mut self, bytes: &[u8]) -> Next {
@@ -284,10 +301,7 @@
     async fn broke(&mut self) -> Next {
         self.upstream = None;
         self.splitter = EventSplitter::default();
-        if let Some(moving) = &mut self.moving
-            && moving.handle.is_some()
-        {
-            moving.copy = None;
+        if self.has_copy() {
             return self.resume(false).await;
         }
         self.abandon_move();
@@ -313,14 +327,9 @@
                 Next::GoOn
             }
             Command::NoDestination => {
-                log::warn!(
-                    request:% = self.outbound.name,
-                    target_name:% = self.dispatch.target;
-                    "no target has room for a run whose target leaves"
-                );
-                self.host.metrics.count_move("no_destination");
-                self.moving = None;
-                Next::GoOn
+                self.drop_copy();
+                let step = self.step(evacuation::Event::NoDestination);
+                self.take_step(step).await
             }
         }
     }
@@ -344,14 +353,9 @@
     }
 
     fn evacuate(&mut self, to: TargetName, address: SocketAddr) {
-        let leaves_at_ms = self.host.leaves_at_ms(&self.dispatch.target);
-        let evacuation = match self.moving.take() {
-            Some(moving) => moving.evacuation,
-            None => Evacuation::new(clock::now_ms(), leaves_at_ms),
-        };
-        let step = evacuation.first();
+        self.drop_copy();
+        let step = self.evacuation().first();
         self.moving = Some(Moving {
-            evacuation,
             source: self.dispatch.address,
             to,
             address,
@@ -364,6 +368,32 @@
         }
     }
 
+    fn evacuation(&mut self) -> &mut Evacuation {
+        let leaves_at_ms = self.host.leaves_at_ms(&self.dispatch.target);
+        self.evacuation
+            .get_or_insert_with(|| Evacuation::new(clock::now_ms(), leaves_at_ms))
+    }
+
+    fn step(&mut self, event: evacuation::Event) -> Step {
+        let now_ms = clock::now_ms();
+        let leaves_at_ms = self.host.leaves_at_ms(&self.dispatch.target);
+        let evacuation = self.evacuation();
+        if let Some(at_ms) = leaves_at_ms {
+            evacuation.step(now_ms, evacuation::Event::LeavesAt(at_ms));
+        }
+        evacuation.step(now_ms, event)
+    }
+
+    fn choose_destination(&mut self) {
+        // The ones that had no room a while ago may have some now.
+        let is_new_round = self.choose_at_ms.take().is_some();
+        let ticket = self.open.ticket;
+        self.host.apply(Event::NeedsDestination {
+            ticket,
+            is_new_round,
+        });
+    }
+
     fn copy(&mut self, is_last: bool, after_ms: u64) {
         let name = self.outbound.name.clone();
         let Some(moving) = &mut self.moving else {
@@ -391,12 +421,6 @@
             return Next::GoOn;
         };
         moving.copy = None;
-        let now_ms = clock::now_ms();
-        if let Some(at_ms) = self.host.leaves_at_ms(&self.dispatch.target) {
-            moving
-                .evacuation
-                .step(now_ms, evacuation::Event::LeavesAt(at_ms));
-        }
         let event = match &copied.result {
             Ok(CopyReply::Copied { handle }) => {
                 moving.handle = Some(handle.clone());
@@ -407,7 +431,11 @@
             Ok(CopyReply::NoRun) => evacuation::Event::NoRun,
             Ok(CopyReply::Busy) => evacuation::Event::Busy,
             Ok(CopyReply::Refused { handle }) => {
-                let is_kept = moving.evacuation.is_stopping() && handle.is_some();
+                let is_stopping = self
+                    .evacuation
+                    .as_ref()
+                    .is_some_and(Evacuation::is_stopping);
+                let is_kept = is_stopping && handle.is_some();
                 if is_kept {
                     moving.handle.clone_from(handle);
                 }
@@ -415,30 +443,48 @@
             }
             Err(_) => evacuation::Event::Failed,
         };
-        let step = moving.evacuation.step(now_ms, event);
+        let to = moving.to.clone();
+        let step = self.step(event);
         log::info!(
             request:% = self.outbound.name,
             target_name:% = self.dispatch.target,
-            to:% = moving.to,
+            to:% = to,
             took_ms = copied.took_ms,
             event:? = event,
             step:? = step;
             "a copy of a run's memory"
         );
+        self.take_step(step).await
+    }
+
+    async fn take_step(&mut self, step: Step) -> Next {
         match step {
             Step::Copy { is_last, after_ms } => {
                 self.copy(is_last, after_ms);
                 Next::GoOn
             }
-            Step::ChooseAnother => {
-                let ticket = self.open.ticket;
-                self.host.apply(Event::DestinationFailed { ticket });
+            Step::ChooseAnother { after_ms: 0 } => {
+                self.drop_copy();
+                self.choose_destination();
+                Next::GoOn
+            }
+            Step::ChooseAnother { after_ms } => {
+                self.drop_copy();
+                self.choose_at_ms = Some(clock::now_ms() + after_ms);
                 Next::GoOn
             }
             Step::ResumeAtDestination => self.resume(false).await,
             Step::ResumeAtSource => self.resume(true).await,
             Step::Stay => {
-                let was_closed_in_order = moving.was_closed_in_order;
+                log::warn!(
+                    request:% = self.outbound.name,
+                    target_name:% = self.dispatch.target;
+                    "a run stays at a target that leaves"
+                );
+                self.host.metrics.count_move("stayed");
+                let moving = self.moving.as_ref();
+                let was_closed_in_order =
+                    moving.is_some_and(|moving| moving.was_closed_in_order);
                 self.abandon_move();
                 match (&self.upstream, was_closed_in_order) {
                     (Some(_), _) => Next::GoOn,
@@ -451,7 +497,7 @@
                 }
             }
             // What was copied before the source went can still be gone on from.
-            Step::GiveUp if moving.handle.is_some() => self.resume(false).await,
+            Step::GiveUp if self.has_copy() => self.resume(false).await,
             Step::GiveUp => {
                 self.abandon_move();
                 self.upstream = None;
@@ -470,6 +516,7 @@
         let Some(moving) = self.moving.take() else {
             return Next::GoOn;
         };
+        self.evacuation = None;
         let stopped_ms = self.last_event_ms;
         if !at_source {
             self.dispatch.target = moving.to.clone();
@@ -537,8 +584,14 @@
         Next::GoOn
     }
 
+    fn has_copy(&self) -> bool {
+        let moving = self.moving.as_ref();
+        moving.is_some_and(|moving| moving.handle.is_some())
+    }
+
     fn abandon_move(&mut self) {
-        if self.moving.is_some() {
+        self.choose_at_ms = None;
+        if self.evacuation.take().is_some() {
             self.drop_copy();
             let ticket = self.open.ticket;
             self.host.apply(Event::Stayed { ticket });
