--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -176,43 +176,36 @@
 }
 
 impl Peers {
-    /// Takes in a message; tells whether it is newer than what was heard of its sender.
-    pub fn hear(
-        &mut self,
-        now_ms: u64,
-        own_address: SocketAddr,
-        message: &Message,
-    ) -> bool {
-        if message.address == own_address {
-            return false;
-        }
-        let known = self.peers.get(&message.from);
-        if known.is_some_and(|peer| {
-            peer.last.incarnation == message.incarnation
-                && peer.last.sent_ms > message.sent_ms
-        }) {
-            return false;
-        }
+    /// Says whether no later message of the same sender was heard.
+    pub fn is_newest(&self, message: &Message) -> bool {
+        self.peers.get(&message.from).is_none_or(|peer| {
+            peer.last.incarnation != message.incarnation
+                || peer.last.sent_ms <= message.sent_ms
+        })
+    }
+
+    /// Takes in the newest message of another host.
+    pub fn hear(&mut self, now_ms: u64, own_address: SocketAddr, message: Message) {
         self.candidates.swap_remove(&message.address);
+        for address in &message.addresses {
+            self.name(now_ms, own_address, *address);
+        }
+        add_to(&mut self.sum, &message.loads);
+        let from = message.from.clone();
         let peer = Peer {
             address: message.address,
             heard_ms: now_ms,
             last: Message {
                 news: None,
-                ..message.clone()
+                ..message
             },
             is_summed: true,
         };
-        add_to(&mut self.sum, &peer.last.loads);
-        if let Some(before) = self.peers.insert(message.from.clone(), peer)
+        if let Some(before) = self.peers.insert(from, peer)
             && before.is_summed
         {
             take_from(&mut self.sum, &before.last.loads);
         }
-        for address in &message.addresses {
-            self.name(now_ms, own_address, *address);
-        }
-        true
     }
 
     /// Notes an address at which a host may be.
--- a/crates/toucancleat-fleet/src/reduce/speech.rs
+++ b/crates/toucancleat-fleet/src/reduce/speech.rs
@@ -89,12 +89,13 @@
     }
     // News counts also where a later message has overtaken it.
     take_news(state, now_ms, &message, effects);
-    if state.peers.hear(now_ms, state.identity.address, &message) {
+    if state.peers.is_newest(&message) {
         let counts = message.counts.iter().cloned().collect();
         state.budget.hear(now_ms, message.from.clone(), counts);
         let from = message.from.clone();
         state.crashers.hear(now_ms, from, &message.broken);
         catch_up(state, now_ms, &message);
+        state.peers.hear(now_ms, state.identity.address, message);
     }
 }
 
