Read lists of several pages, and tell only news of the host list

Two causes by reading: a list of over 500 rows has several pages and was refused as unreadable, so feeds, which wait until the store answers, never began; and the reader told all others every row of the feed in which there was news, heartbeats too, some 2,500 rows in a second, which no datagram holds.

Now a list is read page by page, a feed that was cut goes on from its last row, and only what changed the host list is told.

--- a/crates/toucancleat-fleet/src/reduce/knowledge.rs
+++ b/crates/toucancleat-fleet/src/reduce/knowledge.rs
@@ -163,11 +163,11 @@
         }
         Reply::TargetFeed {
             store_version,
-            changes,
+            mut changes,
         } => {
             let after_content = state.directory.content_version();
-            let shifts = state.directory.change(store_version, changes.clone());
-            if state.directory.content_version() > after_content {
+            let shifts = state.directory.change(store_version, &mut changes);
+            if !changes.is_empty() {
                 let news = News::Targets {
                     after_content,
                     store_version,
--- a/crates/toucancleat-fleet/src/reduce/speech.rs
+++ b/crates/toucancleat-fleet/src/reduce/speech.rs
@@ -124,7 +124,7 @@
                 } else {
                     known_version
                 },
-                changes.clone(),
+                &mut changes.clone(),
             );
             knowledge::take_shifts(state, now_ms, shifts, effects);
         }
--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -126,24 +126,25 @@
         shifts
     }
 
-    /// Takes the changes up to a version.
+    /// Takes the changes up to a version, and keeps of them only what was news.
+    ///
+    /// Most changes are heartbeats; with thousands of targets a message with all of them
+    /// would not fit into a datagram.
     pub fn change(
         &mut self,
         store_version: u64,
-        changes: Vec<TargetChange>,
+        changes: &mut Vec<TargetChange>,
     ) -> Vec<Shift> {
         let mut shifts = Vec::new();
-        for change in changes {
-            if change.store_version <= self.known_version {
-                continue;
-            }
-            self.apply(
-                change.target,
-                change.entry,
-                change.store_version,
-                &mut shifts,
-            );
-        }
+        changes.retain(|change| {
+            change.store_version > self.known_version
+                && self.apply(
+                    change.target.clone(),
+                    change.entry.clone(),
+                    change.store_version,
+                    &mut shifts,
+                )
+        });
         self.known_version = self.known_version.max(store_version);
         shifts
     }
@@ -153,13 +154,14 @@
         self.known_version = self.known_version.max(store_version);
     }
 
+    /// Takes one change; tells whether it was news.
     fn apply(
         &mut self,
         target: TargetName,
         entry: Option<TargetEntry>,
         store_version: u64,
         shifts: &mut Vec<Shift>,
-    ) {
+    ) -> bool {
         let before = self.targets.get(&target);
         let is_news = match (before, &entry) {
             (Some(before), Some(entry)) => entry.is_news_after(before),
@@ -167,7 +169,7 @@
             _ => true,
         };
         if !is_news {
-            return;
+            return false;
         }
         self.content_version = self.content_version.max(store_version);
         let was_ready = before.is_some_and(|entry| !entry.is_leaving);
@@ -190,5 +192,6 @@
                 self.targets.insert(target, entry);
             }
         }
+        true
     }
 }
--- a/crates/toucancleat-gateway/src/store.rs
+++ b/crates/toucancleat-gateway/src/store.rs
@@ -5,7 +5,7 @@
 
 use toucancleat_fleet::event::Event;
 use toucancleat_fleet::store::{FEED_WAIT_MS, Query, Reply};
-use toucancleat_platform::store::{Registration, decode, encode};
+use toucancleat_platform::store::{Exchange, Registration};
 
 use crate::exchange::call;
 use crate::host::Host;
@@ -28,18 +28,28 @@
         Query::TargetFeed { .. } | Query::ConfigurationFeed { .. } => FEED_TIMEOUT,
         _ => ANSWER_TIMEOUT,
     };
-    let request = encode(query, registration);
-    host.metrics.store_calls.inc();
-    let reply = match call(host.settings.store_address, request, timeout).await {
-        Err(error) => {
-            log::debug!(query = query.as_str(), error:% = error; "the store did not answer");
-            Reply::Failed
+    let mut exchange = Exchange::new(query);
+    let reply = loop {
+        let request = exchange.request(registration);
+        host.metrics.store_calls.inc();
+        let (status, body) = match call(host.settings.store_address, request, timeout)
+            .await
+        {
+            Ok(answer) => answer,
+            Err(error) => {
+                log::debug!(query = query.as_str(), error:% = error; "the store did not answer");
+                break Reply::Failed;
+            }
+        };
+        match exchange.take(status, &body) {
+            Ok(Some(reply)) => break reply,
+            Ok(None) => {}
+            Err(error) => {
+                let status = status.as_u16();
+                log::debug!(query = query.as_str(), status, error:% = error; "the store's answer can't be used");
+                break Reply::Failed;
+            }
         }
-        Ok((status, body)) => decode(query, status, &body).unwrap_or_else(|error| {
-            let status = status.as_u16();
-            log::debug!(query = query.as_str(), status, error:% = error; "the store's answer can't be used");
-            Reply::Failed
-        }),
     };
     host.apply(Event::Store { query, reply });
 }
