Let only the reader tell of a configuration

What doesn't grow with a host's work is the configuration: each host that starts, or that missed a change and reads it for itself, told it whole to all others. At 300 hosts those messages fill the links, so more hosts miss the change, read it and tell.

Now the reader tells changes, and nobody the first one, which each host reads at its start anyway. A host without runs at targets that leave has nothing to tell then.

Before: the new test fails for a host that isn't the reader.

--- a/crates/toucancleat-fleet/src/reduce/knowledge.rs
+++ b/crates/toucancleat-fleet/src/reduce/knowledge.rs
@@ -123,14 +123,7 @@
                 .configuration
                 .as_ref()
                 .is_none_or(|known| known.version <= configuration.version);
-            if adopt(state, &configuration, effects) {
-                speech::say(
-                    state,
-                    now_ms,
-                    Some(News::Configuration(configuration)),
-                    effects,
-                );
-            }
+            adopt_and_tell(state, now_ms, configuration, effects);
             if is_newest {
                 confirm(state, asked_ms);
             }
@@ -141,15 +134,9 @@
         } => {
             state.calls.note_configuration_feed(store_version);
             if let Some(configuration) = configuration
-                && adopt(state, &configuration, effects)
+                && adopt_and_tell(state, now_ms, configuration, effects)
             {
                 confirm(state, asked_ms);
-                speech::say(
-                    state,
-                    now_ms,
-                    Some(News::Configuration(configuration)),
-                    effects,
-                );
             }
         }
         Reply::Targets {
@@ -196,6 +183,25 @@
     }
 }
 
+/// Puts a configuration that was read in force if it is newer; tells whether it was.
+///
+/// Only the reader tells the others, and only of a change: hosts that start, or that missed
+/// a change and read it for themselves, are many at once, and each would tell all.
+fn adopt_and_tell(
+    state: &mut State,
+    now_ms: u64,
+    configuration: Configuration,
+    effects: &mut Vec<Effect>,
+) -> bool {
+    let is_change = state.configuration.is_some();
+    let is_newer = adopt(state, &configuration, effects);
+    if is_newer && is_change && state.reads {
+        let news = News::Configuration(configuration);
+        speech::say(state, now_ms, Some(news), effects);
+    }
+    is_newer
+}
+
 /// Puts a configuration in force if it is newer; tells whether it was.
 pub(super) fn adopt(
     state: &mut State,
@@ -268,7 +274,9 @@
     }
     if !leaving.is_empty() {
         moves::evacuate_all(state, now_ms, &leaving, effects);
-        // The others learn at once what is on its way to which target.
-        speech::say(state, now_ms, None, effects);
+        if state.has_untold_load {
+            // The others learn at once what is on its way to which target.
+            speech::say(state, now_ms, None, effects);
+        }
     }
 }
--- a/crates/toucancleat-fleet/tests/knowledge.rs
+++ b/crates/toucancleat-fleet/tests/knowledge.rs
@@ -201,6 +201,48 @@
     assert!(reads(&effects).contains(&Query::Targets));
 }
 
+/// In a sweep with 300 hosts each that started, or read a change for itself, told all others the
+/// whole configuration; links were full of it.
+#[test]
+fn only_the_reader_tells_of_a_configuration() {
+    struct Case {
+        name: &'static str,
+        /// The host; the first one reads for all.
+        place: usize,
+        is_told: bool,
+    }
+    let cases = [
+        Case {
+            name: "the reader reads a change",
+            place: 0,
+            is_told: true,
+        },
+        Case {
+            name: "another host reads what it has missed",
+            place: 1,
+            is_told: false,
+        },
+    ];
+    let tells = |effects: &[Effect]| {
+        let mut messages = messages(effects).into_iter();
+        messages.any(|(_, message)| message.news.is_some())
+    };
+    for case in cases {
+        let mut fleet = Fleet::new(2, &["upp-a"], &[]);
+        let now_ms = fleet.now_ms;
+        let reply = Reply::Configuration(Some(configuration(2)));
+        let host = &mut fleet.hosts[case.place];
+        let effects = answer(host, now_ms, Query::Configuration, reply);
+        assert_eq!(tells(&effects), case.is_told, "{}", case.name);
+    }
+    let mut starting = unknowing("host-1", "upp-a", 1);
+    let addresses = Reply::Hosts(vec![address(2)]);
+    answer(&mut starting, START_MS, Query::Hosts, addresses);
+    let first = Reply::Configuration(Some(configuration(1)));
+    let effects = answer(&mut starting, START_MS, Query::Configuration, first);
+    assert!(!tells(&effects), "the first one of a host that starts");
+}
+
 /// Regular messages of many hosts overtake the news of one; on a grown site each of 60
 /// hosts read the store for that.
 #[test]
