--- a/crates/toucancleat-fleet/tests/knowledge.rs
+++ b/crates/toucancleat-fleet/tests/knowledge.rs
@@ -176,6 +176,15 @@
     assert_eq!(state.configuration_age_ms(START_MS + 3_000), Some(3_000));
 }
 
+/// Returns a feed's news that an engine is gone.
+fn engine_is_gone() -> (Query, Reply) {
+    let gone = Reply::TargetFeed {
+        store_version: 30,
+        changes: vec![change("engine-1", 30, None)],
+    };
+    (Query::TargetFeed { after: 10 }, gone)
+}
+
 #[test]
 fn a_host_that_missed_a_change_asks_the_store() {
     let mut fleet = Fleet::new(
@@ -184,11 +193,7 @@
         &[("engine-1", entry("engines", "upp-a", 101))],
     );
     let now_ms = fleet.now_ms;
-    let feed = Query::TargetFeed { after: 10 };
-    let gone = Reply::TargetFeed {
-        store_version: 30,
-        changes: vec![change("engine-1", 30, None)],
-    };
+    let (feed, gone) = engine_is_gone();
     // The news itself is lost; the next regular message tells that there was some.
     answer(&mut fleet.hosts[0], now_ms, feed, gone);
     let effects = apply(&mut fleet.hosts[0], now_ms + 200, Event::Tick);
@@ -253,11 +258,7 @@
         &[("engine-1", entry("engines", "upp-a", 101))],
     );
     let now_ms = fleet.now_ms;
-    let feed = Query::TargetFeed { after: 10 };
-    let gone = Reply::TargetFeed {
-        store_version: 30,
-        changes: vec![change("engine-1", 30, None)],
-    };
+    let (feed, gone) = engine_is_gone();
     let news = answer(&mut fleet.hosts[0], now_ms, feed, gone);
     let regular = apply(&mut fleet.hosts[0], now_ms + 200, Event::Tick);
     for (to, message) in messages(&regular) {
