Let a fleet that starts at once neither flood itself nor the store

Cause: after all hosts are killed each host wrote its row again (the store makes 200 writes a second to one part), believed itself the reader and followed both feeds until it heard others, sent all hosts of the list a message each 150 ms, since the interval counted only the peers already heard, and logged a line for each target. A host on a slow link had 0.8 s for a whole reply, so that a long configuration was read again and again.

Change: a host reads the host list first and writes its row only if it is missing; it follows feeds once a message interval has passed; the interval counts the hosts not heard yet; one announcement is spread over a millisecond for each host; the first host list is one log line; a reply may take longer than its timeout as long as it makes progress. What a new configuration changes is sent to peers, not the whole of it, and changes of the host list are sent in parts that fit in datagrams.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -137,6 +137,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[non_exhaustive]
 pub enum LogEvent {
+    /// The host list was read for the first time.
+    TargetsListed {
+        /// Number of targets.
+        targets: usize,
+        /// Version of the host list.
+        store_version: u64,
+    },
     /// A target is new or has restarted.
     TargetJoined {
         /// The target.
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod budget;
 pub mod config;
 pub mod configuration;
+pub mod configuration_change;
 pub mod event;
 pub mod event_stream;
 pub mod health;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -6,12 +6,12 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use toucancleat_core::prelude::*;
 
 use crate::budget::RetryCounts;
-use crate::configuration::Configuration;
+use crate::configuration_change::ConfigurationChange;
 use crate::migration_plan::HostRuns;
 use crate::poison_requests::Fingerprint;
 use crate::store::READER_SILENCE_MS;
@@ -29,6 +29,10 @@
 /// since they choose among the same targets.
 pub const MESSAGE_INTERVAL_PER_HOST_MS: u64 = 15;
 
+/// Range of the delay before a host that has just started announces itself, for each host of
+/// the fleet: about the time in which a small host handles a message.
+pub const ANNOUNCEMENT_SPREAD_PER_HOST_MS: u64 = 1;
+
 /// Number of intervals without a message after which a peer is no longer live.
 pub const SILENCE_LIMIT_INTERVALS: u64 = 3;
 
@@ -93,8 +97,8 @@
         /// The changes.
         changes: Vec<TargetChange>,
     },
-    /// A new configuration.
-    Configuration(Configuration),
+    /// What a new version of the configuration changes.
+    Configuration(Box<ConfigurationChange>),
 }
 
 /// Load at a target.
@@ -169,6 +173,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
     peers: IndexMap<HostName, Peer>,
+    /// The addresses of these peers.
+    peer_addresses: IndexSet<SocketAddr>,
     /// Total load of all live peers at each target.
     ///
     /// The totals are updated with each message. Adding them up for each selection would
@@ -198,7 +204,7 @@
     ) {
         self.candidate_addresses.swap_remove(&message.address);
         for address in &message.addresses {
-            self.add_candidate(now_ms, own_address, *address);
+            let _ = self.add_candidate(now_ms, own_address, *address);
         }
         add_loads(&mut self.load_totals, &message.loads);
         let from = message.from.clone();
@@ -211,26 +217,31 @@
             },
             is_counted: true,
         };
-        if let Some(before) = self.peers.insert(from, peer)
-            && before.is_counted
-        {
-            subtract_loads(&mut self.load_totals, &before.last_message.loads);
+        let address = peer.address;
+        if let Some(before) = self.peers.insert(from, peer) {
+            if before.is_counted {
+                subtract_loads(&mut self.load_totals, &before.last_message.loads);
+            }
+            self.peer_addresses.swap_remove(&before.address);
         }
+        self.peer_addresses.insert(address);
     }
 
-    /// Adds an address at which an entry host may be.
+    /// Adds an address at which an entry host may be, and returns true if it is new.
     pub fn add_candidate(
         &mut self,
         now_ms: u64,
         own_address: SocketAddr,
         address: SocketAddr,
-    ) {
-        let is_known = self.peers.values().any(|peer| peer.address == address);
-        if address != own_address && !is_known {
-            self.candidate_addresses
-                .entry(address)
-                .or_insert(now_ms + PEER_EXPIRY_MS);
+    ) -> bool {
+        let is_known = self.peer_addresses.contains(&address)
+            || self.candidate_addresses.contains_key(&address);
+        if address == own_address || is_known {
+            return false;
         }
+        self.candidate_addresses
+            .insert(address, now_ms + PEER_EXPIRY_MS);
+        true
     }
 
     /// Records how many entry hosts the store lists.
@@ -250,8 +261,14 @@
                 subtract_loads(&mut self.load_totals, &peer.last_message.loads);
             }
         }
-        self.peers
-            .retain(|_, peer| now_ms.saturating_sub(peer.received_ms) < PEER_EXPIRY_MS);
+        let peer_addresses = &mut self.peer_addresses;
+        self.peers.retain(|_, peer| {
+            let is_kept = now_ms.saturating_sub(peer.received_ms) < PEER_EXPIRY_MS;
+            if !is_kept {
+                peer_addresses.swap_remove(&peer.address);
+            }
+            is_kept
+        });
         self.candidate_addresses
             .retain(|_, until_ms| now_ms < *until_ms);
     }
@@ -285,8 +302,11 @@
     }
 
     /// Returns the time between two messages to all hosts, in milliseconds.
+    ///
+    /// Hosts that have not been heard yet are recipients too. When a whole fleet starts, they
+    /// are all recipients.
     pub fn interval_ms(&self) -> u64 {
-        message_interval_ms(self.peers.len())
+        message_interval_ms(self.peers.len() + self.candidate_addresses.len())
     }
 
     /// Returns the time between two messages to the hosts of a zone, in milliseconds.
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -2,8 +2,10 @@
 
 use super::store_sync;
 use crate::event::Effect;
-use crate::peers::{Message, Recipient, Update, earliest_send_ms};
-use crate::state::State;
+use crate::peers::{
+    ANNOUNCEMENT_SPREAD_PER_HOST_MS, Message, Recipient, Update, earliest_send_ms,
+};
+use crate::state::{State, random_unit};
 
 /// Sends the periodic messages that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
@@ -15,7 +17,8 @@
     // Freed memory stays unused until peers have received the lower load. It is sent at the
     // next tick, so that many streams that end at once, as in a network partition, cause a
     // single message.
-    if is_due || state.has_unsent_load {
+    let must_announce = state.announce_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
+    if is_due || must_announce || state.has_unsent_load {
         broadcast(state, now_ms, None, effects);
     } else if now_ms.saturating_sub(state.last_zone_send_ms) >= zone_interval_ms {
         let recipients = state.peers.recipients(now_ms, Some(&zone));
@@ -23,6 +26,16 @@
     }
 }
 
+/// Schedules a message to all peers before the next periodic one, which may be a second away.
+///
+/// Hosts that start together would otherwise all send to the same host in the same
+/// millisecond, and most of the messages would find its socket full.
+pub(super) fn announce(state: &mut State, now_ms: u64) {
+    let spread_ms = state.peers.fleet_size() as u64 * ANNOUNCEMENT_SPREAD_PER_HOST_MS;
+    let delay_ms = random_unit(&mut state.rng_state) * spread_ms as f64;
+    state.announce_at_ms.get_or_insert(now_ms + delay_ms as u64);
+}
+
 /// Sends a message to all peers.
 pub(super) fn broadcast(
     state: &mut State,
@@ -31,6 +44,7 @@
     effects: &mut Vec<Effect>,
 ) {
     state.last_broadcast_ms = now_ms;
+    state.announce_at_ms = None;
     state.has_unsent_load = false;
     let recipients = state.peers.recipients(now_ms, None);
     send(state, now_ms, recipients, update, effects);
@@ -114,8 +128,12 @@
     effects: &mut Vec<Effect>,
 ) {
     match &message.update {
-        Some(Update::Configuration(configuration)) => {
-            store_sync::adopt_configuration(state, configuration, effects);
+        Some(Update::Configuration(change)) => {
+            let known = state.configuration.as_ref();
+            // A host with another version reads the new one from the store.
+            if let Some(configuration) = known.and_then(|known| change.apply(known)) {
+                store_sync::adopt_configuration(state, configuration, effects);
+            }
         }
         Some(Update::Targets {
             after_content_version,
@@ -135,6 +153,7 @@
                 },
                 &mut changes.clone(),
             );
+            store_sync::log_transitions(state, &transitions, effects);
             store_sync::apply_transitions(state, now_ms, transitions, effects);
         }
         None => {}
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -1,30 +1,40 @@
 //! Synchronises the configuration and the host list with the platform's store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::{messages, migration};
 use crate::configuration::Configuration;
+use crate::configuration_change::ConfigurationChange;
 use crate::event::{Effect, LogEvent};
 use crate::peers::Update;
-use crate::state::State;
+use crate::state::{Registration, State};
 use crate::store::{
-    EXPIRED_ENTRY_GRACE_MS, MISSED_CHANGE_DELAY_MS, Query, READER_STAGGER_MS, Reply,
+    CHANGES_PER_MESSAGE_MAX, EXPIRED_ENTRY_GRACE_MS, MISSED_CHANGE_DELAY_MS,
+    MISSED_CONFIGURATION_SPREAD_MS, Query, READER_STAGGER_MS, Reply,
 };
-use crate::target::TargetTransition;
+use crate::target::{TargetChange, TargetTransition};
 
 /// Starts the queries that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    state.started_ms.get_or_insert(now_ms);
     update_reader_role(state, now_ms, effects);
     state
         .expired_entries
         .retain(|_, (_, since_ms)| now_ms < *since_ms + EXPIRED_ENTRY_GRACE_MS);
-    let has_missed_change = has_missed_change(state, now_ms);
+    let behind_ms = time_behind_ms(state, now_ms);
+    let has_missed_targets = state.lacks_target_changes()
+        && behind_ms.is_some_and(|ms| ms >= MISSED_CHANGE_DELAY_MS);
+    let configuration_delay_ms = MISSED_CHANGE_DELAY_MS
+        + state.identity.incarnation % MISSED_CONFIGURATION_SPREAD_MS;
+    let has_missed_configuration = state.lacks_newest_configuration()
+        && behind_ms.is_some_and(|ms| ms >= configuration_delay_ms);
     let lacks_targets = state.directory.known_version() == 0;
     let lacks_configuration = state.configuration.is_none();
-    if state.is_reader || has_missed_change || lacks_targets {
+    if state.is_reader || has_missed_targets || lacks_targets {
         start_if_due(state, now_ms, Query::Targets, effects);
     }
-    if state.is_reader || has_missed_change || lacks_configuration {
+    if state.is_reader || has_missed_configuration || lacks_configuration {
         start_if_due(state, now_ms, Query::Configuration, effects);
     }
     if state.is_reader && !lacks_targets && should_follow_feeds(state, now_ms) {
@@ -35,24 +45,28 @@
             start_if_due(state, now_ms, Query::ConfigurationFeed { after }, effects);
         }
     }
-    if !state.is_registered {
+    if state.registration == Registration::Missing {
         start_if_due(state, now_ms, Query::Register, effects);
     }
     let has_no_live_peer = state.peers.live(now_ms).next().is_none();
-    if has_no_live_peer || !state.is_registered {
+    let has_unread_list = matches!(
+        state.registration,
+        Registration::Unknown | Registration::Written
+    );
+    if has_no_live_peer || has_unread_list {
         start_if_due(state, now_ms, Query::Hosts, effects);
     }
 }
 
-/// Returns true if this host has been behind its peers for longer than an update takes to
-/// arrive.
-fn has_missed_change(state: &mut State, now_ms: u64) -> bool {
-    if !state.is_behind() {
+/// Returns for how long this host has been behind its peers, in milliseconds, or `None` if it
+/// isn't.
+fn time_behind_ms(state: &mut State, now_ms: u64) -> Option<u64> {
+    if !state.lacks_newest_configuration() && !state.lacks_target_changes() {
         state.behind_since_ms = None;
-        return false;
+        return None;
     }
     let since_ms = *state.behind_since_ms.get_or_insert(now_ms);
-    now_ms >= since_ms + MISSED_CHANGE_DELAY_MS
+    Some(now_ms.saturating_sub(since_ms))
 }
 
 /// Returns true if this host should follow the feeds.
@@ -61,10 +75,16 @@
 /// again. Nor does a host that is part of a fleet and has no live peer: it is most likely
 /// isolated, possibly along with many others, each of which then reads the store. Lists
 /// suffice for the few runs of one host.
+///
+/// A host that has just started waits until the other hosts that may be reading have been
+/// heard. When a whole fleet starts, each host would otherwise follow the feeds and
+/// broadcast every change until then.
 fn should_follow_feeds(state: &State, now_ms: u64) -> bool {
     let has_live_peer = state.peers.live(now_ms).next().is_some();
+    let started_ms = state.started_ms.unwrap_or(now_ms);
+    let has_heard_peers = now_ms >= started_ms + state.peers.interval_ms();
     state.query_schedule.failures() == 0
-        && (has_live_peer || state.peers.fleet_size() == 1)
+        && ((has_live_peer && has_heard_peers) || state.peers.fleet_size() == 1)
 }
 
 fn update_reader_role(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
@@ -153,10 +173,18 @@
             state
                 .query_schedule
                 .advance_configuration_feed(store_version);
+            let is_first = state.directory.known_version() == 0;
             let transitions = state.directory.replace_all(store_version, list);
-            state
-                .query_schedule
-                .set_target_count(state.directory.iter().count());
+            let targets = state.directory.iter().count();
+            state.query_schedule.set_target_count(targets);
+            if is_first {
+                effects.push(Effect::Log(LogEvent::TargetsListed {
+                    targets,
+                    store_version,
+                }));
+            } else {
+                log_transitions(state, &transitions, effects);
+            }
             apply_transitions(state, now_ms, transitions, effects);
         }
         Reply::TargetFeed {
@@ -165,14 +193,15 @@
         } => {
             let after_content_version = state.directory.content_version();
             let transitions = state.directory.apply_changes(store_version, &mut changes);
-            if !changes.is_empty() {
-                let update = Update::Targets {
-                    after_content_version,
-                    store_version,
-                    changes,
-                };
-                messages::broadcast(state, now_ms, Some(update), effects);
-            }
+            broadcast_changes(
+                state,
+                now_ms,
+                after_content_version,
+                store_version,
+                changes,
+                effects,
+            );
+            log_transitions(state, &transitions, effects);
             apply_transitions(state, now_ms, transitions, effects);
             tick(state, now_ms, effects);
         }
@@ -185,32 +214,83 @@
         }
         Reply::Hosts(addresses) => {
             state.peers.record_listed_hosts(addresses.len());
-            let own_address = state.identity.address;
-            for address in addresses {
-                state.peers.add_candidate(now_ms, own_address, address);
-            }
+            handle_listed_hosts(state, now_ms, &addresses);
+        }
+        Reply::Registered => {
+            state.registration = Registration::Written;
+            state.query_schedule.make_due(now_ms, Query::Hosts);
         }
-        Reply::Registered => state.is_registered = true,
         Reply::Failed => {}
     }
 }
 
+/// Broadcasts changes of the host list, in as many messages as datagrams have room for.
+fn broadcast_changes(
+    state: &mut State,
+    now_ms: u64,
+    mut after_content_version: u64,
+    store_version: u64,
+    mut changes: Vec<TargetChange>,
+    effects: &mut Vec<Effect>,
+) {
+    changes.sort_by_key(|change| change.store_version);
+    let mut parts = changes.chunks(CHANGES_PER_MESSAGE_MAX).peekable();
+    while let Some(part) = parts.next() {
+        let last_version = part.last().map_or(0, |change| change.store_version);
+        let update = Update::Targets {
+            after_content_version,
+            store_version: if parts.peek().is_some() {
+                last_version
+            } else {
+                store_version
+            },
+            changes: part.to_vec(),
+        };
+        messages::broadcast(state, now_ms, Some(update), effects);
+        after_content_version = last_version;
+    }
+}
+
+/// Adds the listed hosts, and announces this host to those that are new.
+fn handle_listed_hosts(state: &mut State, now_ms: u64, addresses: &[SocketAddr]) {
+    let own_address = state.identity.address;
+    let is_listed = addresses.contains(&own_address);
+    state.registration = match state.registration {
+        _ if is_listed => Registration::Listed,
+        Registration::Unknown => Registration::Missing,
+        known => known,
+    };
+    let mut has_new_host = false;
+    for address in addresses {
+        has_new_host |= state.peers.add_candidate(now_ms, own_address, *address);
+    }
+    if has_new_host {
+        messages::announce(state, now_ms);
+    }
+}
+
 /// Puts a configuration that was read from the store in force if it is newer, and returns
 /// true if it was.
 ///
-/// Only the reader broadcasts it, and only if it replaces another: many hosts may start,
-/// or read a change that they missed, at the same time, and each would send it to all.
+/// Only the reader broadcasts what it changes, and only if it replaces another: many hosts
+/// may start, or read a change that they missed, at the same time, and each would send it to
+/// all.
 fn adopt_and_broadcast(
     state: &mut State,
     now_ms: u64,
     configuration: Configuration,
     effects: &mut Vec<Effect>,
 ) -> bool {
-    let is_change = state.configuration.is_some();
-    let is_newer = adopt_configuration(state, &configuration, effects);
-    if is_newer && is_change && state.is_reader {
-        let update = Update::Configuration(configuration);
-        messages::broadcast(state, now_ms, Some(update), effects);
+    let before = state.configuration.clone();
+    let is_newer = adopt_configuration(state, configuration, effects);
+    if is_newer
+        && state.is_reader
+        && let (Some(before), Some(after)) = (before, &state.configuration)
+    {
+        // Without an update the message still tells the peers that there is a new version.
+        let update = ConfigurationChange::between(&before, after);
+        let update = update.map(|change| Update::Configuration(Box::new(change)));
+        messages::broadcast(state, now_ms, update, effects);
     }
     is_newer
 }
@@ -218,7 +298,7 @@
 /// Puts a configuration in force if it is newer, and returns true if it was.
 pub(super) fn adopt_configuration(
     state: &mut State,
-    configuration: &Configuration,
+    configuration: Configuration,
     effects: &mut Vec<Effect>,
 ) -> bool {
     let is_newer = state
@@ -226,7 +306,7 @@
         .as_ref()
         .is_none_or(|known| known.version < configuration.version);
     if is_newer {
-        let configuration = Arc::new(configuration.clone());
+        let configuration = Arc::new(configuration);
         state.configuration = Some(configuration.clone());
         effects.push(Effect::ApplyConfiguration(configuration));
     }
@@ -242,6 +322,31 @@
     );
 }
 
+/// Logs the targets that have joined or are leaving, a line for each. The first list of a
+/// host that has just started is logged in one line instead.
+pub(super) fn log_transitions(
+    state: &State,
+    transitions: &[TargetTransition],
+    effects: &mut Vec<Effect>,
+) {
+    let store_version = state.directory.content_version();
+    for transition in transitions {
+        let event = match transition {
+            TargetTransition::Joined(target, entry) => LogEvent::TargetJoined {
+                target: target.clone(),
+                store_version,
+                slow_start_left_ms: entry.slow_start_left_ms,
+            },
+            TargetTransition::Leaving(target, _) => LogEvent::TargetLeaving {
+                target: target.clone(),
+                store_version,
+                runs: state.own_loads.get(target).map_or(0, |load| load.runs),
+            },
+        };
+        effects.push(Effect::Log(event));
+    }
+}
+
 /// Acts on targets that have joined or are leaving.
 pub(super) fn apply_transitions(
     state: &mut State,
@@ -249,7 +354,6 @@
     transitions: Vec<TargetTransition>,
     effects: &mut Vec<Effect>,
 ) {
-    let store_version = state.directory.content_version();
     let mut leaving = Vec::new();
     for transition in transitions {
         match transition {
@@ -257,23 +361,11 @@
                 state.expired_entries.swap_remove(&target);
                 state.health.remove(&target);
                 state.leaves_at_ms.swap_remove(&target);
-                let slow_start_left_ms = entry.slow_start_left_ms;
-                let until_ms = now_ms + slow_start_left_ms;
-                state.slow_start_until_ms.insert(target.clone(), until_ms);
-                effects.push(Effect::Log(LogEvent::TargetJoined {
-                    target,
-                    store_version,
-                    slow_start_left_ms,
-                }));
+                let until_ms = now_ms + entry.slow_start_left_ms;
+                state.slow_start_until_ms.insert(target, until_ms);
             }
             TargetTransition::Leaving(target, entry) => {
-                let runs = state.own_loads.get(&target).map_or(0, |load| load.runs);
                 state.slow_start_until_ms.swap_remove(&target);
-                effects.push(Effect::Log(LogEvent::TargetLeaving {
-                    target: target.clone(),
-                    store_version,
-                    runs,
-                }));
                 if !migration::migratable_at(state, &target).is_empty() {
                     effects.push(Effect::QueryLeaveTime {
                         target: target.clone(),
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -36,6 +36,24 @@
     pub(crate) host_list: u64,
 }
 
+/// Whether the store lists this host among the entry hosts of the fleet.
+///
+/// A host reads the list before it writes its row, and once more afterwards. The row of a
+/// host that has restarted is still there, and the store makes only some hundred writes a
+/// second, so a whole fleet that restarts must not write one row for each host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Registration {
+    /// The list has not been read yet.
+    #[default]
+    Unknown,
+    /// The list lacks this host.
+    Missing,
+    /// This host has written its row. Hosts that registered meanwhile are not known yet.
+    Written,
+    /// The list that this host knows contains it.
+    Listed,
+}
+
 /// Everything that the decisions of one entry host depend on.
 #[derive(Debug)]
 pub struct State {
@@ -54,9 +72,13 @@
     /// Highest versions that peers have reported.
     pub(crate) peer_versions: Versions,
     pub(crate) behind_since_ms: Option<u64>,
-    pub(crate) is_registered: bool,
+    pub(crate) registration: Registration,
+    /// When this host handled its first event.
+    pub(crate) started_ms: Option<u64>,
     pub(crate) peers: Peers,
     pub(crate) last_broadcast_ms: u64,
+    /// When this host announces itself to hosts that it has just learnt of.
+    pub(crate) announce_at_ms: Option<u64>,
     pub(crate) last_zone_send_ms: u64,
     /// Whether streams have ended or migrated since the load was last broadcast.
     pub(crate) has_unsent_load: bool,
@@ -77,7 +99,7 @@
     pub fn new(identity: Identity, config: FleetConfig, seeds: &[SocketAddr]) -> Self {
         let mut peers = Peers::default();
         for seed in seeds {
-            peers.add_candidate(0, identity.address, *seed);
+            let _ = peers.add_candidate(0, identity.address, *seed);
         }
         State {
             rng_state: identity.incarnation | 1,
@@ -93,9 +115,11 @@
             is_reader: true,
             peer_versions: Versions::default(),
             behind_since_ms: None,
-            is_registered: false,
+            registration: Registration::default(),
+            started_ms: None,
             peers,
             last_broadcast_ms: 0,
+            announce_at_ms: None,
             last_zone_send_ms: 0,
             has_unsent_load: false,
             address_sample_offset: 0,
@@ -121,6 +145,11 @@
             .map(|confirmed_ms| now_ms.saturating_sub(confirmed_ms))
     }
 
+    /// Returns how many hosts may be running, including this one.
+    pub fn fleet_size(&self) -> usize {
+        self.peers.fleet_size()
+    }
+
     /// Returns when a leaving target exits, if it has reported that.
     pub fn leaves_at_ms(&self, target: &TargetName) -> Option<u64> {
         self.leaves_at_ms.get(target).copied()
@@ -152,11 +181,15 @@
         expired.filter(|(_, entry)| entry.pool == *pool).collect()
     }
 
-    /// Returns true if a peer has reported a newer configuration or host list.
-    pub(crate) fn is_behind(&self) -> bool {
+    /// Returns true if a peer has reported a newer configuration.
+    pub(crate) fn lacks_newest_configuration(&self) -> bool {
         let own_version = self.configuration.as_ref().map(|known| known.version);
         self.peer_versions.configuration > own_version
-            || self.peer_versions.host_list > self.directory.known_version()
+    }
+
+    /// Returns true if a peer has reported a newer host list.
+    pub(crate) fn lacks_target_changes(&self) -> bool {
+        self.peer_versions.host_list > self.directory.known_version()
     }
 
     /// Returns true if API keys of the configuration may still be trusted.
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -53,6 +53,10 @@
 /// which work to a leaving target has to end.
 pub const EXPIRED_ENTRY_GRACE_MS: u64 = 1_500;
 
+/// Maximum number of changes of the host list in one message. An entry takes some 60 bytes,
+/// and a message has to fit in a datagram.
+pub const CHANGES_PER_MESSAGE_MAX: usize = 200;
+
 /// Interval between two queries for other hosts while no peer is live.
 pub const HOSTS_INTERVAL_MS: u64 = 2_000;
 
@@ -60,6 +64,10 @@
 /// message with the change may only have been overtaken.
 pub const MISSED_CHANGE_DELAY_MS: u64 = 60;
 
+/// Range of the additional delay before a host reads a configuration that it missed. A
+/// change that is too large to be sent is read by all hosts.
+pub const MISSED_CONFIGURATION_SPREAD_MS: u64 = 240;
+
 /// A query to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Query {
--- a/crates/toucancleat-gateway/src/call.rs
+++ b/crates/toucancleat-gateway/src/call.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{BufMut, Bytes, BytesMut};
+use http_body::Body;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, StatusCode, header};
 
@@ -13,6 +14,9 @@
 /// encoded as base64.
 const REPLY_MAX_BYTES: usize = 4 * 1_048_576;
 
+/// Maximum time in which the body of a reply must be complete.
+const BODY_TIMEOUT_MAX: Duration = Duration::from_secs(5);
+
 /// The reason why a call has no reply.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
@@ -32,7 +36,11 @@
 
 /// Makes a call and reads the complete reply.
 ///
-/// Fails if there is no complete reply of at most [`REPLY_MAX_BYTES`] within the timeout.
+/// Fails if the head of the reply isn't received within the timeout, if the body makes no
+/// progress for as long, or if the reply is longer than [`REPLY_MAX_BYTES`]. There is no
+/// timeout for the whole body other than [`BODY_TIMEOUT_MAX`]: a host on a slow link that has
+/// to read a long configuration would discard what it has received and start again, without
+/// end.
 pub async fn call(
     address: SocketAddr,
     request: Request<Bytes>,
@@ -45,15 +53,39 @@
     let request = Request::from_parts(parts, Full::new(body));
     let exchange = async {
         let connection = Connection::open(address).await?;
-        let (response, _driver) = connection.send(request).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), REPLY_MAX_BYTES)
-            .collect()
-            .await
-            .map_err(CallError::Body)?;
-        Ok((status, body.to_bytes()))
+        Ok::<_, CallError>(connection.send(request).await?)
     };
-    tokio::time::timeout(timeout, exchange)
+    let (response, _driver) = tokio::time::timeout(timeout, exchange)
         .await
-        .map_err(|_| CallError::Timeout(timeout))?
+        .map_err(|_| CallError::Timeout(timeout))??;
+    let status = response.status();
+    let body =
+        tokio::time::timeout(BODY_TIMEOUT_MAX, read_body(response.into_body(), timeout))
+            .await
+            .map_err(|_| CallError::Timeout(BODY_TIMEOUT_MAX))??;
+    Ok((status, body))
+}
+
+/// Reads a body to its end. Fails if it makes no progress for `idle_timeout`.
+pub async fn read_body<B>(body: B, idle_timeout: Duration) -> Result<Bytes, CallError>
+where
+    B: Body + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut body = Limited::new(body, REPLY_MAX_BYTES);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(idle_timeout, body.frame())
+            .await
+            .map_err(|_| CallError::Timeout(idle_timeout))?;
+        match frame {
+            None => return Ok(bytes.freeze()),
+            Some(Err(error)) => return Err(CallError::Body(error)),
+            Some(Ok(frame)) => {
+                if let Ok(mut data) = frame.into_data() {
+                    bytes.put(&mut data);
+                }
+            }
+        }
+    }
 }
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -276,6 +276,12 @@
 
 fn log_event(event: &LogEvent) {
     match event {
+        LogEvent::TargetsListed {
+            targets,
+            store_version,
+        } => {
+            log::info!(targets, store_version; "host list read for the first time");
+        }
         LogEvent::TargetJoined {
             target,
             store_version,
--- a/crates/toucancleat-gateway/src/lib.rs
+++ b/crates/toucancleat-gateway/src/lib.rs
@@ -13,7 +13,7 @@
 
 mod attempt;
 mod bodies;
-mod call;
+pub mod call;
 mod callers;
 mod clock;
 mod connection;
