Reject a setting without effect and give single names to single ideas

Change: a file with head_timeout_ms is rejected with the position of the field (the new case in the table fails on the code before). A caller that no target can take may retry after 1 s in both places, as in the accounts until now.

--- a/crates/toucancleat-core/src/accounts/client.rs
+++ b/crates/toucancleat-core/src/accounts/client.rs
@@ -14,13 +14,11 @@
 use crate::accounts::state::{Outbox, State};
 use crate::accounts::widen::advance;
 use crate::prelude::*;
+use crate::refusal::RETRY_AFTER_NO_TARGET_MS;
 use crate::rng::Rng;
 use crate::routing::{RetryBudget, RoutingInputs, affinity_key, rank_candidates};
 use crate::settings::RoutingPolicy;
 
-/// Time after which a caller may retry if no target serves its kind.
-pub(super) const RETRY_AFTER_NO_TARGET_MS: u64 = 1_000;
-
 /// The known state of the targets, the pending requests and the running generations.
 #[derive(Clone, Debug)]
 pub(super) struct Client {
--- a/crates/toucancleat-core/src/accounts/widen.rs
+++ b/crates/toucancleat-core/src/accounts/widen.rs
@@ -2,8 +2,7 @@
 //! reservation or is refused.
 
 use crate::accounts::client::{
-    RETRY_AFTER_NO_TARGET_MS, refuse, send_next_reservation_request,
-    send_reservation_request, withdraw_others,
+    refuse, send_next_reservation_request, send_reservation_request, withdraw_others,
 };
 use crate::accounts::event::RefusalReason;
 use crate::accounts::known_targets;
@@ -11,6 +10,7 @@
 use crate::accounts::running::dispatch;
 use crate::accounts::state::{Outbox, State};
 use crate::prelude::*;
+use crate::refusal::RETRY_AFTER_NO_TARGET_MS;
 
 /// Time past the queue timeout in which a home may refuse the request itself.
 const EXPIRY_GRACE_MS: u64 = 500;
--- a/crates/toucancleat-core/src/membership/view.rs
+++ b/crates/toucancleat-core/src/membership/view.rs
@@ -41,13 +41,6 @@
             .chain(self.members.values().map(|member| &member.entry))
     }
 
-    /// Returns the hosts of the zone that have announced a planned stop and may still be
-    /// finishing streams.
-    pub fn leaving_hosts(&self) -> impl Iterator<Item = &Host> {
-        let left = self.entries().filter(|entry| entry.status == Status::Left);
-        left.map(|entry| &entry.host)
-    }
-
     /// Returns the number of hosts of the zone that may be running but unreachable, or
     /// `None` until the host list has been read.
     ///
--- a/crates/toucancleat-core/src/reduce/choice.rs
+++ b/crates/toucancleat-core/src/reduce/choice.rs
@@ -12,15 +12,12 @@
 use crate::effect::Effect;
 use crate::homes::{HomeKey, ZoneRole};
 use crate::prelude::*;
-use crate::refusal::{Problem, Refusal};
+use crate::refusal::{Problem, RETRY_AFTER_NO_TARGET_MS, Refusal};
 use crate::requests::{self, Arrival, generation_of};
 use crate::settings::{SettingsInForce, Target, TargetClass};
 use crate::state::State;
 use crate::targets::Admission;
 
-/// Retry delay given to callers when no target can take the request.
-pub(super) const RETRY_AFTER_NO_TARGET_MS: u64 = 2_000;
-
 /// Reserves a target for an attempt, or isolates or refuses the request by its crash marks.
 pub(super) fn reserve(
     state: &mut State,
--- a/crates/toucancleat-core/src/reduce/dispatch.rs
+++ b/crates/toucancleat-core/src/reduce/dispatch.rs
@@ -1,12 +1,13 @@
 //! Dispatches requests to the chosen targets.
 
-use super::choice::{RETRY_AFTER_NO_TARGET_MS, fingerprint_of};
+use super::choice::fingerprint_of;
 use super::requests::apply;
 use super::{claims, crash_marks, observations};
 use crate::claims::Event as ClaimEvent;
 use crate::crash_marks::Event as MarkEvent;
 use crate::effect::{Dispatch, Effect};
 use crate::prelude::*;
+use crate::refusal::RETRY_AFTER_NO_TARGET_MS;
 use crate::requests::{self, Arrival, Outcome};
 use crate::state::State;
 use crate::targets::Admission;
--- a/crates/toucancleat-core/src/refusal.rs
+++ b/crates/toucancleat-core/src/refusal.rs
@@ -4,6 +4,9 @@
 
 use crate::prelude::*;
 
+/// Time after which a caller may retry if no target can take its request.
+pub(crate) const RETRY_AFTER_NO_TARGET_MS: u64 = 1_000;
+
 /// A refusal: what went wrong, whether the request may have run, and when to retry.
 ///
 /// A refusal is sent as soon as it is decided. Delaying it until shortly before the caller's
--- a/crates/toucancleat-entry/src/config.rs
+++ b/crates/toucancleat-entry/src/config.rs
@@ -16,8 +16,6 @@
 const DRAIN_TIMEOUT_MS: u64 = 900_000;
 /// Default bound on the requests in progress at once.
 const REQUESTS_MAX: usize = 20_000;
-/// Default timeout for receiving the head of a request.
-const HEAD_TIMEOUT_MS: u64 = 10_000;
 /// Default timeout for receiving the body of a request.
 const BODY_TIMEOUT_MS: u64 = 30_000;
 /// Default bound on the tokens that are buffered for one slow caller.
@@ -53,9 +51,6 @@
     /// Bound on the requests in progress at once.
     #[serde(default = "requests_max")]
     pub requests_max: usize,
-    /// Timeout for receiving the head of a request.
-    #[serde(default = "head_timeout_ms")]
-    pub head_timeout_ms: u64,
     /// Timeout for receiving the body of a request.
     #[serde(default = "body_timeout_ms")]
     pub body_timeout_ms: u64,
@@ -82,7 +77,6 @@
             operator_key: None,
             drain_timeout_ms: DRAIN_TIMEOUT_MS,
             requests_max: REQUESTS_MAX,
-            head_timeout_ms: HEAD_TIMEOUT_MS,
             body_timeout_ms: BODY_TIMEOUT_MS,
             stream_buffer_tokens: STREAM_BUFFER_TOKENS,
         }
@@ -140,10 +134,6 @@
     REQUESTS_MAX
 }
 
-fn head_timeout_ms() -> u64 {
-    HEAD_TIMEOUT_MS
-}
-
 fn body_timeout_ms() -> u64 {
     BODY_TIMEOUT_MS
 }
--- a/crates/toucancleat-entry/tests/config.rs
+++ b/crates/toucancleat-entry/tests/config.rs
@@ -31,6 +31,16 @@
             "6:3: /drain_timeout_s: unknown field `drain_timeout_s`, expected `drain_timeout_ms`",
         ],
     },
+    Case {
+        name: "a field that earlier versions read and used nowhere",
+        text: r#"{
+  "host": "h", "zone": "z", "peer_key": "p", "cursor_key": "c",
+  "callers_address": "127.0.0.1:7000", "peers_address": "127.0.0.1:7001",
+  "operators_address": "127.0.0.1:7002", "platform_address": "127.0.0.1:7900",
+  "head_timeout_ms": 10000
+}"#,
+        expected: &["5:3: /head_timeout_ms: unknown field `head_timeout_ms`"],
+    },
     Case {
         name: "a missing field",
         text: r#"{"host": "h", "zone": "z"}"#,
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -26,7 +26,7 @@
 /// Maximum age of the configuration at which a request with an unknown route or key is
 /// refused as unknown. About one reading interval plus one lost message; an older
 /// configuration may lack a new route or key.
-const DENIAL_AGE_MAX_MS: u64 = 1_600;
+const UNKNOWN_REFUSAL_AGE_MAX_MS: u64 = 1_600;
 
 /// Number of latency objectives that must remain until a stopping process ends for it to
 /// accept a request. Most requests end within one objective, and another host can take a
@@ -76,11 +76,11 @@
     let Some(configuration) = state.configuration.clone() else {
         return Err(not_run(Reason::NoConfiguration, Some(RETRY_AFTER_SHORT_MS)));
     };
-    let can_deny = state
+    let is_recently_confirmed = state
         .configuration_age_ms(now_ms)
-        .is_some_and(|age_ms| age_ms <= DENIAL_AGE_MAX_MS);
-    let deny = |reason| {
-        if can_deny {
+        .is_some_and(|age_ms| age_ms <= UNKNOWN_REFUSAL_AGE_MAX_MS);
+    let refuse_as_unknown = |reason| {
+        if is_recently_confirmed {
             not_run(reason, None)
         } else {
             not_run(Reason::StaleConfiguration, Some(RETRY_AFTER_SHORT_MS))
@@ -89,7 +89,7 @@
     let Some((route_index, route)) =
         configuration.route_for(&incoming.hostname, &incoming.path)
     else {
-        return Err(deny(Reason::NoRoute));
+        return Err(refuse_as_unknown(Reason::NoRoute));
     };
     let organisation = incoming
         .api_key
@@ -99,7 +99,7 @@
         && !route.is_public
         && !configuration.organisations.is_empty()
     {
-        return Err(deny(Reason::UnknownKey));
+        return Err(refuse_as_unknown(Reason::UnknownKey));
     }
     if !route.is_public && !state.is_configuration_fresh(now_ms) {
         return Err(not_run(
--- a/crates/toucancleat-load/src/measurements.rs
+++ b/crates/toucancleat-load/src/measurements.rs
@@ -30,7 +30,7 @@
     /// Reason for which an entry host refused the request.
     pub refusal: Option<RefusalReason>,
     /// How the answer ended, unless an entry host refused the request.
-    pub ending: Option<AnswerState>,
+    pub answer_state: Option<AnswerState>,
     /// Time at which each token arrived, from the start of the run.
     pub token_times_ms: Vec<f64>,
 }
@@ -101,21 +101,21 @@
             organisation: arrival.organisation,
             kind: arrival.kind,
             refusal: None,
-            ending: None,
+            answer_state: None,
             token_times_ms: Vec::new(),
         }
     }
 
     /// Records the answer, with its times converted to engine time.
     pub fn record_answer(&mut self, clock: &Clock, answer: Answer) {
-        self.ending = Some(answer.state);
+        self.answer_state = Some(answer.state);
         let times = answer.token_times.into_iter();
         self.token_times_ms = times.map(|at| clock.engine_ms(at)).collect();
     }
 
     /// Returns the time from the scheduled sending to the last token, if the answer is complete.
     pub fn completion_time_ms(&self) -> Option<f64> {
-        if self.ending != Some(AnswerState::Complete) {
+        if self.answer_state != Some(AnswerState::Complete) {
             return None;
         }
         Some(self.token_times_ms.last()? - self.at_ms)
@@ -171,16 +171,16 @@
             .sum();
         Measurements {
             offered: samples.len() as u64,
-            whole: count(&|s| s.ending == Some(AnswerState::Complete)),
+            whole: count(&|s| s.answer_state == Some(AnswerState::Complete)),
             on_time: count(&|s| s.is_on_time(spec)),
             refused: count(&|s| {
-                s.refusal.is_some() || s.ending == Some(AnswerState::Refused)
+                s.refusal.is_some() || s.answer_state == Some(AnswerState::Refused)
             }),
             refused_late: count(&|s| {
                 s.refusal == Some(RefusalReason::DeadlineUnreachable)
             }),
-            broken: count(&|s| s.ending == Some(AnswerState::Interrupted)),
-            wrong: count(&|s| s.ending == Some(AnswerState::Inconsistent)),
+            broken: count(&|s| s.answer_state == Some(AnswerState::Interrupted)),
+            wrong: count(&|s| s.answer_state == Some(AnswerState::Inconsistent)),
             preemptions,
             stall_time_ms: stalls.sum(),
             between_tokens: Quantiles::of(gaps),
