Compare host lists by their content, not by the versions at which they were read

The registration of a host timed out while the rows of the others were written, and was sent again: 225 writes for 195 hosts.

Change: messages carry a digest of the list without heartbeats. A host whose digest is the sender's knows the list at the sender's version; only one whose digest differs reads it. A registration has 2 s.

Result: the new case of store_sync fails on the code before and passes now.

--- a/crates/toucancleat-core/src/rng.rs
+++ b/crates/toucancleat-core/src/rng.rs
@@ -55,7 +55,7 @@
 }
 
 /// Returns a hash of the bytes that is the same on every host and in every release.
-pub(crate) fn stable_hash(bytes: &[u8]) -> u64 {
+pub fn stable_hash(bytes: &[u8]) -> u64 {
     let mut hash = FNV_OFFSET;
     for &byte in bytes {
         hash = (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME);
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -65,8 +65,8 @@
     pub configuration_age_ms: Option<u64>,
     /// Store version up to which the sender knows the host list.
     pub host_list_version: u64,
-    /// Store version of the last change of the host list that was more than a heartbeat.
-    pub host_list_content_version: u64,
+    /// Digest of the host list at that version, without heartbeats.
+    pub host_list_digest: u64,
     /// Time since the store last answered the sender itself.
     pub store_age_ms: Option<u64>,
     /// The sender's load at each target.
@@ -88,15 +88,8 @@
 /// A change that a reader of the store sends to its peers at once.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Update {
-    /// Changes of the host list, and the version of the list that they apply to.
-    Targets {
-        /// Version of the last change before these.
-        after_content_version: u64,
-        /// Version up to which the changes go.
-        store_version: u64,
-        /// The changes.
-        changes: Vec<TargetChange>,
-    },
+    /// Changes of the host list.
+    Targets(Vec<TargetChange>),
     /// What a new version of the configuration changes.
     Configuration(Box<ConfigurationChange>),
 }
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -76,7 +76,7 @@
         configuration_version: state.configuration.as_ref().map(|known| known.version),
         configuration_age_ms: state.configuration_age_ms(now_ms),
         host_list_version: state.directory.known_version(),
-        host_list_content_version: state.directory.content_version(),
+        host_list_digest: state.directory.digest(),
         store_age_ms: state.query_schedule.success_age_ms(now_ms),
         loads: loads
             .map(|(target, load)| (target.clone(), *load))
@@ -135,26 +135,20 @@
                 store_sync::adopt_configuration(state, configuration, effects);
             }
         }
-        Some(Update::Targets {
-            after_content_version,
-            store_version,
-            changes,
-        }) => {
+        Some(Update::Targets(changes)) => {
             // N.B. changes are applied even if an earlier one was missed: it is better to
-            // know at once that a target is leaving. The version isn't advanced then, so
-            // that the missing change is read from the store.
-            let is_complete = state.directory.known_version() >= *after_content_version;
+            // know at once that a target is leaving. The version is advanced only if the
+            // list then has the sender's digest. Otherwise the missing change is read from
+            // the store.
             let known_version = state.directory.known_version();
-            let transitions = state.directory.apply_changes(
-                if is_complete {
-                    *store_version
-                } else {
-                    known_version
-                },
-                &mut changes.clone(),
-            );
+            let transitions = state
+                .directory
+                .apply_changes(known_version, &mut changes.clone());
             store_sync::log_transitions(state, &transitions, effects);
             store_sync::apply_transitions(state, now_ms, transitions, effects);
+            if message.host_list_digest == state.directory.digest() {
+                state.directory.advance_to(message.host_list_version);
+            }
         }
         None => {}
     }
@@ -167,11 +161,12 @@
     peer_versions.configuration = peer_versions
         .configuration
         .max(message.configuration_version);
-    peer_versions.host_list = peer_versions
-        .host_list
-        .max(message.host_list_content_version);
-    if message.host_list_content_version <= state.directory.known_version() {
+    // N.B. the versions alone don't show whether a list was missed: two hosts that read the
+    // same list at different times know it at different versions.
+    if message.host_list_digest == state.directory.digest() {
         state.directory.advance_to(message.host_list_version);
+    } else {
+        peer_versions.host_list = peer_versions.host_list.max(message.host_list_version);
     }
     let own_version = state.configuration.as_ref().map(|known| known.version);
     if message.configuration_version == own_version
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -13,7 +13,7 @@
     CHANGES_PER_MESSAGE_MAX, EXPIRED_ENTRY_GRACE_MS, MISSED_CHANGE_DELAY_MS,
     MISSED_CONFIGURATION_SPREAD_MS, Query, READER_STAGGER_MS, Reply,
 };
-use crate::target::{TargetChange, TargetTransition};
+use crate::target::TargetTransition;
 
 /// Starts the queries that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
@@ -191,16 +191,11 @@
             store_version,
             mut changes,
         } => {
-            let after_content_version = state.directory.content_version();
             let transitions = state.directory.apply_changes(store_version, &mut changes);
-            broadcast_changes(
-                state,
-                now_ms,
-                after_content_version,
-                store_version,
-                changes,
-                effects,
-            );
+            for part in changes.chunks(CHANGES_PER_MESSAGE_MAX) {
+                let update = Update::Targets(part.to_vec());
+                messages::broadcast(state, now_ms, Some(update), effects);
+            }
             log_transitions(state, &transitions, effects);
             apply_transitions(state, now_ms, transitions, effects);
             tick(state, now_ms, effects);
@@ -224,33 +219,6 @@
     }
 }
 
-/// Broadcasts changes of the host list, in as many messages as datagrams have room for.
-fn broadcast_changes(
-    state: &mut State,
-    now_ms: u64,
-    mut after_content_version: u64,
-    store_version: u64,
-    mut changes: Vec<TargetChange>,
-    effects: &mut Vec<Effect>,
-) {
-    changes.sort_by_key(|change| change.store_version);
-    let mut parts = changes.chunks(CHANGES_PER_MESSAGE_MAX).peekable();
-    while let Some(part) = parts.next() {
-        let last_version = part.last().map_or(0, |change| change.store_version);
-        let update = Update::Targets {
-            after_content_version,
-            store_version: if parts.peek().is_some() {
-                last_version
-            } else {
-                store_version
-            },
-            changes: part.to_vec(),
-        };
-        messages::broadcast(state, now_ms, Some(update), effects);
-        after_content_version = last_version;
-    }
-}
-
 /// Adds the listed hosts, and announces this host to those that are new.
 fn handle_listed_hosts(state: &mut State, now_ms: u64, addresses: &[SocketAddr]) {
     let own_address = state.identity.address;
@@ -329,7 +297,7 @@
     transitions: &[TargetTransition],
     effects: &mut Vec<Effect>,
 ) {
-    let store_version = state.directory.content_version();
+    let store_version = state.directory.known_version();
     for transition in transitions {
         let event = match transition {
             TargetTransition::Joined(target, entry) => LogEvent::TargetJoined {
--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use toucancleat_core::prelude::*;
+use toucancleat_core::rng::stable_hash;
 
 /// A target's entry in the host list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,6 +39,21 @@
         };
         without_countdown != *before
     }
+
+    /// Returns a hash of the target's name and of what [`differs_from`](Self::differs_from)
+    /// compares.
+    fn digest(&self, target: &TargetName) -> u64 {
+        let content = format!(
+            "{target} {} {} {} {} {} {:?}",
+            self.pool,
+            self.address,
+            self.zone,
+            self.is_leaving,
+            self.slots,
+            self.started_unix_ms,
+        );
+        stable_hash(content.as_bytes())
+    }
 }
 
 /// One change of the host list.
@@ -56,7 +72,9 @@
 pub struct TargetDirectory {
     targets: IndexMap<TargetName, TargetEntry>,
     known_version: u64,
-    content_version: u64,
+    /// Combined hash of all entries. It doesn't depend on their order, so that a change
+    /// updates it alone.
+    digest: u64,
 }
 
 /// The effect of a change on one target.
@@ -74,9 +92,10 @@
         self.known_version
     }
 
-    /// Returns the store version of the last change that was more than a heartbeat.
-    pub fn content_version(&self) -> u64 {
-        self.content_version
+    /// Returns a digest of the entries without what a heartbeat changes. Two hosts with the
+    /// same list have the same digest, at whichever versions they read it.
+    pub fn digest(&self) -> u64 {
+        self.digest
     }
 
     /// Returns a target's entry.
@@ -123,10 +142,10 @@
             .cloned()
             .collect();
         for target in removed {
-            self.apply(target, None, store_version, &mut transitions);
+            self.apply(target, None, &mut transitions);
         }
         for (target, entry) in listed {
-            self.apply(target, Some(entry), store_version, &mut transitions);
+            self.apply(target, Some(entry), &mut transitions);
         }
         self.known_version = store_version;
         transitions
@@ -148,7 +167,6 @@
                 && self.apply(
                     change.target.clone(),
                     change.entry.clone(),
-                    change.store_version,
                     &mut transitions,
                 )
         });
@@ -166,7 +184,6 @@
         &mut self,
         target: TargetName,
         entry: Option<TargetEntry>,
-        store_version: u64,
         transitions: &mut Vec<TargetTransition>,
     ) -> bool {
         let before = self.targets.get(&target);
@@ -178,7 +195,9 @@
         if !is_content_change {
             return false;
         }
-        self.content_version = self.content_version.max(store_version);
+        for changed in [before, entry.as_ref()].into_iter().flatten() {
+            self.digest ^= changed.digest(&target);
+        }
         let was_accepting = before.is_some_and(|entry| !entry.is_leaving);
         match entry {
             None => {
--- a/crates/toucancleat-fleet/tests/directory.rs
+++ b/crates/toucancleat-fleet/tests/directory.rs
@@ -66,6 +66,7 @@
     for case in cases {
         let mut directory = TargetDirectory::default();
         directory.replace_all(1, vec![change("engine-1", 1, Some(ready()))]);
+        let digest = directory.digest();
         let transitions =
             directory.apply_changes(2, &mut vec![change("engine-1", 2, case.after)]);
         let joins = transitions
@@ -76,7 +77,7 @@
             .any(|s| matches!(s, TargetTransition::Leaving(..)));
         assert_eq!((joins, leaves), (case.joins, case.leaves), "{}", case.name);
         assert_eq!(directory.known_version(), 2, "{}", case.name);
-        let is_content_change = directory.content_version() == 2;
+        let is_content_change = directory.digest() != digest;
         assert_eq!(is_content_change, joins || leaves, "{}", case.name);
     }
 }
--- a/crates/toucancleat-fleet/tests/store_sync.rs
+++ b/crates/toucancleat-fleet/tests/store_sync.rs
@@ -283,3 +283,42 @@
     let effects = apply(&mut fleet.hosts[1], now_ms + 400, Event::Tick);
     assert!(!queries(&effects).contains(&Query::Targets));
 }
+
+/// Each host reads the list at another version when all start together. Seen with 195 hosts,
+/// all of which read it again.
+#[test]
+fn host_that_read_the_same_list_earlier_does_not_read_it_again() {
+    let mut fleet = Fleet::new(2, &["upp-a"], &[]);
+    let now_ms = fleet.now_ms;
+    let list = vec![change("engine-1", 15, Some(entry("engines", "upp-a", 101)))];
+    for (index, store_version) in [(0, 40), (1, 20)] {
+        let reply = Reply::Targets {
+            store_version,
+            list: list.clone(),
+        };
+        answer(&mut fleet.hosts[index], now_ms, Query::Targets, reply);
+    }
+    fleet.queries.clear();
+    fleet.readers.clear();
+    fleet.advance(1_500);
+    assert_eq!(fleet.readers, IndexSet::from([0]), "only the reader reads");
+    // A list that differs is still noticed.
+    let (feed, removal) = engine_removed();
+    let reply = match removal {
+        Reply::TargetFeed { changes, .. } => Reply::TargetFeed {
+            store_version: 50,
+            changes: changes
+                .into_iter()
+                .map(|change| toucancleat_fleet::target::TargetChange {
+                    store_version: 50,
+                    ..change
+                })
+                .collect(),
+        },
+        other => other,
+    };
+    answer(&mut fleet.hosts[0], fleet.now_ms, feed, reply);
+    fleet.readers.clear();
+    fleet.advance(1_500);
+    assert!(fleet.readers.contains(&1), "the change itself was lost");
+}
--- a/crates/toucancleat-gateway/src/store.rs
+++ b/crates/toucancleat-gateway/src/store.rs
@@ -18,6 +18,11 @@
 const FEED_TIMEOUT: Duration =
     Duration::from_millis(LONG_POLL_MS + REPLY_TIMEOUT.as_millis() as u64);
 
+/// Maximum wait for the reply to a write. Writes to one part are made one after another, so
+/// each waits for those of all hosts that start at the same moment; a write that is repeated
+/// too early makes them wait longer.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
+
 /// Executes a query and applies its reply to the reducer.
 pub async fn execute(host: Rc<Host>, query: Query) {
     let registration = Registration {
@@ -26,6 +31,7 @@
     };
     let timeout = match query {
         Query::TargetFeed { .. } | Query::ConfigurationFeed { .. } => FEED_TIMEOUT,
+        Query::Register => WRITE_TIMEOUT,
         _ => REPLY_TIMEOUT,
     };
     let mut exchange = StoreExchange::new(query);
