Let one host after another try a store that does not answer

A new reader reads the configuration alone until the store has answered it.

Result: the test of an outage of nine seconds with 3, 30 and 90 hosts fails on the code before and passes now; a fleet of which the store refuses six of nine hosts finds one that it answers.

--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -11,7 +11,8 @@
 use crate::state::{Registration, State};
 use crate::store::{
     CHANGES_PER_MESSAGE_MAX, EXPIRED_ENTRY_GRACE_MS, MISSED_CHANGE_DELAY_MS,
-    MISSED_CONFIGURATION_SPREAD_MS, Query, READER_STAGGER_MS, Reply,
+    MISSED_CONFIGURATION_SPREAD_MS, Query, READER_SILENCE_MS, READER_STAGGER_MS,
+    RETRY_INTERVAL_MAX_MS, Reply, STORE_ANSWERING_MS,
 };
 use crate::target::TargetTransition;
 
@@ -31,13 +32,19 @@
         && behind_ms.is_some_and(|ms| ms >= configuration_delay_ms);
     let lacks_targets = state.directory.known_version() == 0;
     let lacks_configuration = state.configuration.is_none();
-    if state.is_reader || has_missed_targets || lacks_targets {
+    let is_store_answering = state
+        .query_schedule
+        .success_age_ms(now_ms)
+        .is_some_and(|age_ms| age_ms <= STORE_ANSWERING_MS);
+    // One call shows whether the store answers this host.
+    if (state.is_reader && is_store_answering) || has_missed_targets || lacks_targets {
         start_if_due(state, now_ms, Query::Targets, effects);
     }
     if state.is_reader || has_missed_configuration || lacks_configuration {
         start_if_due(state, now_ms, Query::Configuration, effects);
     }
-    if state.is_reader && !lacks_targets && should_follow_feeds(state, now_ms) {
+    let can_follow_feeds = is_store_answering && !lacks_targets;
+    if state.is_reader && can_follow_feeds && should_follow_feeds(state, now_ms) {
         let after = state.directory.known_version();
         start_if_due(state, now_ms, Query::TargetFeed { after }, effects);
         let after = state.query_schedule.configuration_feed_after();
@@ -93,6 +100,8 @@
         false
     } else if state.is_reader {
         true
+    } else if now_ms < state.may_read_from_ms {
+        false
     } else {
         // Hosts that precede this one in the order of names may take over first.
         let wait_ms = READER_STAGGER_MS * state.peers.live_before(now_ms, own);
@@ -105,8 +114,17 @@
             })
             .min()
             .unwrap_or(u64::MAX);
-        silence_ms >= wait_ms + 2 * crate::store::READER_SILENCE_MS
+        silence_ms >= wait_ms + 2 * READER_SILENCE_MS
     };
+    set_reader_role(state, now_ms, is_reader, effects);
+}
+
+fn set_reader_role(
+    state: &mut State,
+    now_ms: u64,
+    is_reader: bool,
+    effects: &mut Vec<Effect>,
+) {
     if is_reader != state.is_reader {
         state.is_reader = is_reader;
         effects.push(Effect::Log(LogEvent::ReaderRoleChanged {
@@ -116,6 +134,25 @@
     }
 }
 
+/// Gives up the role of the reader if the store doesn't answer this host, until the other
+/// live hosts have had their turn.
+///
+/// The store may refuse some hosts and answer others, so each host has to try. If those that
+/// have failed kept trying, all hosts would soon be calling a store that is down.
+fn yield_reader_role(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    let live_peers = state.peers.live(now_ms).count() as u64;
+    let is_answered = state
+        .query_schedule
+        .success_age_ms(now_ms)
+        .is_some_and(|age_ms| age_ms <= READER_SILENCE_MS);
+    if !state.is_reader || live_peers == 0 || is_answered {
+        return;
+    }
+    let turn_ms = (READER_STAGGER_MS * live_peers).max(RETRY_INTERVAL_MAX_MS);
+    state.may_read_from_ms = now_ms + turn_ms;
+    set_reader_role(state, now_ms, false, effects);
+}
+
 fn start_if_due(state: &mut State, now_ms: u64, query: Query, effects: &mut Vec<Effect>) {
     if state.query_schedule.start(now_ms, query) {
         effects.push(Effect::QueryStore(query));
@@ -215,7 +252,7 @@
             state.registration = Registration::Written;
             state.query_schedule.make_due(now_ms, Query::Hosts);
         }
-        Reply::Failed => {}
+        Reply::Failed => yield_reader_role(state, now_ms, effects),
     }
 }
 
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -69,6 +69,8 @@
     pub(crate) slow_start_until_ms: IndexMap<TargetName, u64>,
     pub(crate) query_schedule: QuerySchedule,
     pub(crate) is_reader: bool,
+    /// Until when this host leaves reading to others, since the store didn't answer it.
+    pub(crate) may_read_from_ms: u64,
     /// Highest versions that peers have reported.
     pub(crate) peer_versions: Versions,
     pub(crate) behind_since_ms: Option<u64>,
@@ -113,6 +115,7 @@
             slow_start_until_ms: IndexMap::new(),
             query_schedule: QuerySchedule::default(),
             is_reader: true,
+            may_read_from_ms: 0,
             peer_versions: Versions::default(),
             behind_since_ms: None,
             registration: Registration::default(),
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -44,6 +44,10 @@
 /// on the configuration's age allow for this pause.
 pub const RETRY_INTERVAL_MAX_MS: u64 = 1_000;
 
+/// Maximum time since the last answer for which the store counts as answering a host. A
+/// reader reads the configuration more often than that.
+pub const STORE_ANSWERING_MS: u64 = 2 * CONFIRM_INTERVAL_MS;
+
 /// Maximum time that a feed may wait for a change.
 pub const LONG_POLL_MS: u64 = 1_000;
 
--- a/crates/toucancleat-fleet/tests/store_sync.rs
+++ b/crates/toucancleat-fleet/tests/store_sync.rs
@@ -322,3 +322,53 @@
     fleet.advance(1_500);
     assert!(fleet.readers.contains(&1), "the change itself was lost");
 }
+
+/// With 195 hosts, one host after another took over from the last and none gave up: 97 of
+/// them called the store in each second at the end of an outage of nine seconds.
+#[test]
+fn calls_to_a_store_that_is_down_do_not_grow_with_the_fleet() {
+    for hosts in [3, 30, 90] {
+        let mut fleet = Fleet::new(hosts, &["upp-a", "upp-b"], &[]);
+        fleet.advance(2_000);
+        fleet.queries.clear();
+        fleet.advance_with(9_000, false);
+        let calls = fleet.queries.len();
+        // A turn begins each 150 ms, or each second for each host of a small fleet.
+        assert!(calls <= 70, "{hosts} hosts: {calls} calls in 9 s");
+        fleet.queries.clear();
+        fleet.advance(600);
+        assert!(
+            !fleet.queries.is_empty(),
+            "{hosts} hosts: the store is tried"
+        );
+        fleet.advance(1_000);
+        let now_ms = fleet.now_ms;
+        let ages = fleet
+            .hosts
+            .iter()
+            .map(|host| host.configuration_age_ms(now_ms));
+        assert!(
+            ages.flatten().all(|age_ms| age_ms <= 1_600),
+            "{hosts} hosts: the configuration is confirmed soon after the outage"
+        );
+    }
+}
+
+/// The store refuses some hosts and answers others.
+#[test]
+fn host_that_the_store_answers_takes_over_from_hosts_that_it_refuses() {
+    let mut fleet = Fleet::new(9, &["upp-a"], &[]);
+    fleet.advance(2_000);
+    fleet.refused.extend(0..6);
+    fleet.advance(3_500);
+    fleet.readers.clear();
+    fleet.advance(3_000);
+    let answered = fleet.readers.iter().filter(|index| **index >= 6);
+    assert_eq!(answered.count(), 1, "one host reads: {:?}", fleet.readers);
+    let now_ms = fleet.now_ms;
+    let ages = fleet
+        .hosts
+        .iter()
+        .map(|host| host.configuration_age_ms(now_ms));
+    assert!(ages.flatten().all(|age_ms| age_ms <= 1_600));
+}
--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -15,6 +15,8 @@
     pub now_ms: u64,
     /// Hosts that don't tick and to which no messages are delivered.
     pub silent: IndexSet<usize>,
+    /// Hosts that the store refuses.
+    pub refused: IndexSet<usize>,
     /// Hosts that have queried the store.
     pub readers: IndexSet<usize>,
     /// Queries of all hosts, in order.
@@ -32,6 +34,7 @@
                 .collect(),
             now_ms: START_MS,
             silent: IndexSet::new(),
+            refused: IndexSet::new(),
             readers: IndexSet::new(),
             queries: Vec::new(),
         };
@@ -74,7 +77,7 @@
                 self.readers.insert(index);
                 self.queries.push(query);
                 let reply = match query {
-                    _ if !store_is_up => Reply::Failed,
+                    _ if !store_is_up || self.refused.contains(&index) => Reply::Failed,
                     Query::Configuration => Reply::Configuration(Some(configuration(1))),
                     Query::Register => Reply::Registered,
                     Query::Hosts => Reply::Hosts(Vec::new()),
