Report a configuration that can't be decoded as what it is

Cause: a torn configuration, or one of an unknown format, counted as a store that does not answer: the reason was logged at debug level only, and the feed asked for the same version again and again.

Change: it is a reply of its own. It is logged once for each problem, the feed continues after it, and the last valid configuration stays in force, though unconfirmed, since the rejected one may have withdrawn keys.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -137,6 +137,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[non_exhaustive]
 pub enum LogEvent {
+    /// The newest configuration was rejected.
+    ConfigurationRejected {
+        /// The version that stays in force.
+        kept_version: Option<u64>,
+        /// What is wrong with the rejected one.
+        problem: String,
+    },
     /// The host list was read for the first time.
     TargetsListed {
         /// Number of targets.
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -203,6 +203,15 @@
                 confirm_configuration(state, started_ms);
             }
         }
+        Reply::InvalidConfiguration {
+            store_version,
+            problem,
+        } => {
+            state
+                .query_schedule
+                .advance_configuration_feed(store_version);
+            reject_configuration(state, problem, effects);
+        }
         Reply::Targets {
             store_version,
             list,
@@ -300,6 +309,21 @@
     is_newer
 }
 
+/// Keeps the last valid configuration in force.
+///
+/// It isn't confirmed: the one that can't be decoded may have withdrawn a key. So requests
+/// with a key are refused once the bound of revocation has passed.
+fn reject_configuration(state: &mut State, problem: String, effects: &mut Vec<Effect>) {
+    if state.configuration_problem.as_ref() == Some(&problem) {
+        return;
+    }
+    effects.push(Effect::Log(LogEvent::ConfigurationRejected {
+        kept_version: state.configuration.as_ref().map(|known| known.version),
+        problem: problem.clone(),
+    }));
+    state.configuration_problem = Some(problem);
+}
+
 /// Puts a configuration in force if it is newer, and returns true if it was.
 pub(super) fn adopt_configuration(
     state: &mut State,
@@ -313,6 +337,7 @@
     if is_newer {
         let configuration = Arc::new(configuration);
         state.configuration = Some(configuration.clone());
+        state.configuration_problem = None;
         effects.push(Effect::ApplyConfiguration(configuration));
     }
     is_newer
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -61,6 +61,8 @@
     pub(crate) config: FleetConfig,
     pub(crate) configuration: Option<Arc<Configuration>>,
     pub(crate) configuration_confirmed_ms: Option<u64>,
+    /// Why the newest configuration was rejected, so that it is logged once.
+    pub(crate) configuration_problem: Option<String>,
     pub(crate) directory: TargetDirectory,
     /// Targets whose entries vanished without a notice, and since when.
     pub(crate) expired_entries: IndexMap<TargetName, (TargetEntry, u64)>,
@@ -109,6 +111,7 @@
             config,
             configuration: None,
             configuration_confirmed_ms: None,
+            configuration_problem: None,
             directory: TargetDirectory::default(),
             expired_entries: IndexMap::new(),
             leaves_at_ms: IndexMap::new(),
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -146,6 +146,13 @@
         /// The last of the changes.
         configuration: Option<Configuration>,
     },
+    /// The newest configuration can't be decoded, or was received incompletely.
+    InvalidConfiguration {
+        /// The version of the store.
+        store_version: u64,
+        /// What is wrong with it.
+        problem: String,
+    },
     /// Addresses of entry hosts.
     Hosts(Vec<std::net::SocketAddr>),
     /// This host's row was written.
--- a/crates/toucancleat-fleet/tests/store_sync.rs
+++ b/crates/toucancleat-fleet/tests/store_sync.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexSet;
 use support::fleet::Fleet;
 use support::*;
-use toucancleat_fleet::event::Effect;
+use toucancleat_fleet::event::{Effect, LogEvent};
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::store::{Query, Reply};
 
@@ -372,3 +372,48 @@
         .map(|host| host.configuration_age_ms(now_ms));
     assert!(ages.flatten().all(|age_ms| age_ms <= 1_600));
 }
+
+#[test]
+fn invalid_configuration_is_logged_once_and_the_last_valid_one_stays_in_force() {
+    let mut state = empty_host("host-1", "upp-a", 1);
+    populate(
+        &mut state,
+        START_MS,
+        &[("roster-1", entry("roster", "upp-a", 201))],
+    );
+    let mut log_lines = 0;
+    for pause_ms in [100, 900, 1_700] {
+        let invalid = Reply::InvalidConfiguration {
+            store_version: 20,
+            problem: "missing field `version`".to_owned(),
+        };
+        let now_ms = START_MS + pause_ms;
+        let effects = answer(&mut state, now_ms, Query::Configuration, invalid);
+        log_lines += effects
+            .iter()
+            .filter(|effect| {
+                matches!(effect, Effect::Log(LogEvent::ConfigurationRejected { .. }))
+            })
+            .count();
+        let effects =
+            receive_request(&mut state, now_ms, pause_ms, incoming_request("lookup"));
+        assert_eq!(
+            dispatches(&effects).len(),
+            1,
+            "the last valid one is in force"
+        );
+    }
+    assert_eq!(log_lines, 1);
+    // The rejected configuration may have withdrawn the key.
+    let late_ms = START_MS + 5_100;
+    let effects = receive_request(&mut state, late_ms, 9, incoming_request("lookup"));
+    assert_eq!(refusals(&effects)[0].reason, Reason::StaleConfiguration);
+    let valid = Reply::Configuration(Some(configuration(8)));
+    answer(&mut state, late_ms, Query::Configuration, valid);
+    let effects = receive_request(&mut state, late_ms, 10, incoming_request("lookup"));
+    assert_eq!(
+        dispatches(&effects).len(),
+        1,
+        "a later valid one is put in force"
+    );
+}
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -276,6 +276,12 @@
 
 fn log_event(event: &LogEvent) {
     match event {
+        LogEvent::ConfigurationRejected {
+            kept_version,
+            problem,
+        } => {
+            log::error!(kept_version, problem; "configuration rejected; keeping the last valid one");
+        }
         LogEvent::TargetsListed {
             targets,
             store_version,
