--- a/crates/toucancleat-load/src/bin/capacity/main.rs
+++ b/crates/toucancleat-load/src/bin/capacity/main.rs
@@ -1,9 +1,9 @@
-//! Measures the cost of the control plane to one host and writes docs/CAPACITY.md.
+//! Measures the cost of the control plane to one host and writes docs/PROTOCOL-COSTS.md.
 //!
 //! The reducers and the codec of each role are driven at several sizes, in one process and in
 //! virtual time. A straight line is fitted to each cost and evaluated at the size of the
 //! target fleet. Run it with
-//! `cargo run --release -p toucancleat-load --bin capacity -- docs/CAPACITY.md`.
+//! `cargo run --release -p toucancleat-load --bin capacity -- docs/PROTOCOL-COSTS.md`.
 
 mod accounts;
 mod claims;
@@ -29,7 +29,9 @@
 
 fn main() -> ExitCode {
     let Some(path) = std::env::args().nth(1) else {
-        eprintln!("expected the path of the page to write, such as docs/CAPACITY.md");
+        eprintln!(
+            "expected the path of the page to write, such as docs/PROTOCOL-COSTS.md"
+        );
         return ExitCode::from(2);
     };
     let roles = [
--- a/crates/toucancleat-load/src/bin/capacity/page.rs
+++ b/crates/toucancleat-load/src/bin/capacity/page.rs
@@ -1,4 +1,4 @@
-//! Renders docs/CAPACITY.md.
+//! Renders docs/PROTOCOL-COSTS.md.
 
 use std::fmt::Write as _;
 
@@ -10,15 +10,15 @@
 
 /// Text of the page before its first table.
 const HEADER: &str = "\
-# Capacity
+# Costs of the protocols of the own interface
 
-<!-- Written by `cargo run --release -p toucancleat-load --bin capacity -- docs/CAPACITY.md`; \
+<!-- Written by `cargo run --release -p toucancleat-load --bin capacity -- docs/PROTOCOL-COSTS.md`; \
 change the benchmark in crates/toucancleat-load/src/bin/capacity, not this page. -->
 
-The cost of the control plane to one host of the target fleet: 1,200 hosts in front of 12,000
-servers, 12,000 requests per second, 26,000 organisations, 20 availability zones, and per day
-23,000 changes of configuration, 87 failures and 4,800 replacements. The budget of a host is
-3.9% of a core, 128 MB and 5 KB per second.
+The cost of the control plane of the own interface to one host of the target fleet: 1,200 hosts in
+front of 12,000 servers, 12,000 requests per second, 26,000 organisations, 20 availability zones,
+and per day 23,000 changes of configuration, 87 failures and 4,800 replacements. The budget of a
+host is 3.9% of a core, 128 MB and 5 KB per second.
 
 Each number is computed from a straight line fitted to measured points (below). The points
 come from the reducers and the codec, driven in one process and in virtual time. Bytes are
