Send peers the changes that a reader finds in the complete list

Cause: only what the feed returned was sent to peers. A host that took over from a reader that was cut off read the complete list first, advanced its version and filtered the same changes out of the feed's reply.

Change: the list's reply is reduced to what differs from the known entries, and a reader broadcasts that as it does changes of the feed.

--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -14,7 +14,7 @@
     MISSED_CONFIGURATION_SPREAD_MS, Query, READER_SILENCE_MS, READER_STAGGER_MS,
     RETRY_INTERVAL_MAX_MS, Reply, STORE_ANSWERING_MS,
 };
-use crate::target::TargetTransition;
+use crate::target::{TargetChange, TargetTransition};
 
 /// Starts the queries that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
@@ -214,13 +214,13 @@
         }
         Reply::Targets {
             store_version,
-            list,
+            mut list,
         } => {
             state
                 .query_schedule
                 .advance_configuration_feed(store_version);
             let is_first = state.directory.known_version() == 0;
-            let transitions = state.directory.replace_all(store_version, list);
+            let transitions = state.directory.replace_all(store_version, &mut list);
             let targets = state.directory.iter().count();
             state.query_schedule.set_target_count(targets);
             if is_first {
@@ -230,6 +230,9 @@
                 }));
             } else {
                 log_transitions(state, &transitions, effects);
+                if state.is_reader {
+                    broadcast_changes(state, now_ms, &list, effects);
+                }
             }
             apply_transitions(state, now_ms, transitions, effects);
         }
@@ -238,10 +241,7 @@
             mut changes,
         } => {
             let transitions = state.directory.apply_changes(store_version, &mut changes);
-            for part in changes.chunks(CHANGES_PER_MESSAGE_MAX) {
-                let update = Update::Targets(part.to_vec());
-                messages::broadcast(state, now_ms, Some(update), effects);
-            }
+            broadcast_changes(state, now_ms, &changes, effects);
             log_transitions(state, &transitions, effects);
             apply_transitions(state, now_ms, transitions, effects);
             tick(state, now_ms, effects);
@@ -265,6 +265,22 @@
     }
 }
 
+/// Broadcasts changes of the host list.
+///
+/// What a reader finds in the complete list is broadcast as well. A host that takes over has
+/// missed changes, and hosts that the store doesn't answer learn of them from peers only.
+fn broadcast_changes(
+    state: &mut State,
+    now_ms: u64,
+    changes: &[TargetChange],
+    effects: &mut Vec<Effect>,
+) {
+    for part in changes.chunks(CHANGES_PER_MESSAGE_MAX) {
+        let update = Update::Targets(part.to_vec());
+        messages::broadcast(state, now_ms, Some(update), effects);
+    }
+}
+
 /// Adds the listed hosts, and announces this host to those that are new.
 fn handle_listed_hosts(state: &mut State, now_ms: u64, addresses: &[SocketAddr]) {
     let own_address = state.identity.address;
--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use toucancleat_core::prelude::*;
 use toucancleat_core::rng::stable_hash;
@@ -118,35 +118,42 @@
         self.targets.iter()
     }
 
-    /// Replaces all entries by a list as of one version.
+    /// Replaces all entries by a list as of one version, and retains in `list` only what was
+    /// more than a heartbeat, removals included.
     ///
     /// A list older than the known version is ignored, so that a late reply can't restore
     /// a target that has left.
     pub fn replace_all(
         &mut self,
         store_version: u64,
-        list: Vec<TargetChange>,
+        list: &mut Vec<TargetChange>,
     ) -> Vec<TargetTransition> {
+        let mut transitions = Vec::new();
         if store_version < self.known_version {
-            return Vec::new();
+            list.clear();
+            return transitions;
         }
-        let mut transitions = Vec::new();
-        let listed: IndexMap<TargetName, TargetEntry> = list
-            .into_iter()
-            .filter_map(|change| Some((change.target, change.entry?)))
+        let listed: IndexSet<&TargetName> = list
+            .iter()
+            .filter(|change| change.entry.is_some())
+            .map(|change| &change.target)
             .collect();
-        let removed: Vec<TargetName> = self
+        let removed = self
             .targets
             .keys()
-            .filter(|target| !listed.contains_key(*target))
-            .cloned()
-            .collect();
-        for target in removed {
-            self.apply(target, None, &mut transitions);
-        }
-        for (target, entry) in listed {
-            self.apply(target, Some(entry), &mut transitions);
-        }
+            .filter(|target| !listed.contains(*target))
+            .map(|target| TargetChange {
+                target: target.clone(),
+                store_version,
+                entry: None,
+            });
+        let removed: Vec<TargetChange> = removed.collect();
+        list.retain(|change| change.entry.is_some());
+        list.splice(0..0, removed);
+        list.retain(|change| {
+            let entry = change.entry.clone();
+            self.apply(change.target.clone(), entry, &mut transitions)
+        });
         self.known_version = store_version;
         transitions
     }
--- a/crates/toucancleat-fleet/tests/store_sync.rs
+++ b/crates/toucancleat-fleet/tests/store_sync.rs
@@ -417,3 +417,52 @@
         "a later valid one is put in force"
     );
 }
+
+/// The host that takes over from a reader that was cut off finds in the complete list what
+/// happened meanwhile. It did not send it to its peers: with 68 of 195 hosts cut off from the
+/// store, these dispatched to engines that had announced their leaving for four seconds.
+#[test]
+fn changes_that_a_reader_finds_in_the_list_are_sent_to_its_peers() {
+    struct Case {
+        name: &'static str,
+        /// Index of the host that reads the list. The first one reads for all.
+        index: usize,
+        is_sent: bool,
+    }
+    let cases = [
+        Case {
+            name: "the reader",
+            index: 0,
+            is_sent: true,
+        },
+        Case {
+            name: "a host that only makes up for a change that it missed",
+            index: 1,
+            is_sent: false,
+        },
+    ];
+    for case in cases {
+        let engine = entry("engines", "upp-a", 101);
+        let mut fleet = Fleet::new(3, &["upp-a"], &[("engine-1", engine.clone())]);
+        let leaving = toucancleat_fleet::target::TargetEntry {
+            is_leaving: true,
+            ..engine
+        };
+        let reply = Reply::Targets {
+            store_version: 40,
+            list: vec![change("engine-1", 35, Some(leaving))],
+        };
+        let now_ms = fleet.now_ms;
+        let effects = answer(&mut fleet.hosts[case.index], now_ms, Query::Targets, reply);
+        let sent = messages(&effects);
+        let to_last_host = sent.into_iter().find(|(to, _)| *to == address(3));
+        let is_sent = to_last_host.is_some_and(|(_, message)| {
+            let event = Event::MessageReceived(Box::new(message));
+            let effects = apply(&mut fleet.hosts[2], now_ms, event);
+            effects.iter().any(|effect| {
+                matches!(effect, Effect::Log(LogEvent::TargetLeaving { .. }))
+            })
+        });
+        assert_eq!(is_sent, case.is_sent, "{}", case.name);
+    }
+}
