Wait for the reader's next call before reading a list that a peer knows

Cause: a host that starts reads the list itself, some 100 ms before the reader receives the same change with the feed. All others saw a newer digest, waited 60 ms and read the complete list as well.

Change: a host waits for the longest interval between two calls of the reader and one turn, 0.25 s, before it reads a list. The wait for a configuration is unchanged.

--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -10,9 +10,9 @@
 use crate::peers::Update;
 use crate::state::{Registration, State};
 use crate::store::{
-    CHANGES_PER_MESSAGE_MAX, EXPIRED_ENTRY_GRACE_MS, MISSED_CHANGE_DELAY_MS,
-    MISSED_CONFIGURATION_SPREAD_MS, Query, READER_SILENCE_MS, READER_STAGGER_MS,
-    RETRY_INTERVAL_MAX_MS, Reply, STORE_ANSWERING_MS,
+    CHANGES_PER_MESSAGE_MAX, EXPIRED_ENTRY_GRACE_MS, MISSED_CONFIGURATION_DELAY_MS,
+    MISSED_CONFIGURATION_SPREAD_MS, MISSED_TARGETS_DELAY_MS, Query, READER_SILENCE_MS,
+    READER_STAGGER_MS, RETRY_INTERVAL_MAX_MS, Reply, STORE_ANSWERING_MS,
 };
 use crate::target::{TargetChange, TargetTransition};
 
@@ -25,8 +25,8 @@
         .retain(|_, (_, since_ms)| now_ms < *since_ms + EXPIRED_ENTRY_GRACE_MS);
     let behind_ms = time_behind_ms(state, now_ms);
     let has_missed_targets = state.lacks_target_changes()
-        && behind_ms.is_some_and(|ms| ms >= MISSED_CHANGE_DELAY_MS);
-    let configuration_delay_ms = MISSED_CHANGE_DELAY_MS
+        && behind_ms.is_some_and(|ms| ms >= MISSED_TARGETS_DELAY_MS);
+    let configuration_delay_ms = MISSED_CONFIGURATION_DELAY_MS
         + state.identity.incarnation % MISSED_CONFIGURATION_SPREAD_MS;
     let has_missed_configuration = state.lacks_newest_configuration()
         && behind_ms.is_some_and(|ms| ms >= configuration_delay_ms);
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -64,9 +64,14 @@
 /// Interval between two queries for other hosts while no peer is live.
 pub const HOSTS_INTERVAL_MS: u64 = 2_000;
 
-/// Delay before a host that appears to have missed a change queries the store, since the
-/// message with the change may only have been overtaken.
-pub const MISSED_CHANGE_DELAY_MS: u64 = 60;
+/// Delay before a host that appears to have missed a configuration queries the store, since
+/// the message with the change may only have been overtaken.
+pub const MISSED_CONFIGURATION_DELAY_MS: u64 = 60;
+
+/// Delay before a host that appears to have missed a change of the host list queries the
+/// store. A host that has just started may have read a change that the reader receives with
+/// its next call to the feed, or, after an outage of the store, with its next turn.
+pub const MISSED_TARGETS_DELAY_MS: u64 = FEED_INTERVAL_MAX_MS + READER_STAGGER_MS;
 
 /// Range of the additional delay before a host reads a configuration that it missed. A
 /// change that is too large to be sent is read by all hosts.
