Give hosts of all zones early turns to take over from a reader that is gone

Cause: turns followed the names, and those of a zone's hosts are alike. When the reader's zone was cut off, its hosts had all the first turns until they were no longer live after 3.6 s.

Change: turns follow the hashes of the names and count from the moment at which a host missed a reader.

Result: the new case of store_sync, with 90 hosts in three zones of which the reader's is cut off, fails on the code before and passes now. In the test of a reader that falls silent the successor is now any one host, not the second by name.

--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -9,6 +9,7 @@
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use toucancleat_core::prelude::*;
+use toucancleat_core::rng::stable_hash;
 
 use crate::budget::RetryCounts;
 use crate::configuration_change::ConfigurationChange;
@@ -372,9 +373,16 @@
         })
     }
 
-    /// Returns how many live peers precede this host in the order of names.
+    /// Returns how many live peers have their turn to read the store before this host.
+    ///
+    /// The order is that of the names' hashes. The names of a zone's hosts are often alike, so
+    /// in the order of names the hosts of a zone that was cut off could precede all others.
     pub fn live_before(&self, now_ms: u64, own: &HostName) -> u64 {
-        self.live(now_ms).filter(|(host, _)| *host < own).count() as u64
+        let turn = |host: &HostName| stable_hash(host.as_str().as_bytes());
+        let own_turn = (turn(own), own);
+        self.live(now_ms)
+            .filter(|(host, _)| (turn(host), *host) < own_turn)
+            .count() as u64
     }
 
     /// Returns the load of live peers at a target.
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -96,27 +96,36 @@
 
 fn update_reader_role(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
     let own = &state.identity.host;
-    let is_reader = if state.peers.has_other_reader(now_ms, own, state.is_reader) {
-        false
-    } else if state.is_reader {
-        true
-    } else if now_ms < state.may_read_from_ms {
-        false
-    } else {
-        // Hosts that precede this one in the order of names may take over first.
-        let wait_ms = READER_STAGGER_MS * state.peers.live_before(now_ms, own);
-        let silence_ms = state
-            .peers
-            .live(now_ms)
-            .filter_map(|(_, peer)| {
-                let age_ms = peer.last_message.store_age_ms?;
-                Some(age_ms + now_ms.saturating_sub(peer.received_ms))
-            })
-            .min()
-            .unwrap_or(u64::MAX);
-        silence_ms >= wait_ms + 2 * READER_SILENCE_MS
-    };
-    set_reader_role(state, now_ms, is_reader, effects);
+    if state.peers.has_other_reader(now_ms, own, state.is_reader) {
+        state.readerless_since_ms = None;
+        return set_reader_role(state, now_ms, false, effects);
+    }
+    if state.is_reader || now_ms < state.may_read_from_ms {
+        return;
+    }
+    let silence_ms = state
+        .peers
+        .live(now_ms)
+        .filter_map(|(_, peer)| {
+            let age_ms = peer.last_message.store_age_ms?;
+            Some(age_ms + now_ms.saturating_sub(peer.received_ms))
+        })
+        .min()
+        .unwrap_or(u64::MAX);
+    if silence_ms < 2 * READER_SILENCE_MS {
+        state.readerless_since_ms = None;
+        return;
+    }
+    // N.B. turns count from the moment at which this host missed a reader. Counted from the
+    // last answer of the store to any live peer, all turns would have passed when the peers
+    // of a zone that was cut off are no longer live.
+    let since_ms = *state.readerless_since_ms.get_or_insert(now_ms);
+    let live_before = state.peers.live_before(now_ms, own);
+    let has_live_peer = state.peers.live(now_ms).next().is_some();
+    let turn = if has_live_peer { 1 + live_before } else { 0 };
+    if now_ms >= since_ms + turn * READER_STAGGER_MS {
+        set_reader_role(state, now_ms, true, effects);
+    }
 }
 
 fn set_reader_role(
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -71,6 +71,8 @@
     pub(crate) slow_start_until_ms: IndexMap<TargetName, u64>,
     pub(crate) query_schedule: QuerySchedule,
     pub(crate) is_reader: bool,
+    /// Since when no host has read the store on behalf of the others.
+    pub(crate) readerless_since_ms: Option<u64>,
     /// Until when this host leaves reading to others, since the store didn't answer it.
     pub(crate) may_read_from_ms: u64,
     /// Highest versions that peers have reported.
@@ -118,6 +120,7 @@
             slow_start_until_ms: IndexMap::new(),
             query_schedule: QuerySchedule::default(),
             is_reader: true,
+            readerless_since_ms: None,
             may_read_from_ms: 0,
             peer_versions: Versions::default(),
             behind_since_ms: None,
@@ -139,6 +142,11 @@
         }
     }
 
+    /// Returns the availability zone of this host.
+    pub fn zone(&self) -> &ZoneName {
+        &self.identity.zone
+    }
+
     /// Returns the configuration in force.
     pub fn configuration(&self) -> Option<&Arc<Configuration>> {
         self.configuration.as_ref()
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -14,8 +14,8 @@
 /// two messages, so that a lost datagram starts no second reader.
 pub const READER_SILENCE_MS: u64 = 450;
 
-/// Additional silence for each host that precedes this one in the order of names, so that
-/// hosts don't all start to read at the same moment.
+/// Additional wait for each host whose turn comes before this one's, so that hosts don't all
+/// start to read at the same moment.
 pub const READER_STAGGER_MS: u64 = 150;
 
 /// Interval at which a reader reads the complete configuration. A feed may be silent
--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -47,6 +47,25 @@
         fleet
     }
 
+    /// Replaces the hosts by new ones whose names follow from zone and number.
+    pub fn rename(&mut self, name: impl Fn(&str, u16) -> String) {
+        let zones: Vec<String> = self
+            .hosts
+            .iter()
+            .map(|host| host.zone().to_string())
+            .collect();
+        self.hosts = (1_u16..)
+            .zip(&zones)
+            .map(|(number, zone)| empty_host(&name(zone, number), zone, number))
+            .collect();
+        let addresses: Vec<_> = (1..=zones.len() as u16).map(address).collect();
+        for host in &mut self.hosts {
+            populate(host, self.now_ms, &[]);
+            let reply = Reply::Hosts(addresses.clone());
+            answer(host, self.now_ms, Query::Hosts, reply);
+        }
+    }
+
     /// Advances the clock while the store answers queries.
     pub fn advance(&mut self, time_ms: u64) {
         self.advance_with(time_ms, true);
