Let hosts take their usual turns again once the store answers somebody

Cause, found by reading: a host that had its turn while the store was down stayed out for all turns of the fleet, 29 s with 195 hosts, even when a new reader had been found meanwhile or no peer was live any more. If that reader was lost soon after, the turns of those hosts would have passed unused.

Change: the wait ends when another host reads, and doesn't apply without live peers.

Result: the new test of a reader that is lost after an outage passes; it passes without the change too, so the fault itself was not reproduced.

--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -98,9 +98,12 @@
     let own = &state.identity.host;
     if state.peers.has_other_reader(now_ms, own, state.is_reader) {
         state.readerless_since_ms = None;
+        // The store answers again, so this host has its usual turn if that reader goes.
+        state.may_read_from_ms = 0;
         return set_reader_role(state, now_ms, false, effects);
     }
-    if state.is_reader || now_ms < state.may_read_from_ms {
+    let has_live_peer = state.peers.live(now_ms).next().is_some();
+    if state.is_reader || (has_live_peer && now_ms < state.may_read_from_ms) {
         return;
     }
     let silence_ms = state
@@ -121,7 +124,6 @@
     // of a zone that was cut off are no longer live.
     let since_ms = *state.readerless_since_ms.get_or_insert(now_ms);
     let live_before = state.peers.live_before(now_ms, own);
-    let has_live_peer = state.peers.live(now_ms).next().is_some();
     let turn = if has_live_peer { 1 + live_before } else { 0 };
     if now_ms >= since_ms + turn * READER_STAGGER_MS {
         set_reader_role(state, now_ms, true, effects);
--- a/crates/toucancleat-fleet/tests/store_sync.rs
+++ b/crates/toucancleat-fleet/tests/store_sync.rs
@@ -533,3 +533,31 @@
     let readers = fleet.readers.len();
     assert!(readers <= 3, "{readers} of 60 hosts have become readers");
 }
+
+/// Hosts that had their turn while the store was down take part again once it answers. If
+/// they did not, the turns of a whole outage would pass before anybody succeeds the reader.
+#[test]
+fn reader_that_is_lost_after_an_outage_is_succeeded_as_usual() {
+    let mut fleet = Fleet::new(90, &["upp-a", "upp-b"], &[]);
+    fleet.advance(2_000);
+    fleet.advance_with(9_000, false);
+    fleet.advance(1_000);
+    fleet.readers.clear();
+    fleet.advance(1_000);
+    let lost = fleet.readers.clone();
+    assert!((1..=3).contains(&lost.len()), "few hosts read: {lost:?}");
+    fleet.silent.extend(lost);
+    // Two message intervals until the reader counts as silent, and a few turns.
+    fleet.advance(4_000);
+    fleet.readers.clear();
+    fleet.advance(1_000);
+    let readers = fleet.readers.len();
+    assert!(
+        (1..=3).contains(&readers),
+        "{readers} hosts have taken over"
+    );
+    let now_ms = fleet.now_ms;
+    let live = (0..fleet.hosts.len()).filter(|index| !fleet.silent.contains(index));
+    let mut ages = live.map(|index| fleet.hosts[index].configuration_age_ms(now_ms));
+    assert!(ages.all(|age| age.is_some_and(|age_ms| age_ms < 5_000)));
+}
