--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -19,8 +19,8 @@
 //!
 //! # Cost
 //!
-//! A decision examines each target of one pool and the last message of each host; both
-//! number some dozens. Each host sends every other host a datagram at an interval that
+//! A decision examines each target of one pool and the last message of each host, so its
+//! cost grows with both; docs/CAPACITY.md has the figures. Each host sends every other host a datagram at an interval that
 //! grows with the fleet ([`peers`]). One host reads the platform's store on behalf of all
 //! ([`store`]).
 //!
