Bound a reply of the store by the host's memory instead of a constant

Callers saw: 503 for every request with a key, at every host, from 5 s after a configuration of more than 4 MiB (16,000 routes) was written. Cause: a reply could have 4 MiB and 5 s in all. A longer one counted as a failed call and was read again without end; the log said only that the store doesn't answer. Change: the reply may take an eighth of the memory and 15 s as long as it makes progress. A configuration that exceeds this is rejected once, with the reason, and the last one is kept.

--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Returns true if the reply contains the configuration.
+    pub fn is_for_configuration(self) -> bool {
+        matches!(self, Query::Configuration | Query::ConfigurationFeed { .. })
+    }
+
     fn index(self) -> usize {
         match self {
             Query::Configuration => 0,
--- a/crates/toucancleat-gateway/src/call.rs
+++ b/crates/toucancleat-gateway/src/call.rs
@@ -5,17 +5,23 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body::Body;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Request, StatusCode, header};
 
 use crate::connection::Connection;
 
-/// Maximum size in bytes of a reply. A page of the store has at most a megabyte,
-/// encoded as base64.
-const REPLY_MAX_BYTES: usize = 4 * 1_048_576;
+/// Maximum time in which the body of a reply must be complete. A small machine with a link
+/// of 10 Mbit/s receives the longest reply for which it has memory in 9 s.
+const BODY_TIMEOUT_MAX: Duration = Duration::from_secs(15);
 
-/// Maximum time in which the body of a reply must be complete.
-const BODY_TIMEOUT_MAX: Duration = Duration::from_secs(5);
+/// Limits on the reply to one call.
+#[derive(Clone, Copy, Debug)]
+pub struct ReplyLimits {
+    /// Maximum wait for the head, and for each further part of the body.
+    pub idle_timeout: Duration,
+    /// Maximum length of the body.
+    pub body_max_bytes: usize,
+}
 
 /// The reason why a call has no reply.
 #[derive(Debug, thiserror::Error)]
@@ -26,9 +32,12 @@
     /// The connection failed before the head of the reply arrived.
     #[error("request failed: {0}")]
     Http(#[from] hyper::Error),
-    /// The reply was interrupted, too long or could not be decoded.
+    /// The reply was interrupted or could not be decoded.
     #[error("reply incomplete or invalid: {0}")]
     Body(Box<dyn std::error::Error + Send + Sync>),
+    /// The reply is longer than its limit.
+    #[error("reply longer than {0} bytes")]
+    TooLong(usize),
     /// No complete reply arrived in time.
     #[error("no reply within {0:?}")]
     Timeout(Duration),
@@ -36,15 +45,14 @@
 
 /// Makes a call and reads the complete reply.
 ///
-/// Fails if the head of the reply isn't received within the timeout, if the body makes no
-/// progress for as long, or if the reply is longer than [`REPLY_MAX_BYTES`]. There is no
-/// timeout for the whole body other than [`BODY_TIMEOUT_MAX`]: a host on a slow link that has
-/// to read a long configuration would discard what it has received and start again, without
-/// end.
+/// Fails if the head of the reply isn't received in time, if the body makes no progress for
+/// as long, or if the body exceeds its limit. There is no timeout for the whole body other
+/// than [`BODY_TIMEOUT_MAX`]: a host on a slow link that has to read a long configuration
+/// would discard what it has received and start again, without end.
 pub async fn call(
     address: SocketAddr,
     request: Request<Bytes>,
-    timeout: Duration,
+    limits: ReplyLimits,
 ) -> Result<(StatusCode, Bytes), CallError> {
     let (mut parts, body) = request.into_parts();
     if let Ok(host) = header::HeaderValue::from_str(&address.to_string()) {
@@ -55,31 +63,41 @@
         let connection = Connection::open(address).await?;
         Ok::<_, CallError>(connection.send(request).await?)
     };
-    let (response, _driver) = tokio::time::timeout(timeout, exchange)
+    let (response, _driver) = tokio::time::timeout(limits.idle_timeout, exchange)
         .await
-        .map_err(|_| CallError::Timeout(timeout))??;
+        .map_err(|_| CallError::Timeout(limits.idle_timeout))??;
     let status = response.status();
-    let body =
-        tokio::time::timeout(BODY_TIMEOUT_MAX, read_body(response.into_body(), timeout))
-            .await
-            .map_err(|_| CallError::Timeout(BODY_TIMEOUT_MAX))??;
+    let body = read_body(response.into_body(), limits).await?;
     Ok((status, body))
 }
 
-/// Reads a body to its end. Fails if it makes no progress for `idle_timeout`.
-pub async fn read_body<B>(body: B, idle_timeout: Duration) -> Result<Bytes, CallError>
+/// Reads a body to its end, within the limits.
+pub async fn read_body<B>(body: B, limits: ReplyLimits) -> Result<Bytes, CallError>
+where
+    B: Body + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    tokio::time::timeout(BODY_TIMEOUT_MAX, read_parts(body, limits))
+        .await
+        .map_err(|_| CallError::Timeout(BODY_TIMEOUT_MAX))?
+}
+
+async fn read_parts<B>(body: B, limits: ReplyLimits) -> Result<Bytes, CallError>
 where
     B: Body + Unpin,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let mut body = Limited::new(body, REPLY_MAX_BYTES);
+    let mut body = Limited::new(body, limits.body_max_bytes);
     let mut bytes = BytesMut::new();
     loop {
-        let frame = tokio::time::timeout(idle_timeout, body.frame())
+        let frame = tokio::time::timeout(limits.idle_timeout, body.frame())
             .await
-            .map_err(|_| CallError::Timeout(idle_timeout))?;
+            .map_err(|_| CallError::Timeout(limits.idle_timeout))?;
         match frame {
             None => return Ok(bytes.freeze()),
+            Some(Err(error)) if error.is::<LengthLimitError>() => {
+                return Err(CallError::TooLong(limits.body_max_bytes));
+            }
             Some(Err(error)) => return Err(CallError::Body(error)),
             Some(Ok(frame)) => {
                 if let Ok(mut data) = frame.into_data() {
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -13,7 +13,7 @@
 use toucancleat_platform::engine;
 
 use crate::bodies::BodyReader;
-use crate::call::call;
+use crate::call::{ReplyLimits, call};
 use crate::metrics::Metrics;
 use crate::peers::OutgoingMessage;
 use crate::settings::Settings;
@@ -26,8 +26,11 @@
 /// target's reports lag by about half a second, so an earlier one may lack the time.
 const LEAVE_TIME_QUERY_DELAY: Duration = Duration::from_millis(600);
 
-/// Maximum wait for the reply to a leave time query.
-const LEAVE_TIME_QUERY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Limits on the reply to a leave time query. A report has an entry for each run.
+const LEAVE_TIME_REPLY_LIMITS: ReplyLimits = ReplyLimits {
+    idle_timeout: Duration::from_millis(300),
+    body_max_bytes: 1_048_576,
+};
 
 /// A command of the reducer to the task of a request.
 #[derive(Debug)]
@@ -250,7 +253,7 @@
 async fn query_leave_time(host: Rc<Host>, target: TargetName, address: SocketAddr) {
     tokio::time::sleep(LEAVE_TIME_QUERY_DELAY).await;
     let queried_ms = clock::now_ms();
-    let reply = call(address, engine::report_request(), LEAVE_TIME_QUERY_TIMEOUT).await;
+    let reply = call(address, engine::report_request(), LEAVE_TIME_REPLY_LIMITS).await;
     let remaining_ms = match &reply {
         Ok((status, body)) => engine::decode_remaining_ms(*status, body),
         Err(error) => {
--- a/crates/toucancleat-gateway/src/relay/migration.rs
+++ b/crates/toucancleat-gateway/src/relay/migration.rs
@@ -11,12 +11,15 @@
 
 use super::{NextAction, Relay, RelayEvent, read_upstream};
 use crate::attempt::Resumption;
-use crate::call::{CallError, call};
+use crate::call::{CallError, ReplyLimits, call};
 use crate::clock;
 
-/// Maximum wait for a copy of a run's KV cache; longer than the notice that leaving targets
-/// give.
-const COPY_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Limits on the reply to the copy of a run's KV cache. Its timeout is longer than the notice
+/// that leaving targets give.
+const COPY_REPLY_LIMITS: ReplyLimits = ReplyLimits {
+    idle_timeout: Duration::from_millis(3_000),
+    body_max_bytes: 65_536,
+};
 
 /// Maximum wait for the end of a stream whose run has been stopped.
 const SOURCE_DRAIN_TIMEOUT_MS: u64 = 60;
@@ -113,7 +116,7 @@
             tokio::time::sleep(Duration::from_millis(after_ms)).await;
             let began_ms = clock::now_ms();
             let request = engine::copy_request(&attempt_id, destination, is_last);
-            let result = match call(source, request, COPY_TIMEOUT).await {
+            let result = match call(source, request, COPY_REPLY_LIMITS).await {
                 Ok((status, body)) => engine::decode_copy_reply(status, &body)
                     .map_err(|error| CallError::Body(Box::new(error))),
                 Err(error) => Err(error),
@@ -322,7 +325,9 @@
         if let Some(handle) = transfer.handle {
             tokio::task::spawn_local(async move {
                 let request = engine::release_copy_request(&handle);
-                if let Err(error) = call(transfer.source, request, COPY_TIMEOUT).await {
+                if let Err(error) =
+                    call(transfer.source, request, COPY_REPLY_LIMITS).await
+                {
                     log::debug!(error:% = error; "could not free a copy of a run's KV cache; it expires at the engine");
                 }
             });
--- a/crates/toucancleat-gateway/src/settings.rs
+++ b/crates/toucancleat-gateway/src/settings.rs
@@ -50,6 +50,10 @@
 /// connection buffers and the state of the host have to fit in the rest.
 const BODIES_SHARE: f64 = 0.25;
 
+/// Share of the memory that one reply of the store may take. While a configuration is
+/// decoded its text, its encoding, and two versions of it are in memory.
+const STORE_REPLY_SHARE: f64 = 0.125;
+
 impl Settings {
     /// Reads and validates a settings file.
     ///
@@ -94,6 +98,12 @@
         (BODIES_SHARE * memory_mb * 1e6) as u64
     }
 
+    /// Returns the bound on one reply of the store, in bytes.
+    pub fn store_reply_max_bytes(&self) -> usize {
+        let memory_mb = self.memory_max_mb.unwrap_or(MEMORY_DEFAULT_MB);
+        (STORE_REPLY_SHARE * memory_mb * 1e6) as usize
+    }
+
     /// Returns the settings that the decisions of the reducer depend on.
     pub fn fleet_config(&self) -> FleetConfig {
         let default = FleetConfig::default();
--- a/crates/toucancleat-gateway/src/store.rs
+++ b/crates/toucancleat-gateway/src/store.rs
@@ -7,10 +7,10 @@
 use toucancleat_fleet::store::{LONG_POLL_MS, Query, Reply};
 use toucancleat_platform::store::{Registration, StoreExchange};
 
-use crate::call::call;
+use crate::call::{CallError, ReplyLimits, call};
 use crate::host::Host;
 
-/// Maximum wait for a reply. It is many times what the store usually takes, and short
+/// Maximum wait for the head of a reply, and for each further part. It is many times what the store usually takes, and short
 /// enough for several retries before the configuration counts as stale.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -34,14 +34,25 @@
         Query::Register => WRITE_TIMEOUT,
         _ => REPLY_TIMEOUT,
     };
+    let limits = ReplyLimits {
+        idle_timeout: timeout,
+        body_max_bytes: host.settings.store_reply_max_bytes(),
+    };
     let mut exchange = StoreExchange::new(query);
     let reply = loop {
         let request = exchange.next_request(registration);
         host.metrics.store_calls.inc();
-        let (status, body) = match call(host.settings.store_address, request, timeout)
+        let (status, body) = match call(host.settings.store_address, request, limits)
             .await
         {
             Ok(response) => response,
+            Err(error @ CallError::TooLong(_)) if query.is_for_configuration() => {
+                // The store answers, but with a configuration that this host can't hold.
+                break Reply::InvalidConfiguration {
+                    store_version: 0,
+                    problem: error.to_string(),
+                };
+            }
             Err(error) => {
                 log::debug!(query = query.as_str(), error:% = error; "store call failed; leaving the next query to the reducer");
                 break Reply::Failed;
