Log and count the rate limits that targets name in their answers

Cause: no log line, metric or decision shows what a target reports about itself, so the hypotheses on the limit incident can't be told apart. Change: the header is decoded in platform/, the reducer keeps the last report of each target, logs its changes and counts the limited targets in the attempts' lines and as a metric. Where requests go doesn't change yet.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -9,6 +9,7 @@
 use crate::peers::{Message, Recipient};
 use crate::request::{AttemptOutcome, Dispatch, IncomingRequest, Refusal, RequestNumber};
 use crate::store::{Query, Reply};
+use crate::target_notice::TargetNotice;
 
 /// An event of an entry host.
 #[derive(Debug)]
@@ -32,6 +33,13 @@
         /// When the target exits, by this host's clock.
         leaves_at_ms: u64,
     },
+    /// The head of a target's answer was received.
+    NoticeReceived {
+        /// The target.
+        target: TargetName,
+        /// What the answer reports about the target.
+        notice: TargetNotice,
+    },
     /// A request was received in full.
     RequestReceived {
         /// Identifies the request.
@@ -134,7 +142,7 @@
 }
 
 /// A change of the host's known state that is logged.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 #[non_exhaustive]
 pub enum LogEvent {
     /// The newest configuration was rejected.
@@ -169,6 +177,15 @@
         /// This host's runs at the target.
         runs: u32,
     },
+    /// A target has begun, changed or ended a limit on the rate of requests.
+    RateLimitChanged {
+        /// The target.
+        target: TargetName,
+        /// The limit, in requests per second from all hosts together.
+        limit_per_s: Option<f64>,
+        /// The limit before.
+        limit_before_per_s: Option<f64>,
+    },
     /// The host starts or stops reading the store on behalf of the others.
     ReaderRoleChanged {
         /// Whether it reads now.
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -44,5 +44,6 @@
 pub mod state;
 pub mod store;
 pub mod target;
+pub mod target_notice;
 
 pub use crate::reduce::reduce;
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -2,6 +2,7 @@
 
 mod messages;
 mod migration;
+mod notices;
 mod placement;
 mod requests;
 mod store_sync;
@@ -17,6 +18,7 @@
     match event {
         Event::Tick => {
             store_sync::tick(state, now_ms, effects);
+            notices::tick(state, now_ms);
             placement::tick(state, now_ms, effects);
             messages::tick(state, now_ms, effects);
         }
@@ -32,6 +34,9 @@
         } => {
             state.leaves_at_ms.insert(target, leaves_at_ms);
         }
+        Event::NoticeReceived { target, notice } => {
+            notices::handle_notice(state, now_ms, &target, notice, effects);
+        }
         Event::RequestReceived {
             request_number,
             request,
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -178,6 +178,7 @@
         attempt: state.requests[&request_number].attempts + 1,
         cost: selection.cost,
         live_peers: state.peers.live(now_ms).count(),
+        limited_targets: state.target_notices.limited_targets(),
     };
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -417,12 +417,14 @@
             TargetTransition::Joined(target, entry) => {
                 state.expired_entries.swap_remove(&target);
                 state.health.remove(&target);
+                state.target_notices.remove(&target);
                 state.leaves_at_ms.swap_remove(&target);
                 let until_ms = now_ms + entry.slow_start_left_ms;
                 state.slow_start_until_ms.insert(target, until_ms);
             }
             TargetTransition::Leaving(target, entry) => {
                 state.slow_start_until_ms.swap_remove(&target);
+                state.target_notices.remove(&target);
                 if !migration::migratable_at(state, &target).is_empty() {
                     effects.push(Effect::QueryLeaveTime {
                         target: target.clone(),
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -89,6 +89,8 @@
     pub cost: f64,
     /// Number of live peers.
     pub live_peers: usize,
+    /// Number of targets that limit the rate of requests.
+    pub limited_targets: usize,
 }
 
 /// Why a request is refused or has failed.
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -15,6 +15,7 @@
 use crate::request::{Request, RequestNumber};
 use crate::store::QuerySchedule;
 use crate::target::{TargetDirectory, TargetEntry};
+use crate::target_notice::TargetNotices;
 
 /// Identity of this host.
 #[derive(Clone, Debug)]
@@ -92,6 +93,7 @@
     pub(crate) retry_budget: RetryBudget,
     pub(crate) poison_requests: PoisonRequests,
     pub(crate) health: HealthTable,
+    pub(crate) target_notices: TargetNotices,
     pub(crate) requests: IndexMap<RequestNumber, Request>,
     pub(crate) queue: Vec<RequestNumber>,
     pub(crate) own_loads: IndexMap<TargetName, Load>,
@@ -135,6 +137,7 @@
             retry_budget: RetryBudget::default(),
             poison_requests: PoisonRequests::default(),
             health: HealthTable::default(),
+            target_notices: TargetNotices::default(),
             requests: IndexMap::new(),
             queue: Vec::new(),
             own_loads: IndexMap::new(),
@@ -169,6 +172,11 @@
         self.leaves_at_ms.get(target).copied()
     }
 
+    /// Returns the number of targets that limit the rate of requests.
+    pub fn limited_targets(&self) -> usize {
+        self.target_notices.limited_targets()
+    }
+
     /// Returns true if this host should receive new callers.
     pub fn is_ready(&self, now_ms: u64) -> bool {
         self.stopping_since_ms.is_none()
--- a/crates/toucancleat-gateway/src/attempt.rs
+++ b/crates/toucancleat-gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, StatusCode, Version, header};
 use toucancleat_fleet::prelude::*;
-use toucancleat_platform::answer::{AnswerClass, classify_answer};
+use toucancleat_platform::answer::{AnswerClass, classify_answer, decode_notice};
 use toucancleat_platform::caller::{
     ForwardedRequest, KvCacheLocation, forwarded_headers,
 };
@@ -105,7 +105,7 @@
     resumption: &Resumption,
 ) -> AttemptResult {
     let began_ms = clock::now_ms();
-    let result = send_request(outbound, dispatch, resumption).await;
+    let result = send_request(host, outbound, dispatch, resumption).await;
     let took_ms = clock::now_ms().saturating_sub(began_ms);
     let (outcome, answer) = match result {
         Ok(AttemptResult::Stream(start)) => {
@@ -122,6 +122,7 @@
 }
 
 async fn send_request(
+    host: &Host,
     outbound: &Outbound,
     dispatch: &Dispatch,
     resumption: &Resumption,
@@ -138,7 +139,11 @@
         .map_err(|_| AttemptOutcome::TimedOut)?;
     let (response, driver) = head.map_err(|_| AttemptOutcome::Interrupted)?;
     let (head, body) = response.into_parts();
-    match classify_answer(&outbound.attempt_id, head.status, &head.headers) {
+    let class = classify_answer(&outbound.attempt_id, head.status, &head.headers);
+    if class.is_from_target() {
+        record_notice(host, &dispatch.target, &head.headers);
+    }
+    match class {
         AnswerClass::Declined => return Err(AttemptOutcome::Declined),
         AnswerClass::Misdirected => return Err(AttemptOutcome::Misdirected),
         AnswerClass::Unverified => return Err(AttemptOutcome::Interrupted),
@@ -182,6 +187,21 @@
     })
 }
 
+/// Tells the reducer what an answer reports about its target. An invalid report leaves the
+/// last valid one in force.
+fn record_notice(host: &Host, target: &TargetName, headers: &HeaderMap) {
+    match decode_notice(headers) {
+        Ok(notice) => host.apply(Event::NoticeReceived {
+            target: target.clone(),
+            notice,
+        }),
+        Err(error) => {
+            host.metrics.invalid_notices.inc();
+            log::debug!(target_name:% = target, error:% = error; "could not read what an answer reports about its target; keeping the last report");
+        }
+    }
+}
+
 fn build_request(
     outbound: &Outbound,
     dispatch: &Dispatch,
@@ -231,7 +251,8 @@
         configuration_version = inputs.configuration_version,
         configuration_age_ms = inputs.configuration_age_ms,
         targets_version = inputs.host_list_version,
-        hosts_heard = inputs.live_peers;
+        hosts_heard = inputs.live_peers,
+        limited_targets = inputs.limited_targets;
         "request attempt outcome"
     );
 }
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -140,6 +140,11 @@
         self.state.borrow().is_ready(clock::now_ms())
     }
 
+    /// Returns the number of targets that limit the rate of requests.
+    pub fn limited_targets(&self) -> usize {
+        self.state.borrow().limited_targets()
+    }
+
     /// Returns the time at which a leaving target exits, if it has reported one.
     pub fn leaves_at_ms(&self, target: &TargetName) -> Option<u64> {
         self.state.borrow().leaves_at_ms(target)
@@ -305,6 +310,13 @@
         } => {
             log::info!(target_name:% = target, store_version, runs; "target leaving; no new requests are routed to it");
         }
+        LogEvent::RateLimitChanged {
+            target,
+            limit_per_s,
+            limit_before_per_s,
+        } => {
+            log::info!(target_name:% = target, limit_per_s, limit_before_per_s; "target's rate limit changed");
+        }
         LogEvent::ReaderRoleChanged {
             is_reader,
             live_peers,
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -42,6 +42,10 @@
     pub datagrams: Counter,
     /// Version of the configuration that is applied.
     pub configuration_version: Gauge,
+    /// Targets that limit the rate of requests.
+    pub limited_targets: Gauge,
+    /// Answers whose report about their target is invalid.
+    pub invalid_notices: Counter,
 }
 
 impl Metrics {
@@ -60,6 +64,8 @@
             store_calls: Counter::default(),
             datagrams: Counter::default(),
             configuration_version: Gauge::default(),
+            limited_targets: Gauge::default(),
+            invalid_notices: Counter::default(),
         };
         metrics.register();
         metrics
@@ -108,6 +114,16 @@
             "Version of the configuration in force",
             self.configuration_version.clone(),
         );
+        registry.register(
+            "limited_targets",
+            "Targets that limit the rate of requests",
+            self.limited_targets.clone(),
+        );
+        registry.register(
+            "invalid_notices",
+            "Answers whose report about their target is invalid",
+            self.invalid_notices.clone(),
+        );
     }
 
     /// Counts the outcome of a request.
@@ -130,6 +146,8 @@
 
 /// Returns the metrics in the OpenMetrics text format.
 pub fn respond(host: &Host) -> Response<Full<Bytes>> {
+    let limited_targets = i64::try_from(host.limited_targets()).unwrap_or(i64::MAX);
+    host.metrics.limited_targets.set(limited_targets);
     let mut text = String::new();
     // Writing to a `String` can't fail.
     let _ = encode(&mut text, &host.metrics.registry);
