--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part of this")]
 
 pub mod fleet;
+pub mod traffic;
 
 use std::net::SocketAddr;
 
