Keep the requests of all hosts together within the limit that a target names

What was seen: a back end that had named a limit of 4.4 requests/s got 39 in 4 s from hosts that it had told, where 31 are allowed. Cause: no decision read the limit. It is a bound on the sum over the hosts, so it doesn't help that each host reads it: 61 hosts with a part each may send 61 requests at the same moment. Change: the hosts exchange what targets have reported, ordered by the time of the answer. A few hosts for each target, found by hashes over the live hosts, share its limit; the others send it nothing. What isn't permitted goes to other targets, or is refused at once.

--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -14,6 +14,8 @@
 //! - API keys are trusted only while the configuration is known to be recent.
 //! - The retries of the whole fleet stay within one bound, also between hosts that can't
 //!   reach each other ([`budget`]).
+//! - The requests of the whole fleet to a target that limits them stay within its limit
+//!   ([`rate_limit`]).
 //! - A poison request, which crashes every target that runs it, is refused by all hosts
 //!   ([`poison_requests`]).
 //!
@@ -38,6 +40,7 @@
 pub mod peers;
 pub mod poison_requests;
 pub mod prelude;
+pub mod rate_limit;
 mod reduce;
 pub mod request;
 pub mod selection;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -17,6 +17,7 @@
 use crate::poison_requests::Fingerprint;
 use crate::store::READER_SILENCE_MS;
 use crate::target::TargetChange;
+use crate::target_notice::NoticeReport;
 
 /// Minimum time between two messages to the same host. At this interval, loads lag by
 /// less than a third of the lag of the targets' own reports.
@@ -80,6 +81,10 @@
     /// that differs between recipients, so it is encoded separately.
     #[serde(skip)]
     pub echo: Option<Echo>,
+    /// What targets have reported about themselves to the sender. Hosts of earlier releases
+    /// don't know this part, so it is encoded after all others.
+    #[serde(skip)]
+    pub notices: Vec<NoticeReport>,
     /// A sample of the addresses of other hosts.
     pub addresses: Vec<SocketAddr>,
     /// A change that the sender has read from the store.
@@ -154,7 +159,7 @@
     pub address: SocketAddr,
     /// When its last message was received.
     pub received_ms: u64,
-    /// Its last message, without an update.
+    /// Its last message, without the update and the notices.
     pub last_message: Message,
     /// Whether its load is included in the totals.
     is_counted: bool,
@@ -207,6 +212,7 @@
             received_ms: now_ms,
             last_message: Message {
                 update: None,
+                notices: Vec::new(),
                 ..message
             },
             is_counted: true,
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -1,6 +1,6 @@
 //! Sends messages to peers and handles those received from them.
 
-use super::store_sync;
+use super::{notices, store_sync};
 use crate::event::Effect;
 use crate::peers::{
     ANNOUNCEMENT_SPREAD_PER_HOST_MS, Message, Recipient, Update, earliest_send_ms,
@@ -18,7 +18,8 @@
     // next tick, so that many streams that end at once, as in a network partition, cause a
     // single message.
     let must_announce = state.announce_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
-    if is_due || must_announce || state.has_unsent_load {
+    let has_unsent_state = state.has_unsent_load || state.has_unsent_notice;
+    if is_due || must_announce || has_unsent_state {
         broadcast(state, now_ms, None, effects);
     } else if now_ms.saturating_sub(state.last_zone_send_ms) >= zone_interval_ms {
         let recipients = state.peers.recipients(now_ms, Some(&zone));
@@ -46,6 +47,7 @@
     state.last_broadcast_ms = now_ms;
     state.announce_at_ms = None;
     state.has_unsent_load = false;
+    state.has_unsent_notice = false;
     let recipients = state.peers.recipients(now_ms, None);
     send(state, now_ms, recipients, update, effects);
 }
@@ -84,6 +86,7 @@
         retry_counts: counts.into_iter().collect(),
         interruptions: state.poison_requests.own_counts(),
         echo: None,
+        notices: state.target_notices.own_reports(now_ms),
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
@@ -115,6 +118,7 @@
             .poison_requests
             .record_peer_counts(now_ms, from, &message.interruptions);
         compare_versions(state, now_ms, &message);
+        notices::handle_reports(state, now_ms, &message, effects);
         state
             .peers
             .record_message(now_ms, state.identity.address, message);
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -68,7 +68,7 @@
                 Some(destination)
                     if reserve_migration_retry(state, now_ms, request_number) =>
                 {
-                    migrate_to(state, request_number, destination, effects);
+                    migrate_to(state, now_ms, request_number, destination, effects);
                 }
                 _ => effects.push(Effect::NoDestination { request_number }),
             }
@@ -121,6 +121,8 @@
         .filter(|(target, entry)| {
             !entry.is_leaving
                 && is_of_pool(entry)
+                // All hosts know the same limits, but each has permits of its own.
+                && state.target_notices.get(target).rate_limit_per_s.is_none()
                 && !state.health.is_ejected(now_ms, target)
         })
         .filter_map(|(target, entry)| {
@@ -156,7 +158,7 @@
     let selection = can_migrate.then(|| select_for(state, now_ms, request_number, true));
     match selection.flatten() {
         Some(selection) if reserve_migration_retry(state, now_ms, request_number) => {
-            migrate_to(state, request_number, selection.target, effects);
+            migrate_to(state, now_ms, request_number, selection.target, effects);
         }
         _ => effects.push(Effect::NoDestination { request_number }),
     }
@@ -164,10 +166,12 @@
 
 fn migrate_to(
     state: &mut State,
+    now_ms: u64,
     request_number: RequestNumber,
     destination: TargetName,
     effects: &mut Vec<Effect>,
 ) {
+    state.target_notices.take_permit(now_ms, &destination);
     let address = state.directory.get(&destination).map(|entry| entry.address);
     let (Some(address), Some(request)) =
         (address, state.requests.get_mut(&request_number))
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -18,7 +18,7 @@
     match event {
         Event::Tick => {
             store_sync::tick(state, now_ms, effects);
-            notices::tick(state, now_ms);
+            notices::tick(state, now_ms, effects);
             placement::tick(state, now_ms, effects);
             messages::tick(state, now_ms, effects);
         }
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -25,6 +25,10 @@
 /// once.
 const RETRY_AFTER_FULL_SPREAD_MS: f64 = 4_000.0;
 
+/// Maximum wait for a permit after which a caller may retry if all targets limit the rate of
+/// requests. Another host may have one earlier.
+const RETRY_AFTER_LIMITED_MAX_MS: u64 = 2_000;
+
 /// Share of an engine's memory up to which it takes long streams. The rest is for the
 /// growth of runs, for short streams and for migrated runs.
 const LONG_STREAM_SHARE: f64 = 0.88;
@@ -98,8 +102,9 @@
 
 /// Returns true if a request can start at some target now.
 ///
-/// Targets that aren't engines have no memory limit. If no engine of the own zone works,
-/// this returns true for that zone, since waiting for room there would be pointless.
+/// Targets that aren't engines have no memory limit. If no engine of the own zone works and
+/// takes requests of this host, this returns true for that zone, since waiting for room there
+/// would be pointless.
 fn has_room(state: &State, now_ms: u64, request: &Request, scope: ZoneScope) -> bool {
     let Some(engine) = request.configuration.engine(&request.pool) else {
         return true;
@@ -118,6 +123,7 @@
         .filter(|(target, entry)| {
             (entry.zone == *own_zone) == (scope == ZoneScope::OwnZone)
                 && !state.health.is_ejected(now_ms, target)
+                && state.target_notices.permits(now_ms, target)
         })
         .peekable();
     if targets.peek().is_none() {
@@ -151,14 +157,7 @@
         );
     }
     let Some(selection) = select_for(state, now_ms, request_number, false) else {
-        let retry_after_ms = Some(RETRY_AFTER_LONG_MS);
-        return refuse(
-            state,
-            request_number,
-            Reason::NoTarget,
-            retry_after_ms,
-            effects,
-        );
+        return refuse_without_target(state, now_ms, request_number, effects);
     };
     let listed = state.directory.get(&selection.target);
     let expired = state
@@ -178,7 +177,7 @@
         attempt: state.requests[&request_number].attempts + 1,
         cost: selection.cost,
         live_peers: state.peers.live(now_ms).count(),
-        limited_targets: state.target_notices.limited_targets(),
+        limited_targets: state.limited_targets(),
     };
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
@@ -209,6 +208,7 @@
         retry_safety: route.retry_safety,
         inputs,
     };
+    state.target_notices.take_permit(now_ms, &selection.target);
     state
         .own_loads
         .entry(selection.target)
@@ -223,6 +223,47 @@
     }
 }
 
+/// Refuses a request for which there is no target, or none that takes it now.
+fn refuse_without_target(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.get(&request_number) else {
+        return;
+    };
+    let targets = state.usable_targets(&request.pool);
+    let untried = targets
+        .iter()
+        .filter(|(target, _)| !request.tried_targets.contains(*target));
+    let has_untried = untried.clone().next().is_some();
+    let next_permit_ms = untried
+        .filter_map(|(target, _)| state.target_notices.next_permit_ms(now_ms, target));
+    let next_permit_ms = next_permit_ms.min();
+    if !has_untried {
+        let retry_after_ms = Some(RETRY_AFTER_LONG_MS);
+        return refuse(
+            state,
+            request_number,
+            Reason::NoTarget,
+            retry_after_ms,
+            effects,
+        );
+    }
+    let wait_ms = next_permit_ms.map_or(RETRY_AFTER_LONG_MS, |at_ms| at_ms - now_ms);
+    let wait_ms = wait_ms.clamp(RETRY_AFTER_SHORT_MS, RETRY_AFTER_LIMITED_MAX_MS);
+    // Callers that are refused in the same moment return one after another.
+    let spread_ms = (random_unit(&mut state.rng_state) * wait_ms as f64) as u64;
+    refuse(
+        state,
+        request_number,
+        Reason::TargetsLimited,
+        Some(wait_ms + spread_ms),
+        effects,
+    );
+}
+
 pub(super) fn select_for(
     state: &mut State,
     now_ms: u64,
@@ -250,7 +291,10 @@
     let candidates = state
         .usable_targets(&request.pool)
         .into_iter()
-        .filter(|(target, _)| !tried_targets.contains(*target))
+        .filter(|(target, _)| {
+            !tried_targets.contains(*target)
+                && state.target_notices.permits(now_ms, target)
+        })
         .map(|(target, entry)| Candidate {
             target,
             entry,
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -424,7 +424,6 @@
             }
             TargetTransition::Leaving(target, entry) => {
                 state.slow_start_until_ms.swap_remove(&target);
-                state.target_notices.remove(&target);
                 if !migration::migratable_at(state, &target).is_empty() {
                     effects.push(Effect::QueryLeaveTime {
                         target: target.clone(),
@@ -435,6 +434,8 @@
                     // Its entry vanished without a notice.
                     let expired = (entry.clone(), now_ms);
                     state.expired_entries.insert(target.clone(), expired);
+                } else {
+                    state.target_notices.remove(&target);
                 }
                 leaving.push((target, entry));
             }
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -109,6 +109,8 @@
     NoTarget,
     /// Targets declined the request.
     TargetsFull,
+    /// All targets limit the rate of requests, and this host has used its share.
+    TargetsLimited,
     /// The host is stopping and could not finish the request.
     Stopping,
     /// No target could be reached.
@@ -133,6 +135,7 @@
             Reason::UnknownKey => "unknown_key",
             Reason::NoTarget => "no_target",
             Reason::TargetsFull => "targets_full",
+            Reason::TargetsLimited => "targets_limited",
             Reason::Stopping => "stopping",
             Reason::Unreachable => "unreachable",
             Reason::TargetFailed => "target_failed",
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -94,6 +94,10 @@
     pub(crate) poison_requests: PoisonRequests,
     pub(crate) health: HealthTable,
     pub(crate) target_notices: TargetNotices,
+    /// When this host's shares of the targets' limits are computed next.
+    pub(crate) shares_due_ms: u64,
+    /// Whether peers have to learn of a notice before the next periodic message.
+    pub(crate) has_unsent_notice: bool,
     pub(crate) requests: IndexMap<RequestNumber, Request>,
     pub(crate) queue: Vec<RequestNumber>,
     pub(crate) own_loads: IndexMap<TargetName, Load>,
@@ -138,6 +142,8 @@
             poison_requests: PoisonRequests::default(),
             health: HealthTable::default(),
             target_notices: TargetNotices::default(),
+            shares_due_ms: 0,
+            has_unsent_notice: false,
             requests: IndexMap::new(),
             queue: Vec::new(),
             own_loads: IndexMap::new(),
@@ -174,7 +180,7 @@
 
     /// Returns the number of targets that limit the rate of requests.
     pub fn limited_targets(&self) -> usize {
-        self.target_notices.limited_targets()
+        self.target_notices.limits().count()
     }
 
     /// Returns true if this host should receive new callers.
--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -15,6 +15,10 @@
     pub now_ms: u64,
     /// Hosts that don't tick and to which no messages are delivered.
     pub silent: IndexSet<usize>,
+    /// Hosts that exchange messages with each other only.
+    pub isolated: IndexSet<usize>,
+    /// Whether all messages are lost.
+    pub loses_messages: bool,
     /// Hosts that the store refuses.
     pub refused: IndexSet<usize>,
     /// Hosts that have queried the store.
@@ -34,6 +38,8 @@
                 .collect(),
             now_ms: START_MS,
             silent: IndexSet::new(),
+            isolated: IndexSet::new(),
+            loses_messages: false,
             refused: IndexSet::new(),
             readers: IndexSet::new(),
             queries: Vec::new(),
@@ -88,9 +94,7 @@
 
     /// Executes a host's effects: delivers its messages and answers its queries.
     pub fn execute(&mut self, index: usize, effects: Vec<Effect>, store_is_up: bool) {
-        for (to, message) in messages(&effects) {
-            self.deliver(to, message);
-        }
+        self.send(index, &effects);
         for effect in effects {
             if let Effect::QueryStore(query) = effect {
                 self.readers.insert(index);
@@ -105,9 +109,31 @@
                     _ => continue,
                 };
                 let answered = answer(&mut self.hosts[index], self.now_ms, query, reply);
-                for (to, message) in messages(&answered) {
-                    self.deliver(to, message);
-                }
+                self.send(index, &answered);
+            }
+        }
+    }
+
+    /// Replaces a host by one that has just started under its name.
+    pub fn restart(&mut self, index: usize, targets: &[(&str, TargetEntry)]) {
+        let before = &self.hosts[index];
+        let zone = before.zone().to_string();
+        let number = index as u16 + 1;
+        self.hosts[index] = empty_host(&format!("host-{number:02}"), &zone, number);
+        populate(&mut self.hosts[index], self.now_ms, targets);
+        let addresses = (1..=self.hosts.len() as u16).map(address).collect();
+        let reply = Reply::Hosts(addresses);
+        answer(&mut self.hosts[index], self.now_ms, Query::Hosts, reply);
+    }
+
+    fn send(&mut self, from: usize, effects: &[Effect]) {
+        if self.loses_messages {
+            return;
+        }
+        for (to, message) in messages(effects) {
+            let is_isolated = |index| self.isolated.contains(&index);
+            if is_isolated(from) == is_isolated(usize::from(to.port()) - 1) {
+                self.deliver(to, message);
             }
         }
     }
--- a/crates/toucancleat-fleet/tests/support/traffic.rs
+++ b/crates/toucancleat-fleet/tests/support/traffic.rs
@@ -134,6 +134,21 @@
         }
     }
 
+    /// Forgets which limits a host has passed on, since it has restarted.
+    pub fn forget_told(&mut self, host: usize) {
+        self.told_since_ms.retain(|(told, _), _| *told != host);
+    }
+
+    /// Returns the hosts that have sent requests to a target since a time.
+    pub fn senders(&self, target: &str, since_ms: u64) -> Vec<usize> {
+        let recent = self
+            .arrivals
+            .iter()
+            .filter(|arrival| arrival.target == target && arrival.at_ms >= since_ms);
+        let senders: IndexSet<usize> = recent.map(|arrival| arrival.host).collect();
+        senders.into_iter().collect()
+    }
+
     /// Returns the limit that a target names at a time.
     pub fn limit_at(&self, target: &TargetName, at_ms: u64) -> Option<f64> {
         self.limits
--- a/crates/toucancleat-gateway/src/peers.rs
+++ b/crates/toucancleat-gateway/src/peers.rs
@@ -5,10 +5,12 @@
 
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 use toucancleat_fleet::event::Event;
 use toucancleat_fleet::peers::{Echo, Message, Recipient};
+use toucancleat_fleet::target_notice::NoticeReport;
 
 use crate::Error;
 use crate::host::Host;
@@ -71,8 +73,8 @@
         message,
     }) = outgoing.recv().await
     {
-        let message = match postcard::to_stdvec(&message) {
-            Ok(bytes) => bytes,
+        let (message, extension) = match encode(*message) {
+            Ok(parts) => parts,
             Err(error) => {
                 log::error!(error:% = error; "could not encode a message to peers; dropping it");
                 continue;
@@ -80,9 +82,10 @@
         };
         host.metrics.datagrams.inc_by(recipients.len() as u64);
         for (address, echo) in recipients {
-            let Ok(datagram) = postcard::to_extend(&echo, message.clone()) else {
+            let Ok(mut datagram) = postcard::to_extend(&echo, message.clone()) else {
                 continue;
             };
+            datagram.extend_from_slice(&extension);
             // A datagram that can't be sent at once is dropped, so that a full socket buffer
             // doesn't delay the next ones.
             if let Err(error) = socket.0.try_send_to(&datagram, address) {
@@ -92,9 +95,34 @@
     }
 }
 
-/// Decodes a message and the echo that follows it.
+/// The parts of a message that follow the echo. Hosts of earlier releases ignore what follows
+/// the echo, and send nothing there.
+#[derive(Default, Serialize, Deserialize)]
+struct Extension {
+    notices: Vec<NoticeReport>,
+}
+
+/// Encodes the parts of a message that precede and follow the echo of each recipient.
+fn encode(mut message: Message) -> postcard::Result<(Vec<u8>, Vec<u8>)> {
+    let extension = Extension {
+        notices: std::mem::take(&mut message.notices),
+    };
+    Ok((
+        postcard::to_stdvec(&message)?,
+        postcard::to_stdvec(&extension)?,
+    ))
+}
+
+/// Decodes a message, the echo and the parts that follow it.
 fn decode(datagram: &[u8]) -> postcard::Result<Message> {
     let (mut message, rest) = postcard::take_from_bytes::<Message>(datagram)?;
-    message.echo = postcard::from_bytes::<Option<Echo>>(rest)?;
+    let (echo, rest) = postcard::take_from_bytes::<Option<Echo>>(rest)?;
+    let extension = if rest.is_empty() {
+        Extension::default()
+    } else {
+        postcard::from_bytes(rest)?
+    };
+    message.echo = echo;
+    message.notices = extension.notices;
     Ok(message)
 }
