Send nothing more to a target that reports in an answer that it is leaving

Cause: only the host list showed that a target leaves. A target also says so in its answers, at times before its entry or without one, and requests went on reaching it. Change: what a target reports is kept until it restarts and is sent to all peers. The target gets no new requests, and its runs migrate, once, whichever report comes first.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -177,6 +177,13 @@
         /// This host's runs at the target.
         runs: u32,
     },
+    /// A target has reported in an answer that it is leaving.
+    TargetReportedLeaving {
+        /// The target.
+        target: TargetName,
+        /// This host's runs at the target.
+        runs: u32,
+    },
     /// A target has begun, changed or ended a limit on the rate of requests.
     RateLimitChanged {
         /// The target.
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -2,6 +2,7 @@
 
 use toucancleat_core::prelude::*;
 
+use super::messages;
 use super::placement::{load_at, select_for};
 use super::requests::{release_placement, subtract_load, take_retry};
 use crate::configuration::RetrySafety;
@@ -48,9 +49,34 @@
     is_allowed
 }
 
+/// Acts on targets that have turned out to be leaving.
+pub(super) fn leave(
+    state: &mut State,
+    now_ms: u64,
+    leaving: &[(TargetName, TargetEntry)],
+    effects: &mut Vec<Effect>,
+) {
+    if leaving.is_empty() {
+        return;
+    }
+    for (target, entry) in leaving {
+        if !migratable_at(state, target).is_empty() {
+            effects.push(Effect::QueryLeaveTime {
+                target: target.clone(),
+                address: entry.address,
+            });
+        }
+    }
+    migrate_all(state, now_ms, leaving, effects);
+    if state.has_unsent_load {
+        // Peers need to know at once which load is migrating to which target.
+        messages::broadcast(state, now_ms, None, effects);
+    }
+}
+
 /// Starts to migrate all runs of this host away from leaving targets, following the plan
 /// that all hosts compute.
-pub(super) fn migrate_all(
+fn migrate_all(
     state: &mut State,
     now_ms: u64,
     leaving: &[(TargetName, TargetEntry)],
@@ -122,7 +148,7 @@
             !entry.is_leaving
                 && is_of_pool(entry)
                 // All hosts know the same limits, but each has permits of its own.
-                && state.target_notices.get(target).rate_limit_per_s.is_none()
+                && state.target_notices.takes_any_rate(now_ms, target)
                 && !state.health.is_ejected(now_ms, target)
         })
         .filter_map(|(target, entry)| {
--- a/crates/toucancleat-fleet/src/reduce/notices.rs
+++ b/crates/toucancleat-fleet/src/reduce/notices.rs
@@ -2,19 +2,21 @@
 
 use toucancleat_core::prelude::*;
 
+use super::migration;
 use crate::event::{Effect, LogEvent};
 use crate::peers::{Message, Peer, earliest_send_ms};
 use crate::rate_limit::{SenderCandidate, sender_share_per_s};
 use crate::state::{State, random_unit};
-use crate::target_notice::TargetNotice;
+use crate::target::TargetEntry;
+use crate::target_notice::{AnswerSource, KnownNotice, NoticeReport, TargetNotice};
 
 /// Interval at which the shares of limits follow the live hosts.
 const SHARE_INTERVAL_MS: u64 = 500;
 
 /// Discards notices that are out of date, and updates this host's shares of the limits.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
-    for (target, notice) in state.target_notices.expire(now_ms) {
-        log_change(&target, notice, TargetNotice::default(), effects);
+    for (target, before) in state.target_notices.expire(now_ms) {
+        log_change(state, &target, &before, effects);
     }
     if now_ms < state.shares_due_ms {
         return;
@@ -38,8 +40,19 @@
     notice: TargetNotice,
     effects: &mut Vec<Effect>,
 ) {
-    if let Some(before) = record(state, now_ms, target, notice, now_ms, true, effects) {
-        state.has_unsent_notice |= notice.is_urgent_after(before);
+    // The answer may arrive after the target has left.
+    let Some(entry) = known_entry(state, target).cloned() else {
+        return;
+    };
+    let source = AnswerSource {
+        started_unix_ms: entry.started_unix_ms,
+        answered_ms: now_ms,
+        is_own: true,
+    };
+    if let Some(before) = state.target_notices.record(target, notice, source) {
+        let is_urgent = state.target_notices.get(target).is_urgent_after(&before);
+        state.has_unsent_notice |= is_urgent;
+        apply_change(state, now_ms, (target, &entry), &before, effects);
     }
 }
 
@@ -58,37 +71,61 @@
         return;
     };
     for report in &message.notices {
-        if let Some(answered_ms) = sent_ms.checked_sub(report.age_ms) {
-            let (target, notice) = (&report.target, report.notice);
-            record(state, now_ms, target, notice, answered_ms, false, effects);
-        }
+        handle_report(state, now_ms, sent_ms, report, effects);
     }
 }
 
-/// Records a notice, and returns the one before if they differ.
-fn record(
+fn handle_report(
     state: &mut State,
     now_ms: u64,
-    target: &TargetName,
-    notice: TargetNotice,
-    answered_ms: u64,
-    is_own: bool,
+    sent_ms: u64,
+    report: &NoticeReport,
     effects: &mut Vec<Effect>,
-) -> Option<TargetNotice> {
-    // An answer, or a peer's report, may arrive after the target has left.
-    if state.directory.get(target).is_none()
-        && !state.expired_entries.contains_key(target)
-    {
-        return None;
+) {
+    let target = &report.target;
+    let entry = known_entry(state, target).cloned();
+    // A report of an earlier start says nothing about the target.
+    let entry = entry.filter(|entry| entry.started_unix_ms == report.started_unix_ms);
+    let (Some(entry), Some(answered_ms)) = (entry, sent_ms.checked_sub(report.age_ms))
+    else {
+        return;
+    };
+    let notice = TargetNotice {
+        rate_limit_per_s: report.rate_limit_per_s,
+        is_leaving: report.is_leaving,
+    };
+    let source = AnswerSource {
+        started_unix_ms: entry.started_unix_ms,
+        answered_ms,
+        is_own: false,
+    };
+    if let Some(before) = state.target_notices.record(target, notice, source) {
+        apply_change(state, now_ms, (target, &entry), &before, effects);
     }
-    let before = state
-        .target_notices
-        .record(target, notice, answered_ms, is_own)?;
-    log_change(target, before, notice, effects);
-    if let Some(limit_per_s) = notice.rate_limit_per_s {
+}
+
+fn known_entry<'a>(state: &'a State, target: &TargetName) -> Option<&'a TargetEntry> {
+    let expired = || state.expired_entries.get(target).map(|(entry, _)| entry);
+    state.directory.get(target).or_else(expired)
+}
+
+/// Acts on what a target has newly reported.
+fn apply_change(
+    state: &mut State,
+    now_ms: u64,
+    (target, entry): (&TargetName, &TargetEntry),
+    before: &KnownNotice,
+    effects: &mut Vec<Effect>,
+) {
+    log_change(state, target, before, effects);
+    let known = state.target_notices.get(target);
+    if let Some(limit_per_s) = known.rate_limit_per_s {
         update_share(state, now_ms, target, limit_per_s);
     }
-    Some(before)
+    // The host list may have shown it before.
+    if known.is_leaving && !before.is_leaving && !entry.is_leaving {
+        migration::leave(state, now_ms, &[(target.clone(), entry.clone())], effects);
+    }
 }
 
 fn update_share(state: &mut State, now_ms: u64, target: &TargetName, limit_per_s: f64) {
@@ -112,7 +149,7 @@
         // This host has just started or is isolated, possibly like all others.
         return limit_per_s / fleet_size as f64;
     }
-    let target_zone = state.directory.get(target).map(|entry| &entry.zone);
+    let target_zone = known_entry(state, target).map(|entry| &entry.zone);
     let is_in_zone = |zone: &ZoneName| target_zone.is_none_or(|known| known == zone);
     let own = SenderCandidate {
         host: &state.identity.host,
@@ -126,11 +163,12 @@
 }
 
 fn log_change(
+    state: &State,
     target: &TargetName,
-    before: TargetNotice,
-    after: TargetNotice,
+    before: &KnownNotice,
     effects: &mut Vec<Effect>,
 ) {
+    let after = state.target_notices.get(target);
     if before.rate_limit_per_s != after.rate_limit_per_s {
         effects.push(Effect::Log(LogEvent::RateLimitChanged {
             target: target.clone(),
@@ -138,4 +176,10 @@
             limit_before_per_s: before.rate_limit_per_s,
         }));
     }
+    if after.is_leaving && !before.is_leaving {
+        effects.push(Effect::Log(LogEvent::TargetReportedLeaving {
+            target: target.clone(),
+            runs: state.own_loads.get(target).map_or(0, |load| load.runs),
+        }));
+    }
 }
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -123,7 +123,7 @@
         .filter(|(target, entry)| {
             (entry.zone == *own_zone) == (scope == ZoneScope::OwnZone)
                 && !state.health.is_ejected(now_ms, target)
-                && state.target_notices.permits(now_ms, target)
+                && state.target_notices.takes_request(now_ms, target)
         })
         .peekable();
     if targets.peek().is_none() {
@@ -234,14 +234,15 @@
         return;
     };
     let targets = state.usable_targets(&request.pool);
-    let untried = targets
-        .iter()
-        .filter(|(target, _)| !request.tried_targets.contains(*target));
-    let has_untried = untried.clone().next().is_some();
-    let next_permit_ms = untried
-        .filter_map(|(target, _)| state.target_notices.next_permit_ms(now_ms, target));
-    let next_permit_ms = next_permit_ms.min();
-    if !has_untried {
+    let notices = &state.target_notices;
+    let staying = targets.iter().map(|(target, _)| *target).filter(|target| {
+        !request.tried_targets.contains(*target) && !notices.get(target).is_leaving
+    });
+    let has_staying = staying.clone().next().is_some();
+    let next_request_ms = staying
+        .filter_map(|target| notices.next_request_ms(now_ms, target))
+        .min();
+    if !has_staying {
         let retry_after_ms = Some(RETRY_AFTER_LONG_MS);
         return refuse(
             state,
@@ -251,7 +252,7 @@
             effects,
         );
     }
-    let wait_ms = next_permit_ms.map_or(RETRY_AFTER_LONG_MS, |at_ms| at_ms - now_ms);
+    let wait_ms = next_request_ms.map_or(RETRY_AFTER_LONG_MS, |at_ms| at_ms - now_ms);
     let wait_ms = wait_ms.clamp(RETRY_AFTER_SHORT_MS, RETRY_AFTER_LIMITED_MAX_MS);
     // Callers that are refused in the same moment return one after another.
     let spread_ms = (random_unit(&mut state.rng_state) * wait_ms as f64) as u64;
@@ -293,7 +294,7 @@
         .into_iter()
         .filter(|(target, _)| {
             !tried_targets.contains(*target)
-                && state.target_notices.permits(now_ms, target)
+                && state.target_notices.takes_request(now_ms, target)
         })
         .map(|(target, entry)| Candidate {
             target,
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -417,35 +417,26 @@
             TargetTransition::Joined(target, entry) => {
                 state.expired_entries.swap_remove(&target);
                 state.health.remove(&target);
-                state.target_notices.remove(&target);
                 state.leaves_at_ms.swap_remove(&target);
+                state
+                    .target_notices
+                    .forget_earlier_start(&target, entry.started_unix_ms);
                 let until_ms = now_ms + entry.slow_start_left_ms;
                 state.slow_start_until_ms.insert(target, until_ms);
             }
             TargetTransition::Leaving(target, entry) => {
                 state.slow_start_until_ms.swap_remove(&target);
-                if !migration::migratable_at(state, &target).is_empty() {
-                    effects.push(Effect::QueryLeaveTime {
-                        target: target.clone(),
-                        address: entry.address,
-                    });
-                }
                 if !entry.is_leaving {
                     // Its entry vanished without a notice.
                     let expired = (entry.clone(), now_ms);
                     state.expired_entries.insert(target.clone(), expired);
-                } else {
-                    state.target_notices.remove(&target);
                 }
-                leaving.push((target, entry));
+                // Its runs began to migrate when it reported in an answer that it leaves.
+                if !state.target_notices.get(&target).is_leaving {
+                    leaving.push((target, entry));
+                }
             }
         }
     }
-    if !leaving.is_empty() {
-        migration::migrate_all(state, now_ms, &leaving, effects);
-        if state.has_unsent_load {
-            // Peers need to know at once which load is migrating to which target.
-            messages::broadcast(state, now_ms, None, effects);
-        }
-    }
+    migration::leave(state, now_ms, &leaving, effects);
 }
--- a/crates/toucancleat-fleet/src/target_notice.rs
+++ b/crates/toucancleat-fleet/src/target_notice.rs
@@ -1,9 +1,13 @@
 //! What targets report about themselves in their answers.
 //!
-//! A notice holds until a later answer of the target replaces it, whichever host received
-//! that answer: a target that no longer needs a limit just stops naming it. So notices are
-//! ordered by the time of the answer, and a notice that limits nothing is kept for a while to
-//! replace earlier ones that are still on their way between hosts.
+//! | notice | holds until | for |
+//! | --- | --- | --- |
+//! | rate limit | a later answer, to any host, doesn't name it | all hosts |
+//! | leaving | the target restarts | all hosts |
+//!
+//! Notices are ordered by the time of the answer, since hosts are told at different times. One
+//! that limits nothing is kept for a while, to replace earlier ones that are still on their way
+//! between hosts. See docs/design/platform.md, "What targets report about themselves".
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -11,10 +15,14 @@
 
 use crate::rate_limit::Permits;
 
-/// Time after which a notice is discarded if no answer of the target has renewed it.
-pub const NOTICE_RETENTION_MS: u64 = 30_000;
+/// Time after which a rate limit is discarded if no answer of the target has renewed it.
+pub const LIMIT_RETENTION_MS: u64 = 30_000;
+
+/// Time for which a target counts as leaving after the last answer that reported it. Longer
+/// than any target takes to exit.
+pub const LEAVING_RETENTION_MS: u64 = 600_000;
 
-/// Maximum number of notices in one message to a peer. One takes some 25 bytes, and a message
+/// Maximum number of notices in one message to a peer. One takes some 30 bytes, and a message
 /// has to fit in a datagram.
 const NOTICES_PER_MESSAGE_MAX: usize = 200;
 
@@ -22,102 +30,147 @@
 const LIMIT_CHANGE_MIN: f64 = 0.1;
 
 /// What one answer of a target reports about the target itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct TargetNotice {
     /// Requests per second that the target takes from all hosts together, if it limits them.
     pub rate_limit_per_s: Option<f64>,
+    /// Whether the target is leaving.
+    pub is_leaving: bool,
 }
 
-impl TargetNotice {
+/// A notice as a host sends it to its peers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NoticeReport {
+    /// The target.
+    pub target: TargetName,
+    /// When the target started, in Unix time.
+    pub started_unix_ms: Option<u64>,
+    /// Requests per second that the target takes from all hosts together, if it limits them.
+    pub rate_limit_per_s: Option<f64>,
+    /// Whether the target is leaving.
+    pub is_leaving: bool,
+    /// Time since the sender received the answer.
+    pub age_ms: u64,
+}
+
+/// What a target has reported so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct KnownNotice {
+    /// Requests per second that the target takes from all hosts together, if it limits them.
+    pub rate_limit_per_s: Option<f64>,
+    /// Whether the target is leaving.
+    pub is_leaving: bool,
+    /// When the target started, in Unix time. A target that has restarted has reported nothing.
+    started_unix_ms: Option<u64>,
+    /// When the last answer was received, by this host's clock.
+    answered_ms: u64,
+    /// Whether this host received that answer, and reports it to its peers.
+    is_own: bool,
+    /// This host's permits, if the target limits the rate of requests.
+    permits: Option<Permits>,
+}
+
+impl KnownNotice {
     /// Returns true if hosts that know only `before` would send the target too much, or need
     /// not hold back any more.
-    pub fn is_urgent_after(self, before: TargetNotice) -> bool {
-        match (self.rate_limit_per_s, before.rate_limit_per_s) {
+    pub fn is_urgent_after(&self, before: &KnownNotice) -> bool {
+        let is_limit_urgent = match (self.rate_limit_per_s, before.rate_limit_per_s) {
             (Some(limit), Some(limit_before)) => {
                 (limit - limit_before).abs() > LIMIT_CHANGE_MIN * limit_before
             }
             (limit, limit_before) => limit.is_some() != limit_before.is_some(),
-        }
+        };
+        is_limit_urgent || self.is_leaving != before.is_leaving
+    }
+
+    /// Returns true if the target may get a request now.
+    fn takes_request(&self, now_ms: u64) -> bool {
+        let is_permitted = self
+            .permits
+            .is_none_or(|permits| permits.is_available(now_ms));
+        !self.is_leaving && is_permitted
+    }
+
+    fn is_kept(&self, now_ms: u64) -> bool {
+        let age_ms = now_ms.saturating_sub(self.answered_ms);
+        age_ms < LIMIT_RETENTION_MS || (self.is_leaving && age_ms < LEAVING_RETENTION_MS)
     }
 }
 
-/// A notice as a host sends it to its peers.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct NoticeReport {
-    /// The target.
-    pub target: TargetName,
-    /// The notice.
-    pub notice: TargetNotice,
-    /// Time since the sender received it.
-    pub age_ms: u64,
+/// An answer whose notice is recorded.
+#[derive(Clone, Copy, Debug)]
+pub struct AnswerSource {
+    /// When the target started, in Unix time.
+    pub started_unix_ms: Option<u64>,
+    /// When the answer was received, by this host's clock.
+    pub answered_ms: u64,
+    /// Whether this host received it.
+    pub is_own: bool,
 }
 
-/// The last notices of targets. Targets that have not limited anything recently have none.
+/// What targets have reported. Targets that have reported nothing recently have no entry.
 #[derive(Clone, Debug, Default)]
 pub struct TargetNotices {
     known: IndexMap<TargetName, KnownNotice>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct KnownNotice {
-    notice: TargetNotice,
-    /// When the answer was received, by this host's clock.
-    answered_ms: u64,
-    /// Whether this host received the answer, and reports it to its peers.
-    is_own: bool,
-    /// This host's permits, if the target limits the rate of requests.
-    permits: Option<Permits>,
-}
-
 impl TargetNotices {
-    /// Records the notice of an answer, and returns the one before if they differ.
+    /// Records the notice of an answer, and returns what was known before.
     ///
-    /// A notice is ignored if a later answer is known.
+    /// Returns `None` if the answer changes nothing.
     pub fn record(
         &mut self,
         target: &TargetName,
         notice: TargetNotice,
-        answered_ms: u64,
-        is_own: bool,
-    ) -> Option<TargetNotice> {
-        let Some(known) = self.known.get_mut(target) else {
-            if notice != TargetNotice::default() {
-                let known = KnownNotice {
-                    notice,
-                    answered_ms,
-                    is_own,
-                    permits: None,
-                };
-                self.known.insert(target.clone(), known);
-                return Some(TargetNotice::default());
-            }
-            return None;
-        };
-        if answered_ms < known.answered_ms {
+        source: AnswerSource,
+    ) -> Option<KnownNotice> {
+        if notice == TargetNotice::default() && !self.known.contains_key(target) {
             return None;
         }
-        let before = known.notice;
-        known.notice = notice;
-        known.answered_ms = answered_ms;
-        known.is_own = is_own;
-        if notice.rate_limit_per_s.is_none() {
-            known.permits = None;
+        let known = self.known.entry(target.clone()).or_default();
+        if known.started_unix_ms != source.started_unix_ms {
+            *known = KnownNotice {
+                started_unix_ms: source.started_unix_ms,
+                ..KnownNotice::default()
+            };
+        }
+        let before = *known;
+        known.is_leaving |= notice.is_leaving;
+        if source.answered_ms >= known.answered_ms {
+            known.rate_limit_per_s = notice.rate_limit_per_s;
+            known.answered_ms = source.answered_ms;
+            known.is_own = source.is_own;
+            if notice.rate_limit_per_s.is_none() {
+                known.permits = None;
+            }
         }
-        (before != notice).then_some(before)
+        let is_changed = known.rate_limit_per_s != before.rate_limit_per_s
+            || known.is_leaving != before.is_leaving;
+        is_changed.then_some(before)
     }
 
-    /// Returns the last notice of a target.
-    pub fn get(&self, target: &TargetName) -> TargetNotice {
-        self.known
-            .get(target)
-            .map_or_else(TargetNotice::default, |known| known.notice)
+    /// Forgets what a target reported before it restarted.
+    pub fn forget_earlier_start(
+        &mut self,
+        target: &TargetName,
+        started_unix_ms: Option<u64>,
+    ) {
+        let known = self.known.get(target);
+        if known.is_some_and(|known| known.started_unix_ms != started_unix_ms) {
+            self.known.swap_remove(target);
+        }
+    }
+
+    /// Returns what a target has reported.
+    pub fn get(&self, target: &TargetName) -> KnownNotice {
+        self.known.get(target).copied().unwrap_or_default()
     }
 
     /// Returns the targets that limit the rate of requests, with their limits.
     pub fn limits(&self) -> impl Iterator<Item = (&TargetName, f64)> {
         self.known
             .iter()
-            .filter_map(|(target, known)| Some((target, known.notice.rate_limit_per_s?)))
+            .filter_map(|(target, known)| Some((target, known.rate_limit_per_s?)))
     }
 
     /// Sets this host's share of a target's limit. `first_part` is the part of a permit with
@@ -139,16 +192,29 @@
         }
     }
 
-    /// Returns true if a request may be sent to a target now.
-    pub fn permits(&self, now_ms: u64, target: &TargetName) -> bool {
-        self.permits_of(target)
-            .is_none_or(|permits| permits.is_available(now_ms))
+    /// Returns true if a target may get a request of this host now.
+    pub fn takes_request(&self, now_ms: u64, target: &TargetName) -> bool {
+        self.known
+            .get(target)
+            .is_none_or(|known| known.takes_request(now_ms))
+    }
+
+    /// Returns true if a target may get any number of requests now.
+    pub fn takes_any_rate(&self, now_ms: u64, target: &TargetName) -> bool {
+        self.known.get(target).is_none_or(|known| {
+            known.rate_limit_per_s.is_none() && known.takes_request(now_ms)
+        })
     }
 
-    /// Returns when the next request may be sent to a limited target, or `None` if this host
-    /// sends it nothing.
-    pub fn next_permit_ms(&self, now_ms: u64, target: &TargetName) -> Option<u64> {
-        self.permits_of(target)?.next_ms(now_ms)
+    /// Returns when a target may get the next request of this host, or `None` if it gets none.
+    pub fn next_request_ms(&self, now_ms: u64, target: &TargetName) -> Option<u64> {
+        let known = self.get(target);
+        if known.is_leaving {
+            return None;
+        }
+        known
+            .permits
+            .map_or(Some(now_ms), |permits| permits.next_ms(now_ms))
     }
 
     /// Counts a request to a target.
@@ -159,14 +225,19 @@
         }
     }
 
-    /// Returns the notices that this host received itself, for its peers.
+    /// Returns the notices of answers that this host received itself, for its peers.
     pub fn own_reports(&self, now_ms: u64) -> Vec<NoticeReport> {
-        let own = self.known.iter().filter(|(_, known)| known.is_own);
-        let mut reports: Vec<NoticeReport> = own
+        let age_ms = |known: &KnownNotice| now_ms.saturating_sub(known.answered_ms);
+        let mut reports: Vec<NoticeReport> = self
+            .known
+            .iter()
+            .filter(|(_, known)| known.is_own && age_ms(known) < LIMIT_RETENTION_MS)
             .map(|(target, known)| NoticeReport {
                 target: target.clone(),
-                notice: known.notice,
-                age_ms: now_ms.saturating_sub(known.answered_ms),
+                started_unix_ms: known.started_unix_ms,
+                rate_limit_per_s: known.rate_limit_per_s,
+                is_leaving: known.is_leaving,
+                age_ms: age_ms(known),
             })
             .collect();
         if reports.len() > NOTICES_PER_MESSAGE_MAX {
@@ -176,25 +247,18 @@
         reports
     }
 
-    /// Discards what a target has reported, since it has restarted or is gone.
-    pub fn remove(&mut self, target: &TargetName) {
-        self.known.swap_remove(target);
-    }
-
-    /// Discards notices that no answer has renewed for long, and returns their targets.
-    pub fn expire(&mut self, now_ms: u64) -> Vec<(TargetName, TargetNotice)> {
+    /// Discards limits that no answer has renewed for long, and returns them.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<(TargetName, KnownNotice)> {
         let mut expired = Vec::new();
         self.known.retain(|target, known| {
-            let is_kept = now_ms.saturating_sub(known.answered_ms) < NOTICE_RETENTION_MS;
-            if !is_kept {
-                expired.push((target.clone(), known.notice));
+            let age_ms = now_ms.saturating_sub(known.answered_ms);
+            if known.rate_limit_per_s.is_some() && age_ms >= LIMIT_RETENTION_MS {
+                expired.push((target.clone(), *known));
+                known.rate_limit_per_s = None;
+                known.permits = None;
             }
-            is_kept
+            known.is_kept(now_ms)
         });
         expired
     }
-
-    fn permits_of(&self, target: &TargetName) -> Option<&Permits> {
-        self.known.get(target)?.permits.as_ref()
-    }
 }
--- a/crates/toucancleat-fleet/tests/support/traffic.rs
+++ b/crates/toucancleat-fleet/tests/support/traffic.rs
@@ -110,6 +110,7 @@
             }
             let notice = TargetNotice {
                 rate_limit_per_s: self.limit_at(&target, now_ms),
+                ..TargetNotice::default()
             };
             let told = (host, target.clone());
             match notice.rate_limit_per_s {
--- /dev/null
+++ b/crates/toucancleat-fleet/tests/target_notices.rs
@@ -0,0 +1,219 @@
+//! What targets report about themselves in their answers, and what hosts do about it.
+
+mod support;
+
+use support::fleet::Fleet;
+use support::*;
+use toucancleat_fleet::event::Effect;
+use toucancleat_fleet::prelude::*;
+use toucancleat_fleet::store::{Query, Reply};
+use toucancleat_fleet::target::{TargetChange, TargetEntry};
+
+/// Number of requests that show which targets a host uses.
+const REQUESTS: u64 = 40;
+
+fn targets() -> Vec<(&'static str, TargetEntry)> {
+    vec![
+        ("roster-1", entry("roster", "upp-a", 901)),
+        ("roster-2", entry("roster", "upp-a", 902)),
+        ("roster-3", entry("roster", "upp-a", 903)),
+        ("engine-1", entry("engines", "upp-a", 911)),
+        ("engine-2", entry("engines", "upp-a", 912)),
+        ("engine-3", entry("engines", "upp-a", 913)),
+    ]
+}
+
+fn leaving() -> TargetNotice {
+    TargetNotice {
+        is_leaving: true,
+        ..TargetNotice::default()
+    }
+}
+
+fn receive_notice(
+    fleet: &mut Fleet,
+    host: usize,
+    target: &str,
+    notice: TargetNotice,
+) -> Vec<Effect> {
+    let received = Event::NoticeReceived {
+        target: TargetName::new(target),
+        notice,
+    };
+    apply(&mut fleet.hosts[host], fleet.now_ms, received)
+}
+
+/// Returns how many of a series of requests a host sends to a target, each of which ends
+/// before the next begins.
+fn requests_to(fleet: &mut Fleet, host: usize, kind: &str, target: &str) -> usize {
+    let now_ms = fleet.now_ms;
+    let state = &mut fleet.hosts[host];
+    let mut count = 0;
+    for number in 0..REQUESTS {
+        let number = 1_000 + number;
+        let effects = receive_request(state, now_ms, number, incoming_request(kind));
+        let sent = dispatches(&effects);
+        count += usize::from(sent.iter().any(|sent| sent.target.as_str() == target));
+        let closed = Event::RequestClosed {
+            request_number: RequestNumber(number),
+        };
+        apply(state, now_ms, closed);
+    }
+    count
+}
+
+/// Reads the host list at a host.
+fn list_targets(
+    fleet: &mut Fleet,
+    host: usize,
+    store_version: u64,
+    list: &[(&str, TargetEntry)],
+) -> Vec<Effect> {
+    let list: Vec<TargetChange> = list
+        .iter()
+        .map(|(name, entry)| change(name, store_version, Some(entry.clone())))
+        .collect();
+    let reply = Reply::Targets {
+        store_version,
+        list,
+    };
+    let now_ms = fleet.now_ms;
+    answer(&mut fleet.hosts[host], now_ms, Query::Targets, reply)
+}
+
+/// Guards against requests to a target that has said in an answer that it is leaving, long
+/// before or without a notice in the host list.
+#[test]
+fn a_target_that_reports_leaving_gets_no_requests_from_any_host() {
+    struct Case {
+        name: &'static str,
+        /// What happens after the answer.
+        then: fn(&mut Fleet),
+        is_used: bool,
+    }
+    fn list(fleet: &mut Fleet, version: u64, change: fn(&mut Vec<(&str, TargetEntry)>)) {
+        let mut all = targets();
+        change(&mut all);
+        for host in 0..fleet.hosts.len() {
+            list_targets(fleet, host, version, &all);
+        }
+    }
+    fn answer_without_notice(fleet: &mut Fleet) {
+        for host in 0..fleet.hosts.len() {
+            receive_notice(fleet, host, "roster-1", TargetNotice::default());
+        }
+    }
+    let cases = [
+        Case {
+            name: "at once",
+            then: |_| {},
+            is_used: false,
+        },
+        Case {
+            name: "after a minute",
+            then: |fleet| fleet.advance(60_000),
+            is_used: false,
+        },
+        Case {
+            name: "an answer that was delayed doesn't say so",
+            then: answer_without_notice,
+            is_used: false,
+        },
+        Case {
+            name: "its entry expires and returns",
+            then: |fleet| {
+                list(fleet, 20, |all| drop(all.remove(0)));
+                fleet.advance(2_000);
+                list(fleet, 30, |_| {});
+            },
+            is_used: false,
+        },
+        Case {
+            name: "it restarts under its name",
+            then: |fleet| list(fleet, 20, |all| all[0].1.started_unix_ms = Some(2)),
+            is_used: true,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new(3, &["upp-a", "upp-b"], &targets());
+        for host in 0..3 {
+            let count = requests_to(&mut fleet, host, "lookup", "roster-1");
+            assert!(count > 0, "{}: used before", case.name);
+        }
+        let effects = receive_notice(&mut fleet, 1, "roster-1", leaving());
+        fleet.execute(1, effects, true);
+        fleet.advance(50);
+        (case.then)(&mut fleet);
+        for host in 0..3 {
+            let count = requests_to(&mut fleet, host, "lookup", "roster-1");
+            let (name, is_used) = (case.name, case.is_used);
+            assert_eq!(count > 0, is_used, "{name}: host {host} sent {count}");
+        }
+    }
+}
+
+/// Guards against runs that are lost with a target that reports leaving in its answers only.
+#[test]
+fn runs_migrate_from_a_target_that_reports_leaving() {
+    struct Case {
+        name: &'static str,
+        /// Whether the host list shows it as well, before or after.
+        listed_before: bool,
+        listed_after: bool,
+    }
+    let cases = [
+        Case {
+            name: "in its answers only",
+            listed_before: false,
+            listed_after: false,
+        },
+        Case {
+            name: "in its answers first",
+            listed_before: false,
+            listed_after: true,
+        },
+        Case {
+            name: "in the host list first",
+            listed_before: true,
+            listed_after: false,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new(2, &["upp-a"], &targets());
+        let now_ms = fleet.now_ms;
+        let effects =
+            receive_request(&mut fleet.hosts[0], now_ms, 1, incoming_request("draft"));
+        let source = dispatches(&effects)[0].target.to_string();
+        let mut list = targets();
+        for (name, entry) in &mut list {
+            entry.is_leaving = *name == source;
+        }
+        let mut effects = Vec::new();
+        if case.listed_before {
+            effects.extend(list_targets(&mut fleet, 0, 20, &list));
+        }
+        effects.extend(receive_notice(&mut fleet, 0, &source, leaving()));
+        if case.listed_after {
+            effects.extend(list_targets(&mut fleet, 0, 20, &list));
+        }
+        let migrations = effects
+            .iter()
+            .filter(|effect| matches!(effect, Effect::Migrate { .. }));
+        assert_eq!(migrations.count(), 1, "{}: migrates once", case.name);
+    }
+}
+
+#[test]
+fn requests_are_refused_at_once_if_all_targets_report_leaving() {
+    let mut fleet = Fleet::new(2, &["upp-a"], &targets());
+    for target in ["roster-1", "roster-2", "roster-3"] {
+        receive_notice(&mut fleet, 0, target, leaving());
+    }
+    let now_ms = fleet.now_ms;
+    let effects =
+        receive_request(&mut fleet.hosts[0], now_ms, 1, incoming_request("lookup"));
+    let refusals = refusals(&effects);
+    assert_eq!(refusals[0].reason, Reason::NoTarget);
+    assert_eq!(refusals[0].verdict, Verdict::NotRun);
+    assert!(refusals[0].retry_after_ms.is_some());
+}
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -310,6 +310,9 @@
         } => {
             log::info!(target_name:% = target, store_version, runs; "target leaving; no new requests are routed to it");
         }
+        LogEvent::TargetReportedLeaving { target, runs } => {
+            log::info!(target_name:% = target, runs; "target reported that it is leaving; no new requests are routed to it");
+        }
         LogEvent::RateLimitChanged {
             target,
             limit_per_s,
