Send nothing to a target that has refused a request and asked for a pause

Cause: a target that refuses a request with 503 may say for how long it wants nothing from the host. Nobody read it, and the target went on getting requests, each of them an attempt of its caller. Change: the host sends the target nothing until then. Peers aren't told, since the pause is for one host. If all targets of a pool pause, a request is refused at once with the end of the shortest pause. Notices are also taken from a 503 that doesn't say whether the request has run.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -184,6 +184,13 @@
         /// This host's runs at the target.
         runs: u32,
     },
+    /// A target wants no requests from this host for a time.
+    TargetPaused {
+        /// The target.
+        target: TargetName,
+        /// The time.
+        pause_ms: u64,
+    },
     /// A target has begun, changed or ended a limit on the rate of requests.
     RateLimitChanged {
         /// The target.
--- a/crates/toucancleat-fleet/src/reduce/notices.rs
+++ b/crates/toucancleat-fleet/src/reduce/notices.rs
@@ -16,7 +16,7 @@
 /// Discards notices that are out of date, and updates this host's shares of the limits.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
     for (target, before) in state.target_notices.expire(now_ms) {
-        log_change(state, &target, &before, effects);
+        log_change(state, now_ms, &target, &before, effects);
     }
     if now_ms < state.shares_due_ms {
         return;
@@ -93,6 +93,7 @@
     let notice = TargetNotice {
         rate_limit_per_s: report.rate_limit_per_s,
         is_leaving: report.is_leaving,
+        pause_ms: None,
     };
     let source = AnswerSource {
         started_unix_ms: entry.started_unix_ms,
@@ -117,7 +118,7 @@
     before: &KnownNotice,
     effects: &mut Vec<Effect>,
 ) {
-    log_change(state, target, before, effects);
+    log_change(state, now_ms, target, before, effects);
     let known = state.target_notices.get(target);
     if let Some(limit_per_s) = known.rate_limit_per_s {
         update_share(state, now_ms, target, limit_per_s);
@@ -164,6 +165,7 @@
 
 fn log_change(
     state: &State,
+    now_ms: u64,
     target: &TargetName,
     before: &KnownNotice,
     effects: &mut Vec<Effect>,
@@ -182,4 +184,10 @@
             runs: state.own_loads.get(target).map_or(0, |load| load.runs),
         }));
     }
+    if after.paused_until_ms > before.paused_until_ms {
+        effects.push(Effect::Log(LogEvent::TargetPaused {
+            target: target.clone(),
+            pause_ms: after.paused_until_ms.saturating_sub(now_ms),
+        }));
+    }
 }
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -25,9 +25,8 @@
 /// once.
 const RETRY_AFTER_FULL_SPREAD_MS: f64 = 4_000.0;
 
-/// Maximum wait for a permit after which a caller may retry if all targets limit the rate of
-/// requests. Another host may have one earlier.
-const RETRY_AFTER_LIMITED_MAX_MS: u64 = 2_000;
+/// Range of the random delay added if all targets limit the rate of requests or pause.
+const RETRY_AFTER_LIMITED_SPREAD_MS: f64 = 1_000.0;
 
 /// Share of an engine's memory up to which it takes long streams. The rest is for the
 /// growth of runs, for short streams and for migrated runs.
@@ -234,15 +233,13 @@
         return;
     };
     let targets = state.usable_targets(&request.pool);
-    let notices = &state.target_notices;
-    let staying = targets.iter().map(|(target, _)| *target).filter(|target| {
-        !request.tried_targets.contains(*target) && !notices.get(target).is_leaving
-    });
-    let has_staying = staying.clone().next().is_some();
-    let next_request_ms = staying
-        .filter_map(|target| notices.next_request_ms(now_ms, target))
-        .min();
-    if !has_staying {
+    let untried = targets
+        .iter()
+        .map(|(target, _)| *target)
+        .filter(|target| !request.tried_targets.contains(*target));
+    let retry_at_ms =
+        untried.filter_map(|target| state.target_notices.retry_at_ms(now_ms, target));
+    let Some(retry_at_ms) = retry_at_ms.min() else {
         let retry_after_ms = Some(RETRY_AFTER_LONG_MS);
         return refuse(
             state,
@@ -251,16 +248,15 @@
             retry_after_ms,
             effects,
         );
-    }
-    let wait_ms = next_request_ms.map_or(RETRY_AFTER_LONG_MS, |at_ms| at_ms - now_ms);
-    let wait_ms = wait_ms.clamp(RETRY_AFTER_SHORT_MS, RETRY_AFTER_LIMITED_MAX_MS);
+    };
+    let wait_ms = (retry_at_ms - now_ms).max(RETRY_AFTER_SHORT_MS);
     // Callers that are refused in the same moment return one after another.
-    let spread_ms = (random_unit(&mut state.rng_state) * wait_ms as f64) as u64;
+    let spread_ms = random_unit(&mut state.rng_state) * RETRY_AFTER_LIMITED_SPREAD_MS;
     refuse(
         state,
         request_number,
         Reason::TargetsLimited,
-        Some(wait_ms + spread_ms),
+        Some(wait_ms + spread_ms as u64),
         effects,
     );
 }
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -109,7 +109,8 @@
     NoTarget,
     /// Targets declined the request.
     TargetsFull,
-    /// All targets limit the rate of requests, and this host has used its share.
+    /// All targets limit the rate of requests or want none for a time, and this host has no
+    /// permit.
     TargetsLimited,
     /// The host is stopping and could not finish the request.
     Stopping,
--- a/crates/toucancleat-fleet/src/target_notice.rs
+++ b/crates/toucancleat-fleet/src/target_notice.rs
@@ -4,6 +4,7 @@
 //! | --- | --- | --- |
 //! | rate limit | a later answer, to any host, doesn't name it | all hosts |
 //! | leaving | the target restarts | all hosts |
+//! | pause | the time that it names has passed | the host that was told |
 //!
 //! Notices are ordered by the time of the answer, since hosts are told at different times. One
 //! that limits nothing is kept for a while, to replace earlier ones that are still on their way
@@ -22,6 +23,13 @@
 /// than any target takes to exit.
 pub const LEAVING_RETENTION_MS: u64 = 600_000;
 
+/// Maximum duration of a pause. A target in need names seconds; a longer pause is more likely
+/// an error that would take the target out of use.
+pub const PAUSE_MAX_MS: u64 = 300_000;
+
+/// Maximum time to the next permit that callers are told. Another host may have one earlier.
+const PERMIT_WAIT_MAX_MS: u64 = 2_000;
+
 /// Maximum number of notices in one message to a peer. One takes some 30 bytes, and a message
 /// has to fit in a datagram.
 const NOTICES_PER_MESSAGE_MAX: usize = 200;
@@ -36,9 +44,11 @@
     pub rate_limit_per_s: Option<f64>,
     /// Whether the target is leaving.
     pub is_leaving: bool,
+    /// Time for which the target wants no requests from this host, in milliseconds.
+    pub pause_ms: Option<u64>,
 }
 
-/// A notice as a host sends it to its peers.
+/// A notice as a host sends it to its peers. A pause concerns only the host that was told.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct NoticeReport {
     /// The target.
@@ -60,6 +70,8 @@
     pub rate_limit_per_s: Option<f64>,
     /// Whether the target is leaving.
     pub is_leaving: bool,
+    /// Until when the target wants no requests from this host.
+    pub paused_until_ms: u64,
     /// When the target started, in Unix time. A target that has restarted has reported nothing.
     started_unix_ms: Option<u64>,
     /// When the last answer was received, by this host's clock.
@@ -88,12 +100,14 @@
         let is_permitted = self
             .permits
             .is_none_or(|permits| permits.is_available(now_ms));
-        !self.is_leaving && is_permitted
+        !self.is_leaving && now_ms >= self.paused_until_ms && is_permitted
     }
 
     fn is_kept(&self, now_ms: u64) -> bool {
         let age_ms = now_ms.saturating_sub(self.answered_ms);
-        age_ms < LIMIT_RETENTION_MS || (self.is_leaving && age_ms < LEAVING_RETENTION_MS)
+        age_ms < LIMIT_RETENTION_MS
+            || now_ms < self.paused_until_ms
+            || (self.is_leaving && age_ms < LEAVING_RETENTION_MS)
     }
 }
 
@@ -136,6 +150,10 @@
         }
         let before = *known;
         known.is_leaving |= notice.is_leaving;
+        if let Some(pause_ms) = notice.pause_ms {
+            let until_ms = source.answered_ms + pause_ms.min(PAUSE_MAX_MS);
+            known.paused_until_ms = known.paused_until_ms.max(until_ms);
+        }
         if source.answered_ms >= known.answered_ms {
             known.rate_limit_per_s = notice.rate_limit_per_s;
             known.answered_ms = source.answered_ms;
@@ -145,7 +163,8 @@
             }
         }
         let is_changed = known.rate_limit_per_s != before.rate_limit_per_s
-            || known.is_leaving != before.is_leaving;
+            || known.is_leaving != before.is_leaving
+            || known.paused_until_ms != before.paused_until_ms;
         is_changed.then_some(before)
     }
 
@@ -206,15 +225,18 @@
         })
     }
 
-    /// Returns when a target may get the next request of this host, or `None` if it gets none.
-    pub fn next_request_ms(&self, now_ms: u64, target: &TargetName) -> Option<u64> {
+    /// Returns when a caller whose request a target doesn't take now should retry, or `None` if
+    /// the target takes no more requests.
+    pub fn retry_at_ms(&self, now_ms: u64, target: &TargetName) -> Option<u64> {
         let known = self.get(target);
         if known.is_leaving {
             return None;
         }
-        known
-            .permits
-            .map_or(Some(now_ms), |permits| permits.next_ms(now_ms))
+        let latest_ms = now_ms + PERMIT_WAIT_MAX_MS;
+        let permitted_ms = known.permits.map_or(now_ms, |permits| {
+            permits.next_ms(now_ms).unwrap_or(latest_ms).min(latest_ms)
+        });
+        Some(permitted_ms.max(known.paused_until_ms))
     }
 
     /// Counts a request to a target.
--- a/crates/toucancleat-fleet/tests/target_notices.rs
+++ b/crates/toucancleat-fleet/tests/target_notices.rs
@@ -8,6 +8,7 @@
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::store::{Query, Reply};
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
+use toucancleat_fleet::target_notice::PAUSE_MAX_MS;
 
 /// Number of requests that show which targets a host uses.
 const REQUESTS: u64 = 40;
@@ -217,3 +218,101 @@
     assert_eq!(refusals[0].verdict, Verdict::NotRun);
     assert!(refusals[0].retry_after_ms.is_some());
 }
+
+/// Guards against requests to a target that has refused one and asked for a pause: each of
+/// them costs the target, and the caller an attempt.
+#[test]
+fn a_target_that_asks_for_a_pause_gets_no_requests_from_that_host() {
+    struct Case {
+        name: &'static str,
+        pause_ms: u64,
+        /// Time from the refusal to the requests.
+        after_ms: u64,
+        /// Whether an answer without a notice arrives meanwhile.
+        answers_meanwhile: bool,
+        is_used: bool,
+    }
+    let cases = [
+        Case {
+            name: "at once",
+            pause_ms: 2_000,
+            after_ms: 0,
+            answers_meanwhile: false,
+            is_used: false,
+        },
+        Case {
+            name: "shortly before the end",
+            pause_ms: 2_000,
+            after_ms: 1_900,
+            answers_meanwhile: false,
+            is_used: false,
+        },
+        Case {
+            name: "an earlier request is answered meanwhile",
+            pause_ms: 2_000,
+            after_ms: 1_000,
+            answers_meanwhile: true,
+            is_used: false,
+        },
+        Case {
+            name: "after the end",
+            pause_ms: 2_000,
+            after_ms: 2_100,
+            answers_meanwhile: false,
+            is_used: true,
+        },
+        Case {
+            name: "days are not taken literally",
+            pause_ms: 200_000_000,
+            after_ms: PAUSE_MAX_MS + 100,
+            answers_meanwhile: false,
+            is_used: true,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new(2, &["upp-a"], &targets());
+        let pause = TargetNotice {
+            pause_ms: Some(case.pause_ms),
+            ..TargetNotice::default()
+        };
+        receive_notice(&mut fleet, 0, "roster-1", pause);
+        if case.answers_meanwhile {
+            fleet.advance(500);
+            receive_notice(&mut fleet, 0, "roster-1", TargetNotice::default());
+            fleet.advance(case.after_ms - 500);
+        } else {
+            fleet.advance(case.after_ms);
+        }
+        let count = requests_to(&mut fleet, 0, "lookup", "roster-1");
+        assert_eq!(count > 0, case.is_used, "{}: sent {count}", case.name);
+        let count = requests_to(&mut fleet, 1, "lookup", "roster-1");
+        assert!(count > 0, "{}: the pause is for one host alone", case.name);
+    }
+}
+
+#[test]
+fn requests_are_refused_with_the_end_of_the_pause_if_all_targets_ask_for_one() {
+    let mut fleet = Fleet::new(1, &["upp-a"], &targets());
+    for (target, pause_ms) in [
+        ("roster-1", 9_000),
+        ("roster-2", 5_000),
+        ("roster-3", 7_000),
+    ] {
+        let pause = TargetNotice {
+            pause_ms: Some(pause_ms),
+            ..TargetNotice::default()
+        };
+        receive_notice(&mut fleet, 0, target, pause);
+    }
+    let now_ms = fleet.now_ms;
+    let effects =
+        receive_request(&mut fleet.hosts[0], now_ms, 1, incoming_request("lookup"));
+    let refusals = refusals(&effects);
+    assert_eq!(refusals[0].reason, Reason::TargetsLimited);
+    assert_eq!(refusals[0].verdict, Verdict::NotRun);
+    let retry_after_ms = refusals[0].retry_after_ms.expect("a time");
+    assert!(
+        (5_000..=6_000).contains(&retry_after_ms),
+        "{retry_after_ms} ms"
+    );
+}
--- a/crates/toucancleat-gateway/src/attempt.rs
+++ b/crates/toucancleat-gateway/src/attempt.rs
@@ -139,11 +139,8 @@
         .map_err(|_| AttemptOutcome::TimedOut)?;
     let (response, driver) = head.map_err(|_| AttemptOutcome::Interrupted)?;
     let (head, body) = response.into_parts();
-    let class = classify_answer(&outbound.attempt_id, head.status, &head.headers);
-    if class.is_from_target() {
-        record_notice(host, &dispatch.target, &head.headers);
-    }
-    match class {
+    record_notice(host, outbound, dispatch, head.status, &head.headers);
+    match classify_answer(&outbound.attempt_id, head.status, &head.headers) {
         AnswerClass::Declined => return Err(AttemptOutcome::Declined),
         AnswerClass::Misdirected => return Err(AttemptOutcome::Misdirected),
         AnswerClass::Unverified => return Err(AttemptOutcome::Interrupted),
@@ -189,12 +186,20 @@
 
 /// Tells the reducer what an answer reports about its target. An invalid report leaves the
 /// last valid one in force.
-fn record_notice(host: &Host, target: &TargetName, headers: &HeaderMap) {
-    match decode_notice(headers) {
-        Ok(notice) => host.apply(Event::NoticeReceived {
+fn record_notice(
+    host: &Host,
+    outbound: &Outbound,
+    dispatch: &Dispatch,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    let target = &dispatch.target;
+    match decode_notice(&outbound.attempt_id, status, headers) {
+        Ok(Some(notice)) => host.apply(Event::NoticeReceived {
             target: target.clone(),
             notice,
         }),
+        Ok(None) => {}
         Err(error) => {
             host.metrics.invalid_notices.inc();
             log::debug!(target_name:% = target, error:% = error; "could not read what an answer reports about its target; keeping the last report");
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -313,6 +313,9 @@
         LogEvent::TargetReportedLeaving { target, runs } => {
             log::info!(target_name:% = target, runs; "target reported that it is leaving; no new requests are routed to it");
         }
+        LogEvent::TargetPaused { target, pause_ms } => {
+            log::info!(target_name:% = target, pause_ms; "target wants no requests from this host for a time");
+        }
         LogEvent::RateLimitChanged {
             target,
             limit_per_s,
