Order what is known of the store by its era, then its version

What callers would see: for as long as a copy is old, and longer, work sent to targets that are leaving or gone, and new targets unused. After a drill the store's versions go back; hosts took each list and change of it for older than what they knew, asked feeds for versions that the store doesn't have, and found themselves behind versions that their peers had reported. Change: positions are ordered by era, then version. A host that sees a higher era, in an answer of the store or a message of a peer, forgets its positions and keeps what it knows. Targets that had left stay unused until their rows are written again. Rows of hosts that may be lost are written again. Replies of the era before are dropped. Messages carry the era in the part that hosts of earlier releases ignore.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -21,6 +21,8 @@
     StoreReplied {
         /// The query.
         query: Query,
+        /// How often the store has returned to a copy, if its answer says so.
+        era: Option<u64>,
         /// Its reply.
         reply: Reply,
     },
@@ -207,6 +209,13 @@
         /// Number of live peers.
         live_peers: usize,
     },
+    /// The store has returned to a copy.
+    StoreEraChanged {
+        /// The era.
+        era: u64,
+        /// The era before.
+        era_before: u64,
+    },
     /// The store stopped answering or answers again.
     StoreAvailabilityChanged {
         /// Whether it answers.
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -15,7 +15,7 @@
 use crate::configuration_change::ConfigurationChange;
 use crate::migration_plan::HostRuns;
 use crate::poison_requests::Fingerprint;
-use crate::store::READER_SILENCE_MS;
+use crate::store::{READER_SILENCE_MS, StorePosition};
 use crate::target::TargetChange;
 use crate::target_notice::NoticeReport;
 
@@ -65,7 +65,7 @@
     pub configuration_version: Option<u64>,
     /// Time since that version was last confirmed to be the newest.
     pub configuration_age_ms: Option<u64>,
-    /// Store version up to which the sender knows the host list.
+    /// Version of the store, in its era, up to which the sender knows the host list.
     pub host_list_version: u64,
     /// Digest of the host list at that version, without heartbeats.
     pub host_list_digest: u64,
@@ -82,15 +82,28 @@
     #[serde(skip)]
     pub echo: Option<Echo>,
     /// What targets have reported about themselves to the sender. Hosts of earlier releases
-    /// don't know this part, so it is encoded after all others.
+    /// don't know this part and the next, so they are encoded after all others.
     #[serde(skip)]
     pub notices: Vec<NoticeReport>,
+    /// The era of the store in which the sender knows the host list.
+    #[serde(skip)]
+    pub store_era: u64,
     /// A sample of the addresses of other hosts.
     pub addresses: Vec<SocketAddr>,
     /// A change that the sender has read from the store.
     pub update: Option<Update>,
 }
 
+impl Message {
+    /// Returns the position of the store up to which the sender knows the host list.
+    pub fn host_list_position(&self) -> StorePosition {
+        StorePosition {
+            era: self.store_era,
+            version: self.host_list_version,
+        }
+    }
+}
+
 /// A change that a reader of the store sends to its peers at once.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Update {
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -6,6 +6,7 @@
     ANNOUNCEMENT_SPREAD_PER_HOST_MS, Message, Recipient, Update, earliest_send_ms,
 };
 use crate::state::{State, random_unit};
+use crate::store::StorePosition;
 
 /// Sends the periodic messages that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
@@ -18,8 +19,7 @@
     // next tick, so that many streams that end at once, as in a network partition, cause a
     // single message.
     let must_announce = state.announce_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
-    let has_unsent_state = state.has_unsent_load || state.has_unsent_notice;
-    if is_due || must_announce || has_unsent_state {
+    if is_due || must_announce || state.has_unsent_load || state.must_broadcast {
         broadcast(state, now_ms, None, effects);
     } else if now_ms.saturating_sub(state.last_zone_send_ms) >= zone_interval_ms {
         let recipients = state.peers.recipients(now_ms, Some(&zone));
@@ -47,7 +47,7 @@
     state.last_broadcast_ms = now_ms;
     state.announce_at_ms = None;
     state.has_unsent_load = false;
-    state.has_unsent_notice = false;
+    state.must_broadcast = false;
     let recipients = state.peers.recipients(now_ms, None);
     send(state, now_ms, recipients, update, effects);
 }
@@ -77,7 +77,7 @@
         is_stopping: state.stopping_since_ms.is_some(),
         configuration_version: state.configuration.as_ref().map(|known| known.version),
         configuration_age_ms: state.configuration_age_ms(now_ms),
-        host_list_version: state.directory.known_version(),
+        host_list_version: state.directory.known_position().version,
         host_list_digest: state.directory.digest(),
         store_age_ms: state.query_schedule.success_age_ms(now_ms),
         loads: loads
@@ -87,6 +87,7 @@
         interruptions: state.poison_requests.own_counts(),
         echo: None,
         notices: state.target_notices.own_reports(now_ms),
+        store_era: state.store_era,
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
@@ -106,6 +107,7 @@
     if message.address == state.identity.address {
         return;
     }
+    store_sync::enter_era(state, now_ms, message.store_era, effects);
     // An update is applied even if a later message has overtaken it.
     apply_update(state, now_ms, &message, effects);
     if state.peers.is_newest(&message) {
@@ -144,14 +146,17 @@
             // know at once that a target is leaving. The version is advanced only if the
             // list then has the sender's digest. Otherwise the missing change is read from
             // the store.
-            let known_version = state.directory.known_version();
+            let position = StorePosition {
+                era: message.store_era,
+                ..state.directory.known_position()
+            };
             let transitions = state
                 .directory
-                .apply_changes(known_version, &mut changes.clone());
+                .apply_changes(position, &mut changes.clone());
             store_sync::log_transitions(state, &transitions, effects);
             store_sync::apply_transitions(state, now_ms, transitions, effects);
             if message.host_list_digest == state.directory.digest() {
-                state.directory.advance_to(message.host_list_version);
+                state.directory.advance_to(message.host_list_position());
             }
         }
         None => {}
@@ -168,9 +173,10 @@
     // N.B. the versions alone don't show whether a list was missed: two hosts that read the
     // same list at different times know it at different versions.
     if message.host_list_digest == state.directory.digest() {
-        state.directory.advance_to(message.host_list_version);
+        state.directory.advance_to(message.host_list_position());
     } else {
-        peer_versions.host_list = peer_versions.host_list.max(message.host_list_version);
+        peer_versions.host_list =
+            peer_versions.host_list.max(message.host_list_position());
     }
     let own_version = state.configuration.as_ref().map(|known| known.version);
     if message.configuration_version == own_version
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -22,8 +22,8 @@
             placement::tick(state, now_ms, effects);
             messages::tick(state, now_ms, effects);
         }
-        Event::StoreReplied { query, reply } => {
-            store_sync::handle_reply(state, now_ms, query, reply, effects);
+        Event::StoreReplied { query, era, reply } => {
+            store_sync::handle_reply(state, now_ms, query, era, reply, effects);
         }
         Event::MessageReceived(message) => {
             messages::handle_message(state, now_ms, *message, effects)
--- a/crates/toucancleat-fleet/src/reduce/notices.rs
+++ b/crates/toucancleat-fleet/src/reduce/notices.rs
@@ -51,7 +51,7 @@
     };
     if let Some(before) = state.target_notices.record(target, notice, source) {
         let is_urgent = state.target_notices.get(target).is_urgent_after(&before);
-        state.has_unsent_notice |= is_urgent;
+        state.must_broadcast |= is_urgent;
         apply_change(state, now_ms, (target, &entry), &before, effects);
     }
 }
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -172,7 +172,7 @@
             .as_ref()
             .map_or(0, |known| known.version),
         configuration_age_ms: state.configuration_age_ms(now_ms).unwrap_or(u64::MAX),
-        host_list_version: state.directory.known_version(),
+        host_list_version: state.directory.known_position().version,
         attempt: state.requests[&request_number].attempts + 1,
         cost: selection.cost,
         live_peers: state.peers.live(now_ms).count(),
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -8,11 +8,12 @@
 use crate::configuration_change::ConfigurationChange;
 use crate::event::{Effect, LogEvent};
 use crate::peers::Update;
-use crate::state::{Registration, State};
+use crate::state::{DepartedTarget, Registration, State};
 use crate::store::{
     CHANGES_PER_MESSAGE_MAX, EXPIRED_ENTRY_GRACE_MS, MISSED_CONFIGURATION_DELAY_MS,
     MISSED_CONFIGURATION_SPREAD_MS, MISSED_TARGETS_DELAY_MS, Query, READER_SILENCE_MS,
-    READER_STAGGER_MS, RETRY_INTERVAL_MAX_MS, Reply, STORE_ANSWERING_MS,
+    READER_STAGGER_MS, RETRY_INTERVAL_MAX_MS, ROW_AT_RISK_MS, Reply, STORE_ANSWERING_MS,
+    StorePosition,
 };
 use crate::target::{TargetChange, TargetTransition};
 
@@ -23,6 +24,9 @@
     state
         .expired_entries
         .retain(|_, (_, since_ms)| now_ms < *since_ms + EXPIRED_ENTRY_GRACE_MS);
+    state
+        .departed_targets
+        .retain(|_, departed| now_ms < departed.departed_ms + ROW_AT_RISK_MS);
     let behind_ms = time_behind_ms(state, now_ms);
     let has_missed_targets = state.lacks_target_changes()
         && behind_ms.is_some_and(|ms| ms >= MISSED_TARGETS_DELAY_MS);
@@ -30,7 +34,7 @@
         + state.identity.incarnation % MISSED_CONFIGURATION_SPREAD_MS;
     let has_missed_configuration = state.lacks_newest_configuration()
         && behind_ms.is_some_and(|ms| ms >= configuration_delay_ms);
-    let lacks_targets = state.directory.known_version() == 0;
+    let lacks_targets = !state.directory.is_known();
     let lacks_configuration = state.configuration.is_none();
     let is_store_answering = state
         .query_schedule
@@ -43,9 +47,10 @@
     if state.is_reader || has_missed_configuration || lacks_configuration {
         start_if_due(state, now_ms, Query::Configuration, effects);
     }
-    let can_follow_feeds = is_store_answering && !lacks_targets;
+    // In a new era of the store, feeds continue after the first list.
+    let after = state.directory.known_position().version;
+    let can_follow_feeds = is_store_answering && after > 0;
     if state.is_reader && can_follow_feeds && should_follow_feeds(state, now_ms) {
-        let after = state.directory.known_version();
         start_if_due(state, now_ms, Query::TargetFeed { after }, effects);
         let after = state.query_schedule.configuration_feed_after();
         if after > 0 {
@@ -175,6 +180,7 @@
     state: &mut State,
     now_ms: u64,
     query: Query,
+    era: Option<u64>,
     reply: Reply,
     effects: &mut Vec<Effect>,
 ) {
@@ -187,6 +193,13 @@
             query,
         }));
     }
+    let era = era.unwrap_or(state.store_era);
+    enter_era(state, now_ms, era, effects);
+    if era < state.store_era && started_ms <= state.era_since_ms {
+        // The store has answered as it was before it returned to a copy.
+        state.query_schedule.make_due(now_ms, query);
+        return tick(state, now_ms, effects);
+    }
     match reply {
         Reply::Configuration(configuration) => {
             let Some(configuration) = configuration else {
@@ -230,8 +243,10 @@
             state
                 .query_schedule
                 .advance_configuration_feed(store_version);
-            let is_first = state.directory.known_version() == 0;
-            let transitions = state.directory.replace_all(store_version, &mut list);
+            let is_first = !state.directory.is_known();
+            hold_back_departed(state, &mut list);
+            let position = current_position(state, store_version);
+            let transitions = state.directory.replace_all(position, &mut list);
             let targets = state.directory.iter().count();
             state.query_schedule.set_target_count(targets);
             if is_first {
@@ -251,7 +266,8 @@
             store_version,
             mut changes,
         } => {
-            let transitions = state.directory.apply_changes(store_version, &mut changes);
+            let position = current_position(state, store_version);
+            let transitions = state.directory.apply_changes(position, &mut changes);
             broadcast_changes(state, now_ms, &changes, effects);
             log_transitions(state, &transitions, effects);
             apply_transitions(state, now_ms, transitions, effects);
@@ -270,12 +286,84 @@
         }
         Reply::Registered => {
             state.registration = Registration::Written;
+            state.registered_ms = Some(now_ms);
             state.query_schedule.make_due(now_ms, Query::Hosts);
         }
         Reply::Failed => yield_reader_role(state, now_ms, effects),
     }
 }
 
+fn current_position(state: &State, version: u64) -> StorePosition {
+    StorePosition {
+        era: state.store_era,
+        version,
+    }
+}
+
+/// Enters an era of the store if it is later than the known one.
+///
+/// What is known is kept, but no position of the era before says anything about the new one.
+/// Only the reader reads the store again. The other hosts compare digests with it.
+pub(super) fn enter_era(
+    state: &mut State,
+    now_ms: u64,
+    era: u64,
+    effects: &mut Vec<Effect>,
+) {
+    if era <= state.store_era {
+        return;
+    }
+    // A host that has just started learns the era with the first answer.
+    if state.directory.is_known() {
+        effects.push(Effect::Log(LogEvent::StoreEraChanged {
+            era,
+            era_before: state.store_era,
+        }));
+    }
+    state.store_era = era;
+    state.era_since_ms = now_ms;
+    state.directory.enter_era(era);
+    state.query_schedule.reset_configuration_feed();
+    state.query_schedule.make_due(now_ms, Query::Targets);
+    state.query_schedule.make_due(now_ms, Query::Configuration);
+    let is_row_at_risk = state
+        .registered_ms
+        .is_some_and(|at_ms| now_ms < at_ms + ROW_AT_RISK_MS);
+    if is_row_at_risk {
+        state.registration = Registration::Unknown;
+        state.query_schedule.make_due(now_ms, Query::Hosts);
+    }
+    // Peers would take the changes of the new era for old ones.
+    state.must_broadcast = true;
+}
+
+/// Removes from a list the targets that had left before the store returned to a copy, until
+/// their rows are written again: after the first list of the era, which targets that are still
+/// running do with each heartbeat.
+fn hold_back_departed(state: &mut State, list: &mut Vec<TargetChange>) {
+    let departed_targets = &mut state.departed_targets;
+    let listed_version = state.directory.known_position().version;
+    let era_since_ms = state.era_since_ms;
+    list.retain(|change| {
+        let Some(entry) = &change.entry else {
+            return true;
+        };
+        let Some(departed) = departed_targets.get(&change.target) else {
+            return true;
+        };
+        let is_of_this_era = departed.departed_ms > era_since_ms;
+        let has_restarted = entry.started_unix_ms != departed.started_unix_ms;
+        if is_of_this_era || has_restarted || entry.is_leaving {
+            return true;
+        }
+        if listed_version > 0 && change.store_version > listed_version {
+            departed_targets.swap_remove(&change.target);
+            return true;
+        }
+        false
+    });
+}
+
 /// Broadcasts changes of the host list.
 ///
 /// What a reader finds in the complete list is broadcast as well. A host that takes over has
@@ -386,7 +474,7 @@
     transitions: &[TargetTransition],
     effects: &mut Vec<Effect>,
 ) {
-    let store_version = state.directory.known_version();
+    let store_version = state.directory.known_position().version;
     for transition in transitions {
         let event = match transition {
             TargetTransition::Joined(target, entry) => LogEvent::TargetJoined {
@@ -416,6 +504,7 @@
         match transition {
             TargetTransition::Joined(target, entry) => {
                 state.expired_entries.swap_remove(&target);
+                state.departed_targets.swap_remove(&target);
                 state.health.remove(&target);
                 state.leaves_at_ms.swap_remove(&target);
                 state
@@ -426,6 +515,11 @@
             }
             TargetTransition::Leaving(target, entry) => {
                 state.slow_start_until_ms.swap_remove(&target);
+                let departed = DepartedTarget {
+                    started_unix_ms: entry.started_unix_ms,
+                    departed_ms: now_ms,
+                };
+                state.departed_targets.insert(target.clone(), departed);
                 if !entry.is_leaving {
                     // Its entry vanished without a notice.
                     let expired = (entry.clone(), now_ms);
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -13,7 +13,7 @@
 use crate::peers::{Load, Peers};
 use crate::poison_requests::PoisonRequests;
 use crate::request::{Request, RequestNumber};
-use crate::store::QuerySchedule;
+use crate::store::{QuerySchedule, StorePosition};
 use crate::target::{TargetDirectory, TargetEntry};
 use crate::target_notice::TargetNotices;
 
@@ -34,7 +34,16 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Versions {
     pub(crate) configuration: Option<u64>,
-    pub(crate) host_list: u64,
+    pub(crate) host_list: StorePosition,
+}
+
+/// A target that was leaving or gone before the store returned to a copy.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct DepartedTarget {
+    /// When the target started, in Unix time.
+    pub(crate) started_unix_ms: Option<u64>,
+    /// When this host learnt that it leaves or is gone.
+    pub(crate) departed_ms: u64,
 }
 
 /// Whether the store lists this host among the entry hosts of the fleet.
@@ -65,12 +74,20 @@
     /// Why the newest configuration was rejected, so that it is logged once.
     pub(crate) configuration_problem: Option<String>,
     pub(crate) directory: TargetDirectory,
+    /// Targets that have left recently, and would be ready again in a copy of the store.
+    pub(crate) departed_targets: IndexMap<TargetName, DepartedTarget>,
     /// Targets whose entries vanished without a notice, and since when.
     pub(crate) expired_entries: IndexMap<TargetName, (TargetEntry, u64)>,
     pub(crate) leaves_at_ms: IndexMap<TargetName, u64>,
     /// When the slow start of each recently started target ends.
     pub(crate) slow_start_until_ms: IndexMap<TargetName, u64>,
     pub(crate) query_schedule: QuerySchedule,
+    /// How often the store has returned to a copy.
+    pub(crate) store_era: u64,
+    /// When this host learnt of that era.
+    pub(crate) era_since_ms: u64,
+    /// When the store acknowledged the row of this host.
+    pub(crate) registered_ms: Option<u64>,
     pub(crate) is_reader: bool,
     /// Since when no host has read the store on behalf of the others.
     pub(crate) readerless_since_ms: Option<u64>,
@@ -96,8 +113,8 @@
     pub(crate) target_notices: TargetNotices,
     /// When this host's shares of the targets' limits are computed next.
     pub(crate) shares_due_ms: u64,
-    /// Whether peers have to learn of a notice before the next periodic message.
-    pub(crate) has_unsent_notice: bool,
+    /// Whether peers have to learn of something before the next periodic message.
+    pub(crate) must_broadcast: bool,
     pub(crate) requests: IndexMap<RequestNumber, Request>,
     pub(crate) queue: Vec<RequestNumber>,
     pub(crate) own_loads: IndexMap<TargetName, Load>,
@@ -121,10 +138,14 @@
             configuration_confirmed_ms: None,
             configuration_problem: None,
             directory: TargetDirectory::default(),
+            departed_targets: IndexMap::new(),
             expired_entries: IndexMap::new(),
             leaves_at_ms: IndexMap::new(),
             slow_start_until_ms: IndexMap::new(),
             query_schedule: QuerySchedule::default(),
+            store_era: 0,
+            era_since_ms: 0,
+            registered_ms: None,
             is_reader: true,
             readerless_since_ms: None,
             may_read_from_ms: 0,
@@ -143,7 +164,7 @@
             health: HealthTable::default(),
             target_notices: TargetNotices::default(),
             shares_due_ms: 0,
-            has_unsent_notice: false,
+            must_broadcast: false,
             requests: IndexMap::new(),
             queue: Vec::new(),
             own_loads: IndexMap::new(),
@@ -188,7 +209,7 @@
         self.stopping_since_ms.is_none()
             && self.configuration.is_some()
             && self.is_configuration_fresh(now_ms)
-            && self.directory.known_version() > 0
+            && self.directory.is_known()
     }
 
     /// Returns the targets of a pool that may get new work.
@@ -217,7 +238,7 @@
 
     /// Returns true if a peer has reported a newer host list.
     pub(crate) fn lacks_target_changes(&self) -> bool {
-        self.peer_versions.host_list > self.directory.known_version()
+        self.peer_versions.host_list > self.directory.known_position()
     }
 
     /// Returns true if API keys of the configuration may still be trusted.
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -5,6 +5,8 @@
 //! Another host takes over when no reader is live. See docs/design/platform.md, "Who
 //! reads".
 
+use serde::{Deserialize, Serialize};
+
 use crate::configuration::Configuration;
 use crate::target::TargetChange;
 
@@ -77,6 +79,25 @@
 /// change that is too large to be sent is read by all hosts.
 pub const MISSED_CONFIGURATION_SPREAD_MS: u64 = 240;
 
+/// Time after which a row that the store has acknowledged counts as kept, also if the store
+/// returns to a copy. Copies are some seconds old.
+pub const ROW_AT_RISK_MS: u64 = 60_000;
+
+/// A position in the history of the store.
+///
+/// The store may return to a copy that is some seconds old. Its versions then go back and are
+/// given out again, and its era rises. So positions are ordered by era first. See
+/// docs/design/store-eras.md.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct StorePosition {
+    /// How often the store has returned to a copy.
+    pub era: u64,
+    /// The version within the era; zero precedes all.
+    pub version: u64,
+}
+
 /// A query to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Query {
@@ -261,6 +282,11 @@
         self.configuration_feed_after
     }
 
+    /// Forgets the version up to which the configuration feed was read.
+    pub fn reset_configuration_feed(&mut self) {
+        self.configuration_feed_after = 0;
+    }
+
     /// Advances the version up to which the configuration feed was read.
     pub fn advance_configuration_feed(&mut self, store_version: u64) {
         self.configuration_feed_after = self.configuration_feed_after.max(store_version);
--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -7,6 +7,8 @@
 use toucancleat_core::prelude::*;
 use toucancleat_core::rng::stable_hash;
 
+use crate::store::StorePosition;
+
 /// A target's entry in the host list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
@@ -71,7 +73,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct TargetDirectory {
     targets: IndexMap<TargetName, TargetEntry>,
-    known_version: u64,
+    known_position: Option<StorePosition>,
     /// Combined hash of all entries. It doesn't depend on their order, so that a change
     /// updates it alone.
     digest: u64,
@@ -87,9 +89,24 @@
 }
 
 impl TargetDirectory {
-    /// Returns the store version up to which the list is known.
-    pub fn known_version(&self) -> u64 {
-        self.known_version
+    /// Returns true if the list is known at all.
+    pub fn is_known(&self) -> bool {
+        self.known_position.is_some()
+    }
+
+    /// Returns the position of the store up to which the list is known.
+    pub fn known_position(&self) -> StorePosition {
+        self.known_position.unwrap_or_default()
+    }
+
+    /// Forgets up to where the list is known if the store has entered a later era. The entries
+    /// are kept until the list of that era is known.
+    pub fn enter_era(&mut self, era: u64) {
+        if let Some(known) = &mut self.known_position
+            && known.era < era
+        {
+            *known = StorePosition { era, version: 0 };
+        }
     }
 
     /// Returns a digest of the entries without what a heartbeat changes. Two hosts with the
@@ -118,18 +135,18 @@
         self.targets.iter()
     }
 
-    /// Replaces all entries by a list as of one version, and retains in `list` only what was
+    /// Replaces all entries by a list as of one position, and retains in `list` only what was
     /// more than a heartbeat, removals included.
     ///
-    /// A list older than the known version is ignored, so that a late reply can't restore
+    /// A list older than the known one is ignored, so that a late reply can't restore
     /// a target that has left.
     pub fn replace_all(
         &mut self,
-        store_version: u64,
+        position: StorePosition,
         list: &mut Vec<TargetChange>,
     ) -> Vec<TargetTransition> {
         let mut transitions = Vec::new();
-        if store_version < self.known_version {
+        if Some(position) < self.known_position {
             list.clear();
             return transitions;
         }
@@ -144,7 +161,7 @@
             .filter(|target| !listed.contains(*target))
             .map(|target| TargetChange {
                 target: target.clone(),
-                store_version,
+                store_version: position.version,
                 entry: None,
             });
         let removed: Vec<TargetChange> = removed.collect();
@@ -154,36 +171,41 @@
             let entry = change.entry.clone();
             self.apply(change.target.clone(), entry, &mut transitions)
         });
-        self.known_version = store_version;
+        self.known_position = Some(position);
         transitions
     }
 
-    /// Applies the changes up to a version, and retains only those that were more than
-    /// heartbeats.
+    /// Applies the changes up to a position, and retains only those that were more than
+    /// heartbeats. Changes of an earlier era are ignored.
     ///
     /// Most changes are heartbeats. With thousands of targets, a message with all of them
     /// would exceed a datagram.
     pub fn apply_changes(
         &mut self,
-        store_version: u64,
+        position: StorePosition,
         changes: &mut Vec<TargetChange>,
     ) -> Vec<TargetTransition> {
         let mut transitions = Vec::new();
+        self.enter_era(position.era);
+        let known = self.known_position();
         changes.retain(|change| {
-            change.store_version > self.known_version
+            position.era == known.era
+                && change.store_version > known.version
                 && self.apply(
                     change.target.clone(),
                     change.entry.clone(),
                     &mut transitions,
                 )
         });
-        self.known_version = self.known_version.max(store_version);
+        self.advance_to(position);
         transitions
     }
 
-    /// Advances the known version to one up to which there were only heartbeats.
-    pub fn advance_to(&mut self, store_version: u64) {
-        self.known_version = self.known_version.max(store_version);
+    /// Advances the known position to one up to which there were only heartbeats.
+    pub fn advance_to(&mut self, position: StorePosition) {
+        if position.version > 0 {
+            self.known_position = self.known_position.max(Some(position));
+        }
     }
 
     /// Applies one change, and returns true if it was more than a heartbeat.
--- a/crates/toucancleat-fleet/tests/directory.rs
+++ b/crates/toucancleat-fleet/tests/directory.rs
@@ -10,9 +10,9 @@
 fn late_list_does_not_restore_a_removed_target() {
     let mut directory = TargetDirectory::default();
     let listed = change("engine-1", 5, Some(entry("engines", "upp-a", 101)));
-    directory.replace_all(10, &mut vec![listed.clone()]);
-    directory.apply_changes(12, &mut vec![change("engine-1", 12, None)]);
-    assert!(directory.replace_all(11, &mut vec![listed]).is_empty());
+    directory.replace_all(at(10), &mut vec![listed.clone()]);
+    directory.apply_changes(at(12), &mut vec![change("engine-1", 12, None)]);
+    assert!(directory.replace_all(at(11), &mut vec![listed]).is_empty());
     assert!(directory.get(&TargetName::new("engine-1")).is_none());
 }
 
@@ -65,10 +65,10 @@
     ];
     for case in cases {
         let mut directory = TargetDirectory::default();
-        directory.replace_all(1, &mut vec![change("engine-1", 1, Some(ready()))]);
+        directory.replace_all(at(1), &mut vec![change("engine-1", 1, Some(ready()))]);
         let digest = directory.digest();
         let transitions =
-            directory.apply_changes(2, &mut vec![change("engine-1", 2, case.after)]);
+            directory.apply_changes(at(2), &mut vec![change("engine-1", 2, case.after)]);
         let joins = transitions
             .iter()
             .any(|s| matches!(s, TargetTransition::Joined(..)));
@@ -76,7 +76,7 @@
             .iter()
             .any(|s| matches!(s, TargetTransition::Leaving(..)));
         assert_eq!((joins, leaves), (case.joins, case.leaves), "{}", case.name);
-        assert_eq!(directory.known_version(), 2, "{}", case.name);
+        assert_eq!(directory.known_position(), at(2), "{}", case.name);
         let is_content_change = directory.digest() != digest;
         assert_eq!(is_content_change, joins || leaves, "{}", case.name);
     }
@@ -86,14 +86,14 @@
 fn address_reused_by_another_pool_is_another_target() {
     let mut directory = TargetDirectory::default();
     directory.replace_all(
-        1,
+        at(1),
         &mut vec![change("engine-1", 1, Some(entry("engines", "upp-a", 101)))],
     );
     let mut changes = vec![
         change("engine-1", 2, None),
         change("roster-9", 3, Some(entry("roster", "upp-a", 101))),
     ];
-    directory.apply_changes(3, &mut changes);
+    directory.apply_changes(at(3), &mut changes);
     assert_eq!(directory.accepting(&PoolName::new("engines")).count(), 0);
     assert_eq!(directory.accepting(&PoolName::new("roster")).count(), 1);
 }
@@ -107,14 +107,14 @@
     leaving.is_leaving = true;
     let mut directory = TargetDirectory::default();
     let list = (1..=3).map(|n| change(&format!("engine-{n}"), 1, Some(ready())));
-    directory.replace_all(1, &mut list.collect());
+    directory.replace_all(at(1), &mut list.collect());
     let mut changes = vec![
         change("engine-1", 2, Some(ready())),
         change("engine-2", 3, Some(leaving)),
         change("engine-3", 4, Some(ready())),
         change("engine-2", 5, Some(ready())),
     ];
-    directory.apply_changes(5, &mut changes);
+    directory.apply_changes(at(5), &mut changes);
     let retained: Vec<u64> = changes.iter().map(|change| change.store_version).collect();
     assert_eq!(retained, [3, 5], "the target's leaving and its return");
 }
@@ -127,14 +127,14 @@
     let mut directory = TargetDirectory::default();
     let list =
         (1..=4).map(|n| change(&format!("engine-{n}"), n, Some(ready(100 + n as u16))));
-    directory.replace_all(4, &mut list.collect());
+    directory.replace_all(at(4), &mut list.collect());
     let mut list = vec![
         change("engine-1", 7, Some(ready(101))),
         change("engine-2", 6, Some(leaving)),
         change("engine-3", 8, None),
         change("engine-5", 9, Some(ready(105))),
     ];
-    directory.replace_all(10, &mut list);
+    directory.replace_all(at(10), &mut list);
     let retained: Vec<_> = list
         .iter()
         .map(|change| (change.target.as_str(), change.entry.is_some()))
--- a/crates/toucancleat-fleet/tests/fleet_start.rs
+++ b/crates/toucancleat-fleet/tests/fleet_start.rs
@@ -87,6 +87,7 @@
                 self.registered[index] = true;
                 let event = Event::StoreReplied {
                     query: Query::Register,
+                    era: None,
                     reply: Reply::Registered,
                 };
                 self.handle(index, event);
@@ -107,7 +108,14 @@
                 // A write waits its turn; a feed has no changes.
                 _ => continue,
             };
-            self.handle(index, Event::StoreReplied { query, reply });
+            self.handle(
+                index,
+                Event::StoreReplied {
+                    query,
+                    era: None,
+                    reply,
+                },
+            );
         }
     }
 
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part of this")]
 
 pub mod fleet;
+pub mod store;
 pub mod traffic;
 
 use std::net::SocketAddr;
@@ -15,7 +16,7 @@
 use toucancleat_fleet::event::Effect;
 use toucancleat_fleet::peers::Message;
 use toucancleat_fleet::prelude::*;
-use toucancleat_fleet::store::{Query, Reply};
+use toucancleat_fleet::store::{Query, Reply, StorePosition};
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
 
 /// Start time of the tests.
@@ -112,6 +113,11 @@
     }
 }
 
+/// Returns a position of the store in its first era.
+pub fn at(version: u64) -> StorePosition {
+    StorePosition { era: 0, version }
+}
+
 /// Returns a request on a route.
 pub fn incoming_request(kind: &str) -> IncomingRequest {
     IncomingRequest {
@@ -152,7 +158,18 @@
 
 /// Applies the store's reply to a query that was made at the same time.
 pub fn answer(state: &mut State, now_ms: u64, query: Query, reply: Reply) -> Vec<Effect> {
-    apply(state, now_ms, Event::StoreReplied { query, reply })
+    answer_in_era(state, now_ms, query, None, reply)
+}
+
+/// Applies the store's reply, with its era, to a query that was made at the same time.
+pub fn answer_in_era(
+    state: &mut State,
+    now_ms: u64,
+    query: Query,
+    era: Option<u64>,
+    reply: Reply,
+) -> Vec<Effect> {
+    apply(state, now_ms, Event::StoreReplied { query, era, reply })
 }
 
 /// Supplies a host with the configuration and the host list.
--- /dev/null
+++ b/crates/toucancleat-fleet/tests/support/store.rs
@@ -0,0 +1,260 @@
+//! A store with versions, feeds and eras, and a fleet of hosts that use it.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+use toucancleat_fleet::event::{Effect, LogEvent};
+use toucancleat_fleet::prelude::*;
+use toucancleat_fleet::store::{LONG_POLL_MS, Query, Reply};
+use toucancleat_fleet::target::{TargetChange, TargetEntry};
+
+use super::*;
+
+/// Time from a query to its reply, if the store doesn't hold it.
+const REPLY_TIME_MS: u64 = 5;
+
+/// Time between two ticks of the hosts.
+const TICK_MS: u64 = 25;
+
+/// The rows of the store, of which a copy can be made.
+#[derive(Clone, Debug, Default)]
+pub struct Rows {
+    pub version: u64,
+    /// Version of the configuration, and the store's version of its row.
+    pub configuration: (u64, u64),
+    pub targets: IndexMap<String, TargetChange>,
+    pub hosts: IndexMap<SocketAddr, u64>,
+}
+
+impl Rows {
+    /// Writes an entry of the host list, or removes it.
+    pub fn write_target(&mut self, target: &str, entry: Option<TargetEntry>) {
+        self.version += 1;
+        let change = change(target, self.version, entry);
+        self.targets.insert(target.to_owned(), change);
+    }
+
+    /// Writes a version of the configuration.
+    pub fn write_configuration(&mut self, version: u64) {
+        self.version += 1;
+        self.configuration = (version, self.version);
+    }
+
+    /// Writes each entry of the host list again, as the targets do with each heartbeat.
+    pub fn beat(&mut self, except: &[&str]) {
+        let targets: Vec<_> = self.targets.values().cloned().collect();
+        for target in targets {
+            let name = target.target.as_str();
+            if target.entry.is_some() && !except.contains(&name) {
+                self.write_target(name, target.entry.clone());
+            }
+        }
+    }
+}
+
+/// Hosts whose queries are answered by a store and whose messages arrive at once.
+pub struct StoreFleet {
+    pub hosts: Vec<State>,
+    pub now_ms: u64,
+    pub rows: Rows,
+    pub era: u64,
+    /// Whether the store answers.
+    pub is_up: bool,
+    /// Number of calls so far, by query.
+    pub calls: IndexMap<&'static str, usize>,
+    /// Log records so far, with the host.
+    pub records: Vec<(usize, LogEvent)>,
+    replies: VecDeque<(u64, usize, Query, Option<u64>, Reply)>,
+    held_feeds: Vec<(u64, usize, Query)>,
+}
+
+impl StoreFleet {
+    /// Starts hosts and waits until they know each other and the store's rows.
+    pub fn new(size: u16, zones: &[&str], targets: &[(&str, TargetEntry)]) -> Self {
+        let zone_of = |n: u16| zones[usize::from(n - 1) % zones.len()];
+        let mut rows = Rows::default();
+        rows.write_configuration(1);
+        for (name, entry) in targets {
+            rows.write_target(name, Some(entry.clone()));
+        }
+        let mut fleet = StoreFleet {
+            hosts: (1..=size)
+                .map(|n| empty_host(&format!("host-{n:02}"), zone_of(n), n))
+                .collect(),
+            now_ms: START_MS,
+            rows,
+            era: 1,
+            is_up: true,
+            calls: IndexMap::new(),
+            records: Vec::new(),
+            replies: VecDeque::new(),
+            held_feeds: Vec::new(),
+        };
+        fleet.advance(6_000);
+        fleet
+    }
+
+    /// Lets the store return to a copy of its rows.
+    pub fn return_to(&mut self, copy: &Rows) {
+        self.rows = copy.clone();
+        self.era += 1;
+    }
+
+    /// Advances the clock.
+    pub fn advance(&mut self, time_ms: u64) {
+        let end_ms = self.now_ms + time_ms;
+        while self.now_ms < end_ms {
+            self.now_ms += TICK_MS;
+            self.release_feeds();
+            self.deliver_replies();
+            for index in 0..self.hosts.len() {
+                self.apply(index, Event::Tick);
+            }
+        }
+    }
+
+    /// Applies an event at a host and executes its effects.
+    pub fn apply(&mut self, index: usize, event: Event) -> Vec<Effect> {
+        let effects = apply(&mut self.hosts[index], self.now_ms, event);
+        for (to, message) in messages(&effects) {
+            let to = usize::from(to.port()) - 1;
+            if to < self.hosts.len() {
+                self.apply(to, Event::MessageReceived(Box::new(message)));
+            }
+        }
+        for effect in &effects {
+            match effect {
+                Effect::QueryStore(query) => self.call(index, *query),
+                Effect::Log(record) => self.records.push((index, record.clone())),
+                _ => {}
+            }
+        }
+        effects
+    }
+
+    fn call(&mut self, index: usize, query: Query) {
+        *self.calls.entry(query.as_str()).or_default() += 1;
+        if matches!(
+            query,
+            Query::TargetFeed { .. } | Query::ConfigurationFeed { .. }
+        ) {
+            self.held_feeds
+                .push((self.now_ms + LONG_POLL_MS, index, query));
+            return;
+        }
+        let reply = self.reply(index, query);
+        self.push_reply(index, query, reply);
+    }
+
+    fn push_reply(&mut self, index: usize, query: Query, reply: Reply) {
+        let era = (reply != Reply::Failed).then_some(self.era);
+        let due_ms = self.now_ms + REPLY_TIME_MS;
+        self.replies.push_back((due_ms, index, query, era, reply));
+    }
+
+    fn release_feeds(&mut self) {
+        let now_ms = self.now_ms;
+        let held = std::mem::take(&mut self.held_feeds);
+        for (until_ms, index, query) in held {
+            if now_ms >= until_ms || !self.is_up || self.has_news(query) {
+                let reply = self.reply(index, query);
+                self.push_reply(index, query, reply);
+            } else {
+                self.held_feeds.push((until_ms, index, query));
+            }
+        }
+    }
+
+    fn has_news(&self, query: Query) -> bool {
+        match query {
+            Query::TargetFeed { after } => {
+                after > self.rows.version || !self.changes(after).is_empty()
+            }
+            Query::ConfigurationFeed { after } => {
+                after > self.rows.version || self.rows.configuration.1 > after
+            }
+            _ => true,
+        }
+    }
+
+    fn changes(&self, after: u64) -> Vec<TargetChange> {
+        let mut changes: Vec<_> = self
+            .rows
+            .targets
+            .values()
+            .filter(|change| change.store_version > after)
+            .cloned()
+            .collect();
+        changes.sort_by_key(|change| change.store_version);
+        changes
+    }
+
+    fn reply(&mut self, index: usize, query: Query) -> Reply {
+        let store_version = self.rows.version;
+        let newest = configuration(self.rows.configuration.0);
+        match query {
+            _ if !self.is_up => Reply::Failed,
+            Query::TargetFeed { after } | Query::ConfigurationFeed { after }
+                if after > store_version =>
+            {
+                Reply::HistoryExpired
+            }
+            Query::Configuration => Reply::Configuration(Some(newest)),
+            Query::ConfigurationFeed { after } => Reply::ConfigurationFeed {
+                store_version,
+                configuration: (self.rows.configuration.1 > after).then_some(newest),
+            },
+            Query::Targets => {
+                let mut list = self.changes(0);
+                list.retain(|change| change.entry.is_some());
+                Reply::Targets {
+                    store_version,
+                    list,
+                }
+            }
+            Query::TargetFeed { after } => Reply::TargetFeed {
+                store_version,
+                changes: self.changes(after),
+            },
+            Query::Hosts => Reply::Hosts(self.rows.hosts.keys().copied().collect()),
+            Query::Register => {
+                self.rows.version += 1;
+                let address = address(index as u16 + 1);
+                self.rows.hosts.insert(address, self.rows.version);
+                Reply::Registered
+            }
+        }
+    }
+
+    fn deliver_replies(&mut self) {
+        while self
+            .replies
+            .front()
+            .is_some_and(|(due_ms, ..)| *due_ms <= self.now_ms)
+        {
+            let Some((_, index, query, era, reply)) = self.replies.pop_front() else {
+                return;
+            };
+            self.apply(index, Event::StoreReplied { query, era, reply });
+        }
+    }
+
+    /// Returns how many of a series of requests a host sends to a target, each of which ends
+    /// before the next begins.
+    pub fn requests_to(&mut self, index: usize, kind: &str, target: &str) -> usize {
+        let mut count = 0;
+        for number in 0..40 {
+            let request_number = RequestNumber(1_000_000 + number);
+            let received = Event::RequestReceived {
+                request_number,
+                request: incoming_request(kind),
+            };
+            let effects = self.apply(index, received);
+            let sent = dispatches(&effects);
+            count += usize::from(sent.iter().any(|sent| sent.target.as_str() == target));
+            self.apply(index, Event::RequestClosed { request_number });
+        }
+        count
+    }
+}
--- a/crates/toucancleat-gateway/src/call.rs
+++ b/crates/toucancleat-gateway/src/call.rs
@@ -6,7 +6,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use http_body::Body;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::{Request, StatusCode, header};
+use hyper::{Request, Response, header};
 
 use crate::connection::Connection;
 
@@ -53,7 +53,7 @@
     address: SocketAddr,
     request: Request<Bytes>,
     limits: ReplyLimits,
-) -> Result<(StatusCode, Bytes), CallError> {
+) -> Result<Response<Bytes>, CallError> {
     let (mut parts, body) = request.into_parts();
     if let Ok(host) = header::HeaderValue::from_str(&address.to_string()) {
         parts.headers.insert(header::HOST, host);
@@ -66,9 +66,9 @@
     let (response, _driver) = tokio::time::timeout(limits.idle_timeout, exchange)
         .await
         .map_err(|_| CallError::Timeout(limits.idle_timeout))??;
-    let status = response.status();
-    let body = read_body(response.into_body(), limits).await?;
-    Ok((status, body))
+    let (head, body) = response.into_parts();
+    let body = read_body(body, limits).await?;
+    Ok(Response::from_parts(head, body))
 }
 
 /// Reads a body to its end, within the limits.
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -260,7 +260,7 @@
     let queried_ms = clock::now_ms();
     let reply = call(address, engine::report_request(), LEAVE_TIME_REPLY_LIMITS).await;
     let remaining_ms = match &reply {
-        Ok((status, body)) => engine::decode_remaining_ms(*status, body),
+        Ok(reply) => engine::decode_remaining_ms(reply.status(), reply.body()),
         Err(error) => {
             log::info!(target_name:% = target, error:% = error; "could not query a target's leave time; assuming the default notice");
             return;
@@ -329,6 +329,9 @@
         } => {
             log::info!(reads = is_reader, hosts_heard = live_peers; "store reader role changed");
         }
+        LogEvent::StoreEraChanged { era, era_before } => {
+            log::warn!(era, era_before; "the platform's store has returned to a copy; reading it completely");
+        }
         LogEvent::StoreAvailabilityChanged {
             is_available,
             query,
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub limited_targets: Gauge,
     /// Answers whose report about their target is invalid.
     pub invalid_notices: Counter,
+    /// Answers of the store whose era is invalid.
+    pub invalid_eras: Counter,
 }
 
 impl Metrics {
@@ -66,6 +68,7 @@
             configuration_version: Gauge::default(),
             limited_targets: Gauge::default(),
             invalid_notices: Counter::default(),
+            invalid_eras: Counter::default(),
         };
         metrics.register();
         metrics
@@ -124,6 +127,11 @@
             "Answers whose report about their target is invalid",
             self.invalid_notices.clone(),
         );
+        registry.register(
+            "invalid_eras",
+            "Answers of the store whose era is invalid",
+            self.invalid_eras.clone(),
+        );
     }
 
     /// Counts the outcome of a request.
--- a/crates/toucancleat-gateway/src/peers.rs
+++ b/crates/toucancleat-gateway/src/peers.rs
@@ -100,12 +100,14 @@
 #[derive(Default, Serialize, Deserialize)]
 struct Extension {
     notices: Vec<NoticeReport>,
+    store_era: u64,
 }
 
 /// Encodes the parts of a message that precede and follow the echo of each recipient.
 fn encode(mut message: Message) -> postcard::Result<(Vec<u8>, Vec<u8>)> {
     let extension = Extension {
         notices: std::mem::take(&mut message.notices),
+        store_era: message.store_era,
     };
     Ok((
         postcard::to_stdvec(&message)?,
@@ -124,5 +126,6 @@
     };
     message.echo = echo;
     message.notices = extension.notices;
+    message.store_era = extension.store_era;
     Ok(message)
 }
--- a/crates/toucancleat-gateway/src/relay/migration.rs
+++ b/crates/toucancleat-gateway/src/relay/migration.rs
@@ -117,7 +117,7 @@
             let began_ms = clock::now_ms();
             let request = engine::copy_request(&attempt_id, destination, is_last);
             let result = match call(source, request, COPY_REPLY_LIMITS).await {
-                Ok((status, body)) => engine::decode_copy_reply(status, &body)
+                Ok(reply) => engine::decode_copy_reply(reply.status(), reply.body())
                     .map_err(|error| CallError::Body(Box::new(error))),
                 Err(error) => Err(error),
             };
--- a/crates/toucancleat-gateway/src/store.rs
+++ b/crates/toucancleat-gateway/src/store.rs
@@ -5,7 +5,7 @@
 
 use toucancleat_fleet::event::Event;
 use toucancleat_fleet::store::{LONG_POLL_MS, Query, Reply};
-use toucancleat_platform::store::{Registration, StoreExchange};
+use toucancleat_platform::store::{Registration, StoreExchange, decode_era};
 
 use crate::call::{CallError, ReplyLimits, call};
 use crate::host::Host;
@@ -39,12 +39,11 @@
         body_max_bytes: host.settings.store_reply_max_bytes(),
     };
     let mut exchange = StoreExchange::new(query);
+    let mut era = None;
     let reply = loop {
         let request = exchange.next_request(registration);
         host.metrics.store_calls.inc();
-        let (status, body) = match call(host.settings.store_address, request, limits)
-            .await
-        {
+        let response = match call(host.settings.store_address, request, limits).await {
             Ok(response) => response,
             Err(error @ CallError::TooLong(_)) if query.is_for_configuration() => {
                 // The store answers, but with a configuration that this host can't hold.
@@ -58,15 +57,26 @@
                 break Reply::Failed;
             }
         };
-        match exchange.decode_reply(status, &body) {
+        match decode_era(response.headers()) {
+            Ok(page_era) if era.is_some_and(|era| page_era != Some(era)) => {
+                log::debug!(query = query.as_str(); "the store returned to a copy between two pages; leaving the next query to the reducer");
+                break Reply::Failed;
+            }
+            Ok(page_era) => era = page_era,
+            Err(error) => {
+                host.metrics.invalid_eras.inc();
+                log::debug!(query = query.as_str(), error:% = error; "could not read the store's era; assuming the known one");
+            }
+        }
+        match exchange.decode_reply(response.status(), response.body()) {
             Ok(Some(reply)) => break reply,
             Ok(None) => {}
             Err(error) => {
-                let status = status.as_u16();
+                let status = response.status().as_u16();
                 log::debug!(query = query.as_str(), status, error:% = error; "store reply rejected; leaving the next query to the reducer");
                 break Reply::Failed;
             }
         }
     };
-    host.apply(Event::StoreReplied { query, reply });
+    host.apply(Event::StoreReplied { query, era, reply });
 }
