Ask whether a long configuration has changed instead of reading it

What callers saw, on small machines with 4,200 routes: 503 instead of 404 for unknown routes. Cause: the reader read the complete configuration each 0.8 s to confirm it, 1.2 MB that a link of 10 Mbit/s carries in about a second. So confirmations were old, and hosts took the slow reader for one that the store doesn't answer: the role changed some times a second. Change: from 100 kB on the reader makes a conditional transaction without writes, which fails with the row if it has changed. If it isn't answered, the row is read for 10 s.

--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -10,10 +10,11 @@
 use crate::peers::Update;
 use crate::state::{DepartedTarget, Registration, State};
 use crate::store::{
-    CHANGES_PER_MESSAGE_MAX, EXPIRED_ENTRY_GRACE_MS, MISSED_CONFIGURATION_DELAY_MS,
+    CHANGES_PER_MESSAGE_MAX, CHECK_RETRY_MS, CHECKED_ROW_MIN_BYTES, ConfigurationRow,
+    EXPIRED_ENTRY_GRACE_MS, MISSED_CONFIGURATION_DELAY_MS,
     MISSED_CONFIGURATION_SPREAD_MS, MISSED_TARGETS_DELAY_MS, Query, READER_SILENCE_MS,
     READER_STAGGER_MS, RETRY_INTERVAL_MAX_MS, ROW_AT_RISK_MS, Reply, STORE_ANSWERING_MS,
-    StorePosition,
+    StorePosition, StoredConfiguration,
 };
 use crate::target::{TargetChange, TargetTransition};
 
@@ -45,7 +46,8 @@
         start_if_due(state, now_ms, Query::Targets, effects);
     }
     if state.is_reader || has_missed_configuration || lacks_configuration {
-        start_if_due(state, now_ms, Query::Configuration, effects);
+        let query = configuration_query(state, now_ms);
+        start_if_due(state, now_ms, query, effects);
     }
     // In a new era of the store, feeds continue after the first list.
     let after = state.directory.known_position().version;
@@ -70,6 +72,17 @@
     }
 }
 
+/// Returns the query that shows whether the configuration in force is the newest.
+fn configuration_query(state: &State, now_ms: u64) -> Query {
+    let is_long = |row: &ConfigurationRow| row.size_bytes >= CHECKED_ROW_MIN_BYTES;
+    match state.configuration_row.filter(is_long) {
+        Some(row) if now_ms >= state.may_check_from_ms => Query::ConfigurationCheck {
+            row_version: row.version,
+        },
+        _ => Query::Configuration,
+    }
+}
+
 /// Returns for how long this host has been behind its peers, in milliseconds, or `None` if it
 /// isn't.
 fn time_behind_ms(state: &mut State, now_ms: u64) -> Option<u64> {
@@ -202,18 +215,27 @@
     }
     match reply {
         Reply::Configuration(configuration) => {
-            let Some(configuration) = configuration else {
+            let Some(stored) = configuration else {
                 return;
             };
             let is_newest = state
                 .configuration
                 .as_ref()
-                .is_none_or(|known| known.version <= configuration.version);
-            adopt_and_broadcast(state, now_ms, configuration, effects);
+                .is_none_or(|known| known.version <= stored.configuration.version);
+            adopt_and_broadcast(state, now_ms, stored, effects);
             if is_newest {
                 confirm_configuration(state, started_ms);
             }
         }
+        Reply::ConfigurationUnchanged => {
+            // The configuration may have been replaced by a change of a peer meanwhile.
+            let checked_row = state.configuration_row.map(|row| row.version);
+            if let Query::ConfigurationCheck { row_version } = query
+                && checked_row == Some(row_version)
+            {
+                confirm_configuration(state, started_ms);
+            }
+        }
         Reply::ConfigurationFeed {
             store_version,
             configuration,
@@ -221,8 +243,8 @@
             state
                 .query_schedule
                 .advance_configuration_feed(store_version);
-            if let Some(configuration) = configuration
-                && adopt_and_broadcast(state, now_ms, configuration, effects)
+            if let Some(stored) = configuration
+                && adopt_and_broadcast(state, now_ms, stored, effects)
             {
                 confirm_configuration(state, started_ms);
             }
@@ -289,7 +311,12 @@
             state.registered_ms = Some(now_ms);
             state.query_schedule.make_due(now_ms, Query::Hosts);
         }
-        Reply::Failed => yield_reader_role(state, now_ms, effects),
+        Reply::Failed => {
+            if matches!(query, Query::ConfigurationCheck { .. }) {
+                state.may_check_from_ms = now_ms + CHECK_RETRY_MS;
+            }
+            yield_reader_role(state, now_ms, effects);
+        }
     }
 }
 
@@ -324,6 +351,7 @@
     state.era_since_ms = now_ms;
     state.directory.enter_era(era);
     state.query_schedule.reset_configuration_feed();
+    state.configuration_row = None;
     state.query_schedule.make_due(now_ms, Query::Targets);
     state.query_schedule.make_due(now_ms, Query::Configuration);
     let is_row_at_risk = state
@@ -407,11 +435,14 @@
 fn adopt_and_broadcast(
     state: &mut State,
     now_ms: u64,
-    configuration: Configuration,
+    stored: StoredConfiguration,
     effects: &mut Vec<Effect>,
 ) -> bool {
     let before = state.configuration.clone();
-    let is_newer = adopt_configuration(state, configuration, effects);
+    let version = stored.configuration.version;
+    let is_newer = adopt_configuration(state, stored.configuration, effects);
+    let known = state.configuration.as_ref().map(|known| known.version);
+    state.configuration_row = (known == Some(version)).then_some(stored.row);
     if is_newer
         && state.is_reader
         && let (Some(before), Some(after)) = (before, &state.configuration)
@@ -452,6 +483,7 @@
     if is_newer {
         let configuration = Arc::new(configuration);
         state.configuration = Some(configuration.clone());
+        state.configuration_row = None;
         state.configuration_problem = None;
         effects.push(Effect::ApplyConfiguration(configuration));
     }
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -13,7 +13,7 @@
 use crate::peers::{Load, Peers};
 use crate::poison_requests::PoisonRequests;
 use crate::request::{Request, RequestNumber};
-use crate::store::{QuerySchedule, StorePosition};
+use crate::store::{ConfigurationRow, QuerySchedule, StorePosition};
 use crate::target::{TargetDirectory, TargetEntry};
 use crate::target_notice::TargetNotices;
 
@@ -71,6 +71,10 @@
     pub(crate) config: FleetConfig,
     pub(crate) configuration: Option<Arc<Configuration>>,
     pub(crate) configuration_confirmed_ms: Option<u64>,
+    /// The row of the configuration in force, if this host has read it from the store.
+    pub(crate) configuration_row: Option<ConfigurationRow>,
+    /// From when on this host may ask whether that row has changed.
+    pub(crate) may_check_from_ms: u64,
     /// Why the newest configuration was rejected, so that it is logged once.
     pub(crate) configuration_problem: Option<String>,
     pub(crate) directory: TargetDirectory,
@@ -136,6 +140,8 @@
             config,
             configuration: None,
             configuration_confirmed_ms: None,
+            configuration_row: None,
+            may_check_from_ms: 0,
             configuration_problem: None,
             directory: TargetDirectory::default(),
             departed_targets: IndexMap::new(),
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -20,7 +20,7 @@
 /// start to read at the same moment.
 pub const READER_STAGGER_MS: u64 = 150;
 
-/// Interval at which a reader reads the complete configuration. A feed may be silent
+/// Interval at which a reader confirms the configuration. A feed may be silent
 /// without an error, so silence on it doesn't prove that nothing has changed.
 pub const CONFIRM_INTERVAL_MS: u64 = 800;
 
@@ -98,11 +98,24 @@
     pub version: u64,
 }
 
+/// Minimum size of a configuration's row, in bytes, from which a reader asks whether the row
+/// has changed instead of reading it. A shorter one costs hardly more than the question.
+pub const CHECKED_ROW_MIN_BYTES: usize = 100_000;
+
+/// Time for which a reader reads the configuration after it was not answered whether the row
+/// has changed. The store may answer reads and not conditional calls.
+pub const CHECK_RETRY_MS: u64 = 10_000;
+
 /// A query to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Query {
     /// The newest configuration.
     Configuration,
+    /// The newest configuration, if its row has changed.
+    ConfigurationCheck {
+        /// The version of the row that this host knows.
+        row_version: u64,
+    },
     /// The complete host list of targets.
     Targets,
     /// Changes of the host list after a version, as soon as there are any.
@@ -126,6 +139,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Query::Configuration => "configuration",
+            Query::ConfigurationCheck { .. } => "configuration check",
             Query::Targets => "targets",
             Query::TargetFeed { .. } => "target feed",
             Query::ConfigurationFeed { .. } => "configuration feed",
@@ -136,12 +150,18 @@
 
     /// Returns true if the reply contains the configuration.
     pub fn is_for_configuration(self) -> bool {
-        matches!(self, Query::Configuration | Query::ConfigurationFeed { .. })
+        matches!(
+            self,
+            Query::Configuration
+                | Query::ConfigurationCheck { .. }
+                | Query::ConfigurationFeed { .. }
+        )
     }
 
     fn index(self) -> usize {
         match self {
-            Query::Configuration => 0,
+            // A check replaces a read, so only one of them is in progress.
+            Query::Configuration | Query::ConfigurationCheck { .. } => 0,
             Query::Targets => 1,
             Query::TargetFeed { .. } => 2,
             Query::ConfigurationFeed { .. } => 3,
@@ -151,11 +171,31 @@
     }
 }
 
+/// A configuration as read from the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoredConfiguration {
+    /// The configuration.
+    pub configuration: Configuration,
+    /// Its row.
+    pub row: ConfigurationRow,
+}
+
+/// The row of a configuration.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfigurationRow {
+    /// The store's version of the row.
+    pub version: u64,
+    /// The size of the row, in bytes.
+    pub size_bytes: usize,
+}
+
 /// The reply to a query.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
     /// The newest configuration, if there is one yet.
-    Configuration(Option<Configuration>),
+    Configuration(Option<StoredConfiguration>),
+    /// The row of the configuration has the version that was asked for.
+    ConfigurationUnchanged,
     /// The complete host list.
     Targets {
         /// The version of the list.
@@ -175,7 +215,7 @@
         /// The version up to which the changes go.
         store_version: u64,
         /// The last of the changes.
-        configuration: Option<Configuration>,
+        configuration: Option<StoredConfiguration>,
     },
     /// The newest configuration can't be decoded, or was received incompletely.
     InvalidConfiguration {
@@ -241,7 +281,9 @@
             (false, _) => {
                 (RETRY_INTERVAL_MIN_MS << self.failures.min(4)).min(RETRY_INTERVAL_MAX_MS)
             }
-            (true, Query::Configuration) => CONFIRM_INTERVAL_MS,
+            (true, Query::Configuration | Query::ConfigurationCheck { .. }) => {
+                CONFIRM_INTERVAL_MS
+            }
             (true, Query::Targets) => LIST_INTERVAL_MS,
             (true, Query::TargetFeed { .. } | Query::ConfigurationFeed { .. }) => {
                 self.feed_interval_ms.max(FEED_INTERVAL_MIN_MS)
--- a/crates/toucancleat-fleet/tests/fleet_start.rs
+++ b/crates/toucancleat-fleet/tests/fleet_start.rs
@@ -99,7 +99,9 @@
             .extract_if(.., |(due_ms, _, _)| *due_ms <= now_ms);
         for (_, index, query) in due.collect::<Vec<_>>() {
             let reply = match query {
-                Query::Configuration => Reply::Configuration(Some(configuration(1))),
+                Query::Configuration => {
+                    Reply::Configuration(Some(stored(configuration(1))))
+                }
                 Query::Targets => Reply::Targets {
                     store_version: 10,
                     list: self.targets.clone(),
--- a/crates/toucancleat-fleet/tests/store_eras.rs
+++ b/crates/toucancleat-fleet/tests/store_eras.rs
@@ -245,14 +245,10 @@
     let copy = copy_then_heartbeats(&mut fleet);
     fleet.rows.write_configuration(2);
     fleet.advance(500);
-    let versions = |fleet: &StoreFleet| -> Vec<u64> {
-        let known = fleet.hosts.iter().filter_map(|host| host.configuration());
-        known.map(|known| known.version).collect()
-    };
-    assert_eq!(versions(&fleet), [2; 8]);
+    assert_eq!(fleet.versions(), [2; 8]);
     fleet.return_to(&copy);
     fleet.advance(2_000);
-    assert_eq!(versions(&fleet), [2; 8], "the newer one stays in force");
+    assert_eq!(fleet.versions(), [2; 8], "the newer one stays in force");
     let now_ms = fleet.now_ms;
     for host in &fleet.hosts {
         let age_ms = host.configuration_age_ms(now_ms);
@@ -273,7 +269,7 @@
     }
     fleet.rows.write_configuration(3);
     fleet.advance(500);
-    assert_eq!(versions(&fleet), [3; 8], "the next one is in force");
+    assert_eq!(fleet.versions(), [3; 8], "the next one is in force");
 }
 
 /// Returns the targets to which a host sends requests, each of which ends before the next.
@@ -360,7 +356,7 @@
         let first_era = Some(case.lists[0].0);
         let mut now_ms = START_MS;
         populate(&mut host, now_ms, &targets());
-        let configuration = Reply::Configuration(Some(configuration(1)));
+        let configuration = Reply::Configuration(Some(stored(configuration(1))));
         answer_in_era(
             &mut host,
             now_ms,
@@ -441,7 +437,7 @@
     let is_list = |effect: &Effect| matches!(effect, Effect::QueryStore(Query::Targets));
     assert!(effects.iter().any(is_list));
     now_ms += 10;
-    let reply = Reply::Configuration(Some(configuration(1)));
+    let reply = Reply::Configuration(Some(stored(configuration(1))));
     answer_in_era(&mut host, now_ms, Query::Configuration, Some(2), reply);
     now_ms += 10;
     let late = list(60, &["roster-1", "roster-9"]);
--- a/crates/toucancleat-fleet/tests/store_sync.rs
+++ b/crates/toucancleat-fleet/tests/store_sync.rs
@@ -5,10 +5,13 @@
 
 use indexmap::IndexSet;
 use support::fleet::Fleet;
+use support::store::StoreFleet;
 use support::*;
 use toucancleat_fleet::event::{Effect, LogEvent};
 use toucancleat_fleet::prelude::*;
-use toucancleat_fleet::store::{MISSED_TARGETS_DELAY_MS, Query, Reply};
+use toucancleat_fleet::store::{
+    ConfigurationRow, MISSED_TARGETS_DELAY_MS, Query, Reply, StoredConfiguration,
+};
 
 /// Returns the queries among effects.
 fn queries(effects: &[Effect]) -> Vec<Query> {
@@ -149,7 +152,7 @@
     let feed = Query::ConfigurationFeed { after: 10 };
     let newer = Reply::ConfigurationFeed {
         store_version: 20,
-        configuration: Some(configuration(7)),
+        configuration: Some(stored(configuration(7))),
     };
     let effects = answer(&mut fleet.hosts[0], now_ms, feed, newer);
     for (to, message) in messages(&effects) {
@@ -162,7 +165,7 @@
     assert_eq!(versions(&fleet), [Some(7); 3]);
     // Late replies and late messages with the previous version.
     for host in &mut fleet.hosts {
-        let older = Reply::Configuration(Some(configuration(1)));
+        let older = Reply::Configuration(Some(stored(configuration(1))));
         answer(host, now_ms + 10, Query::Configuration, older);
     }
     assert_eq!(versions(&fleet), [Some(7); 3]);
@@ -175,10 +178,10 @@
     let feed = Query::ConfigurationFeed { after: 10 };
     let newer = Reply::ConfigurationFeed {
         store_version: 20,
-        configuration: Some(configuration(7)),
+        configuration: Some(stored(configuration(7))),
     };
     answer(&mut state, START_MS, feed, newer);
-    let older = Reply::Configuration(Some(configuration(1)));
+    let older = Reply::Configuration(Some(stored(configuration(1))));
     answer(&mut state, START_MS + 3_000, Query::Configuration, older);
     assert_eq!(state.configuration_age_ms(START_MS + 3_000), Some(3_000));
 }
@@ -248,7 +251,7 @@
     for case in cases {
         let mut fleet = Fleet::new(2, &["upp-a"], &[]);
         let now_ms = fleet.now_ms;
-        let reply = Reply::Configuration(Some(configuration(2)));
+        let reply = Reply::Configuration(Some(stored(configuration(2))));
         let host = &mut fleet.hosts[case.index];
         let effects = answer(host, now_ms, Query::Configuration, reply);
         assert_eq!(sends_update(&effects), case.is_sent, "{}", case.name);
@@ -256,7 +259,7 @@
     let mut starting = empty_host("host-1", "upp-a", 1);
     let addresses = Reply::Hosts(vec![address(2)]);
     answer(&mut starting, START_MS, Query::Hosts, addresses);
-    let first = Reply::Configuration(Some(configuration(1)));
+    let first = Reply::Configuration(Some(stored(configuration(1))));
     let effects = answer(&mut starting, START_MS, Query::Configuration, first);
     assert!(
         !sends_update(&effects),
@@ -412,7 +415,7 @@
     let late_ms = START_MS + 5_100;
     let effects = receive_request(&mut state, late_ms, 9, incoming_request("lookup"));
     assert_eq!(refusals(&effects)[0].reason, Reason::StaleConfiguration);
-    let valid = Reply::Configuration(Some(configuration(8)));
+    let valid = Reply::Configuration(Some(stored(configuration(8))));
     answer(&mut state, late_ms, Query::Configuration, valid);
     let effects = receive_request(&mut state, late_ms, 10, incoming_request("lookup"));
     assert_eq!(
@@ -561,3 +564,110 @@
     let mut ages = live.map(|index| fleet.hosts[index].configuration_age_ms(now_ms));
     assert!(ages.all(|age| age.is_some_and(|age_ms| age_ms < 5_000)));
 }
+
+/// Guards against a reader that reads a long configuration again and again only to learn that
+/// it hasn't changed. A reader on a slow link had its link busy with it, and confirmed the
+/// configuration too late to deny unknown routes.
+#[test]
+fn a_long_configuration_is_read_only_when_it_has_changed() {
+    struct Case {
+        name: &'static str,
+        bytes: usize,
+        prepare: fn(&mut StoreFleet),
+        /// Complete reads and checks in eight seconds in which nothing changes.
+        reads: std::ops::RangeInclusive<usize>,
+        checks: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case {
+            name: "long",
+            bytes: 1_000_000,
+            prepare: |_| {},
+            reads: 0..=0,
+            checks: 8..=12,
+        },
+        Case {
+            name: "short",
+            bytes: 10_000,
+            prepare: |_| {},
+            reads: 8..=12,
+            checks: 0..=0,
+        },
+        Case {
+            name: "long, the store doesn't answer conditional calls",
+            bytes: 1_000_000,
+            prepare: |fleet| fleet.answers_checks = false,
+            reads: 7..=12,
+            checks: 0..=2,
+        },
+        Case {
+            name: "long, the feeds are silent",
+            bytes: 1_000_000,
+            prepare: |fleet| fleet.silent_feeds = true,
+            reads: 0..=0,
+            checks: 8..=12,
+        },
+    ];
+    for case in cases {
+        let name = case.name;
+        let mut fleet = StoreFleet::new(4, &["upp-a"], &[]);
+        fleet.rows.configuration_bytes = case.bytes;
+        fleet.rows.write_configuration(2);
+        fleet.advance(3_000);
+        (case.prepare)(&mut fleet);
+        fleet.advance(2_000);
+        fleet.calls.clear();
+        let mut highest_age_ms = Some(0);
+        for _ in 0..80 {
+            fleet.advance(100);
+            highest_age_ms = highest_age_ms.max(fleet.highest_age_ms());
+        }
+        let calls = |query: &str| fleet.calls.get(query).copied().unwrap_or_default();
+        let (reads, checks) = (calls("configuration"), calls("configuration check"));
+        assert!(case.reads.contains(&reads), "{name}: {reads} reads");
+        assert!(case.checks.contains(&checks), "{name}: {checks} checks");
+        assert!(
+            highest_age_ms < Some(2_500),
+            "{name}: {highest_age_ms:?} ms"
+        );
+        fleet.rows.write_configuration(3);
+        fleet.advance(1_800);
+        assert_eq!(
+            fleet.versions(),
+            [3; 4],
+            "{name}: the next version is in force"
+        );
+    }
+}
+
+/// Guards against a check that confirms a configuration which a peer's change has replaced
+/// since, or that the store has replaced by another in a new era.
+#[test]
+fn a_check_confirms_only_the_configuration_that_it_was_about() {
+    let mut fleet = StoreFleet::new(1, &["upp-a"], &[]);
+    fleet.rows.configuration_bytes = 1_000_000;
+    fleet.rows.write_configuration(5);
+    fleet.advance(2_000);
+    let row_version = fleet.rows.configuration.1;
+    let now_ms = fleet.now_ms;
+    let host = &mut fleet.hosts[0];
+    // The host reads a newer version while the check of the older one is on its way.
+    let newer = Reply::Configuration(Some(StoredConfiguration {
+        configuration: configuration(6),
+        row: ConfigurationRow {
+            version: row_version + 1,
+            size_bytes: 1_000_000,
+        },
+    }));
+    answer(host, now_ms, Query::Configuration, newer);
+    let confirmed_before = host.configuration_age_ms(now_ms + 900);
+    let check = Query::ConfigurationCheck { row_version };
+    answer(host, now_ms + 900, check, Reply::ConfigurationUnchanged);
+    let confirmed_after = host.configuration_age_ms(now_ms + 900);
+    assert_eq!(confirmed_after, confirmed_before);
+    let check = Query::ConfigurationCheck {
+        row_version: row_version + 1,
+    };
+    answer(host, now_ms + 900, check, Reply::ConfigurationUnchanged);
+    assert_eq!(host.configuration_age_ms(now_ms + 900), Some(0));
+}
--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -101,7 +101,9 @@
                 self.queries.push(query);
                 let reply = match query {
                     _ if !store_is_up || self.refused.contains(&index) => Reply::Failed,
-                    Query::Configuration => Reply::Configuration(Some(configuration(1))),
+                    Query::Configuration => {
+                        Reply::Configuration(Some(stored(configuration(1))))
+                    }
                     Query::Register => Reply::Registered,
                     Query::Hosts => Reply::Hosts(Vec::new()),
                     // Feeds and lists stay open. Tests that need a reply to one supply it
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -16,7 +16,9 @@
 use toucancleat_fleet::event::Effect;
 use toucancleat_fleet::peers::Message;
 use toucancleat_fleet::prelude::*;
-use toucancleat_fleet::store::{Query, Reply, StorePosition};
+use toucancleat_fleet::store::{
+    ConfigurationRow, Query, Reply, StorePosition, StoredConfiguration,
+};
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
 
 /// Start time of the tests.
@@ -87,6 +89,14 @@
     }
 }
 
+/// Returns a configuration as read from a short row of the store.
+pub fn stored(configuration: Configuration) -> StoredConfiguration {
+    StoredConfiguration {
+        configuration,
+        row: ConfigurationRow::default(),
+    }
+}
+
 /// Returns an entry of the host list.
 pub fn entry(pool: &str, zone: &str, number: u16) -> TargetEntry {
     TargetEntry {
@@ -175,7 +185,7 @@
 /// Supplies a host with the configuration and the host list.
 pub fn populate(state: &mut State, now_ms: u64, targets: &[(&str, TargetEntry)]) {
     apply(state, now_ms, Event::Tick);
-    let configuration = Reply::Configuration(Some(configuration(1)));
+    let configuration = Reply::Configuration(Some(stored(configuration(1))));
     answer(state, now_ms, Query::Configuration, configuration);
     let list = targets
         .iter()
--- a/crates/toucancleat-fleet/tests/support/store.rs
+++ b/crates/toucancleat-fleet/tests/support/store.rs
@@ -23,6 +23,8 @@
     pub version: u64,
     /// Version of the configuration, and the store's version of its row.
     pub configuration: (u64, u64),
+    /// Size of the configuration's row, in bytes.
+    pub configuration_bytes: usize,
     pub targets: IndexMap<String, TargetChange>,
     pub hosts: IndexMap<SocketAddr, u64>,
 }
@@ -61,6 +63,10 @@
     pub era: u64,
     /// Whether the store answers.
     pub is_up: bool,
+    /// Whether the store answers conditional calls.
+    pub answers_checks: bool,
+    /// Whether feeds are answered without changes.
+    pub silent_feeds: bool,
     /// Number of calls so far, by query.
     pub calls: IndexMap<&'static str, usize>,
     /// Log records so far, with the host.
@@ -86,6 +92,8 @@
             rows,
             era: 1,
             is_up: true,
+            answers_checks: true,
+            silent_feeds: false,
             calls: IndexMap::new(),
             records: Vec::new(),
             replies: VecDeque::new(),
@@ -168,6 +176,7 @@
 
     fn has_news(&self, query: Query) -> bool {
         match query {
+            _ if self.silent_feeds => false,
             Query::TargetFeed { after } => {
                 after > self.rows.version || !self.changes(after).is_empty()
             }
@@ -192,15 +201,39 @@
 
     fn reply(&mut self, index: usize, query: Query) -> Reply {
         let store_version = self.rows.version;
-        let newest = configuration(self.rows.configuration.0);
+        let newest = StoredConfiguration {
+            configuration: configuration(self.rows.configuration.0),
+            row: ConfigurationRow {
+                version: self.rows.configuration.1,
+                size_bytes: self.rows.configuration_bytes,
+            },
+        };
         match query {
             _ if !self.is_up => Reply::Failed,
+            Query::ConfigurationCheck { .. } if !self.answers_checks => Reply::Failed,
+            Query::ConfigurationCheck { row_version }
+                if row_version == self.rows.configuration.1 =>
+            {
+                Reply::ConfigurationUnchanged
+            }
+            Query::TargetFeed { .. } if self.silent_feeds => Reply::TargetFeed {
+                store_version,
+                changes: Vec::new(),
+            },
+            Query::ConfigurationFeed { .. } if self.silent_feeds => {
+                Reply::ConfigurationFeed {
+                    store_version,
+                    configuration: None,
+                }
+            }
             Query::TargetFeed { after } | Query::ConfigurationFeed { after }
                 if after > store_version =>
             {
                 Reply::HistoryExpired
             }
-            Query::Configuration => Reply::Configuration(Some(newest)),
+            Query::Configuration | Query::ConfigurationCheck { .. } => {
+                Reply::Configuration(Some(newest))
+            }
             Query::ConfigurationFeed { after } => Reply::ConfigurationFeed {
                 store_version,
                 configuration: (self.rows.configuration.1 > after).then_some(newest),
@@ -240,6 +273,21 @@
         }
     }
 
+    /// Returns the versions of the configuration in force at the hosts.
+    pub fn versions(&self) -> Vec<u64> {
+        let known = self.hosts.iter().filter_map(|host| host.configuration());
+        known.map(|known| known.version).collect()
+    }
+
+    /// Returns the highest age of a configuration at the hosts.
+    pub fn highest_age_ms(&self) -> Option<u64> {
+        let ages = self
+            .hosts
+            .iter()
+            .map(|host| host.configuration_age_ms(self.now_ms));
+        ages.max().flatten()
+    }
+
     /// Returns how many of a series of requests a host sends to a target, each of which ends
     /// before the next begins.
     pub fn requests_to(&mut self, index: usize, kind: &str, target: &str) -> usize {
