Leave callers half of the link while a long reply of the store is read

What callers saw: in the second in which a host with a link of 10 Mbit/s read a new configuration with 4,200 routes, 1.2 MB, two thirds of its lookups were late, and drafts paused for too long. Cause: the reply came as fast as the link carries, and requests and answers queued behind it. Change: what exceeds 64 kB of a reply is read at half of the link's rate, or faster if that would take more than 2 s, unless the host has no configuration yet. The link's rate is a setting. New test in virtual time.

--- a/crates/toucancleat-gateway/src/call.rs
+++ b/crates/toucancleat-gateway/src/call.rs
@@ -14,6 +14,12 @@
 /// of 10 Mbit/s receives the longest reply for which it has memory in 9 s.
 const BODY_TIMEOUT_MAX: Duration = Duration::from_secs(15);
 
+/// Length of a body up to which it is read at once; a link of 10 Mbit/s carries it in 52 ms.
+const UNPACED_BYTES: usize = 65_536;
+
+/// Maximum time by which pacing may delay a body. What it contains is out of date by as much.
+const PACED_TIME_MAX_S: f64 = 2.0;
+
 /// Limits on the reply to one call.
 #[derive(Clone, Copy, Debug)]
 pub struct ReplyLimits {
@@ -21,6 +27,21 @@
     pub idle_timeout: Duration,
     /// Maximum length of the body.
     pub body_max_bytes: usize,
+    /// Rate at which a long body is read, so that callers' requests find room on the link. It
+    /// is read faster if it would take too long.
+    pub body_bytes_per_s: Option<f64>,
+}
+
+impl ReplyLimits {
+    /// Returns the time after which a number of bytes of a body may have been read.
+    fn paced_time(&self, read_bytes: usize, length: Option<u64>) -> Duration {
+        let paced_bytes = read_bytes.saturating_sub(UNPACED_BYTES) as f64;
+        let (Some(bytes_per_s), Some(length)) = (self.body_bytes_per_s, length) else {
+            return Duration::ZERO;
+        };
+        let bytes_per_s = bytes_per_s.max(length as f64 / PACED_TIME_MAX_S);
+        Duration::from_secs_f64(paced_bytes / bytes_per_s)
+    }
 }
 
 /// The reason why a call has no reply.
@@ -87,9 +108,12 @@
     B: Body + Unpin,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    let length = body.size_hint().exact();
     let mut body = Limited::new(body, limits.body_max_bytes);
     let mut bytes = BytesMut::new();
+    let start = tokio::time::Instant::now();
     loop {
+        tokio::time::sleep_until(start + limits.paced_time(bytes.len(), length)).await;
         let frame = tokio::time::timeout(limits.idle_timeout, body.frame())
             .await
             .map_err(|_| CallError::Timeout(limits.idle_timeout))?;
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -30,6 +30,7 @@
 const LEAVE_TIME_REPLY_LIMITS: ReplyLimits = ReplyLimits {
     idle_timeout: Duration::from_millis(300),
     body_max_bytes: 1_048_576,
+    body_bytes_per_s: None,
 };
 
 /// A command of the reducer to the task of a request.
@@ -140,6 +141,11 @@
         self.state.borrow().is_ready(clock::now_ms())
     }
 
+    /// Returns true if a configuration is in force.
+    pub fn has_configuration(&self) -> bool {
+        self.state.borrow().configuration().is_some()
+    }
+
     /// Returns the number of targets that limit the rate of requests.
     pub fn limited_targets(&self) -> usize {
         self.state.borrow().limited_targets()
--- a/crates/toucancleat-gateway/src/relay/migration.rs
+++ b/crates/toucancleat-gateway/src/relay/migration.rs
@@ -19,6 +19,7 @@
 const COPY_REPLY_LIMITS: ReplyLimits = ReplyLimits {
     idle_timeout: Duration::from_millis(3_000),
     body_max_bytes: 65_536,
+    body_bytes_per_s: None,
 };
 
 /// Maximum wait for the end of a stream whose run has been stopped.
--- a/crates/toucancleat-gateway/src/settings.rs
+++ b/crates/toucancleat-gateway/src/settings.rs
@@ -41,6 +41,8 @@
     pub stop_grace_s: Option<f64>,
     /// Memory in megabytes that the process may use.
     pub memory_max_mb: Option<f64>,
+    /// Rate of the machine's link in megabits per second.
+    pub link_max_mbps: Option<f64>,
 }
 
 /// Memory in megabytes of a process whose settings omit it: that of a small machine.
@@ -54,6 +56,9 @@
 /// decoded its text, its encoding, and two versions of it are in memory.
 const STORE_REPLY_SHARE: f64 = 0.125;
 
+/// Share of the link that a long reply of the store may take while callers are served.
+const STORE_LINK_SHARE: f64 = 0.5;
+
 impl Settings {
     /// Reads and validates a settings file.
     ///
@@ -83,6 +88,7 @@
             ("retry_allowance", self.retry_allowance),
             ("stop_grace_s", self.stop_grace_s),
             ("memory_max_mb", self.memory_max_mb),
+            ("link_max_mbps", self.link_max_mbps),
         ];
         for (name, number) in numbers {
             if number.is_some_and(|number| !number.is_finite() || number < 0.0) {
@@ -104,6 +110,12 @@
         (STORE_REPLY_SHARE * memory_mb * 1e6) as usize
     }
 
+    /// Returns the rate at which a long reply of the store is read, in bytes per second.
+    pub fn store_reply_bytes_per_s(&self) -> Option<f64> {
+        let link_bytes_per_s = self.link_max_mbps? * 1e6 / 8.0;
+        (link_bytes_per_s > 0.0).then_some(STORE_LINK_SHARE * link_bytes_per_s)
+    }
+
     /// Returns the settings that the decisions of the reducer depend on.
     pub fn fleet_config(&self) -> FleetConfig {
         let default = FleetConfig::default();
--- a/crates/toucancleat-gateway/src/store.rs
+++ b/crates/toucancleat-gateway/src/store.rs
@@ -37,6 +37,11 @@
     let limits = ReplyLimits {
         idle_timeout: timeout,
         body_max_bytes: host.settings.store_reply_max_bytes(),
+        // A host without a configuration serves no callers yet.
+        body_bytes_per_s: host
+            .settings
+            .store_reply_bytes_per_s()
+            .filter(|_| host.has_configuration()),
     };
     let mut exchange = StoreExchange::new(query);
     let mut era = None;
--- a/crates/toucancleat-gateway/tests/call.rs
+++ b/crates/toucancleat-gateway/tests/call.rs
@@ -1,18 +1,22 @@
 //! Reading the body of a reply, in virtual time and without a network.
 
+use std::collections::VecDeque;
 use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures::StreamExt;
 use futures::stream;
-use http_body::Frame;
+use http_body::{Body, Frame, SizeHint};
 use http_body_util::StreamBody;
 use toucancleat_gateway::call::{ReplyLimits, read_body};
 
 const LIMITS: ReplyLimits = ReplyLimits {
     idle_timeout: Duration::from_millis(800),
     body_max_bytes: 200,
+    body_bytes_per_s: None,
 };
 
 /// A host on a slow link that starts reads a configuration that takes longer than the
@@ -74,3 +78,99 @@
         assert_eq!(read.ok(), expected, "{}", case.name);
     }
 }
+
+/// A body whose parts have all arrived.
+struct ArrivedBody {
+    parts: VecDeque<Bytes>,
+    length: Option<u64>,
+}
+
+impl Body for ArrivedBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Poll::Ready(self.parts.pop_front().map(|part| Ok(Frame::data(part))))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.length
+            .map_or_else(SizeHint::default, SizeHint::with_exact)
+    }
+}
+
+/// Guards against a long configuration that occupies the link of a small machine for a second,
+/// so that most answers to callers are late.
+#[tokio::test(start_paused = true)]
+async fn a_long_body_leaves_room_on_the_link() {
+    struct Case {
+        name: &'static str,
+        length_bytes: usize,
+        is_length_known: bool,
+        bytes_per_s: Option<f64>,
+        took_ms: std::ops::RangeInclusive<u128>,
+    }
+    let cases = [
+        Case {
+            name: "long, at half of 10 Mbit/s",
+            length_bytes: 1_000_000,
+            is_length_known: true,
+            bytes_per_s: Some(625_000.0),
+            took_ms: 1_400..=1_600,
+        },
+        Case {
+            name: "longer, as fast as it may at most be delayed",
+            length_bytes: 4_000_000,
+            is_length_known: true,
+            bytes_per_s: Some(625_000.0),
+            took_ms: 1_900..=2_000,
+        },
+        Case {
+            name: "short",
+            length_bytes: 60_000,
+            is_length_known: true,
+            bytes_per_s: Some(625_000.0),
+            took_ms: 0..=0,
+        },
+        Case {
+            name: "of unknown length",
+            length_bytes: 1_000_000,
+            is_length_known: false,
+            bytes_per_s: Some(625_000.0),
+            took_ms: 0..=0,
+        },
+        Case {
+            name: "on a link of unknown rate",
+            length_bytes: 1_000_000,
+            is_length_known: true,
+            bytes_per_s: None,
+            took_ms: 0..=0,
+        },
+    ];
+    for case in cases {
+        let part = Bytes::from(vec![b'x'; 10_000]);
+        let parts = vec![part; case.length_bytes / 10_000];
+        let body = ArrivedBody {
+            parts: parts.into(),
+            length: case.is_length_known.then_some(case.length_bytes as u64),
+        };
+        let limits = ReplyLimits {
+            body_max_bytes: 10_000_000,
+            body_bytes_per_s: case.bytes_per_s,
+            ..LIMITS
+        };
+        let start = tokio::time::Instant::now();
+        let read = read_body(body, limits).await;
+        let took_ms = start.elapsed().as_millis();
+        let length = read.map(|bytes| bytes.len()).ok();
+        assert_eq!(length, Some(case.length_bytes), "{}", case.name);
+        assert!(
+            case.took_ms.contains(&took_ms),
+            "{}: {took_ms} ms",
+            case.name
+        );
+    }
+}
