Keep changes of peers that are later than a list on its way

What callers would see: requests sent to a leaving target again for up to a second. Cause: a peer's message with a change doesn't advance the position of a host that also lacks another change. A list that was read in between is older than the change, but not older than the position, and replaced it. Change: changes that are later than the position are kept and applied to such a list. One that arrives after a later change of the same target is ignored.

--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -74,6 +74,9 @@
 pub struct TargetDirectory {
     targets: IndexMap<TargetName, TargetEntry>,
     known_position: Option<StorePosition>,
+    /// Changes of peers that are later than that position. A list may be older than they are
+    /// though it is later than the position.
+    later_changes: IndexMap<TargetName, TargetChange>,
     /// Combined hash of all entries. It doesn't depend on their order, so that a change
     /// updates it alone.
     digest: u64,
@@ -106,6 +109,7 @@
             && known.era < era
         {
             *known = StorePosition { era, version: 0 };
+            self.later_changes.clear();
         }
     }
 
@@ -150,6 +154,10 @@
             list.clear();
             return transitions;
         }
+        self.later_changes
+            .retain(|_, change| change.store_version > position.version);
+        list.retain(|change| !self.later_changes.contains_key(&change.target));
+        list.extend(self.later_changes.values().cloned());
         let listed: IndexSet<&TargetName> = list
             .iter()
             .filter(|change| change.entry.is_some())
@@ -189,14 +197,22 @@
         self.enter_era(position.era);
         let known = self.known_position();
         changes.retain(|change| {
+            let later = self.later_changes.get(&change.target);
+            let is_overtaken =
+                later.is_some_and(|later| later.store_version > change.store_version);
             position.era == known.era
                 && change.store_version > known.version
+                && !is_overtaken
                 && self.apply(
                     change.target.clone(),
                     change.entry.clone(),
                     &mut transitions,
                 )
         });
+        for change in changes.iter() {
+            self.later_changes
+                .insert(change.target.clone(), change.clone());
+        }
         self.advance_to(position);
         transitions
     }
@@ -205,6 +221,9 @@
     pub fn advance_to(&mut self, position: StorePosition) {
         if position.version > 0 {
             self.known_position = self.known_position.max(Some(position));
+            let known_version = self.known_position().version;
+            self.later_changes
+                .retain(|_, change| change.store_version > known_version);
         }
     }
 
--- a/crates/toucancleat-fleet/tests/store_sync.rs
+++ b/crates/toucancleat-fleet/tests/store_sync.rs
@@ -12,6 +12,7 @@
 use toucancleat_fleet::store::{
     ConfigurationRow, MISSED_TARGETS_DELAY_MS, Query, Reply, StoredConfiguration,
 };
+use toucancleat_fleet::target::{TargetChange, TargetEntry};
 
 /// Returns the queries among effects.
 fn queries(effects: &[Effect]) -> Vec<Query> {
@@ -671,3 +672,83 @@
     answer(host, now_ms + 900, check, Reply::ConfigurationUnchanged);
     assert_eq!(host.configuration_age_ms(now_ms + 900), Some(0));
 }
+
+/// Guards against a list that was on its way while a peer's message showed that a target
+/// leaves: the list is older, but not older than the position that the host knows, since the
+/// host also lacks another change.
+#[test]
+fn a_list_on_its_way_reverts_no_change_that_a_peer_has_sent() {
+    struct Case {
+        name: &'static str,
+        /// The change that the peer sends, at version 14.
+        sent: Option<TargetEntry>,
+        is_used: bool,
+    }
+    let leaving = TargetEntry {
+        is_leaving: true,
+        ..entry("roster", "upp-a", 201)
+    };
+    let cases = [
+        Case {
+            name: "leaving",
+            sent: Some(leaving),
+            is_used: false,
+        },
+        Case {
+            name: "gone",
+            sent: None,
+            is_used: false,
+        },
+    ];
+    for case in cases {
+        let targets = [
+            ("roster-1", entry("roster", "upp-a", 201)),
+            ("roster-2", entry("roster", "upp-a", 202)),
+        ];
+        let mut fleet = Fleet::new(2, &["upp-a"], &targets);
+        let now_ms = fleet.now_ms;
+        let feed = |after, name, version, entry| {
+            let reply = Reply::TargetFeed {
+                store_version: version,
+                changes: vec![change(name, version, entry)],
+            };
+            (Query::TargetFeed { after }, reply)
+        };
+        // The second host doesn't receive that a target joins.
+        let joined = entry("roster", "upp-a", 203);
+        let (query, reply) = feed(10, "roster-3", 12, Some(joined.clone()));
+        answer(&mut fleet.hosts[0], now_ms, query, reply);
+        let (query, reply) = feed(12, "roster-1", 14, case.sent);
+        let effects = answer(&mut fleet.hosts[0], now_ms + 10, query, reply);
+        for (to, message) in messages(&effects) {
+            fleet.deliver(to, message);
+        }
+        // Its list was read in between.
+        let mut list: Vec<TargetChange> = targets
+            .iter()
+            .map(|(name, entry)| change(name, 1, Some(entry.clone())))
+            .collect();
+        list.push(change("roster-3", 12, Some(joined)));
+        let reply = Reply::Targets {
+            store_version: 13,
+            list,
+        };
+        let host = &mut fleet.hosts[1];
+        answer(host, now_ms + 20, Query::Targets, reply);
+        let mut used = Vec::new();
+        for number in 0..40 {
+            let incoming = incoming_request("lookup");
+            let effects = receive_request(host, now_ms + 30, number, incoming);
+            used.extend(
+                dispatches(&effects)
+                    .iter()
+                    .map(|sent| sent.target.to_string()),
+            );
+            let request_number = RequestNumber(number);
+            apply(host, now_ms + 30, Event::RequestClosed { request_number });
+        }
+        let is_used = |target: &str| used.iter().any(|name| name == target);
+        assert_eq!(is_used("roster-1"), case.is_used, "{}", case.name);
+        assert!(is_used("roster-3"), "{}: the list is applied", case.name);
+    }
+}
