Hold back targets of a copy also when a peer shows them as back

What callers would see: requests sent to a target that is gone, after a drill. Found by exploring a specification of the store's eras, which is new. Cause: a reader that had started after a target was removed found it in the copy, took it for new, and sent it to hosts that had seen it go. Change: hosts hold such a target back until its row is written in the new era, whoever shows it. Result: the new test of three hosts fails on the code before (all three use the target) and passes now.

--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -150,9 +150,9 @@
                 era: message.store_era,
                 ..state.directory.known_position()
             };
-            let transitions = state
-                .directory
-                .apply_changes(position, &mut changes.clone());
+            let mut changes = changes.clone();
+            store_sync::hold_back_departed(state, &mut changes);
+            let transitions = state.directory.apply_changes(position, &mut changes);
             store_sync::log_transitions(state, &transitions, effects);
             store_sync::apply_transitions(state, now_ms, transitions, effects);
             if message.host_list_digest == state.directory.digest() {
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -365,10 +365,10 @@
     state.must_broadcast = true;
 }
 
-/// Removes from a list the targets that had left before the store returned to a copy, until
-/// their rows are written again: after the first list of the era, which targets that are still
-/// running do with each heartbeat.
-fn hold_back_departed(state: &mut State, list: &mut Vec<TargetChange>) {
+/// Removes from a list, or the changes of a peer, the targets that had left before the store
+/// returned to a copy, until their rows are written again: after the first list of the era,
+/// which targets that are still running do with each heartbeat.
+pub(super) fn hold_back_departed(state: &mut State, list: &mut Vec<TargetChange>) {
     let departed_targets = &mut state.departed_targets;
     let listed_version = state.directory.known_position().version;
     let era_since_ms = state.era_since_ms;
--- a/crates/toucancleat-fleet/tests/store_eras.rs
+++ b/crates/toucancleat-fleet/tests/store_eras.rs
@@ -449,3 +449,28 @@
     answer_in_era(&mut host, now_ms, Query::Targets, Some(2), restored);
     assert_eq!(targets_of(&mut host, now_ms + 1), ["roster-1", "roster-5"]);
 }
+
+/// Guards against a reader that has started after a target left, finds the target in a copy,
+/// and sends it to hosts that have seen it leave.
+#[test]
+fn a_peer_brings_no_target_back_that_has_left() {
+    let mut fleet = StoreFleet::new(3, &["upp-a"], &targets());
+    let copy = copy_then_heartbeats(&mut fleet);
+    fleet.rows.write_target("roster-3", None);
+    fleet.advance(500);
+    // The first host by name reads for all.
+    fleet.restart(0);
+    fleet.advance(4_000);
+    assert!(hosts_that_use(&mut fleet, "roster-3").is_empty());
+    fleet.return_to(&copy);
+    fleet.advance(600);
+    let users = hosts_that_use(&mut fleet, "roster-3");
+    assert!(
+        !users.contains(&1) && !users.contains(&2),
+        "used by {users:?}"
+    );
+    fleet.rows.beat(&[]);
+    fleet.advance(1_500);
+    let users = hosts_that_use(&mut fleet, "roster-3");
+    assert_eq!(users, [0, 1, 2], "it is running after all");
+}
--- a/crates/toucancleat-fleet/tests/support/store.rs
+++ b/crates/toucancleat-fleet/tests/support/store.rs
@@ -109,6 +109,15 @@
         self.era += 1;
     }
 
+    /// Replaces a host by one that has just started under its name.
+    pub fn restart(&mut self, index: usize) {
+        let zone = self.hosts[index].zone().to_string();
+        let number = index as u16 + 1;
+        self.hosts[index] = empty_host(&format!("host-{number:02}"), &zone, number);
+        self.replies.retain(|(_, host, ..)| *host != index);
+        self.held_feeds.retain(|(_, host, _)| *host != index);
+    }
+
     /// Advances the clock.
     pub fn advance(&mut self, time_ms: u64) {
         let end_ms = self.now_ms + time_ms;
--- a/crates/toucancleat-model/src/lib.rs
+++ b/crates/toucancleat-model/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod orders;
 pub mod settings;
 pub mod settings_dissemination;
+pub mod store_eras;
 
 pub use self::explore::{
     Counterexample, Exploration, explore, find_stuck_state, random_walk,
