Tell the store's era to peers only once the host list is known

A host that has just started learns the era with the first answer of the store, at the same moment as all others; its message to all would undo the spread of the announcements. The test of a fleet that starts now has an era, and passes with and without this, since hosts know no peers at that moment.

--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -346,6 +346,8 @@
             era,
             era_before: state.store_era,
         }));
+        // Peers would take the changes of the new era for old ones.
+        state.must_broadcast = true;
     }
     state.store_era = era;
     state.era_since_ms = now_ms;
@@ -361,8 +363,6 @@
         state.registration = Registration::Unknown;
         state.query_schedule.make_due(now_ms, Query::Hosts);
     }
-    // Peers would take the changes of the new era for old ones.
-    state.must_broadcast = true;
 }
 
 /// Removes from a list, or the changes of a peer, the targets that had left before the store
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -37,7 +37,7 @@
     pub(crate) host_list: StorePosition,
 }
 
-/// A target that was leaving or gone before the store returned to a copy.
+/// A target that has left, and would be ready again in a copy of the store.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DepartedTarget {
     /// When the target started, in Unix time.
@@ -78,7 +78,7 @@
     /// Why the newest configuration was rejected, so that it is logged once.
     pub(crate) configuration_problem: Option<String>,
     pub(crate) directory: TargetDirectory,
-    /// Targets that have left recently, and would be ready again in a copy of the store.
+    /// Targets that have left recently.
     pub(crate) departed_targets: IndexMap<TargetName, DepartedTarget>,
     /// Targets whose entries vanished without a notice, and since when.
     pub(crate) expired_entries: IndexMap<TargetName, (TargetEntry, u64)>,
--- a/crates/toucancleat-fleet/tests/fleet_start.rs
+++ b/crates/toucancleat-fleet/tests/fleet_start.rs
@@ -87,7 +87,7 @@
                 self.registered[index] = true;
                 let event = Event::StoreReplied {
                     query: Query::Register,
-                    era: None,
+                    era: Some(1),
                     reply: Reply::Registered,
                 };
                 self.handle(index, event);
@@ -114,7 +114,7 @@
                 index,
                 Event::StoreReplied {
                     query,
-                    era: None,
+                    era: Some(1),
                     reply,
                 },
             );
--- a/crates/toucancleat-fleet/tests/store_eras.rs
+++ b/crates/toucancleat-fleet/tests/store_eras.rs
@@ -37,7 +37,10 @@
 /// Returns the hosts that send requests to a target.
 fn hosts_that_use(fleet: &mut StoreFleet, target: &str) -> Vec<usize> {
     (0..fleet.hosts.len())
-        .filter(|host| fleet.requests_to(*host, "lookup", target) > 0)
+        .filter(|host| {
+            let used = targets_of(&mut fleet.hosts[*host], fleet.now_ms, "lookup");
+            used.iter().any(|name| name == target)
+        })
         .collect()
 }
 
@@ -272,24 +275,6 @@
     assert_eq!(fleet.versions(), [3; 8], "the next one is in force");
 }
 
-/// Returns the targets to which a host sends requests, each of which ends before the next.
-fn targets_of(host: &mut State, now_ms: u64) -> Vec<String> {
-    let mut used = Vec::new();
-    for number in 0..40 {
-        let effects = receive_request(host, now_ms, number, incoming_request("lookup"));
-        used.extend(
-            dispatches(&effects)
-                .iter()
-                .map(|sent| sent.target.to_string()),
-        );
-        let request_number = RequestNumber(number);
-        apply(host, now_ms, Event::RequestClosed { request_number });
-    }
-    used.sort();
-    used.dedup();
-    used
-}
-
 /// Guards against a host that finds a target which has left in a complete list of the new era,
 /// and against one that holds targets back for longer than it has to.
 #[test]
@@ -381,7 +366,7 @@
             };
             answer_in_era(&mut host, now_ms, Query::Targets, Some(*era), reply);
         }
-        let used = targets_of(&mut host, now_ms);
+        let used = targets_of(&mut host, now_ms, "lookup");
         let is_used = used.contains(&"roster-2".to_owned());
         assert_eq!(is_used, case.is_used, "{}: {used:?}", case.name);
     }
@@ -408,7 +393,7 @@
         list: vec![joined],
     };
     answer_in_era(&mut host, now_ms + 5, Query::Targets, Some(2), list);
-    assert_eq!(targets_of(&mut host, now_ms + 10), ["roster-9"]);
+    assert_eq!(targets_of(&mut host, now_ms + 10, "lookup"), ["roster-9"]);
 }
 
 /// Guards against a reply that was on its way while the store returned to a copy.
@@ -442,12 +427,15 @@
     now_ms += 10;
     let late = list(60, &["roster-1", "roster-9"]);
     answer_in_era(&mut host, now_ms, Query::Targets, Some(1), late);
-    assert_eq!(targets_of(&mut host, now_ms), ["roster-1"]);
+    assert_eq!(targets_of(&mut host, now_ms, "lookup"), ["roster-1"]);
     // The list of the new era has a lower version and counts.
     now_ms += 50;
     let restored = list(40, &["roster-1", "roster-5"]);
     answer_in_era(&mut host, now_ms, Query::Targets, Some(2), restored);
-    assert_eq!(targets_of(&mut host, now_ms + 1), ["roster-1", "roster-5"]);
+    assert_eq!(
+        targets_of(&mut host, now_ms + 1, "lookup"),
+        ["roster-1", "roster-5"]
+    );
 }
 
 /// Guards against a reader that has started after a target left, finds the target in a copy,
--- a/crates/toucancleat-fleet/tests/store_sync.rs
+++ b/crates/toucancleat-fleet/tests/store_sync.rs
@@ -735,18 +735,7 @@
         };
         let host = &mut fleet.hosts[1];
         answer(host, now_ms + 20, Query::Targets, reply);
-        let mut used = Vec::new();
-        for number in 0..40 {
-            let incoming = incoming_request("lookup");
-            let effects = receive_request(host, now_ms + 30, number, incoming);
-            used.extend(
-                dispatches(&effects)
-                    .iter()
-                    .map(|sent| sent.target.to_string()),
-            );
-            let request_number = RequestNumber(number);
-            apply(host, now_ms + 30, Event::RequestClosed { request_number });
-        }
+        let used = targets_of(host, now_ms + 30, "lookup");
         let is_used = |target: &str| used.iter().any(|name| name == target);
         assert_eq!(is_used("roster-1"), case.is_used, "{}", case.name);
         assert!(is_used("roster-3"), "{}: the list is applied", case.name);
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -217,6 +217,25 @@
     )
 }
 
+/// Returns the targets to which a host sends a series of requests, each of which ends before
+/// the next begins, without repetitions.
+pub fn targets_of(host: &mut State, now_ms: u64, kind: &str) -> Vec<String> {
+    let mut used = Vec::new();
+    for number in 1_000_000..1_000_040 {
+        let effects = receive_request(host, now_ms, number, incoming_request(kind));
+        used.extend(
+            dispatches(&effects)
+                .iter()
+                .map(|sent| sent.target.to_string()),
+        );
+        let request_number = RequestNumber(number);
+        apply(host, now_ms, Event::RequestClosed { request_number });
+    }
+    used.sort();
+    used.dedup();
+    used
+}
+
 /// Returns the dispatches among effects.
 pub fn dispatches(effects: &[Effect]) -> Vec<&Dispatch> {
     effects
--- a/crates/toucancleat-fleet/tests/support/store.rs
+++ b/crates/toucancleat-fleet/tests/support/store.rs
@@ -296,22 +296,4 @@
             .map(|host| host.configuration_age_ms(self.now_ms));
         ages.max().flatten()
     }
-
-    /// Returns how many of a series of requests a host sends to a target, each of which ends
-    /// before the next begins.
-    pub fn requests_to(&mut self, index: usize, kind: &str, target: &str) -> usize {
-        let mut count = 0;
-        for number in 0..40 {
-            let request_number = RequestNumber(1_000_000 + number);
-            let received = Event::RequestReceived {
-                request_number,
-                request: incoming_request(kind),
-            };
-            let effects = self.apply(index, received);
-            let sent = dispatches(&effects);
-            count += usize::from(sent.iter().any(|sent| sent.target.as_str() == target));
-            self.apply(index, Event::RequestClosed { request_number });
-        }
-        count
-    }
 }
--- a/crates/toucancleat-fleet/tests/target_notices.rs
+++ b/crates/toucancleat-fleet/tests/target_notices.rs
@@ -10,9 +10,6 @@
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
 use toucancleat_fleet::target_notice::PAUSE_MAX_MS;
 
-/// Number of requests that show which targets a host uses.
-const REQUESTS: u64 = 40;
-
 fn targets() -> Vec<(&'static str, TargetEntry)> {
     vec![
         ("roster-1", entry("roster", "upp-a", 901)),
@@ -31,6 +28,13 @@
     }
 }
 
+fn pause(pause_ms: u64) -> TargetNotice {
+    TargetNotice {
+        pause_ms: Some(pause_ms),
+        ..TargetNotice::default()
+    }
+}
+
 fn receive_notice(
     fleet: &mut Fleet,
     host: usize,
@@ -44,23 +48,9 @@
     apply(&mut fleet.hosts[host], fleet.now_ms, received)
 }
 
-/// Returns how many of a series of requests a host sends to a target, each of which ends
-/// before the next begins.
-fn requests_to(fleet: &mut Fleet, host: usize, kind: &str, target: &str) -> usize {
-    let now_ms = fleet.now_ms;
-    let state = &mut fleet.hosts[host];
-    let mut count = 0;
-    for number in 0..REQUESTS {
-        let number = 1_000 + number;
-        let effects = receive_request(state, now_ms, number, incoming_request(kind));
-        let sent = dispatches(&effects);
-        count += usize::from(sent.iter().any(|sent| sent.target.as_str() == target));
-        let closed = Event::RequestClosed {
-            request_number: RequestNumber(number),
-        };
-        apply(state, now_ms, closed);
-    }
-    count
+fn uses(fleet: &mut Fleet, host: usize, target: &str) -> bool {
+    let used = targets_of(&mut fleet.hosts[host], fleet.now_ms, "lookup");
+    used.iter().any(|name| name == target)
 }
 
 /// Reads the host list at a host.
@@ -138,17 +128,16 @@
     for case in cases {
         let mut fleet = Fleet::new(3, &["upp-a", "upp-b"], &targets());
         for host in 0..3 {
-            let count = requests_to(&mut fleet, host, "lookup", "roster-1");
-            assert!(count > 0, "{}: used before", case.name);
+            let is_used = uses(&mut fleet, host, "roster-1");
+            assert!(is_used, "{}: used before", case.name);
         }
         let effects = receive_notice(&mut fleet, 1, "roster-1", leaving());
         fleet.execute(1, effects, true);
         fleet.advance(50);
         (case.then)(&mut fleet);
         for host in 0..3 {
-            let count = requests_to(&mut fleet, host, "lookup", "roster-1");
-            let (name, is_used) = (case.name, case.is_used);
-            assert_eq!(count > 0, is_used, "{name}: host {host} sent {count}");
+            let is_used = uses(&mut fleet, host, "roster-1");
+            assert_eq!(is_used, case.is_used, "{}: host {host}", case.name);
         }
     }
 }
@@ -228,8 +217,8 @@
         pause_ms: u64,
         /// Time from the refusal to the requests.
         after_ms: u64,
-        /// Whether an answer without a notice arrives meanwhile.
-        answers_meanwhile: bool,
+        /// The notice of an answer that arrives after half a second.
+        meanwhile: Option<TargetNotice>,
         is_used: bool,
     }
     let cases = [
@@ -237,56 +226,59 @@
             name: "at once",
             pause_ms: 2_000,
             after_ms: 0,
-            answers_meanwhile: false,
+            meanwhile: None,
             is_used: false,
         },
         Case {
             name: "shortly before the end",
             pause_ms: 2_000,
             after_ms: 1_900,
-            answers_meanwhile: false,
+            meanwhile: None,
             is_used: false,
         },
         Case {
             name: "an earlier request is answered meanwhile",
             pause_ms: 2_000,
             after_ms: 1_000,
-            answers_meanwhile: true,
+            meanwhile: Some(TargetNotice::default()),
+            is_used: false,
+        },
+        Case {
+            name: "an earlier request is refused meanwhile, with a shorter pause",
+            pause_ms: 2_000,
+            after_ms: 1_000,
+            meanwhile: Some(pause(200)),
             is_used: false,
         },
         Case {
             name: "after the end",
             pause_ms: 2_000,
             after_ms: 2_100,
-            answers_meanwhile: false,
+            meanwhile: None,
             is_used: true,
         },
         Case {
             name: "days are not taken literally",
             pause_ms: 200_000_000,
             after_ms: PAUSE_MAX_MS + 100,
-            answers_meanwhile: false,
+            meanwhile: None,
             is_used: true,
         },
     ];
     for case in cases {
         let mut fleet = Fleet::new(2, &["upp-a"], &targets());
-        let pause = TargetNotice {
-            pause_ms: Some(case.pause_ms),
-            ..TargetNotice::default()
-        };
-        receive_notice(&mut fleet, 0, "roster-1", pause);
-        if case.answers_meanwhile {
+        receive_notice(&mut fleet, 0, "roster-1", pause(case.pause_ms));
+        if let Some(notice) = case.meanwhile {
             fleet.advance(500);
-            receive_notice(&mut fleet, 0, "roster-1", TargetNotice::default());
+            receive_notice(&mut fleet, 0, "roster-1", notice);
             fleet.advance(case.after_ms - 500);
         } else {
             fleet.advance(case.after_ms);
         }
-        let count = requests_to(&mut fleet, 0, "lookup", "roster-1");
-        assert_eq!(count > 0, case.is_used, "{}: sent {count}", case.name);
-        let count = requests_to(&mut fleet, 1, "lookup", "roster-1");
-        assert!(count > 0, "{}: the pause is for one host alone", case.name);
+        let is_used = uses(&mut fleet, 0, "roster-1");
+        assert_eq!(is_used, case.is_used, "{}", case.name);
+        let is_used = uses(&mut fleet, 1, "roster-1");
+        assert!(is_used, "{}: the pause is for one host alone", case.name);
     }
 }
 
@@ -298,11 +290,7 @@
         ("roster-2", 5_000),
         ("roster-3", 7_000),
     ] {
-        let pause = TargetNotice {
-            pause_ms: Some(pause_ms),
-            ..TargetNotice::default()
-        };
-        receive_notice(&mut fleet, 0, target, pause);
+        receive_notice(&mut fleet, 0, target, pause(pause_ms));
     }
     let now_ms = fleet.now_ms;
     let effects =
--- a/crates/toucancleat-gateway/src/store.rs
+++ b/crates/toucancleat-gateway/src/store.rs
@@ -10,8 +10,9 @@
 use crate::call::{CallError, ReplyLimits, call};
 use crate::host::Host;
 
-/// Maximum wait for the head of a reply, and for each further part. It is many times what the store usually takes, and short
-/// enough for several retries before the configuration counts as stale.
+/// Maximum wait for the head of a reply, and for each further part. It is many times what the
+/// store usually takes, and short enough for several retries before the configuration counts
+/// as stale.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Maximum wait for the reply to a query that the store holds until there are changes.
