Read long replies of the own interface's platform as long as they make progress

Change: reads have 2 s for the head and each part, and 30 s in all. Writes keep their timeout. Result: the new test is of a new method; with the timeout for the whole reply its first case would end after 500 ms of 800. Tests of the crate's client and of settings in force pass.

--- a/crates/toucancleat-entry/src/http/client.rs
+++ b/crates/toucancleat-entry/src/http/client.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::header::CONNECTION;
 use http::{HeaderName, HeaderValue, Method};
 use http_body_util::{BodyExt, Limited};
@@ -158,6 +158,53 @@
             .await
             .unwrap_or(Err(CallError::TimedOut(timeout_ms)))
     }
+
+    /// Sends a call and reads the whole reply as long as it makes progress.
+    ///
+    /// The head and each further part of the body have `part_timeout_ms`, and all together
+    /// `timeout_ms`. With a short timeout for the whole reply, a long one that a slow link
+    /// carries would be discarded and read again, without end.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`HttpClient::exchange`].
+    pub async fn exchange_in_parts(
+        &self,
+        call: HttpCall<'_>,
+        part_timeout_ms: u64,
+        timeout_ms: u64,
+        reply_max_bytes: usize,
+    ) -> Result<http::Response<Bytes>, CallError> {
+        let part_timeout = Duration::from_millis(part_timeout_ms);
+        let exchange = async {
+            let reply = tokio::time::timeout(part_timeout, self.send(call));
+            let reply = reply
+                .await
+                .unwrap_or(Err(CallError::TimedOut(part_timeout_ms)))?;
+            let (head, body) = reply.into_parts();
+            let mut body = Limited::new(body, reply_max_bytes);
+            let mut bytes = BytesMut::new();
+            loop {
+                let part = tokio::time::timeout(part_timeout, body.frame());
+                match part
+                    .await
+                    .map_err(|_| CallError::TimedOut(part_timeout_ms))?
+                {
+                    None => break,
+                    Some(Err(error)) => return Err(CallError::Body(error.to_string())),
+                    Some(Ok(frame)) => {
+                        if let Ok(data) = frame.into_data() {
+                            bytes.extend_from_slice(&data);
+                        }
+                    }
+                }
+            }
+            Ok(http::Response::from_parts(head, bytes.freeze()))
+        };
+        tokio::time::timeout(Duration::from_millis(timeout_ms), exchange)
+            .await
+            .unwrap_or(Err(CallError::TimedOut(timeout_ms)))
+    }
 }
 
 /// Returns true if no connection could be opened.
--- a/crates/toucancleat-entry/src/platform.rs
+++ b/crates/toucancleat-entry/src/platform.rs
@@ -13,8 +13,11 @@
 use crate::error::Error;
 use crate::http::{HttpCall, HttpClient};
 
-/// Timeout of one call to the platform, after which its outcome is unknown.
+/// Timeout of a write to the platform, after which its outcome is unknown, and of the head and
+/// each further part of the reply to a read.
 const CALL_TIMEOUT_MS: u64 = 2_000;
+/// Timeout of a read, as long as its reply makes progress.
+const READ_TIMEOUT_MS: u64 = 30_000;
 /// Bound on the size of a reply.
 const REPLY_MAX_BYTES: usize = 64 * 1_024 * 1_024;
 /// Delay before a retry if the platform's rejection gives none.
@@ -277,7 +280,7 @@
         call: HttpCall<'_>,
     ) -> Result<http::Response<Bytes>, Error> {
         self.client
-            .exchange(call, CALL_TIMEOUT_MS, REPLY_MAX_BYTES)
+            .exchange_in_parts(call, CALL_TIMEOUT_MS, READ_TIMEOUT_MS, REPLY_MAX_BYTES)
             .await
             .map_err(|error| Error::platform(operation, error.to_string()))
     }
--- a/crates/toucancleat-entry/tests/http_client.rs
+++ b/crates/toucancleat-entry/tests/http_client.rs
@@ -1,6 +1,10 @@
 //! A failed call counts as not sent only if its connection was never opened.
 
+use std::time::Duration;
+
 use http::Method;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use toucancleat_entry::http::{CallError, HttpCall, HttpClient};
 use toucancleat_standin::{
     CutReply, FaultProxy, FaultProxyConfig, ProxyFaults, Service, ServiceConfig,
@@ -107,3 +111,67 @@
         }
     }
 }
+
+/// Guards against a reply of the platform that takes longer than the timeout, because the host
+/// has a slow link, and is read again and again.
+#[tokio::test]
+async fn a_reply_in_parts_is_read_as_long_as_it_makes_progress() {
+    struct Case {
+        name: &'static str,
+        pauses_ms: &'static [u64],
+        is_read: bool,
+    }
+    let cases = [
+        Case {
+            name: "each part in time, all of them later than the timeout",
+            pauses_ms: &[100; 8],
+            is_read: true,
+        },
+        Case {
+            name: "a pause longer than the timeout",
+            pauses_ms: &[100, 900],
+            is_read: false,
+        },
+        Case {
+            name: "longer than all parts may take",
+            pauses_ms: &[100; 40],
+            is_read: false,
+        },
+    ];
+    for case in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let pauses_ms = case.pauses_ms;
+        tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let mut request = [0; 1_024];
+            let received = stream.read(&mut request).await.expect("a request");
+            assert!(received > 0);
+            let length = 5 * pauses_ms.len();
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.expect("written");
+            for pause_ms in pauses_ms {
+                tokio::time::sleep(Duration::from_millis(*pause_ms)).await;
+                if stream.write_all(b"part ").await.is_err() {
+                    // The client has given up.
+                    return;
+                }
+            }
+        });
+        let call = HttpCall {
+            address,
+            method: Method::GET,
+            path: "/",
+            headers: Vec::new(),
+            body: "".into(),
+        };
+        let client = HttpClient::unpooled();
+        let reply = client
+            .exchange_in_parts(call, TIMEOUT_MS, 5 * TIMEOUT_MS, REPLY_MAX_BYTES)
+            .await;
+        let expected = "part ".repeat(pauses_ms.len());
+        let body = reply.map(|reply| reply.into_body());
+        let is_whole = body.is_ok_and(|body| body == expected.as_bytes());
+        assert_eq!(is_whole, case.is_read, "{}", case.name);
+    }
+}
