Log the version of the software of targets

Needed to tell apart how a stream came to continue at another version: no code read the version of an entry in the host list, and no line of an attempt or of a migration named it. Hosts send it with changes of the host list, after all parts that hosts of earlier releases know, and a digest of the versions shows who has missed one. A host that received an entry without a version from a host of an earlier release reads the list. Attempts, migrations and targets that join are logged with it, and attempts with the name of the attempt that the caller resumes. Where requests go hasn't changed.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -9,6 +9,7 @@
 use crate::peers::{Message, Recipient};
 use crate::request::{AttemptOutcome, Dispatch, IncomingRequest, Refusal, RequestNumber};
 use crate::store::{Query, Reply};
+use crate::target::SoftwareVersion;
 use crate::target_notice::TargetNotice;
 
 /// An event of an entry host.
@@ -124,6 +125,8 @@
         destination: TargetName,
         /// The destination's address.
         address: SocketAddr,
+        /// The version of the destination's software.
+        target_version: Option<SoftwareVersion>,
     },
     /// No target has room for a run that should migrate.
     NoDestination {
@@ -169,6 +172,8 @@
         store_version: u64,
         /// Remaining duration of its slow start.
         slow_start_left_ms: u64,
+        /// Version of its software.
+        target_version: Option<SoftwareVersion>,
     },
     /// A target is leaving and takes no new work.
     TargetLeaving {
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -88,6 +88,10 @@
     /// The era of the store in which the sender knows the host list.
     #[serde(skip)]
     pub store_era: u64,
+    /// Digest of the versions of the targets' software at that version of the host list. Hosts
+    /// of the last release don't send it.
+    #[serde(skip)]
+    pub version_digest: Option<u64>,
     /// A sample of the addresses of other hosts.
     pub addresses: Vec<SocketAddr>,
     /// A change that the sender has read from the store.
--- a/crates/toucancleat-fleet/src/prelude.rs
+++ b/crates/toucancleat-fleet/src/prelude.rs
@@ -11,4 +11,5 @@
     AttemptOutcome, Dispatch, IncomingRequest, Reason, Refusal, RequestNumber,
 };
 pub use crate::state::{Identity, State};
+pub use crate::target::SoftwareVersion;
 pub use crate::target_notice::TargetNotice;
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -88,6 +88,7 @@
         echo: None,
         notices: state.target_notices.own_reports(now_ms),
         store_era: state.store_era,
+        version_digest: Some(state.directory.version_digest()),
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
@@ -155,7 +156,7 @@
             let transitions = state.directory.apply_changes(position, &mut changes);
             store_sync::log_transitions(state, &transitions, effects);
             store_sync::apply_transitions(state, now_ms, transitions, effects);
-            if message.host_list_digest == state.directory.digest() {
+            if has_same_host_list(state, message) {
                 state.directory.advance_to(message.host_list_position());
             }
         }
@@ -163,16 +164,26 @@
     }
 }
 
+/// Returns true if the sender knows the same host list as this host.
+fn has_same_host_list(state: &State, message: &Message) -> bool {
+    let own_version_digest = state.directory.version_digest();
+    message.host_list_digest == state.directory.digest()
+        && message
+            .version_digest
+            .is_none_or(|digest| digest == own_version_digest)
+}
+
 /// Compares the versions that the sender knows with those known here, and confirms the
 /// configuration if the sender has confirmed the same version.
 fn compare_versions(state: &mut State, now_ms: u64, message: &Message) {
+    let is_same_host_list = has_same_host_list(state, message);
     let peer_versions = &mut state.peer_versions;
     peer_versions.configuration = peer_versions
         .configuration
         .max(message.configuration_version);
     // N.B. the versions alone don't show whether a list was missed: two hosts that read the
     // same list at different times know it at different versions.
-    if message.host_list_digest == state.directory.digest() {
+    if is_same_host_list {
         state.directory.advance_to(message.host_list_position());
     } else {
         peer_versions.host_list =
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -198,9 +198,10 @@
     effects: &mut Vec<Effect>,
 ) {
     state.target_notices.take_permit(now_ms, &destination);
-    let address = state.directory.get(&destination).map(|entry| entry.address);
-    let (Some(address), Some(request)) =
-        (address, state.requests.get_mut(&request_number))
+    let entry = state.directory.get(&destination);
+    let entry = entry.map(|entry| (entry.address, entry.software_version.clone()));
+    let (Some((address, target_version)), Some(request)) =
+        (entry, state.requests.get_mut(&request_number))
     else {
         return effects.push(Effect::NoDestination { request_number });
     };
@@ -217,6 +218,7 @@
         request_number,
         destination,
         address,
+        target_version,
     });
 }
 
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -175,6 +175,7 @@
         host_list_version: state.directory.known_position().version,
         attempt: state.requests[&request_number].attempts + 1,
         cost: selection.cost,
+        target_version: entry.software_version.clone(),
         live_peers: state.peers.live(now_ms).count(),
         limited_targets: state.limited_targets(),
     };
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -513,6 +513,7 @@
                 target: target.clone(),
                 store_version,
                 slow_start_left_ms: entry.slow_start_left_ms,
+                target_version: entry.software_version.clone(),
             },
             TargetTransition::Leaving(target, _) => LogEvent::TargetLeaving {
                 target: target.clone(),
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -8,6 +8,7 @@
 use crate::configuration::{Configuration, RetrySafety, Route};
 use crate::peers::Load;
 use crate::poison_requests::Fingerprint;
+use crate::target::SoftwareVersion;
 
 /// Identifies a request within one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -24,6 +25,11 @@
     pub path: String,
     /// The caller's API key.
     pub api_key: Option<String>,
+    /// The id of the attempt that brought the first event of the stream that the caller takes
+    /// up again.
+    pub resumed_attempt_id: Option<Arc<str>>,
+    /// Whether the caller has received events of the stream already.
+    pub is_resumption: bool,
     /// Identifies the request's content across attempts with different ids.
     pub fingerprint: Fingerprint,
     /// How long the caller waits, in milliseconds.
@@ -87,6 +93,8 @@
     pub attempt: u32,
     /// Cost of the selected target.
     pub cost: f64,
+    /// Version of the selected target's software.
+    pub target_version: Option<SoftwareVersion>,
     /// Number of live peers.
     pub live_peers: usize,
     /// Number of targets that limit the rate of requests.
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -242,9 +242,11 @@
         self.peer_versions.configuration > own_version
     }
 
-    /// Returns true if a peer has reported a newer host list.
+    /// Returns true if a peer has reported a newer host list, or has sent entries without the
+    /// versions of the targets' software.
     pub(crate) fn lacks_target_changes(&self) -> bool {
         self.peer_versions.host_list > self.directory.known_position()
+            || self.directory.lacks_versions()
     }
 
     /// Returns true if API keys of the configuration may still be trusted.
--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -1,6 +1,8 @@
 //! Targets as the platform's host list describes them.
 
+use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -9,6 +11,33 @@
 
 use crate::store::StorePosition;
 
+/// The version of a target's software.
+///
+/// Versions are compared for equality only. They have no order: a release may be rolled back,
+/// and several may serve side by side. What two of them generate doesn't fit together, so a
+/// stream continues only at the version that began it. See
+/// docs/design/software-versions.md.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// Creates a version from its name.
+    pub fn new(name: &str) -> Self {
+        SoftwareVersion(Arc::from(name))
+    }
+
+    /// Returns the name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 /// A target's entry in the host list.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetEntry {
@@ -27,6 +56,10 @@
     pub started_unix_ms: Option<u64>,
     /// Remaining duration of the target's slow start, as of this entry.
     pub slow_start_left_ms: u64,
+    /// The version of the target's software, or `None` if a host of an earlier release has
+    /// sent the entry. Those hosts don't know this field, so messages carry it separately.
+    #[serde(skip)]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 impl TargetEntry {
@@ -56,6 +89,16 @@
         );
         stable_hash(content.as_bytes())
     }
+
+    /// Returns a hash of the target's name and of its software's version. It is separate from
+    /// [`digest`](Self::digest), which hosts of earlier releases compare.
+    fn version_digest(&self, target: &TargetName) -> u64 {
+        let content = format!(
+            "{target} {:?} {:?}",
+            self.started_unix_ms, self.software_version
+        );
+        stable_hash(content.as_bytes())
+    }
 }
 
 /// One change of the host list.
@@ -80,6 +123,10 @@
     /// Combined hash of all entries. It doesn't depend on their order, so that a change
     /// updates it alone.
     digest: u64,
+    /// The same for the versions of the targets' software.
+    version_digest: u64,
+    /// Number of targets whose software's version isn't known.
+    unknown_versions: usize,
 }
 
 /// The effect of a change on one target.
@@ -119,6 +166,17 @@
         self.digest
     }
 
+    /// Returns a digest of the versions of all targets' software.
+    pub fn version_digest(&self) -> u64 {
+        self.version_digest
+    }
+
+    /// Returns true if the version of some target's software isn't known. The complete list of
+    /// the store has it.
+    pub fn lacks_versions(&self) -> bool {
+        self.unknown_versions > 0
+    }
+
     /// Returns a target's entry.
     pub fn get(&self, target: &TargetName) -> Option<&TargetEntry> {
         self.targets.get(target)
@@ -231,10 +289,16 @@
     fn apply(
         &mut self,
         target: TargetName,
-        entry: Option<TargetEntry>,
+        mut entry: Option<TargetEntry>,
         transitions: &mut Vec<TargetTransition>,
     ) -> bool {
         let before = self.targets.get(&target);
+        if let (Some(before), Some(entry)) = (before, &mut entry)
+            && entry.software_version.is_none()
+            && entry.started_unix_ms == before.started_unix_ms
+        {
+            entry.software_version.clone_from(&before.software_version);
+        }
         let is_content_change = match (before, &entry) {
             (Some(before), Some(entry)) => entry.differs_from(before),
             (None, None) => false,
@@ -245,7 +309,13 @@
         }
         for changed in [before, entry.as_ref()].into_iter().flatten() {
             self.digest ^= changed.digest(&target);
+            self.version_digest ^= changed.version_digest(&target);
         }
+        let lacks_version = |entry: Option<&TargetEntry>| {
+            entry.is_some_and(|e| e.software_version.is_none())
+        };
+        self.unknown_versions += usize::from(lacks_version(entry.as_ref()));
+        self.unknown_versions -= usize::from(lacks_version(before));
         let was_accepting = before.is_some_and(|entry| !entry.is_leaving);
         match entry {
             None => {
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -107,6 +107,7 @@
         slots: 24,
         started_unix_ms: Some(1),
         slow_start_left_ms: 0,
+        software_version: Some(SoftwareVersion::new("v1")),
     }
 }
 
@@ -135,6 +136,8 @@
         hostname: "plans.example".to_owned(),
         path: format!("/{kind}/7"),
         api_key: Some(KEY.to_owned()),
+        resumed_attempt_id: None,
+        is_resumption: false,
         fingerprint: 0,
         time_limit_ms: Some(6_000),
         prompt_tokens: 3_000,
--- a/crates/toucancleat-gateway/src/attempt.rs
+++ b/crates/toucancleat-gateway/src/attempt.rs
@@ -18,7 +18,7 @@
 use crate::bodies::Body;
 use crate::clock;
 use crate::connection::{Connection, Driver};
-use crate::host::Host;
+use crate::host::{Host, version_text};
 
 /// Maximum size in bytes of an answer that isn't a stream. Such an answer is buffered
 /// until it is complete, so that an interrupted one can be retried at another target.
@@ -32,6 +32,8 @@
 pub struct Outbound {
     /// The id that the caller gave this attempt.
     pub attempt_id: Arc<str>,
+    /// The id of the attempt that brought the first event, if the caller resumes a stream.
+    pub resumed_attempt_id: Option<Arc<str>>,
     /// The head of the caller's request.
     pub parts: Parts,
     /// The body of the caller's request.
@@ -253,6 +255,8 @@
         outcome,
         took_ms,
         cost = inputs.cost,
+        target_version = version_text(inputs.target_version.as_ref()),
+        resumes = outbound.resumed_attempt_id.as_deref().unwrap_or_default(),
         configuration_version = inputs.configuration_version,
         configuration_age_ms = inputs.configuration_age_ms,
         targets_version = inputs.host_list_version,
--- /dev/null
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -0,0 +1,89 @@
+//! Encodes and decodes the datagrams between entry hosts.
+//!
+//! Hosts of several releases run side by side while a fleet is upgraded, and the encoding
+//! doesn't describe itself. So what a release adds to a message follows all that earlier ones
+//! know, which ignore it.
+
+use serde::{Deserialize, Serialize};
+use toucancleat_fleet::peers::{Echo, Message, Update};
+use toucancleat_fleet::prelude::SoftwareVersion;
+use toucancleat_fleet::target_notice::NoticeReport;
+
+/// The parts of a message that follow the echo. Hosts of earlier releases ignore what follows
+/// the echo, and send nothing there.
+#[derive(Default, Serialize, Deserialize)]
+struct Extension {
+    notices: Vec<NoticeReport>,
+    store_era: u64,
+}
+
+/// The parts that follow the extension. Hosts of the last release ignore them.
+#[derive(Serialize, Deserialize)]
+struct VersionExtension {
+    version_digest: u64,
+    /// The software's version of each entry among the changes of the host list, in their order.
+    entry_versions: Vec<Option<SoftwareVersion>>,
+}
+
+/// Encodes the parts of a message that precede and follow the echo of each recipient.
+///
+/// # Errors
+///
+/// Returns an error if a part can't be encoded.
+pub fn encode(mut message: Message) -> postcard::Result<(Vec<u8>, Vec<u8>)> {
+    let extension = Extension {
+        notices: std::mem::take(&mut message.notices),
+        store_era: message.store_era,
+    };
+    let versions = VersionExtension {
+        version_digest: message.version_digest.unwrap_or_default(),
+        entry_versions: entry_versions(&mut message)
+            .map(|version| version.clone())
+            .collect(),
+    };
+    let extension = postcard::to_stdvec(&extension)?;
+    Ok((
+        postcard::to_stdvec(&message)?,
+        postcard::to_extend(&versions, extension)?,
+    ))
+}
+
+/// Returns the software's version of each entry among the changes that a message carries.
+fn entry_versions(
+    message: &mut Message,
+) -> impl Iterator<Item = &mut Option<SoftwareVersion>> {
+    let changes = match &mut message.update {
+        Some(Update::Targets(changes)) => changes.as_mut_slice(),
+        _ => &mut [],
+    };
+    changes
+        .iter_mut()
+        .filter_map(|change| change.entry.as_mut())
+        .map(|entry| &mut entry.software_version)
+}
+
+/// Decodes a message, the echo and the parts that follow it.
+///
+/// # Errors
+///
+/// Returns an error if the datagram is cut off or isn't a message.
+pub fn decode(datagram: &[u8]) -> postcard::Result<Message> {
+    let (mut message, rest) = postcard::take_from_bytes::<Message>(datagram)?;
+    let (echo, rest) = postcard::take_from_bytes::<Option<Echo>>(rest)?;
+    let (extension, rest) = if rest.is_empty() {
+        (Extension::default(), rest)
+    } else {
+        postcard::take_from_bytes::<Extension>(rest)?
+    };
+    message.echo = echo;
+    message.notices = extension.notices;
+    message.store_era = extension.store_era;
+    if !rest.is_empty() {
+        let versions: VersionExtension = postcard::from_bytes(rest)?;
+        message.version_digest = Some(versions.version_digest);
+        for (version, sent) in entry_versions(&mut message).zip(versions.entry_versions) {
+            *version = sent;
+        }
+    }
+    Ok(message)
+}
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -48,6 +48,8 @@
         destination: TargetName,
         /// The address of the destination.
         address: SocketAddr,
+        /// The version of the destination's software.
+        target_version: Option<SoftwareVersion>,
     },
     /// No target has room for a run that needs to migrate.
     NoDestination,
@@ -219,11 +221,13 @@
                 request_number,
                 destination,
                 address,
+                target_version,
             } => self.send_command(
                 request_number,
                 Command::Migrate {
                     destination,
                     address,
+                    target_version,
                 },
             ),
             Effect::NoDestination { request_number } => {
@@ -288,6 +292,11 @@
     }
 }
 
+/// Returns a version of targets' software for the log; empty if it isn't known.
+pub fn version_text(version: Option<&SoftwareVersion>) -> &str {
+    version.map_or("", SoftwareVersion::as_str)
+}
+
 fn log_event(event: &LogEvent) {
     match event {
         LogEvent::ConfigurationRejected {
@@ -306,8 +315,9 @@
             target,
             store_version,
             slow_start_left_ms,
+            target_version,
         } => {
-            log::info!(target_name:% = target, store_version, slow_start_left_ms; "target joined; it accepts requests");
+            log::info!(target_name:% = target, store_version, slow_start_left_ms, target_version = version_text(target_version.as_ref()); "target joined; it accepts requests");
         }
         LogEvent::TargetLeaving {
             target,
--- a/crates/toucancleat-gateway/src/lib.rs
+++ b/crates/toucancleat-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod callers;
 mod clock;
 mod connection;
+pub mod datagram;
 mod error;
 mod host;
 mod logging;
--- a/crates/toucancleat-gateway/src/peers.rs
+++ b/crates/toucancleat-gateway/src/peers.rs
@@ -5,14 +5,13 @@
 
 use std::rc::Rc;
 
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 use toucancleat_fleet::event::Event;
-use toucancleat_fleet::peers::{Echo, Message, Recipient};
-use toucancleat_fleet::target_notice::NoticeReport;
+use toucancleat_fleet::peers::{Message, Recipient};
 
 use crate::Error;
+use crate::datagram::{decode, encode};
 use crate::host::Host;
 
 /// Maximum size in bytes of a received datagram.
@@ -94,38 +93,3 @@
         }
     }
 }
-
-/// The parts of a message that follow the echo. Hosts of earlier releases ignore what follows
-/// the echo, and send nothing there.
-#[derive(Default, Serialize, Deserialize)]
-struct Extension {
-    notices: Vec<NoticeReport>,
-    store_era: u64,
-}
-
-/// Encodes the parts of a message that precede and follow the echo of each recipient.
-fn encode(mut message: Message) -> postcard::Result<(Vec<u8>, Vec<u8>)> {
-    let extension = Extension {
-        notices: std::mem::take(&mut message.notices),
-        store_era: message.store_era,
-    };
-    Ok((
-        postcard::to_stdvec(&message)?,
-        postcard::to_stdvec(&extension)?,
-    ))
-}
-
-/// Decodes a message, the echo and the parts that follow it.
-fn decode(datagram: &[u8]) -> postcard::Result<Message> {
-    let (mut message, rest) = postcard::take_from_bytes::<Message>(datagram)?;
-    let (echo, rest) = postcard::take_from_bytes::<Option<Echo>>(rest)?;
-    let extension = if rest.is_empty() {
-        Extension::default()
-    } else {
-        postcard::from_bytes(rest)?
-    };
-    message.echo = echo;
-    message.notices = extension.notices;
-    message.store_era = extension.store_era;
-    Ok(message)
-}
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -303,8 +303,9 @@
             Command::Migrate {
                 destination,
                 address,
+                target_version,
             } => {
-                self.migrate(destination, address);
+                self.migrate(destination, address, target_version);
                 NextAction::Continue
             }
             Command::NoDestination => {
--- a/crates/toucancleat-gateway/src/relay/migration.rs
+++ b/crates/toucancleat-gateway/src/relay/migration.rs
@@ -13,6 +13,7 @@
 use crate::attempt::Resumption;
 use crate::call::{CallError, ReplyLimits, call};
 use crate::clock;
+use crate::host::version_text;
 
 /// Limits on the reply to the copy of a run's KV cache. Its timeout is longer than the notice
 /// that leaving targets give.
@@ -36,6 +37,7 @@
     source: SocketAddr,
     destination: TargetName,
     destination_address: SocketAddr,
+    destination_version: Option<SoftwareVersion>,
     /// The call for a copy that is in progress.
     pub(super) copy: Option<Pin<Box<dyn Future<Output = CopyResult>>>>,
     /// The source's handle of the KV cache, once there is a copy.
@@ -60,13 +62,19 @@
 
 impl Relay {
     /// Starts the transfer of the run to a destination.
-    pub(super) fn migrate(&mut self, destination: TargetName, address: SocketAddr) {
+    pub(super) fn migrate(
+        &mut self,
+        destination: TargetName,
+        address: SocketAddr,
+        target_version: Option<SoftwareVersion>,
+    ) {
         self.discard_transfer();
         let step = self.get_or_begin_migration().first_step();
         self.transfer = Some(Transfer {
             source: self.dispatch.address,
             destination,
             destination_address: address,
+            destination_version: target_version,
             copy: None,
             handle: None,
             was_closed_cleanly: false,
@@ -235,6 +243,7 @@
         if !is_at_source {
             self.dispatch.target = transfer.destination.clone();
             self.dispatch.address = transfer.destination_address;
+            self.dispatch.inputs.target_version = transfer.destination_version;
         }
         let attempt_deadline_ms = clock::now_ms() + RESUME_TIMEOUT_MS;
         self.dispatch.attempt_deadline_ms =
@@ -263,6 +272,7 @@
         log::info!(
             request:% = self.outbound.attempt_id,
             target_name:% = self.dispatch.target,
+            target_version = version_text(self.dispatch.inputs.target_version.as_ref()),
             outcome,
             pause_ms;
             "run migration ended"
--- a/crates/toucancleat-gateway/src/request.rs
+++ b/crates/toucancleat-gateway/src/request.rs
@@ -100,6 +100,7 @@
     };
     let outbound = Rc::new(Outbound {
         attempt_id: incoming.attempt_id.clone(),
+        resumed_attempt_id: incoming.resumed_attempt_id.clone(),
         parts,
         body,
     });
