--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -25,6 +25,9 @@
     pub readers: IndexSet<usize>,
     /// Queries of all hosts, in order.
     pub queries: Vec<Query>,
+    /// The targets to which requests were sent, and the requests that were refused.
+    pub dispatched: Vec<(RequestNumber, TargetName)>,
+    pub refused_requests: IndexSet<RequestNumber>,
 }
 
 impl Fleet {
@@ -43,6 +46,8 @@
             refused: IndexSet::new(),
             readers: IndexSet::new(),
             queries: Vec::new(),
+            dispatched: Vec::new(),
+            refused_requests: IndexSet::new(),
         };
         for host in &mut fleet.hosts {
             populate(host, START_MS, targets);
@@ -92,10 +97,54 @@
         }
     }
 
+    /// Applies an event at a host and executes its effects.
+    pub fn apply(&mut self, index: usize, event: Event) {
+        let effects = apply(&mut self.hosts[index], self.now_ms, event);
+        self.execute(index, effects, true);
+    }
+
+    /// Lets a host receive a request, and returns the target to which it is sent at once.
+    pub fn send_request(
+        &mut self,
+        index: usize,
+        number: u64,
+        request: IncomingRequest,
+    ) -> Option<TargetName> {
+        let request_number = RequestNumber(number);
+        self.apply(
+            index,
+            Event::RequestReceived {
+                request_number,
+                request,
+            },
+        );
+        self.dispatched_to(number).pop()
+    }
+
+    /// Returns the targets to which a request was sent.
+    pub fn dispatched_to(&self, number: u64) -> Vec<TargetName> {
+        let sent = self.dispatched.iter();
+        sent.filter(|(request_number, _)| *request_number == RequestNumber(number))
+            .map(|(_, target)| target.clone())
+            .collect()
+    }
+
+    /// Returns true if a request was refused.
+    pub fn is_refused(&self, number: u64) -> bool {
+        self.refused_requests.contains(&RequestNumber(number))
+    }
+
     /// Executes a host's effects: delivers its messages and answers its queries.
     pub fn execute(&mut self, index: usize, effects: Vec<Effect>, store_is_up: bool) {
         self.send(index, &effects);
+        for dispatch in dispatches(&effects) {
+            let sent = (dispatch.request_number, dispatch.target.clone());
+            self.dispatched.push(sent);
+        }
         for effect in effects {
+            if let Effect::Refuse { request_number, .. } = effect {
+                self.refused_requests.insert(request_number);
+            }
             if let Effect::QueryStore(query) = effect {
                 self.readers.insert(index);
                 self.queries.push(query);
