Migrate runs only to targets with the version of their software

Cause: the plan of migrations, and the choice of another destination, took any engine of the pool. In a release the engines of the version that leaves are the sources, and the new and empty ones of another version the cheapest destinations. Resumption from a copy after a failure of the source continues at the same destination. Change: a source names where its runs may continue, and only destinations with that version are considered, by the plan as by the single choice. A run without such a destination stays at its source, which may outlast it.

--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod config;
 pub mod configuration;
 pub mod configuration_change;
+pub mod continuation;
 pub mod event;
 pub mod event_stream;
 pub mod health;
--- a/crates/toucancleat-fleet/src/migration_plan.rs
+++ b/crates/toucancleat-fleet/src/migration_plan.rs
@@ -13,6 +13,9 @@
 use indexmap::IndexMap;
 use toucancleat_core::prelude::*;
 
+use crate::continuation::Continuation;
+use crate::target::TargetEntry;
+
 /// Duration of a copy between two zones, relative to one within a zone.
 const OTHER_ZONE_FACTOR: f64 = 2.0;
 
@@ -34,6 +37,8 @@
     pub target: TargetName,
     /// Its zone.
     pub zone: ZoneName,
+    /// The version at which its runs may continue.
+    pub continuation: Continuation,
     /// The runs of each host there.
     pub runs: Vec<HostRuns>,
 }
@@ -54,15 +59,16 @@
 pub struct Destination {
     /// The target.
     pub target: TargetName,
-    /// Its zone.
-    pub zone: ZoneName,
+    /// Its entry in the host list.
+    pub entry: TargetEntry,
     /// Memory in use there, in tokens.
     pub used_tokens: u64,
     /// Total memory there, in tokens.
     pub memory_tokens: u64,
 }
 
-/// Returns a destination for each run of a host, by the target that the run leaves.
+/// Returns a destination for each run of a host, by the target that the run leaves. Runs of a
+/// target have none if no destination has the version of its software.
 pub fn plan(
     mut sources: Vec<Source>,
     mut destinations: Vec<Destination>,
@@ -77,7 +83,7 @@
         let zone = &sources[source].zone;
         let cost = |index: usize| {
             let destination: &Destination = &destinations[index];
-            let duration = if destination.zone == *zone {
+            let duration = if destination.entry.zone == *zone {
                 1.0
             } else {
                 OTHER_ZONE_FACTOR
@@ -89,9 +95,12 @@
             let full = if fill > FULL_SHARE { FULL_COST } else { 0.0 };
             (start + duration, start + duration + FILL_COST * fill + full)
         };
-        let costs = (0..destinations.len()).map(|index| (index, cost(index)));
+        let continuation = &sources[source].continuation;
+        let permitted = (0..destinations.len())
+            .filter(|index| continuation.permits(&destinations[*index].entry));
+        let costs = permitted.map(|index| (index, cost(index)));
         let Some((index, (end, _))) = costs.min_by(|a, b| a.1.1.total_cmp(&b.1.1)) else {
-            return plan;
+            continue;
         };
         source_link_free_at[source] = end;
         destination_link_free_at[index] = end;
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -6,6 +6,7 @@
 use super::placement::{load_at, select_for};
 use super::requests::{release_placement, subtract_load, take_retry};
 use crate::configuration::RetrySafety;
+use crate::continuation::Continuation;
 use crate::event::Effect;
 use crate::migration_plan::{self, Destination, HostRuns, Source};
 use crate::request::{Request, RequestNumber};
@@ -122,6 +123,7 @@
         Source {
             target: target.clone(),
             zone: entry.zone.clone(),
+            continuation: Continuation::after(entry.software_version.as_ref()),
             runs,
         }
     };
@@ -155,7 +157,7 @@
             let engine = configuration.engine(&entry.pool)?;
             Some(Destination {
                 target: target.clone(),
-                zone: entry.zone.clone(),
+                entry: entry.clone(),
                 used_tokens: load_at(state, target).tokens,
                 memory_tokens: engine.memory_tokens,
             })
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -7,6 +7,7 @@
     ATTEMPT_MIN_MS, RETRY_AFTER_LONG_MS, RETRY_AFTER_SHORT_MS, refuse,
 };
 use crate::configuration::RetrySafety;
+use crate::continuation::Continuation;
 use crate::event::Effect;
 use crate::peers::Load;
 use crate::request::{DecisionInputs, Dispatch, Reason, Request, RequestNumber};
@@ -186,6 +187,7 @@
     request.tried_targets.push(selection.target.clone());
     let added = request.load();
     request.placement = Some((selection.target.clone(), added));
+    request.running_version.clone_from(&entry.software_version);
     let route = request.route();
     let remaining_ms = request.deadline_ms - now_ms;
     let attempt_timeout_ms = match route.retry_safety {
@@ -285,12 +287,18 @@
         is_stream: request.route().retry_safety.is_stream(),
         engine,
     };
+    let continuation = if is_migration {
+        Continuation::after(request.running_version.as_ref())
+    } else {
+        Continuation::AnyVersion
+    };
     let tried_targets = &request.tried_targets;
     let candidates = state
         .usable_targets(&request.pool)
         .into_iter()
-        .filter(|(target, _)| {
+        .filter(|(target, entry)| {
             !tried_targets.contains(*target)
+                && continuation.permits(entry)
                 && state.target_notices.takes_request(now_ms, target)
         })
         .map(|(target, entry)| Candidate {
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -139,6 +139,7 @@
         attempts: 0,
         verdict: Verdict::NotRun,
         placement: None,
+        running_version: None,
         destination: None,
         has_migration_retry: false,
         generated_tokens: 0,
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -230,6 +230,8 @@
     pub verdict: Verdict,
     /// The target that runs it, and the load that is counted for it there.
     pub placement: Option<(TargetName, Load)>,
+    /// Version of that target's software.
+    pub running_version: Option<SoftwareVersion>,
     /// The target that it is migrating to, and the load that is counted for it there.
     pub destination: Option<(TargetName, Load)>,
     /// Whether the retry that its next migration counts as has been taken.
--- a/crates/toucancleat-fleet/tests/migration_plan.rs
+++ b/crates/toucancleat-fleet/tests/migration_plan.rs
@@ -1,7 +1,11 @@
 //! Plans of migrations when several targets leave at once.
 
+mod support;
+
 use std::collections::BTreeMap;
 
+use support::entry;
+use toucancleat_fleet::continuation::Continuation;
 use toucancleat_fleet::migration_plan::{Destination, HostRuns, Source, plan};
 use toucancleat_fleet::prelude::*;
 
@@ -17,6 +21,7 @@
     Source {
         target: TargetName::new(target),
         zone: ZoneName::new(zone),
+        continuation: Continuation::AnyVersion,
         runs: runs.collect(),
     }
 }
@@ -24,7 +29,7 @@
 fn destination(target: &str, zone: &str, used_tokens: u64) -> Destination {
     Destination {
         target: TargetName::new(target),
-        zone: ZoneName::new(zone),
+        entry: entry("engines", zone, 101),
         used_tokens,
         memory_tokens: MEMORY_TOKENS,
     }
