Retry interrupted streams only at the version that began them

What callers could see: a stream with events of two software versions, when its target crashed while it ran. The streams of the incident that were collected are migrations; this is the same class of fault, for streams that may be resumed. Cause: the choice of a target for a retry compared no versions. Change: the first event that goes to the caller binds the stream to the version of the target that runs it, and room, choice and refusal consider targets of that version only. If there is none the stream ends at once with the reason version_gone, without a time to retry after.

--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -122,6 +122,7 @@
         .accepting(&request.pool)
         .filter(|(target, entry)| {
             (entry.zone == *own_zone) == (scope == ZoneScope::OwnZone)
+                && request.continuation.permits(entry)
                 && !state.health.is_ejected(now_ms, target)
                 && state.target_notices.takes_request(now_ms, target)
         })
@@ -235,7 +236,13 @@
     let Some(request) = state.requests.get(&request_number) else {
         return;
     };
-    let targets = state.usable_targets(&request.pool);
+    let mut targets = state.usable_targets(&request.pool);
+    let has_targets = !targets.is_empty();
+    targets.retain(|(_, entry)| request.continuation.permits(entry));
+    if has_targets && targets.is_empty() {
+        // Waiting doesn't help: the caller has to begin the stream anew.
+        return refuse(state, request_number, Reason::VersionGone, None, effects);
+    }
     let untried = targets
         .iter()
         .map(|(target, _)| *target)
@@ -290,7 +297,7 @@
     let continuation = if is_migration {
         Continuation::after(request.running_version.as_ref())
     } else {
-        Continuation::AnyVersion
+        request.continuation.clone()
     };
     let tried_targets = &request.tried_targets;
     let candidates = state
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -7,6 +7,7 @@
 use crate::budget::RetryBound;
 use crate::config::EXIT_RESERVE_MS;
 use crate::configuration::{RetrySafety, Route};
+use crate::continuation::Continuation;
 use crate::event::Effect;
 use crate::health::HealthSample;
 use crate::peers::Load;
@@ -140,6 +141,7 @@
         verdict: Verdict::NotRun,
         placement: None,
         running_version: None,
+        continuation: Continuation::AnyVersion,
         destination: None,
         has_migration_retry: false,
         generated_tokens: 0,
@@ -173,6 +175,9 @@
         .engine(&request.pool)
         .map_or(1, |engine| engine.event_tokens);
     request.generated_tokens = events * event_tokens;
+    if events > 0 && request.continuation == Continuation::AnyVersion {
+        request.continuation = Continuation::after(request.running_version.as_ref());
+    }
     let needed = request.load();
     let Some((target, counted_load)) = &mut request.placement else {
         return;
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -6,6 +6,7 @@
 use toucancleat_core::prelude::*;
 
 use crate::configuration::{Configuration, RetrySafety, Route};
+use crate::continuation::Continuation;
 use crate::peers::Load;
 use crate::poison_requests::Fingerprint;
 use crate::target::SoftwareVersion;
@@ -115,6 +116,8 @@
     UnknownKey,
     /// No target of the pool accepts new work.
     NoTarget,
+    /// No target has the version of the software that began the stream.
+    VersionGone,
     /// Targets declined the request.
     TargetsFull,
     /// All targets limit the rate of requests or want none for a time, and this host has no
@@ -143,6 +146,7 @@
             Reason::NoRoute => "no_route",
             Reason::UnknownKey => "unknown_key",
             Reason::NoTarget => "no_target",
+            Reason::VersionGone => "version_gone",
             Reason::TargetsFull => "targets_full",
             Reason::TargetsLimited => "targets_limited",
             Reason::Stopping => "stopping",
@@ -232,6 +236,8 @@
     pub placement: Option<(TargetName, Load)>,
     /// Version of that target's software.
     pub running_version: Option<SoftwareVersion>,
+    /// Where it may continue, if it is a stream.
+    pub continuation: Continuation,
     /// The target that it is migrating to, and the load that is counted for it there.
     pub destination: Option<(TargetName, Load)>,
     /// Whether the retry that its next migration counts as has been taken.
