Resume streams at the version that began them, whichever host a caller asks

What callers could see: a stream that they take up again after their host was killed or cut off continues at another software version, with events that don't fit what they have. Cause: no host but the one that began a stream knew where, and the choice of a target for a resumption compared nothing. A route that is split over pools could even resume at another pool. Change: a host that sends a resumable stream to a target tells a few keepers the pool and the version, two of its own zone and two of all zones, by consistent hashing over the live hosts. A resumption is bound by what its host has kept, by a version that its pool has had alone for as long as streams last, or by the answer of a keeper. If nobody knows it, or the version has no target left, it is refused at once (unknown_stream, version_gone). Cost: four datagrams for each resumable stream whatever the size of the fleet.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -9,6 +9,7 @@
 use crate::peers::{Message, Recipient};
 use crate::request::{AttemptOutcome, Dispatch, IncomingRequest, Refusal, RequestNumber};
 use crate::store::{Query, Reply};
+use crate::stream_origin::{OriginMessage, OriginSource};
 use crate::target::SoftwareVersion;
 use crate::target_notice::TargetNotice;
 
@@ -29,6 +30,13 @@
     },
     /// A peer's message was received.
     MessageReceived(Box<Message>),
+    /// A peer's message about the origin of a stream was received.
+    OriginMessageReceived {
+        /// The peer's address.
+        from: SocketAddr,
+        /// The message.
+        message: OriginMessage,
+    },
     /// A leaving target reported when it exits.
     LeaveTimeReceived {
         /// The target.
@@ -103,6 +111,13 @@
         /// The message.
         message: Box<Message>,
     },
+    /// Send a message about the origin of a stream to each of these hosts.
+    SendOrigin {
+        /// The recipients' addresses.
+        recipients: Vec<SocketAddr>,
+        /// The message.
+        message: OriginMessage,
+    },
     /// Send a request to a target.
     Dispatch(Box<Dispatch>),
     /// Forward the last answer of a target to the caller.
@@ -214,6 +229,15 @@
         /// Number of live peers.
         live_peers: usize,
     },
+    /// A stream that its caller takes up again continues at the version that began it.
+    StreamResumed {
+        /// The id of the caller's attempt.
+        attempt_id: Arc<str>,
+        /// The version.
+        version: SoftwareVersion,
+        /// How it is known.
+        source: OriginSource,
+    },
     /// The store has returned to a copy.
     StoreEraChanged {
         /// The era.
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -16,6 +16,8 @@
 //!   reach each other ([`budget`]).
 //! - The requests of the whole fleet to a target that limits them stay within its limit
 //!   ([`rate_limit`]).
+//! - A stream continues only at the version of the targets' software that began it, at whichever
+//!   host its caller takes it up again ([`continuation`], [`stream_origin`]).
 //! - A poison request, which crashes every target that runs it, is refused by all hosts
 //!   ([`poison_requests`]).
 //!
@@ -36,6 +38,7 @@
 pub mod event;
 pub mod event_stream;
 pub mod health;
+pub mod host_ring;
 pub mod migration;
 pub mod migration_plan;
 pub mod peers;
@@ -47,6 +50,7 @@
 pub mod selection;
 pub mod state;
 pub mod store;
+pub mod stream_origin;
 pub mod target;
 pub mod target_notice;
 
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::RetryCounts;
 use crate::configuration_change::ConfigurationChange;
+use crate::host_ring::HostRing;
 use crate::migration_plan::HostRuns;
 use crate::poison_requests::Fingerprint;
 use crate::store::{READER_SILENCE_MS, StorePosition};
@@ -199,6 +200,9 @@
     /// Addresses reported by others from which no message was received yet, and until
     /// when messages are sent there.
     candidate_addresses: IndexMap<SocketAddr, u64>,
+    /// The peers of all zones, and of each zone, by which keys are assigned to them.
+    ring: HostRing,
+    zone_rings: IndexMap<ZoneName, HostRing>,
     listed_hosts: usize,
 }
 
@@ -235,6 +239,16 @@
             is_counted: true,
         };
         let address = peer.address;
+        let zone = &peer.last_message.zone;
+        let known = self.peers.get(&from);
+        if known.is_none_or(|known| known.last_message.zone != *zone) {
+            for ring in self.zone_rings.values_mut() {
+                ring.remove(&from);
+            }
+            self.ring.insert(&from);
+            let zone_ring = self.zone_rings.entry(zone.clone()).or_default();
+            zone_ring.insert(&from);
+        }
         if let Some(before) = self.peers.insert(from, peer) {
             if before.is_counted {
                 subtract_loads(&mut self.load_totals, &before.last_message.loads);
@@ -279,10 +293,16 @@
             }
         }
         let peer_addresses = &mut self.peer_addresses;
-        self.peers.retain(|_, peer| {
+        let ring = &mut self.ring;
+        let zone_rings = &mut self.zone_rings;
+        self.peers.retain(|host, peer| {
             let is_kept = now_ms.saturating_sub(peer.received_ms) < PEER_EXPIRY_MS;
             if !is_kept {
                 peer_addresses.swap_remove(&peer.address);
+                ring.remove(host);
+                if let Some(zone_ring) = zone_rings.get_mut(&peer.last_message.zone) {
+                    zone_ring.remove(host);
+                }
             }
             is_kept
         });
@@ -375,6 +395,34 @@
         !self.peers.is_empty() && connected.count() == self.peers.len()
     }
 
+    /// Returns the addresses of the hosts that keep what belongs to a hash: `count` of a zone,
+    /// and as many of all zones. Hosts of earlier releases keep nothing.
+    pub fn keepers(
+        &self,
+        now_ms: u64,
+        zone: &ZoneName,
+        hash: u64,
+        count: usize,
+        is_usable: impl Fn(&Peer) -> bool,
+    ) -> Vec<SocketAddr> {
+        let silence_limit_ms = self.silence_limit_ms();
+        let is_keeper = |host: &HostName| {
+            self.peers.get(host).is_some_and(|peer| {
+                let silence_ms = now_ms.saturating_sub(peer.received_ms);
+                silence_ms <= silence_limit_ms
+                    && peer.last_message.version_digest.is_some()
+                    && is_usable(peer)
+            })
+        };
+        let rings = self.zone_rings.get(zone).into_iter().chain([&self.ring]);
+        let keepers: IndexSet<SocketAddr> = rings
+            .flat_map(|ring| ring.successors(hash, count, is_keeper))
+            .filter_map(|host| self.peers.get(host))
+            .map(|peer| peer.address)
+            .collect();
+        keepers.into_iter().collect()
+    }
+
     /// Returns true if another host reads the store, so that this one need not.
     pub fn has_other_reader(
         &self,
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -6,7 +6,7 @@
     ANNOUNCEMENT_SPREAD_PER_HOST_MS, Message, Recipient, Update, earliest_send_ms,
 };
 use crate::state::{State, random_unit};
-use crate::store::StorePosition;
+use crate::store::{READER_SILENCE_MS, StorePosition};
 
 /// Sends the periodic messages that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
@@ -164,6 +164,17 @@
     }
 }
 
+/// Confirms the host list if the sender knows the same one and has read it recently.
+fn confirm_host_list(state: &mut State, now_ms: u64, message: &Message) {
+    let store_age_ms = message
+        .store_age_ms
+        .filter(|age_ms| *age_ms <= READER_SILENCE_MS);
+    let sent_ms = earliest_send_ms(message, state.identity.incarnation, now_ms);
+    if let (Some(store_age_ms), Some(sent_ms)) = (store_age_ms, sent_ms) {
+        state.confirm_host_list(sent_ms.saturating_sub(store_age_ms));
+    }
+}
+
 /// Returns true if the sender knows the same host list as this host.
 fn has_same_host_list(state: &State, message: &Message) -> bool {
     let own_version_digest = state.directory.version_digest();
@@ -176,18 +187,16 @@
 /// Compares the versions that the sender knows with those known here, and confirms the
 /// configuration if the sender has confirmed the same version.
 fn compare_versions(state: &mut State, now_ms: u64, message: &Message) {
-    let is_same_host_list = has_same_host_list(state, message);
-    let peer_versions = &mut state.peer_versions;
-    peer_versions.configuration = peer_versions
-        .configuration
-        .max(message.configuration_version);
+    let newest_version = &mut state.peer_versions.configuration;
+    *newest_version = (*newest_version).max(message.configuration_version);
     // N.B. the versions alone don't show whether a list was missed: two hosts that read the
     // same list at different times know it at different versions.
-    if is_same_host_list {
+    if has_same_host_list(state, message) {
         state.directory.advance_to(message.host_list_position());
+        confirm_host_list(state, now_ms, message);
     } else {
-        peer_versions.host_list =
-            peer_versions.host_list.max(message.host_list_position());
+        let newest_list = &mut state.peer_versions.host_list;
+        *newest_list = (*newest_list).max(message.host_list_position());
     }
     let own_version = state.configuration.as_ref().map(|known| known.version);
     if message.configuration_version == own_version
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -3,6 +3,7 @@
 mod messages;
 mod migration;
 mod notices;
+mod origins;
 mod placement;
 mod requests;
 mod store_sync;
@@ -19,6 +20,7 @@
         Event::Tick => {
             store_sync::tick(state, now_ms, effects);
             notices::tick(state, now_ms, effects);
+            origins::tick(state, now_ms, effects);
             placement::tick(state, now_ms, effects);
             messages::tick(state, now_ms, effects);
         }
@@ -28,6 +30,9 @@
         Event::MessageReceived(message) => {
             messages::handle_message(state, now_ms, *message, effects)
         }
+        Event::OriginMessageReceived { from, message } => {
+            origins::handle_message(state, now_ms, from, message, effects);
+        }
         Event::LeaveTimeReceived {
             target,
             leaves_at_ms,
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -2,10 +2,10 @@
 
 use toucancleat_core::prelude::*;
 
-use super::messages;
 use super::requests::{
     ATTEMPT_MIN_MS, RETRY_AFTER_LONG_MS, RETRY_AFTER_SHORT_MS, refuse,
 };
+use super::{messages, origins};
 use crate::configuration::RetrySafety;
 use crate::continuation::Continuation;
 use crate::event::Effect;
@@ -41,6 +41,10 @@
 /// once.
 const OTHER_ZONE_SHARE: f64 = 0.7;
 
+/// Share of an engine's memory up to which it takes a stream that has begun elsewhere. Such a
+/// stream has fewer engines to choose from, and is lost if it is refused.
+const CONTINUED_STREAM_SHARE: f64 = 1.0;
+
 /// Number of latency objectives after which an attempt of a resumable stream times out.
 const STREAM_TIMEOUT_OBJECTIVES: u64 = 2;
 
@@ -110,6 +114,7 @@
         return true;
     };
     let share = match (scope, request.route().retry_safety) {
+        _ if request.continuation != Continuation::AnyVersion => CONTINUED_STREAM_SHARE,
         (ZoneScope::OtherZones, _) => OTHER_ZONE_SHARE,
         (ZoneScope::OwnZone, RetrySafety::AtMostOnceStream) => LONG_STREAM_SHARE,
         (ZoneScope::OwnZone, _) => SHORT_STREAM_SHARE,
@@ -220,6 +225,7 @@
     let is_stream = dispatch.retry_safety.is_stream();
     effects.push(Effect::Dispatch(Box::new(dispatch)));
     if is_stream {
+        origins::record(state, now_ms, request_number, effects);
         // Hosts that choose among the same engines need this load before their next
         // choice. Where zones are full, those are the hosts of all zones.
         messages::broadcast(state, now_ms, None, effects);
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -3,6 +3,7 @@
 use toucancleat_core::prelude::*;
 
 use super::migration::release_destination;
+use super::origins;
 use super::placement::{dispatch, place};
 use crate::budget::RetryBound;
 use crate::config::EXIT_RESERVE_MS;
@@ -58,8 +59,14 @@
             state
                 .retry_budget
                 .count_request(now_ms, window_ms, &request.pool);
+            let is_resumption = request.incoming.is_resumption
+                && request.route().retry_safety.is_stream();
             state.requests.insert(request_number, request);
-            place(state, now_ms, request_number, effects);
+            if is_resumption {
+                origins::resume(state, now_ms, request_number, effects);
+            } else {
+                place(state, now_ms, request_number, effects);
+            }
         }
     }
 }
@@ -356,6 +363,7 @@
     }
     release_placement(state, request_number);
     release_destination(state, request_number);
+    state.stream_origins.cancel_lookup(request_number);
     state.requests.swap_remove(&request_number);
 }
 
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -269,6 +269,7 @@
             hold_back_departed(state, &mut list);
             let position = current_position(state, store_version);
             let transitions = state.directory.replace_all(position, &mut list);
+            state.confirm_host_list(started_ms);
             let targets = state.directory.iter().count();
             state.query_schedule.set_target_count(targets);
             if is_first {
@@ -290,6 +291,7 @@
         } => {
             let position = current_position(state, store_version);
             let transitions = state.directory.apply_changes(position, &mut changes);
+            state.confirm_host_list(started_ms);
             broadcast_changes(state, now_ms, &changes, effects);
             log_transitions(state, &transitions, effects);
             apply_transitions(state, now_ms, transitions, effects);
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -118,6 +118,8 @@
     NoTarget,
     /// No target has the version of the software that began the stream.
     VersionGone,
+    /// No host knows which version of the software began the stream.
+    UnknownStream,
     /// Targets declined the request.
     TargetsFull,
     /// All targets limit the rate of requests or want none for a time, and this host has no
@@ -147,6 +149,7 @@
             Reason::UnknownKey => "unknown_key",
             Reason::NoTarget => "no_target",
             Reason::VersionGone => "version_gone",
+            Reason::UnknownStream => "unknown_stream",
             Reason::TargetsFull => "targets_full",
             Reason::TargetsLimited => "targets_limited",
             Reason::Stopping => "stopping",
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -14,6 +14,7 @@
 use crate::poison_requests::PoisonRequests;
 use crate::request::{Request, RequestNumber};
 use crate::store::{ConfigurationRow, QuerySchedule, StorePosition};
+use crate::stream_origin::{SoleVersions, StreamOrigins};
 use crate::target::{TargetDirectory, TargetEntry};
 use crate::target_notice::TargetNotices;
 
@@ -114,6 +115,10 @@
     pub(crate) retry_budget: RetryBudget,
     pub(crate) poison_requests: PoisonRequests,
     pub(crate) health: HealthTable,
+    pub(crate) stream_origins: StreamOrigins,
+    pub(crate) sole_versions: SoleVersions,
+    /// When the host list that this host knows was last the newest.
+    pub(crate) host_list_confirmed_ms: Option<u64>,
     pub(crate) target_notices: TargetNotices,
     /// When this host's shares of the targets' limits are computed next.
     pub(crate) shares_due_ms: u64,
@@ -168,6 +173,9 @@
             retry_budget: RetryBudget::default(),
             poison_requests: PoisonRequests::default(),
             health: HealthTable::default(),
+            stream_origins: StreamOrigins::default(),
+            sole_versions: SoleVersions::default(),
+            host_list_confirmed_ms: None,
             target_notices: TargetNotices::default(),
             shares_due_ms: 0,
             must_broadcast: false,
@@ -210,6 +218,16 @@
         self.target_notices.limits().count()
     }
 
+    /// Returns the number of streams of which this host keeps where they began.
+    pub fn kept_origins(&self) -> usize {
+        self.stream_origins.len()
+    }
+
+    /// Records that the known host list was the newest at a time.
+    pub(crate) fn confirm_host_list(&mut self, at_ms: u64) {
+        self.host_list_confirmed_ms = self.host_list_confirmed_ms.max(Some(at_ms));
+    }
+
     /// Returns true if this host should receive new callers.
     pub fn is_ready(&self, now_ms: u64) -> bool {
         self.stopping_since_ms.is_none()
--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -127,6 +127,8 @@
     version_digest: u64,
     /// Number of targets whose software's version isn't known.
     unknown_versions: usize,
+    /// Number of targets of each version in each pool, leaving ones included.
+    versions: IndexMap<PoolName, IndexMap<SoftwareVersion, usize>>,
 }
 
 /// The effect of a change on one target.
@@ -177,6 +179,18 @@
         self.unknown_versions > 0
     }
 
+    /// Returns the pools that have targets.
+    pub fn pools(&self) -> impl Iterator<Item = &PoolName> {
+        self.versions.keys()
+    }
+
+    /// Returns the version of all targets of a pool, leaving ones included, if it is the same.
+    pub fn sole_version(&self, pool: &PoolName) -> Option<&SoftwareVersion> {
+        let versions = self.versions.get(pool)?;
+        let (version, _) = versions.first()?;
+        (versions.len() == 1 && !self.lacks_versions()).then_some(version)
+    }
+
     /// Returns a target's entry.
     pub fn get(&self, target: &TargetName) -> Option<&TargetEntry> {
         self.targets.get(target)
@@ -316,6 +330,8 @@
         };
         self.unknown_versions += usize::from(lacks_version(entry.as_ref()));
         self.unknown_versions -= usize::from(lacks_version(before));
+        count_version(&mut self.versions, entry.as_ref(), |count| *count += 1);
+        count_version(&mut self.versions, before, |count| *count -= 1);
         let was_accepting = before.is_some_and(|entry| !entry.is_leaving);
         match entry {
             None => {
@@ -341,3 +357,26 @@
         true
     }
 }
+
+/// Changes the count of the version of an entry's pool, and removes counts that become zero.
+fn count_version(
+    versions: &mut IndexMap<PoolName, IndexMap<SoftwareVersion, usize>>,
+    entry: Option<&TargetEntry>,
+    change: impl Fn(&mut usize),
+) {
+    let Some(entry) = entry else {
+        return;
+    };
+    let Some(version) = &entry.software_version else {
+        return;
+    };
+    let counts = versions.entry(entry.pool.clone()).or_default();
+    let count = counts.entry(version.clone()).or_default();
+    change(count);
+    if *count == 0 {
+        counts.swap_remove(version);
+    }
+    if counts.is_empty() {
+        versions.swap_remove(&entry.pool);
+    }
+}
--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -5,6 +5,7 @@
 use toucancleat_fleet::peers::Message;
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::store::{Query, Reply};
+use toucancleat_fleet::stream_origin::OriginMessage;
 use toucancleat_fleet::target::TargetEntry;
 
 use super::*;
@@ -28,6 +29,8 @@
     /// The targets to which requests were sent, and the requests that were refused.
     pub dispatched: Vec<(RequestNumber, TargetName)>,
     pub refused_requests: IndexSet<RequestNumber>,
+    /// Number of messages about the origins of streams.
+    pub origin_messages: usize,
 }
 
 impl Fleet {
@@ -48,6 +51,7 @@
             queries: Vec::new(),
             dispatched: Vec::new(),
             refused_requests: IndexSet::new(),
+            origin_messages: 0,
         };
         for host in &mut fleet.hosts {
             populate(host, START_MS, targets);
@@ -145,6 +149,15 @@
             if let Effect::Refuse { request_number, .. } = effect {
                 self.refused_requests.insert(request_number);
             }
+            if let Effect::SendOrigin {
+                recipients,
+                message,
+            } = &effect
+            {
+                for to in recipients {
+                    self.deliver_origin(index, *to, message.clone());
+                }
+            }
             if let Effect::QueryStore(query) = effect {
                 self.readers.insert(index);
                 self.queries.push(query);
@@ -189,6 +202,23 @@
         }
     }
 
+    /// Delivers a message about the origin of a stream, and executes its effects.
+    fn deliver_origin(
+        &mut self,
+        from: usize,
+        to: std::net::SocketAddr,
+        message: OriginMessage,
+    ) {
+        let to = usize::from(to.port()) - 1;
+        let is_isolated = |index| self.isolated.contains(&index);
+        if self.silent.contains(&to) || is_isolated(from) != is_isolated(to) {
+            return;
+        }
+        self.origin_messages += 1;
+        let from = address(from as u16 + 1);
+        self.apply(to, Event::OriginMessageReceived { from, message });
+    }
+
     /// Delivers a message to a host.
     pub fn deliver(&mut self, to: std::net::SocketAddr, message: Message) {
         let index = usize::from(to.port()) - 1;
--- a/crates/toucancleat-gateway/src/datagram.rs
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -2,11 +2,13 @@
 //!
 //! Hosts of several releases run side by side while a fleet is upgraded, and the encoding
 //! doesn't describe itself. So what a release adds to a message follows all that earlier ones
-//! know, which ignore it.
+//! know, which ignore it. Messages about the origins of streams go only to hosts that have shown
+//! that they know them.
 
 use serde::{Deserialize, Serialize};
 use toucancleat_fleet::peers::{Echo, Message, Update};
 use toucancleat_fleet::prelude::SoftwareVersion;
+use toucancleat_fleet::stream_origin::OriginMessage;
 use toucancleat_fleet::target_notice::NoticeReport;
 
 /// The parts of a message that follow the echo. Hosts of earlier releases ignore what follows
@@ -62,12 +64,42 @@
         .map(|entry| &mut entry.software_version)
 }
 
-/// Decodes a message, the echo and the parts that follow it.
+/// The first byte of a message about the origin of a stream. Other messages begin with the
+/// length of the sender's name, which is never empty.
+const ORIGIN_MARK: u8 = 0;
+
+/// A datagram of a peer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Datagram {
+    /// A message with the state of its sender.
+    State(Box<Message>),
+    /// A message about the origin of a stream.
+    Origin(OriginMessage),
+}
+
+/// Encodes a message about the origin of a stream.
+///
+/// # Errors
+///
+/// Returns an error if the message can't be encoded.
+pub fn encode_origin(message: &OriginMessage) -> postcard::Result<Vec<u8>> {
+    postcard::to_extend(message, vec![ORIGIN_MARK])
+}
+
+/// Decodes a datagram.
 ///
 /// # Errors
 ///
 /// Returns an error if the datagram is cut off or isn't a message.
-pub fn decode(datagram: &[u8]) -> postcard::Result<Message> {
+pub fn decode(datagram: &[u8]) -> postcard::Result<Datagram> {
+    match datagram.split_first() {
+        Some((&ORIGIN_MARK, rest)) => postcard::from_bytes(rest).map(Datagram::Origin),
+        _ => decode_state(datagram).map(|message| Datagram::State(Box::new(message))),
+    }
+}
+
+/// Decodes a message, the echo and the parts that follow it.
+fn decode_state(datagram: &[u8]) -> postcard::Result<Message> {
     let (mut message, rest) = postcard::take_from_bytes::<Message>(datagram)?;
     let (echo, rest) = postcard::take_from_bytes::<Option<Echo>>(rest)?;
     let (extension, rest) = if rest.is_empty() {
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -153,6 +153,11 @@
         self.state.borrow().limited_targets()
     }
 
+    /// Returns the number of streams of which this host keeps where they began.
+    pub fn kept_origins(&self) -> usize {
+        self.state.borrow().kept_origins()
+    }
+
     /// Returns the time at which a leaving target exits, if it has reported one.
     pub fn leaves_at_ms(&self, target: &TargetName) -> Option<u64> {
         self.state.borrow().leaves_at_ms(target)
@@ -200,10 +205,16 @@
                 message,
             } => {
                 // Sending can't fail: the receiver is dropped only when the process exits.
-                let _ = self.outgoing.send(OutgoingMessage {
-                    recipients,
-                    message,
-                });
+                let outgoing = OutgoingMessage::State(recipients, message);
+                let _ = self.outgoing.send(outgoing);
+            }
+            Effect::SendOrigin {
+                recipients,
+                message,
+            } => {
+                let _ = self
+                    .outgoing
+                    .send(OutgoingMessage::Origin(recipients, message));
             }
             Effect::Dispatch(dispatch) => {
                 self.send_command(dispatch.request_number, Command::Dispatch(dispatch));
@@ -345,6 +356,13 @@
         } => {
             log::info!(reads = is_reader, hosts_heard = live_peers; "store reader role changed");
         }
+        LogEvent::StreamResumed {
+            attempt_id,
+            version,
+            source,
+        } => {
+            log::info!(request:% = attempt_id, target_version:% = version, source = source.as_str(); "stream resumed by its caller; it continues at the version that began it");
+        }
         LogEvent::StoreEraChanged { era, era_before } => {
             log::warn!(era, era_before; "the platform's store has returned to a copy; reading it completely");
         }
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -44,6 +44,8 @@
     pub configuration_version: Gauge,
     /// Targets that limit the rate of requests.
     pub limited_targets: Gauge,
+    /// Streams of which this host keeps where they began.
+    pub stream_origins: Gauge,
     /// Answers whose report about their target is invalid.
     pub invalid_notices: Counter,
     /// Answers of the store whose era is invalid.
@@ -67,6 +69,7 @@
             datagrams: Counter::default(),
             configuration_version: Gauge::default(),
             limited_targets: Gauge::default(),
+            stream_origins: Gauge::default(),
             invalid_notices: Counter::default(),
             invalid_eras: Counter::default(),
         };
@@ -122,6 +125,11 @@
             "Targets that limit the rate of requests",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "stream_origins",
+            "Streams of which this host keeps where they began",
+            self.stream_origins.clone(),
+        );
         registry.register(
             "invalid_notices",
             "Answers whose report about their target is invalid",
@@ -156,6 +164,8 @@
 pub fn respond(host: &Host) -> Response<Full<Bytes>> {
     let limited_targets = i64::try_from(host.limited_targets()).unwrap_or(i64::MAX);
     host.metrics.limited_targets.set(limited_targets);
+    let stream_origins = i64::try_from(host.kept_origins()).unwrap_or(i64::MAX);
+    host.metrics.stream_origins.set(stream_origins);
     let mut text = String::new();
     // Writing to a `String` can't fail.
     let _ = encode(&mut text, &host.metrics.registry);
--- a/crates/toucancleat-gateway/src/peers.rs
+++ b/crates/toucancleat-gateway/src/peers.rs
@@ -3,15 +3,17 @@
 //! The next datagram replaces a lost one, and there is no connection that could hang in a
 //! partition. See docs/design/platform.md, "Messages between hosts".
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedReceiver;
 use toucancleat_fleet::event::Event;
 use toucancleat_fleet::peers::{Message, Recipient};
+use toucancleat_fleet::stream_origin::OriginMessage;
 
 use crate::Error;
-use crate::datagram::{decode, encode};
+use crate::datagram::{Datagram, decode, encode, encode_origin};
 use crate::host::Host;
 
 /// Maximum size in bytes of a received datagram.
@@ -23,11 +25,11 @@
 
 /// A message that waits to be sent.
 #[derive(Debug)]
-pub struct OutgoingMessage {
-    /// The addresses that the message is sent to, with the echo for each.
-    pub recipients: Vec<Recipient>,
-    /// The message.
-    pub message: Box<Message>,
+pub enum OutgoingMessage {
+    /// The state of this host, to addresses with the echo for each.
+    State(Vec<Recipient>, Box<Message>),
+    /// A message about the origin of a stream.
+    Origin(Vec<SocketAddr>, OriginMessage),
 }
 
 impl Socket {
@@ -45,15 +47,18 @@
 pub async fn receive(host: Rc<Host>, socket: Socket) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
-        let length = match socket.0.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
+        let (length, from) = match socket.0.recv_from(&mut buffer).await {
+            Ok(received) => received,
             Err(error) => {
                 log::debug!(error:% = error; "could not receive a datagram; waiting for the next");
                 continue;
             }
         };
         match decode(&buffer[..length]) {
-            Ok(message) => host.apply(Event::MessageReceived(Box::new(message))),
+            Ok(Datagram::State(message)) => host.apply(Event::MessageReceived(message)),
+            Ok(Datagram::Origin(message)) => {
+                host.apply(Event::OriginMessageReceived { from, message });
+            }
             Err(error) => {
                 log::warn!(error:% = error; "could not decode a datagram; dropping it");
             }
@@ -67,29 +72,55 @@
     socket: Socket,
     mut outgoing: UnboundedReceiver<OutgoingMessage>,
 ) {
-    while let Some(OutgoingMessage {
-        recipients,
-        message,
-    }) = outgoing.recv().await
-    {
-        let (message, extension) = match encode(*message) {
-            Ok(parts) => parts,
-            Err(error) => {
-                log::error!(error:% = error; "could not encode a message to peers; dropping it");
-                continue;
+    while let Some(outgoing_message) = outgoing.recv().await {
+        let sent = match outgoing_message {
+            OutgoingMessage::State(recipients, message) => {
+                send_state(&host, &socket, recipients, *message)
             }
-        };
-        host.metrics.datagrams.inc_by(recipients.len() as u64);
-        for (address, echo) in recipients {
-            let Ok(mut datagram) = postcard::to_extend(&echo, message.clone()) else {
-                continue;
-            };
-            datagram.extend_from_slice(&extension);
-            // A datagram that can't be sent at once is dropped, so that a full socket buffer
-            // doesn't delay the next ones.
-            if let Err(error) = socket.0.try_send_to(&datagram, address) {
-                log::debug!(error:% = error, address:% = address; "could not send a datagram; dropping it");
+            OutgoingMessage::Origin(recipients, message) => {
+                send_origin(&host, &socket, &recipients, &message)
             }
+        };
+        if let Err(error) = sent {
+            log::error!(error:% = error; "could not encode a message to peers; dropping it");
         }
     }
 }
+
+fn send_state(
+    host: &Host,
+    socket: &Socket,
+    recipients: Vec<Recipient>,
+    message: Message,
+) -> postcard::Result<()> {
+    let (message, extension) = encode(message)?;
+    host.metrics.datagrams.inc_by(recipients.len() as u64);
+    for (address, echo) in recipients {
+        let mut datagram = postcard::to_extend(&echo, message.clone())?;
+        datagram.extend_from_slice(&extension);
+        send_datagram(socket, &datagram, address);
+    }
+    Ok(())
+}
+
+fn send_origin(
+    host: &Host,
+    socket: &Socket,
+    recipients: &[SocketAddr],
+    message: &OriginMessage,
+) -> postcard::Result<()> {
+    let datagram = encode_origin(message)?;
+    host.metrics.datagrams.inc_by(recipients.len() as u64);
+    for address in recipients {
+        send_datagram(socket, &datagram, *address);
+    }
+    Ok(())
+}
+
+/// Sends a datagram. One that can't be sent at once is dropped, so that a full socket buffer
+/// doesn't delay the next ones.
+fn send_datagram(socket: &Socket, datagram: &[u8], address: SocketAddr) {
+    if let Err(error) = socket.0.try_send_to(datagram, address) {
+        log::debug!(error:% = error, address:% = address; "could not send a datagram; dropping it");
+    }
+}
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -4,8 +4,9 @@
 
 use toucancleat_fleet::peers::{Echo, Message, Update};
 use toucancleat_fleet::prelude::*;
+use toucancleat_fleet::stream_origin::{OriginMessage, StreamKey, StreamOrigin};
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
-use toucancleat_gateway::datagram::{decode, encode};
+use toucancleat_gateway::datagram::{Datagram, decode, encode, encode_origin};
 
 fn message() -> Message {
     let address = SocketAddr::from(([10, 0, 0, 1], 7_200));
@@ -70,7 +71,40 @@
     let message = message();
     let (mut bytes, extension) = datagram(&message);
     bytes.extend(extension);
-    assert_eq!(decode(&bytes), Ok(message));
+    assert_eq!(decode(&bytes), Ok(Datagram::State(Box::new(message))));
+}
+
+#[test]
+fn messages_about_origins_are_decoded() {
+    let key = StreamKey::new(None, "attempt-1");
+    let origin = StreamOrigin {
+        pool: PoolName::new("engines"),
+        version: SoftwareVersion::new("v1"),
+    };
+    let messages = [
+        OriginMessage::Began {
+            key,
+            origin: origin.clone(),
+            attempt: 1,
+            retention_ms: 11_000,
+        },
+        OriginMessage::Query { key },
+        OriginMessage::Reply {
+            key,
+            origin: Some(origin),
+        },
+        OriginMessage::Reply { key, origin: None },
+    ];
+    for message in messages {
+        let bytes = encode_origin(&message).expect("a message that can be encoded");
+        for length in 0..bytes.len() {
+            assert!(
+                decode(&bytes[..length]).is_err(),
+                "{message:?}: {length} bytes"
+            );
+        }
+        assert_eq!(decode(&bytes), Ok(Datagram::Origin(message)));
+    }
 }
 
 /// Hosts of the last release send neither versions nor their digest.
@@ -80,7 +114,9 @@
     let (mut bytes, _) = datagram(&message);
     let era: (Vec<u8>, u64) = (Vec::new(), message.store_era);
     bytes.extend(postcard::to_stdvec(&era).expect("an extension"));
-    let decoded = decode(&bytes).expect("a message of the last release");
+    let Ok(Datagram::State(decoded)) = decode(&bytes) else {
+        panic!("expected a message of the last release");
+    };
     assert_eq!(decoded.version_digest, None);
     assert_eq!(decoded.store_era, message.store_era);
     let Some(Update::Targets(changes)) = decoded.update else {
