Begin new streams at versions whose targets stay

What callers would see: in a release, runs of the version that leaves find no room at the targets that are left of it, since new streams have taken it, and end with their engine. Cause: since streams continue only at their version, its remaining engines are the only destinations, and the choice of a target for a new stream didn't know that. Change: the share of a version's targets that have left lately adds to the cost of its targets for new streams. Versions aren't ordered, so a rollback is handled alike.

--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod configuration;
 pub mod configuration_change;
 pub mod continuation;
+pub mod departures;
 pub mod event;
 pub mod event_stream;
 pub mod health;
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -322,6 +322,7 @@
                 .slow_start_until_ms
                 .get(target)
                 .is_some_and(|until_ms| now_ms < *until_ms),
+            departed_share: state.departures.share(now_ms, entry, &state.directory),
         });
     let selection = select_target(now_ms, candidates, demand, &state.health, || {
         random_unit(&mut rng_state)
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -550,6 +550,7 @@
             }
             TargetTransition::Leaving(target, entry) => {
                 state.slow_start_until_ms.swap_remove(&target);
+                state.departures.record(now_ms, &entry, &state.directory);
                 let departed = DepartedTarget {
                     started_unix_ms: entry.started_unix_ms,
                     departed_ms: now_ms,
--- a/crates/toucancleat-fleet/src/selection.rs
+++ b/crates/toucancleat-fleet/src/selection.rs
@@ -51,6 +51,10 @@
 /// Share of an engine's memory above which it counts as full.
 const FULL_SHARE: f64 = 0.95;
 
+/// Cost of a target for a stream if all others of its software's version have left recently.
+/// The stream can continue only at that version, and those that run there need its room.
+const DEPARTED_VERSION_COST: f64 = 1.0;
+
 /// A target that may be selected, with its known load.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate<'a> {
@@ -62,6 +66,8 @@
     pub load: Load,
     /// Whether the target has recently started and is still slow.
     pub is_in_slow_start: bool,
+    /// Share of the targets of its software's version that have left recently.
+    pub departed_share: f64,
 }
 
 /// The load that a request would add.
@@ -118,6 +124,9 @@
                 OTHER_ZONE_COST
             };
         }
+        if demand.is_stream {
+            cost += DEPARTED_VERSION_COST * candidate.departed_share;
+        }
         cost +=
             FAILURE_COST * (health.failure_rate(target) - lowest_failure_rate).max(0.0);
         if let Some(latency_ms) = health.latency_ms(target) {
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -9,6 +9,7 @@
 use crate::budget::RetryBudget;
 use crate::config::FleetConfig;
 use crate::configuration::Configuration;
+use crate::departures::Departures;
 use crate::health::HealthTable;
 use crate::peers::{Load, Peers};
 use crate::poison_requests::PoisonRequests;
@@ -79,6 +80,8 @@
     /// Why the newest configuration was rejected, so that it is logged once.
     pub(crate) configuration_problem: Option<String>,
     pub(crate) directory: TargetDirectory,
+    /// How many targets of each software version have left recently.
+    pub(crate) departures: Departures,
     /// Targets that have left recently.
     pub(crate) departed_targets: IndexMap<TargetName, DepartedTarget>,
     /// Targets whose entries vanished without a notice, and since when.
@@ -149,6 +152,7 @@
             may_check_from_ms: 0,
             configuration_problem: None,
             directory: TargetDirectory::default(),
+            departures: Departures::default(),
             departed_targets: IndexMap::new(),
             expired_entries: IndexMap::new(),
             leaves_at_ms: IndexMap::new(),
--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -184,6 +184,13 @@
         self.versions.keys()
     }
 
+    /// Returns the number of targets of a version in a pool, leaving ones included.
+    pub fn count(&self, pool: &PoolName, version: &SoftwareVersion) -> usize {
+        let versions = self.versions.get(pool);
+        let count = versions.and_then(|versions| versions.get(version));
+        count.copied().unwrap_or_default()
+    }
+
     /// Returns the version of all targets of a pool, leaving ones included, if it is the same.
     pub fn sole_version(&self, pool: &PoolName) -> Option<&SoftwareVersion> {
         let versions = self.versions.get(pool)?;
--- a/crates/toucancleat-fleet/tests/selection.rs
+++ b/crates/toucancleat-fleet/tests/selection.rs
@@ -31,6 +31,7 @@
                 ..Load::default()
             },
             is_in_slow_start: engine.is_in_slow_start,
+            departed_share: 0.0,
         });
     let configuration = configuration(1);
     let pool = PoolName::new("engines");
--- a/crates/toucancleat-fleet/tests/software_versions.rs
+++ b/crates/toucancleat-fleet/tests/software_versions.rs
@@ -738,3 +738,92 @@
         list: vec![change("engine-1", 12, Some(entry))],
     }
 }
+
+/// In a release the targets of the earlier version leave one after the other. Runs there need
+/// the room that is left at it, so new streams begin at the other version.
+#[test]
+fn new_streams_begin_at_the_version_whose_targets_stay() {
+    struct Case {
+        name: &'static str,
+        /// Versions of eight engines, and how many of the first ones leave.
+        versions: [&'static str; 8],
+        leaving: usize,
+        /// When the streams begin after that.
+        after_ms: u64,
+        /// Least and greatest number of 12 streams that begin at v1.
+        at_v1: (usize, usize),
+    }
+    let halves = ["v1", "v1", "v1", "v1", "v1.1", "v1.1", "v1.1", "v1.1"];
+    let cases = [
+        Case {
+            name: "nothing leaves",
+            versions: halves,
+            leaving: 0,
+            after_ms: 0,
+            at_v1: (4, 8),
+        },
+        Case {
+            name: "two of four have left",
+            versions: halves,
+            leaving: 2,
+            after_ms: 0,
+            at_v1: (0, 2),
+        },
+        Case {
+            name: "two of four had left long ago",
+            versions: halves,
+            leaving: 2,
+            after_ms: 60_000,
+            at_v1: (3, 5),
+        },
+        Case {
+            name: "there is only one version",
+            versions: ["v1"; 8],
+            leaving: 4,
+            after_ms: 0,
+            at_v1: (12, 12),
+        },
+    ];
+    for case in cases {
+        let mut host = empty_host("host-01", "upp-a", 1);
+        let names: Vec<String> = (1..=8).map(|n| format!("engine-{n}")).collect();
+        let engines: Vec<(&str, TargetEntry)> = (101..)
+            .zip(names.iter().zip(case.versions))
+            .map(|(number, (name, version))| {
+                (name.as_str(), engine("upp-a", number, version))
+            })
+            .collect();
+        populate(&mut host, START_MS, &engines);
+        for (version, (name, _)) in (11..).zip(&engines[..case.leaving]) {
+            show(&mut host, START_MS, version, &[(name, None)]);
+        }
+        let now_ms = START_MS + case.after_ms;
+        for _ in 0..2 {
+            let configuration = Reply::Configuration(Some(stored(configuration(1))));
+            answer(&mut host, now_ms, Query::Configuration, configuration);
+        }
+        let mut at_v1 = 0;
+        for number in 0..12 {
+            let effects =
+                receive_request(&mut host, now_ms, number, incoming_request("draft"));
+            let target = dispatches(&effects)[0].target.clone();
+            let (_, entry) = engines
+                .iter()
+                .find(|(name, _)| *name == target.as_str())
+                .expect("a listed engine");
+            let progress = Event::StreamProgressed {
+                request_number: RequestNumber(number),
+                events: 1,
+            };
+            apply(&mut host, now_ms, progress);
+            at_v1 +=
+                usize::from(entry.software_version == Some(SoftwareVersion::new("v1")));
+        }
+        let (least, greatest) = case.at_v1;
+        assert!(
+            (least..=greatest).contains(&at_v1),
+            "{}: {at_v1}",
+            case.name
+        );
+    }
+}
