End streams at their deadline also while their events never pause

What callers and operators would see: a stream of a faulty target that goes on after its deadline, with its place at the host, and one whose caller doesn't read that keeps its engine. Cause: the relay waited for several events at once and looked at the deadline last, after bytes of the target, of which there were always some. And it waited for room in the queue of a caller without regard to the deadline. Change: the deadline precedes the target's bytes, bounds the wait for the caller, and ends the connection to the target at once. The mark that makes the answer incomplete is still queued until the caller reads.

--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -112,9 +112,14 @@
                 NextAction::End(outcome) => break outcome,
             }
         };
+        self.upstream = None;
         if outcome != "answered" && outcome != "caller_left" {
-            // Sending fails if the caller has disconnected in the meantime.
-            let _ = self.events.send(Err(Interrupted)).await;
+            let events = self.events.clone();
+            // A caller that doesn't read must not keep the request open.
+            tokio::task::spawn_local(async move {
+                // Sending fails if the caller has disconnected in the meantime.
+                let _ = events.send(Err(Interrupted)).await;
+            });
         }
         self.discard_transfer();
         let took_ms = clock::now_ms().saturating_sub(arrived_ms);
@@ -155,10 +160,11 @@
             biased;
             () = self.events.closed() => RelayEvent::CallerDisconnected,
             command = self.open_request.commands.recv() => RelayEvent::Command(command),
+            // N.B. this precedes the upstream, which may have bytes at all times.
+            () = clock::sleep_until(self.dispatch.deadline_ms) => RelayEvent::DeadlineReached,
             event = read_upstream(&mut self.upstream) => event,
             result = copying => RelayEvent::CopyEnded(result),
             () = destination_request_due => RelayEvent::DestinationRequestDue,
-            () = clock::sleep_until(self.dispatch.deadline_ms) => RelayEvent::DeadlineReached,
         }
     }
 
@@ -223,12 +229,15 @@
                 SequencePosition::AfterGap => return self.handle_interruption().await,
             }
             self.record_event();
-            if self
-                .events
-                .send(Ok(Bytes::from(event.bytes)))
-                .await
-                .is_err()
-            {
+            let sent = tokio::select! {
+                biased;
+                sent = self.events.send(Ok(Bytes::from(event.bytes))) => sent,
+                // The caller doesn't read.
+                () = clock::sleep_until(self.dispatch.deadline_ms) => {
+                    return NextAction::End("timed_out");
+                }
+            };
+            if sent.is_err() {
                 return NextAction::End("caller_left");
             }
         }
