Bound what is held of all answers together

What callers would see: a host whose process is killed with all its requests, while targets send bytes without end. Cause: one answer was bounded at 8 MiB and one event at 1 MiB, and the sum of all was not. Change: what is held of answers, complete ones and events that wait for their callers, counts towards a bound of an eighth of the process's memory, as request bodies do towards theirs; one type serves both. An answer that exceeds it is interrupted and logged.

--- a/crates/toucancleat-fleet/src/event_stream.rs
+++ b/crates/toucancleat-fleet/src/event_stream.rs
@@ -52,6 +52,11 @@
         Ok(())
     }
 
+    /// Returns the length of the incomplete event in the buffer.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns true if the buffer holds the beginning of an incomplete event.
     pub fn has_partial_event(&self) -> bool {
         !self.pending.is_empty()
--- a/crates/toucancleat-gateway/src/attempt.rs
+++ b/crates/toucancleat-gateway/src/attempt.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::request::Parts;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, StatusCode, Version, header};
 use toucancleat_fleet::prelude::*;
@@ -15,10 +15,10 @@
     ForwardedRequest, KvCacheLocation, forwarded_headers,
 };
 
-use crate::bodies::Body;
 use crate::clock;
 use crate::connection::{Connection, Driver};
 use crate::host::{Host, version_text};
+use crate::memory::HeldBytes;
 
 /// Maximum size in bytes of an answer that isn't a stream. Such an answer is buffered
 /// until it is complete, so that an interrupted one can be retried at another target.
@@ -37,7 +37,7 @@
     /// The head of the caller's request.
     pub parts: Parts,
     /// The body of the caller's request.
-    pub body: Body,
+    pub body: HeldBytes,
 }
 
 /// The point from which an interrupted or migrated stream is resumed.
@@ -72,7 +72,7 @@
     /// The headers as the target sent them.
     pub headers: HeaderMap,
     /// The body.
-    pub body: Bytes,
+    pub body: HeldBytes,
 }
 
 /// The head of an answer that is a stream, and the connection that delivers its body.
@@ -163,12 +163,10 @@
     }
     let remaining_ms = dispatch.deadline_ms.saturating_sub(clock::now_ms());
     let timeout = Duration::from_millis(remaining_ms);
-    let complete_body = Limited::new(body, ANSWER_MAX_BYTES).collect();
-    let body = tokio::time::timeout(timeout, complete_body)
+    let body = tokio::time::timeout(timeout, read_answer(host, dispatch, body))
         .await
         .map_err(|_| AttemptOutcome::TimedOut)?
-        .map_err(|_| AttemptOutcome::Interrupted)?
-        .to_bytes();
+        .ok_or(AttemptOutcome::Interrupted)?;
     let outcome = if head.status.is_success() {
         AttemptOutcome::Answered {
             took_ms: clock::now_ms().saturating_sub(began_ms),
@@ -186,6 +184,34 @@
     })
 }
 
+/// Reads the body of an answer, or returns `None` if it is interrupted, too long, or exceeds
+/// the bound on all answers.
+async fn read_answer(
+    host: &Host,
+    dispatch: &Dispatch,
+    mut body: Incoming,
+) -> Option<HeldBytes> {
+    let mut reservation = host.answer_memory.start_reservation();
+    let mut parts: Vec<Bytes> = Vec::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(part) = frame.ok()?.into_data() else {
+            continue;
+        };
+        length += part.len();
+        if length > ANSWER_MAX_BYTES || reservation.resize(length as u64).is_err() {
+            log::warn!(target_name:% = dispatch.target, bytes = length; "answer exceeds the bound on one answer or on all; closing the connection");
+            return None;
+        }
+        parts.push(part);
+    }
+    let bytes = match parts.len() {
+        1 => parts.swap_remove(0),
+        _ => Bytes::from(parts.concat()),
+    };
+    Some(HeldBytes::new(bytes, reservation))
+}
+
 /// Tells the reducer what an answer reports about its target. An invalid report leaves the
 /// last valid one in force.
 fn record_notice(
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -14,6 +14,7 @@
 
 use crate::bodies::BodyReader;
 use crate::call::{ReplyLimits, call};
+use crate::memory::MemoryBound;
 use crate::metrics::Metrics;
 use crate::peers::OutgoingMessage;
 use crate::settings::Settings;
@@ -64,6 +65,8 @@
     pub metrics: Metrics,
     /// The reader of request bodies, which bounds their memory.
     pub body_reader: BodyReader,
+    /// The bound on what is held of the targets' answers.
+    pub answer_memory: MemoryBound,
     state: RefCell<State>,
     commands: RefCell<IndexMap<RequestNumber, UnboundedSender<Command>>>,
     limits: Cell<CallerLimits>,
@@ -104,8 +107,10 @@
         let (outgoing, queue) = unbounded_channel();
         let (stop_began_ms, _) = watch::channel(None);
         let body_reader = BodyReader::new(settings.bodies_max_bytes());
+        let answer_memory = MemoryBound::new(settings.answers_max_bytes());
         let host = Rc::new_cyclic(|weak_self| Host {
             body_reader,
+            answer_memory,
             settings,
             metrics: Metrics::new(),
             state: RefCell::new(state),
--- a/crates/toucancleat-gateway/src/lib.rs
+++ b/crates/toucancleat-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod error;
 mod host;
 mod logging;
+mod memory;
 mod metrics;
 mod page;
 mod peers;
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -18,6 +18,7 @@
 };
 use crate::clock;
 use crate::host::{Command, Host, OpenRequest};
+use crate::memory::{HeldBytes, Reservation};
 use crate::request::Interrupted;
 
 /// Maximum number of events that are queued for a caller that reads slowly.
@@ -34,9 +35,11 @@
     open_request: OpenRequest,
     outbound: Rc<Outbound>,
     dispatch: Dispatch,
-    events: Sender<Result<Bytes, Interrupted>>,
+    events: Sender<Result<HeldBytes, Interrupted>>,
     upstream: Option<Upstream>,
     splitter: EventSplitter,
+    /// Memory of the incomplete event in the splitter.
+    pending_memory: Reservation,
     sequence: EventSequence,
     began_ms: u64,
     first_event_ms: Option<u64>,
@@ -78,10 +81,11 @@
         outbound: Rc<Outbound>,
         dispatch: Dispatch,
         start: StreamStart,
-    ) -> (Self, Receiver<Result<Bytes, Interrupted>>) {
+    ) -> (Self, Receiver<Result<HeldBytes, Interrupted>>) {
         let (events, receiver) = channel(EVENT_QUEUE_MAX);
         let now_ms = clock::now_ms();
         let relay = Relay {
+            pending_memory: host.answer_memory.start_reservation(),
             host,
             open_request,
             outbound,
@@ -222,16 +226,25 @@
         if self.splitter.push(bytes, &mut events).is_err() {
             return self.handle_interruption().await;
         }
+        let pending_bytes = self.splitter.pending_bytes() as u64;
+        if self.pending_memory.resize(pending_bytes).is_err() {
+            return self.handle_lack_of_memory().await;
+        }
         for event in events {
             match self.sequence.check(&event) {
                 SequencePosition::Next => {}
                 SequencePosition::Duplicate => continue,
                 SequencePosition::AfterGap => return self.handle_interruption().await,
             }
+            let length = event.bytes.len() as u64;
+            let Ok(reservation) = self.host.answer_memory.reserve(length) else {
+                return self.handle_lack_of_memory().await;
+            };
+            let held = HeldBytes::new(Bytes::from(event.bytes), reservation);
             self.record_event();
             let sent = tokio::select! {
                 biased;
-                sent = self.events.send(Ok(Bytes::from(event.bytes))) => sent,
+                sent = self.events.send(Ok(held)) => sent,
                 // The caller doesn't read.
                 () = clock::sleep_until(self.dispatch.deadline_ms) => {
                     return NextAction::End("timed_out");
@@ -296,6 +309,20 @@
         NextAction::Continue
     }
 
+    /// Interrupts the stream, since the events that are held of all streams take too much
+    /// memory: those of callers that read slowly, or bytes of faulty targets.
+    async fn handle_lack_of_memory(&mut self) -> NextAction {
+        log::warn!(
+            request:% = self.outbound.attempt_id,
+            target_name:% = self.dispatch.target;
+            "events exceed the bound on what is held of all answers; interrupting the stream"
+        );
+        self.splitter = EventSplitter::default();
+        // Reserving nothing can't fail.
+        let _ = self.pending_memory.resize(0);
+        self.handle_interruption().await
+    }
+
     async fn handle_command(&mut self, command: Command) -> NextAction {
         match command {
             Command::Dispatch(dispatch) => {
--- a/crates/toucancleat-gateway/src/request.rs
+++ b/crates/toucancleat-gateway/src/request.rs
@@ -17,6 +17,7 @@
 use crate::bodies::BodyError;
 use crate::clock;
 use crate::host::{Command, Host, OpenRequest};
+use crate::memory::HeldBytes;
 use crate::relay::Relay;
 use crate::timeouts::ActiveRequest;
 
@@ -39,8 +40,8 @@
 
 #[derive(Debug)]
 enum Content {
-    Complete(Option<Bytes>),
-    Stream(Receiver<Result<Bytes, Interrupted>>),
+    Complete(Option<HeldBytes>),
+    Stream(Receiver<Result<HeldBytes, Interrupted>>),
 }
 
 impl Body for AnswerBody {
@@ -53,11 +54,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
         match &mut self.content {
             Content::Complete(bytes) => {
-                Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b))))
+                Poll::Ready(bytes.take().map(|held| Ok(Frame::data(held.bytes))))
             }
             Content::Stream(events) => events
                 .poll_recv(context)
-                .map(|event| event.map(|bytes| bytes.map(Frame::data))),
+                .map(|event| event.map(|held| held.map(|held| Frame::data(held.bytes)))),
         }
     }
 
@@ -68,7 +69,8 @@
     fn size_hint(&self) -> SizeHint {
         match &self.content {
             Content::Complete(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
+                let length = bytes.as_ref().map_or(0, |held| held.bytes.len());
+                SizeHint::with_exact(length as u64)
             }
             Content::Stream(_) => SizeHint::default(),
         }
@@ -206,7 +208,7 @@
             header::HeaderValue::from(BODY_RETRY_AFTER_S),
         );
     }
-    let content = Content::Complete(Some(Bytes::new()));
+    let content = Content::Complete(Some(Bytes::new().into()));
     let mut response = build_response(status, headers, content, active_request);
     disable_keep_alive(&mut response);
     response
@@ -239,7 +241,7 @@
     let mut headers = answer::refusal_headers(&outbound.attempt_id, refusal);
     let content_type = header::HeaderValue::from_static("application/problem+json");
     headers.insert(header::CONTENT_TYPE, content_type);
-    let content = Content::Complete(Some(Bytes::from(body.to_string())));
+    let content = Content::Complete(Some(Bytes::from(body.to_string()).into()));
     build_response(status, headers, content, active_request)
 }
 
--- a/crates/toucancleat-gateway/src/settings.rs
+++ b/crates/toucancleat-gateway/src/settings.rs
@@ -52,6 +52,10 @@
 /// connection buffers and the state of the host have to fit in the rest.
 const BODIES_SHARE: f64 = 0.25;
 
+/// Share of the memory that the held parts of all answers may take together. A complete answer
+/// is copied once, so the peak is twice as high.
+const ANSWERS_SHARE: f64 = 0.125;
+
 /// Share of the memory that one reply of the store may take. While a configuration is
 /// decoded its text, its encoding, and two versions of it are in memory.
 const STORE_REPLY_SHARE: f64 = 0.125;
@@ -104,6 +108,12 @@
         (BODIES_SHARE * memory_mb * 1e6) as u64
     }
 
+    /// Returns the bound on what is held of all targets' answers together, in bytes.
+    pub fn answers_max_bytes(&self) -> u64 {
+        let memory_mb = self.memory_max_mb.unwrap_or(MEMORY_DEFAULT_MB);
+        (ANSWERS_SHARE * memory_mb * 1e6) as u64
+    }
+
     /// Returns the bound on one reply of the store, in bytes.
     pub fn store_reply_max_bytes(&self) -> usize {
         let memory_mb = self.memory_max_mb.unwrap_or(MEMORY_DEFAULT_MB);
