Survive the highest numbers that a peer's message may contain

What callers would see: all requests of a host cut off, after one damaged message of a peer. Cause: when an engine leaves, the plan of migrations makes an entry for each run that a peer reports there, so that 4 billion runs allocate 103 GB and end the process. Sums of loads overflow: an engine that is full counts as empty, and a build with overflow checks panics. Change: the plan considers 1,024 runs of a host at a target at most, and sums saturate. An implausible era or version of a peer isn't detected: hosts would take the era for the store's.

--- a/crates/toucancleat-fleet/src/migration_plan.rs
+++ b/crates/toucancleat-fleet/src/migration_plan.rs
@@ -90,7 +90,7 @@
             };
             let start =
                 f64::max(source_link_free_at[source], destination_link_free_at[index]);
-            let used = destination.used_tokens + run.tokens;
+            let used = destination.used_tokens.saturating_add(run.tokens);
             let fill = used as f64 / destination.memory_tokens.max(1) as f64;
             let full = if fill > FULL_SHARE { FULL_COST } else { 0.0 };
             (start + duration, start + duration + FILL_COST * fill + full)
@@ -104,7 +104,8 @@
         };
         source_link_free_at[source] = end;
         destination_link_free_at[index] = end;
-        destinations[index].used_tokens += run.tokens;
+        let destination = &mut destinations[index];
+        destination.used_tokens = destination.used_tokens.saturating_add(run.tokens);
         if run.host == *host {
             let target = sources[source].target.clone();
             let chosen = destinations[index].target.clone();
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -47,6 +47,10 @@
 /// Maximum number of other hosts' addresses in one message.
 const ADDRESSES_MAX: usize = 4;
 
+/// Maximum number of a host's runs at one target that a plan of migrations considers. The plan
+/// takes time and memory for each, so a damaged message must not contain more.
+const MIGRATABLE_RUNS_MAX: u32 = 1_024;
+
 /// A message from one entry host to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
@@ -134,13 +138,15 @@
 }
 
 impl Load {
-    /// Adds another load.
+    /// Adds another load, saturating at the highest numbers.
     pub fn add(&mut self, other: Load) {
-        self.runs += other.runs;
-        self.tokens += other.tokens;
-        self.prefill_tokens += other.prefill_tokens;
-        self.migratable_runs += other.migratable_runs;
-        self.migratable_tokens += other.migratable_tokens;
+        self.runs = self.runs.saturating_add(other.runs);
+        self.tokens = self.tokens.saturating_add(other.tokens);
+        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
+        self.migratable_runs = self.migratable_runs.saturating_add(other.migratable_runs);
+        self.migratable_tokens = self
+            .migratable_tokens
+            .saturating_add(other.migratable_tokens);
     }
 
     /// Subtracts another load, saturating at zero.
@@ -472,7 +478,7 @@
                     .filter(|(name, _)| name == target);
                 at_target.map(|(_, load)| HostRuns {
                     host: host.clone(),
-                    runs: load.migratable_runs,
+                    runs: load.migratable_runs.min(MIGRATABLE_RUNS_MAX),
                     tokens: load.migratable_tokens,
                 })
             })
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -135,7 +135,9 @@
     if targets.peek().is_none() {
         return scope == ZoneScope::OwnZone;
     }
-    targets.any(|(target, _)| load_at(state, target).tokens + tokens <= memory_limit)
+    targets.any(|(target, _)| {
+        load_at(state, target).tokens.saturating_add(tokens) <= memory_limit
+    })
 }
 
 /// Dispatches a request to the best target, or refuses it.
--- a/crates/toucancleat-fleet/src/selection.rs
+++ b/crates/toucancleat-fleet/src/selection.rs
@@ -148,7 +148,7 @@
 
 fn occupancy_cost(candidate: &Candidate<'_>, demand: Demand<'_>) -> f64 {
     let slots = f64::from(candidate.entry.slots.max(1));
-    let runs = f64::from(candidate.load.runs + 1) / slots;
+    let runs = f64::from(candidate.load.runs.saturating_add(1)) / slots;
     let slow_start_factor = if candidate.is_in_slow_start {
         SLOW_START_FACTOR
     } else {
@@ -158,8 +158,11 @@
         return slow_start_factor * runs;
     };
     let memory_tokens = engine.memory_tokens.max(1) as f64;
-    let fill = (candidate.load.tokens + demand.tokens) as f64 / memory_tokens;
-    let prefill_tokens = candidate.load.prefill_tokens + demand.prefill_tokens;
+    let fill = candidate.load.tokens.saturating_add(demand.tokens) as f64 / memory_tokens;
+    let prefill_tokens = candidate
+        .load
+        .prefill_tokens
+        .saturating_add(demand.prefill_tokens);
     let prefill = slow_start_factor * prefill_tokens as f64 / memory_tokens;
     let full = if fill > FULL_SHARE { FULL_COST } else { 0.0 };
     fill + RUNS_WEIGHT * runs + PREFILL_WEIGHT * prefill + full
--- a/crates/toucancleat-fleet/tests/requests.rs
+++ b/crates/toucancleat-fleet/tests/requests.rs
@@ -3,9 +3,12 @@
 mod support;
 
 use support::*;
+use toucancleat_fleet::budget::RetryCounts;
 use toucancleat_fleet::event::Effect;
+use toucancleat_fleet::peers::Load;
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::store::{Query, Reply};
+use toucancleat_fleet::target::TargetEntry;
 
 fn populated_host() -> State {
     let mut state = empty_host("host-1", "upp-a", 1);
@@ -437,3 +440,73 @@
         assert_ne!(dispatches(&effects)[0].target.as_str(), "roster-1");
     }
 }
+
+/// Guards against a malformed message of a peer that ends the process with the next request:
+/// the load that it reports is the highest that its type permits.
+#[test]
+fn requests_are_served_whatever_load_a_peer_reports() {
+    let engines = [
+        ("engine-1", entry("engines", "upp-a", 101)),
+        ("engine-2", entry("engines", "upp-a", 102)),
+    ];
+    let [mut host, mut peer] =
+        [1, 2].map(|n| empty_host(&format!("host-0{n}"), "upp-a", n));
+    for state in [&mut host, &mut peer] {
+        populate(state, START_MS, &engines);
+        let reply = Reply::Hosts(vec![address(1), address(2)]);
+        answer(state, START_MS, Query::Hosts, reply);
+    }
+    let now_ms = START_MS + 1_200;
+    let sent = messages(&apply(&mut peer, now_ms, Event::Tick));
+    let (_, mut message) = sent
+        .into_iter()
+        .find(|(to, _)| *to == address(1))
+        .expect("a message to the host");
+    let highest = Load {
+        runs: u32::MAX,
+        tokens: u64::MAX,
+        prefill_tokens: u64::MAX,
+        migratable_runs: u32::MAX,
+        migratable_tokens: u64::MAX,
+    };
+    message.loads = vec![(TargetName::new("engine-1"), highest)];
+    let counts = RetryCounts {
+        requests: u32::MAX,
+        retries: u32::MAX,
+    };
+    message.retry_counts = vec![(PoolName::new("engines"), counts)];
+    let received = Event::MessageReceived(Box::new(message.clone()));
+    apply(&mut host, now_ms, received);
+    for (number, kind) in (0..).zip(["draft", "check", "draft"]) {
+        let effects = receive_request(&mut host, now_ms, number, incoming_request(kind));
+        let sent = dispatches(&effects);
+        assert_eq!(sent.len(), 1, "{kind}");
+        assert_eq!(sent[0].target.as_str(), "engine-2", "{kind}");
+        let request_number = RequestNumber(number);
+        let event = Event::StreamProgressed {
+            request_number,
+            events: 1,
+        };
+        apply(&mut host, now_ms, event);
+    }
+    let outcome = AttemptOutcome::Interrupted;
+    let request_number = RequestNumber(1);
+    let ended = Event::AttemptEnded {
+        request_number,
+        outcome,
+    };
+    apply(&mut host, now_ms, ended);
+    // Runs that leave an engine are planned one by one.
+    message.loads = vec![(TargetName::new("engine-2"), highest)];
+    let received = Event::MessageReceived(Box::new(message));
+    apply(&mut host, now_ms, received);
+    let leaving = TargetEntry {
+        is_leaving: true,
+        ..entry("engines", "upp-a", 102)
+    };
+    let reply = Reply::TargetFeed {
+        store_version: 11,
+        changes: vec![change("engine-2", 11, Some(leaving))],
+    };
+    answer(&mut host, now_ms, Query::TargetFeed { after: 10 }, reply);
+}
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -2,10 +2,15 @@
 
 use std::net::SocketAddr;
 
-use toucancleat_fleet::peers::{Echo, Message, Update};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use toucancleat_fleet::budget::RetryCounts;
+use toucancleat_fleet::config::FleetConfig;
+use toucancleat_fleet::peers::{Echo, Load, Message, Update};
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::stream_origin::{OriginMessage, StreamKey, StreamOrigin};
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
+use toucancleat_fleet::target_notice::NoticeReport;
 use toucancleat_gateway::datagram::{Datagram, decode, encode, encode_origin};
 
 fn message() -> Message {
@@ -25,6 +30,13 @@
         store_version: 7,
         entry,
     };
+    let load = Load {
+        runs: 3,
+        tokens: 9_000,
+        prefill_tokens: 3_000,
+        migratable_runs: 1,
+        migratable_tokens: 3_000,
+    };
     Message {
         from: HostName::new("host-1"),
         incarnation: 1,
@@ -37,15 +49,24 @@
         host_list_version: 9,
         host_list_digest: 11,
         store_age_ms: None,
-        loads: Vec::new(),
-        retry_counts: Vec::new(),
-        interruptions: Vec::new(),
+        loads: vec![
+            (TargetName::new("i-1"), load),
+            (TargetName::new("i-4"), load),
+        ],
+        retry_counts: vec![(PoolName::new("engines"), RetryCounts::default())],
+        interruptions: vec![(17, 2)],
         echo: Some(Echo {
             incarnation: 2,
             sent_ms: 900,
             held_ms: 5,
         }),
-        notices: Vec::new(),
+        notices: vec![NoticeReport {
+            target: TargetName::new("i-1"),
+            started_unix_ms: Some(1),
+            rate_limit_per_s: Some(3.5),
+            is_leaving: false,
+            age_ms: 40,
+        }],
         store_era: 4,
         version_digest: Some(13),
         addresses: vec![address],
@@ -112,7 +133,7 @@
 fn messages_of_the_last_release_are_decoded() {
     let message = message();
     let (mut bytes, _) = datagram(&message);
-    let era: (Vec<u8>, u64) = (Vec::new(), message.store_era);
+    let era: (&[NoticeReport], u64) = (&message.notices, message.store_era);
     bytes.extend(postcard::to_stdvec(&era).expect("an extension"));
     let Ok(Datagram::State(decoded)) = decode(&bytes) else {
         panic!("expected a message of the last release");
@@ -141,3 +162,147 @@
         assert!(has_message || decoded.is_err(), "{length} bytes");
     }
 }
+
+/// Returns a host that knows nothing yet.
+fn host() -> State {
+    let identity = Identity {
+        host: HostName::new("host-2"),
+        zone: ZoneName::new("upp-a"),
+        address: SocketAddr::from(([10, 0, 0, 2], 7_200)),
+        incarnation: 2,
+    };
+    State::new(identity, FleetConfig::default(), &[])
+}
+
+/// Applies datagrams as the daemon does, with time passing between them.
+fn receive(host: &mut State, datagrams: &[Vec<u8>]) {
+    let from = SocketAddr::from(([10, 0, 0, 1], 7_200));
+    let mut now_ms = 1_000;
+    for datagram in datagrams {
+        let mut effects = Vec::new();
+        match decode(datagram) {
+            Ok(Datagram::State(message)) => {
+                reduce(host, now_ms, Event::MessageReceived(message), &mut effects);
+            }
+            Ok(Datagram::Origin(message)) => {
+                let event = Event::OriginMessageReceived { from, message };
+                reduce(host, now_ms, event, &mut effects);
+            }
+            Err(_) => {}
+        }
+        now_ms += 25;
+        reduce(host, now_ms, Event::Tick, &mut effects);
+    }
+}
+
+fn origin_datagram() -> Vec<u8> {
+    let message = OriginMessage::Began {
+        key: StreamKey::new(None, "attempt-1"),
+        origin: StreamOrigin {
+            pool: PoolName::new("engines"),
+            version: SoftwareVersion::new("v1"),
+        },
+        attempt: 1,
+        retention_ms: 11_000,
+    };
+    encode_origin(&message).expect("a message that can be encoded")
+}
+
+fn state_datagram() -> Vec<u8> {
+    let (mut bytes, extension) = datagram(&message());
+    bytes.extend(extension);
+    bytes
+}
+
+/// Guards against a malformed message that ends a whole process, or leaves numbers of which
+/// others are subtracted: the highest ones that their types permit, from several senders.
+#[test]
+fn the_highest_numbers_end_no_process() {
+    let extreme = |sender: u16, highest: u64| {
+        let load = Load {
+            runs: highest as u32,
+            tokens: highest,
+            prefill_tokens: highest,
+            migratable_runs: highest as u32,
+            migratable_tokens: highest,
+        };
+        let counts = RetryCounts {
+            requests: highest as u32,
+            retries: highest as u32,
+        };
+        let mut message = message();
+        message.from = HostName::new(&format!("host-{sender}"));
+        message.address = SocketAddr::from(([10, 0, 1, 1], sender));
+        message.sent_ms = highest;
+        message.configuration_version = Some(highest);
+        message.configuration_age_ms = Some(highest);
+        message.host_list_version = highest;
+        message.store_age_ms = Some(highest);
+        message.loads = vec![(TargetName::new("i-1"), load); 2];
+        message.retry_counts = vec![(PoolName::new("engines"), counts); 2];
+        message.interruptions = vec![(highest, highest as u32); 2];
+        message.echo = Some(Echo {
+            incarnation: 2,
+            sent_ms: highest,
+            held_ms: highest,
+        });
+        message.store_era = highest;
+        message.notices[0].age_ms = highest;
+        message.notices[0].rate_limit_per_s = Some(f64::MAX);
+        message
+    };
+    let mut datagrams = vec![state_datagram()];
+    for highest in [u64::MAX, u64::MAX - 1, 7] {
+        for sender in [3, 4, 5] {
+            let message = extreme(sender, highest);
+            let (mut bytes, extension) = datagram(&message);
+            bytes.extend(extension);
+            datagrams.push(bytes);
+        }
+    }
+    let began = OriginMessage::Began {
+        key: StreamKey::new(None, "attempt-1"),
+        origin: StreamOrigin {
+            pool: PoolName::new("engines"),
+            version: SoftwareVersion::new("v1"),
+        },
+        attempt: u32::MAX,
+        retention_ms: u64::MAX,
+    };
+    datagrams.push(encode_origin(&began).expect("a message that can be encoded"));
+    receive(&mut host(), &datagrams);
+}
+
+/// Replaces some bytes of a datagram.
+fn damaged(datagram: &[u8], changes: &[(usize, u8)]) -> Vec<u8> {
+    let mut bytes = datagram.to_vec();
+    for (position, byte) in changes {
+        let position = position % bytes.len();
+        bytes[position] = *byte;
+    }
+    bytes
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 4_000,
+        rng_seed: RngSeed::Fixed(28),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a malformed message that ends a whole process: the numbers in a damaged
+    /// datagram may be as large as their types permit.
+    #[test]
+    fn damaged_datagrams_end_no_process(
+        changes in prop::collection::vec(
+            prop::collection::vec((0_usize..2_000, any::<u8>()), 1..12),
+            1..6,
+        ),
+        kind in any::<bool>(),
+    ) {
+        let valid = if kind { state_datagram() } else { origin_datagram() };
+        let mut datagrams = vec![state_datagram()];
+        datagrams.extend(changes.iter().map(|changes| damaged(&valid, changes)));
+        receive(&mut host(), &datagrams);
+    }
+}
