--- a/crates/toucancleat-fleet/src/departures.rs
+++ b/crates/toucancleat-fleet/src/departures.rs
@@ -63,9 +63,10 @@
             return 0.0;
         };
         let counts = self.counts.get(&entry.pool);
-        let left = counts
-            .and_then(|counts| counts.get(version))
-            .map_or(0.0, |count| count.at(now_ms));
+        let Some(count) = counts.and_then(|counts| counts.get(version)) else {
+            return 0.0;
+        };
+        let left = count.at(now_ms);
         let listed = directory.count(&entry.pool, version).max(1) as f64;
         left / (left + listed)
     }
