--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod store;
 pub mod traffic;
+pub mod versions;
 
 use std::net::SocketAddr;
 
--- a/crates/toucancleat-fleet/tests/target_notices.rs
+++ b/crates/toucancleat-fleet/tests/target_notices.rs
@@ -304,3 +304,88 @@
         "{retry_after_ms} ms"
     );
 }
+
+/// What happens right after a host has been told, before its next request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    Nothing,
+    /// The host that reads the store for all is killed.
+    ReaderKilled,
+    /// The zone of the host is cut off from the others and from the store.
+    ZoneCutOff,
+    /// The host is suspended for some seconds.
+    HostSuspended,
+    /// The messages of all hosts are lost for some seconds.
+    MessagesLost,
+}
+
+/// Time that a fault lasts; shorter than the pause that the target asks for.
+const FAULT_MS: u64 = 3_000;
+
+/// A host that was told by a target itself keeps to it whatever happens to the rest of the
+/// fleet, and the requests that the target would get are spread over the others.
+#[test]
+fn a_host_keeps_to_a_notice_in_a_fleet_of_any_size_and_under_faults() {
+    let faults = [
+        Fault::Nothing,
+        Fault::ReaderKilled,
+        Fault::ZoneCutOff,
+        Fault::HostSuspended,
+        Fault::MessagesLost,
+    ];
+    let notices = [("leaving", leaving()), ("pause", pause(5_000))];
+    for hosts in [8, 61, 195] {
+        for (name, notice) in notices {
+            for fault in faults {
+                // The largest fleet takes minutes for all of them.
+                let is_covered = hosts < 195 || fault == Fault::ZoneCutOff;
+                if is_covered {
+                    check_notice(hosts, name, notice, fault);
+                }
+            }
+        }
+    }
+}
+
+fn check_notice(hosts: u16, name: &str, notice: TargetNotice, fault: Fault) {
+    const TOLD: usize = 4;
+    let case = format!("{hosts} hosts, {name}, {fault:?}");
+    let zones = ["upp-a", "upp-b", "vas-a", "ore-a"];
+    let mut fleet = Fleet::new(hosts, &zones, &targets());
+    let reader = *fleet.readers.last().expect("a host reads the store");
+    let effects = receive_notice(&mut fleet, TOLD, "roster-1", notice);
+    fleet.execute(TOLD, effects, true);
+    let in_zone = (TOLD % zones.len()..usize::from(hosts)).step_by(zones.len());
+    match fault {
+        Fault::Nothing => {}
+        Fault::ReaderKilled if reader != TOLD => drop(fleet.silent.insert(reader)),
+        Fault::ReaderKilled => {}
+        Fault::ZoneCutOff => {
+            fleet.isolated.extend(in_zone.clone());
+            fleet.refused.extend(in_zone);
+        }
+        Fault::HostSuspended => drop(fleet.silent.insert(TOLD)),
+        Fault::MessagesLost => fleet.loses_messages = true,
+    }
+    if fault != Fault::HostSuspended {
+        assert!(!uses(&mut fleet, TOLD, "roster-1"), "{case}: at once");
+    }
+    fleet.advance(FAULT_MS);
+    fleet.silent.swap_remove(&TOLD);
+    assert!(!uses(&mut fleet, TOLD, "roster-1"), "{case}: later");
+    fleet.isolated.clear();
+    fleet.refused.clear();
+    fleet.loses_messages = false;
+    fleet.advance(25);
+    assert!(
+        !uses(&mut fleet, TOLD, "roster-1"),
+        "{case}: after the fault"
+    );
+    // A pause concerns the host that was told; a target that leaves, all hosts.
+    fleet.advance(1_500);
+    let other = (TOLD + 1) % usize::from(hosts);
+    let is_used = uses(&mut fleet, other, "roster-1");
+    assert_eq!(is_used, notice.pause_ms.is_some(), "{case}: another host");
+    let used = targets_of(&mut fleet.hosts[TOLD], fleet.now_ms, "lookup");
+    assert!(used.len() >= 2, "{case}: all requests go to {used:?}");
+}
