Choose half of a stream's keepers in other zones

Two keepers were chosen in the own zone and two among all hosts, so that some streams had keepers in one zone only, and fewer than four. The other two are chosen in other zones now. Result: the test of resumptions has two cases more, in which the zone of the callers loses power; at least 95 of 100 streams continue.

--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -402,7 +402,8 @@
     }
 
     /// Returns the addresses of the hosts that keep what belongs to a hash: `count` of a zone,
-    /// and as many of all zones. Hosts of earlier releases keep nothing.
+    /// and as many of the others, so that a zone that fails or is cut off leaves some. Hosts of
+    /// earlier releases keep nothing.
     pub fn keepers(
         &self,
         now_ms: u64,
@@ -420,13 +421,17 @@
                     && is_usable(peer)
             })
         };
-        let rings = self.zone_rings.get(zone).into_iter().chain([&self.ring]);
-        let keepers: IndexSet<SocketAddr> = rings
+        let is_elsewhere = |host: &HostName| {
+            let peer = self.peers.get(host);
+            peer.is_some_and(|peer| peer.last_message.zone != *zone) && is_keeper(host)
+        };
+        let in_zone = self.zone_rings.get(zone).into_iter();
+        in_zone
             .flat_map(|ring| ring.successors(hash, count, is_keeper))
+            .chain(self.ring.successors(hash, count, is_elsewhere))
             .filter_map(|host| self.peers.get(host))
             .map(|peer| peer.address)
-            .collect();
-        keepers.into_iter().collect()
+            .collect()
     }
 
     /// Returns true if another host reads the store, so that this one need not.
--- a/crates/toucancleat-fleet/src/stream_origin.rs
+++ b/crates/toucancleat-fleet/src/stream_origin.rs
@@ -3,7 +3,7 @@
 //! A stream may continue only at the version of the targets' software that began it, and the
 //! caller names only the attempt that brought the first event. So a host that sends a stream to
 //! a target tells a few keepers where it does: hosts on a ring of hashes, some of its own zone
-//! and some of all zones ([`Peers::keepers`](crate::peers::Peers::keepers)). A host that doesn't
+//! and some of the others ([`Peers::keepers`](crate::peers::Peers::keepers)). A host that doesn't
 //! know the origin of a stream asks the keepers. Both cost the same whatever the size of the
 //! fleet. See docs/design/software-versions.md.
 
@@ -17,7 +17,7 @@
 use crate::request::RequestNumber;
 use crate::target::{SoftwareVersion, TargetDirectory};
 
-/// Number of keepers of the own zone, and of all zones, that are told of a stream.
+/// Number of keepers of the own zone, and of other zones, that are told of a stream.
 pub const KEEPERS: usize = 2;
 
 /// Number of keepers of each kind that are asked. More than are told, since the asking host may
--- a/crates/toucancleat-fleet/tests/stream_origins.rs
+++ b/crates/toucancleat-fleet/tests/stream_origins.rs
@@ -28,6 +28,8 @@
     ZoneCutOff,
     /// The callers move to another zone, and theirs is cut off.
     CallersMoved,
+    /// The callers move to another zone, and theirs loses power.
+    ZoneKilled,
     /// All hosts lose power; they know nothing of the streams.
     AllRestarted,
 }
@@ -58,6 +60,18 @@
         case("many of 61 killed", 61, Disturbance::ManyKilled, 50),
         case("the zone is cut off", 61, Disturbance::ZoneCutOff, 50),
         case("the callers move", 61, Disturbance::CallersMoved, 50),
+        case(
+            "the zone of 8 hosts is killed",
+            8,
+            Disturbance::ZoneKilled,
+            95,
+        ),
+        case(
+            "the zone of 61 hosts is killed",
+            61,
+            Disturbance::ZoneKilled,
+            95,
+        ),
         case("all of 8 restarted", 8, Disturbance::AllRestarted, 0),
         case("all of 61 restarted", 61, Disturbance::AllRestarted, 0),
     ];
@@ -124,7 +138,7 @@
     let receivers: Vec<usize> = (0..usize::from(case.hosts))
         .filter(|host| !fleet.silent.contains(host))
         .filter(|host| match case.disturbance {
-            Disturbance::CallersMoved => host % 4 != 0,
+            Disturbance::CallersMoved | Disturbance::ZoneKilled => host % 4 != 0,
             Disturbance::AllRestarted => true,
             _ => host % 4 == 0,
         })
@@ -197,6 +211,10 @@
                 .isolated
                 .extend((0..usize::from(case.hosts)).step_by(4));
         }
+        Disturbance::ZoneKilled => {
+            let zone = (0..usize::from(case.hosts)).step_by(4);
+            fleet.silent.extend(zone);
+        }
         Disturbance::BeginnersKilled => {}
     }
     fleet.silent.extend(beginners.iter().copied());
