Wait for a slow answer if no other target can take the request

What callers saw: 502 after 150 ms for a request that may be repeated, whose only target was slow and sound; its deadline was 3 s. Cause: an attempt that may be repeated times out after the objective so that another target can be tried, also where there is none; the attempt was cut and the request refused. Change: without another target that could take it, the attempt has the time that the request has. Result: an_attempt_times_out_early_only_if_another_target_can_take_the_request failed before (one target, idempotent) and passes now, as do the other tests of the crate. A retry that the budget doesn't permit when the attempt times out still ends the request then.

--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -188,6 +188,8 @@
         live_peers: state.peers.live(now_ms).count(),
         limited_targets: state.limited_targets(),
     };
+    let has_alternative =
+        has_alternative(state, now_ms, request_number, &selection.target);
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
     };
@@ -199,6 +201,8 @@
     let route = request.route();
     let remaining_ms = request.deadline_ms - now_ms;
     let attempt_timeout_ms = match route.retry_safety {
+        // A slow answer is better than none.
+        _ if !has_alternative => remaining_ms,
         RetrySafety::Idempotent if request.runs + 1 < route.runs_max => {
             route.latency_objective_ms
         }
@@ -234,6 +238,27 @@
     }
 }
 
+/// Returns true if another target could take the request when the selected one is slow.
+fn has_alternative(
+    state: &State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    selected: &TargetName,
+) -> bool {
+    let Some(request) = state.requests.get(&request_number) else {
+        return false;
+    };
+    state
+        .usable_targets(&request.pool)
+        .into_iter()
+        .any(|(target, entry)| {
+            target != selected
+                && !request.tried_targets.contains(target)
+                && request.continuation.permits(entry)
+                && state.target_notices.takes_request(now_ms, target)
+        })
+}
+
 /// Refuses a request for which there is no target, or none that takes it now.
 fn refuse_without_target(
     state: &mut State,
--- a/crates/toucancleat-fleet/tests/requests.rs
+++ b/crates/toucancleat-fleet/tests/requests.rs
@@ -510,3 +510,67 @@
     };
     answer(&mut host, now_ms, Query::TargetFeed { after: 10 }, reply);
 }
+
+/// Guards against slow but sound answers that are cut off: an attempt timed out after the
+/// route's objective although no other target could take the request.
+#[test]
+fn an_attempt_times_out_early_only_if_another_target_can_take_the_request() {
+    struct Case {
+        name: &'static str,
+        kind: &'static str,
+        targets: &'static [&'static str],
+        times_out_early: bool,
+    }
+    let cases = [
+        Case {
+            name: "two targets, idempotent",
+            kind: "lookup",
+            targets: &["roster-1", "roster-2"],
+            times_out_early: true,
+        },
+        Case {
+            name: "one target, idempotent",
+            kind: "lookup",
+            targets: &["roster-1"],
+            times_out_early: false,
+        },
+        Case {
+            name: "two engines, resumable",
+            kind: "check",
+            targets: &["engine-1", "engine-2"],
+            times_out_early: true,
+        },
+        Case {
+            name: "one engine, resumable",
+            kind: "check",
+            targets: &["engine-1"],
+            times_out_early: false,
+        },
+        Case {
+            name: "two targets, may run once only",
+            kind: "booking",
+            targets: &["roster-1", "roster-2"],
+            times_out_early: false,
+        },
+    ];
+    for case in cases {
+        let mut host = empty_host("host-1", "upp-a", 1);
+        let targets: Vec<(&str, TargetEntry)> = (101..)
+            .zip(case.targets)
+            .map(|(number, name)| {
+                let pool = if name.starts_with("engine") {
+                    "engines"
+                } else {
+                    "roster"
+                };
+                (*name, entry(pool, "upp-a", number))
+            })
+            .collect();
+        populate(&mut host, START_MS, &targets);
+        let effects =
+            receive_request(&mut host, START_MS, 1, incoming_request(case.kind));
+        let sent = dispatches(&effects)[0];
+        let is_early = sent.attempt_deadline_ms < sent.deadline_ms;
+        assert_eq!(is_early, case.times_out_early, "{}", case.name);
+    }
+}
