Log the shared parts of the prompt of interrupted runs

Needed to tell apart how requests with one part in their prompts came to crash engine after engine: no line names the parts of a prompt, or how far an interrupted run had got. Change: the shared parts of a prompt, all but the last, are read from a request. The reducer records when a target's first event arrived, for each target of a stream, and logs each interruption of a run with shared parts, also where the run resumes from a copy. Where requests go hasn't changed.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -7,6 +7,7 @@
 
 use crate::configuration::Configuration;
 use crate::peers::{Message, Recipient};
+use crate::prompt_part::PartId;
 use crate::request::{AttemptOutcome, Dispatch, IncomingRequest, Refusal, RequestNumber};
 use crate::store::{Query, Reply};
 use crate::stream_origin::{OriginMessage, OriginSource};
@@ -65,6 +66,11 @@
         /// How it ended.
         outcome: AttemptOutcome,
     },
+    /// The run of a stream was interrupted, and resumes from a copy.
+    RunInterrupted {
+        /// The request.
+        request_number: RequestNumber,
+    },
     /// A stream has delivered events.
     StreamProgressed {
         /// The request.
@@ -229,6 +235,17 @@
         /// Number of live peers.
         live_peers: usize,
     },
+    /// The run of a request with shared parts of a prompt was interrupted.
+    RunInterrupted {
+        /// The id of the caller's attempt.
+        attempt_id: Arc<str>,
+        /// The target that ran it.
+        target: TargetName,
+        /// Time since the target's first event, or `None` if there was none.
+        answered_ms: Option<u64>,
+        /// The shared parts of its prompt.
+        shared_parts: Vec<PartId>,
+    },
     /// A stream that its caller takes up again continues at the version that began it.
     StreamResumed {
         /// The id of the caller's attempt.
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod peers;
 pub mod poison_requests;
 pub mod prelude;
+pub mod prompt_part;
 pub mod rate_limit;
 mod reduce;
 pub mod request;
--- a/crates/toucancleat-fleet/src/prelude.rs
+++ b/crates/toucancleat-fleet/src/prelude.rs
@@ -6,6 +6,7 @@
 
 pub use crate::configuration::{Configuration, RetrySafety, Route};
 pub use crate::event::{Effect, Event, LogEvent};
+pub use crate::prompt_part::PartId;
 pub use crate::reduce::reduce;
 pub use crate::request::{
     AttemptOutcome, Dispatch, IncomingRequest, Reason, Refusal, RequestNumber,
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -229,6 +229,7 @@
     release_placement(state, request_number);
     if let Some(request) = state.requests.get_mut(&request_number) {
         request.placement = request.destination.take();
+        request.answering_since_ms = None;
         request.has_migration_retry = false;
         // A target that the run has left may take it again after a restart.
         request.tried_targets.clear();
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -198,6 +198,7 @@
     let added = request.load();
     request.placement = Some((selection.target.clone(), added));
     request.running_version.clone_from(&entry.software_version);
+    request.answering_since_ms = None;
     let route = request.route();
     let remaining_ms = request.deadline_ms - now_ms;
     let attempt_timeout_ms = match route.retry_safety {
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -9,7 +9,7 @@
 use crate::config::EXIT_RESERVE_MS;
 use crate::configuration::{RetrySafety, Route};
 use crate::continuation::Continuation;
-use crate::event::Effect;
+use crate::event::{Effect, LogEvent};
 use crate::health::HealthSample;
 use crate::peers::Load;
 use crate::poison_requests::RETENTION_MS;
@@ -148,6 +148,7 @@
         verdict: Verdict::NotRun,
         placement: None,
         running_version: None,
+        answering_since_ms: None,
         continuation: Continuation::AnyVersion,
         destination: None,
         has_migration_retry: false,
@@ -171,12 +172,16 @@
 /// Records the progress of a stream and updates the load that is counted for it.
 pub(super) fn handle_progress(
     state: &mut State,
+    now_ms: u64,
     request_number: RequestNumber,
     events: u64,
 ) {
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
     };
+    if events > 0 {
+        request.answering_since_ms.get_or_insert(now_ms);
+    }
     let event_tokens = request
         .configuration
         .engine(&request.pool)
@@ -204,6 +209,9 @@
     outcome: AttemptOutcome,
     effects: &mut Vec<Effect>,
 ) {
+    if outcome == AttemptOutcome::Interrupted {
+        handle_interruption(state, now_ms, request_number, effects);
+    }
     let Some(target) = release_placement(state, request_number) else {
         return;
     };
@@ -273,6 +281,33 @@
     }
 }
 
+/// Records that the run of a request was interrupted at its target.
+pub(super) fn handle_interruption(
+    state: &State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.get(&request_number) else {
+        return;
+    };
+    let Some((target, _)) = &request.placement else {
+        return;
+    };
+    if request.incoming.shared_parts.is_empty() {
+        return;
+    }
+    let answered_ms = request
+        .answering_since_ms
+        .map(|since_ms| now_ms.saturating_sub(since_ms));
+    effects.push(Effect::Log(LogEvent::RunInterrupted {
+        attempt_id: request.incoming.attempt_id.clone(),
+        target: target.clone(),
+        answered_ms,
+        shared_parts: request.incoming.shared_parts.clone(),
+    }));
+}
+
 fn health_sample(outcome: AttemptOutcome) -> HealthSample {
     match outcome {
         AttemptOutcome::Answered { took_ms } => HealthSample::Answered { took_ms },
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -9,6 +9,7 @@
 use crate::continuation::Continuation;
 use crate::peers::Load;
 use crate::poison_requests::Fingerprint;
+use crate::prompt_part::PartId;
 use crate::target::SoftwareVersion;
 
 /// Identifies a request within one process.
@@ -41,6 +42,9 @@
     pub output_tokens_max: u64,
     /// The caller's estimate of the number of generated tokens.
     pub output_tokens_hint: Option<u64>,
+    /// The parts of the prompt that other requests may share; the last part is the request's
+    /// own.
+    pub shared_parts: Vec<PartId>,
 }
 
 /// Tokens that a run may generate before its host has reported them to peers; about what
@@ -239,6 +243,8 @@
     pub placement: Option<(TargetName, Load)>,
     /// Version of that target's software.
     pub running_version: Option<SoftwareVersion>,
+    /// When the first event of that target was received.
+    pub answering_since_ms: Option<u64>,
     /// Where it may continue, if it is a stream.
     pub continuation: Continuation,
     /// The target that it is migrating to, and the load that is counted for it there.
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -144,6 +144,7 @@
         prompt_tokens: 3_000,
         output_tokens_max: 900,
         output_tokens_hint: None,
+        shared_parts: Vec::new(),
     }
 }
 
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -313,6 +313,11 @@
     version.map_or("", SoftwareVersion::as_str)
 }
 
+fn part_list(parts: &[PartId]) -> String {
+    let parts: Vec<String> = parts.iter().map(PartId::to_string).collect();
+    parts.join(",")
+}
+
 fn log_event(event: &LogEvent) {
     match event {
         LogEvent::ConfigurationRejected {
@@ -361,6 +366,15 @@
         } => {
             log::info!(reads = is_reader, hosts_heard = live_peers; "store reader role changed");
         }
+        LogEvent::RunInterrupted {
+            attempt_id,
+            target,
+            answered_ms,
+            shared_parts,
+        } => {
+            let shared_parts = part_list(shared_parts);
+            log::info!(request:% = attempt_id, target_name:% = target, answered_ms:? = answered_ms, shared_parts; "run interrupted");
+        }
         LogEvent::StreamResumed {
             attempt_id,
             version,
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -45,6 +45,8 @@
     first_event_ms: Option<u64>,
     last_event_ms: u64,
     event_count: u64,
+    /// Events of the current attempt.
+    attempt_event_count: u64,
     longest_pause_ms: u64,
     /// The migration away from a leaving target, if one is in progress.
     migration: Option<Migration>,
@@ -98,6 +100,7 @@
             first_event_ms: None,
             last_event_ms: now_ms,
             event_count: 0,
+            attempt_event_count: 0,
             longest_pause_ms: 0,
             migration: None,
             request_destination_at_ms: None,
@@ -265,7 +268,8 @@
         }
         self.last_event_ms = now_ms;
         self.event_count += 1;
-        if self.event_count % PROGRESS_INTERVAL_EVENTS == 1 {
+        self.attempt_event_count += 1;
+        if self.attempt_event_count % PROGRESS_INTERVAL_EVENTS == 1 {
             self.host.apply(Event::StreamProgressed {
                 request_number: self.open_request.request_number,
                 events: self.event_count,
@@ -302,6 +306,9 @@
     async fn handle_interruption(&mut self) -> NextAction {
         self.upstream = None;
         if self.has_copy() {
+            self.host.apply(Event::RunInterrupted {
+                request_number: self.open_request.request_number,
+            });
             return self.resume(false).await;
         }
         self.abandon_migration();
@@ -359,6 +366,7 @@
             AttemptResult::Stream(start) => {
                 self.upstream = Some(start.upstream);
                 self.splitter = EventSplitter::default();
+                self.attempt_event_count = 0;
                 true
             }
             AttemptResult::Ended { outcome, .. } => {
