--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -1,6 +1,6 @@
 //! A fleet of hosts whose messages are delivered at once.
 
-use indexmap::IndexSet;
+use indexmap::{IndexMap, IndexSet};
 use toucancleat_fleet::event::Effect;
 use toucancleat_fleet::peers::Message;
 use toucancleat_fleet::prelude::*;
@@ -28,7 +28,7 @@
     pub queries: Vec<Query>,
     /// The targets to which requests were sent, and the requests that were refused.
     pub dispatched: Vec<(RequestNumber, TargetName)>,
-    pub refused_requests: IndexSet<RequestNumber>,
+    pub refused_requests: IndexMap<RequestNumber, Refusal>,
     /// Number of messages about the origins of streams.
     pub origin_messages: usize,
 }
@@ -50,7 +50,7 @@
             readers: IndexSet::new(),
             queries: Vec::new(),
             dispatched: Vec::new(),
-            refused_requests: IndexSet::new(),
+            refused_requests: IndexMap::new(),
             origin_messages: 0,
         };
         for host in &mut fleet.hosts {
@@ -135,7 +135,7 @@
 
     /// Returns true if a request was refused.
     pub fn is_refused(&self, number: u64) -> bool {
-        self.refused_requests.contains(&RequestNumber(number))
+        self.refused_requests.contains_key(&RequestNumber(number))
     }
 
     /// Executes a host's effects: delivers its messages and answers its queries.
@@ -146,8 +146,12 @@
             self.dispatched.push(sent);
         }
         for effect in effects {
-            if let Effect::Refuse { request_number, .. } = effect {
-                self.refused_requests.insert(request_number);
+            if let Effect::Refuse {
+                request_number,
+                refusal,
+            } = effect
+            {
+                self.refused_requests.insert(request_number, refusal);
             }
             if let Effect::SendOrigin {
                 recipients,
