Refuse requests with a part of a prompt that crashes targets

Cause: a poison request is known by a fingerprint of its whole content. Requests that share one part and nothing else have as many fingerprints as there are requests. Interruptions that were followed by a resumption from a copy weren't counted at all. Change: each crash counts against the parts of the prompts of the runs that had hardly begun to be answered, at all hosts together; answers withdraw what counted against their parts. The part that explains three crashes is refused by all hosts, on arrival, before each attempt, migration and resumption. Parts that were always together are refused together until one is answered. Also: the test of messages of the last release is that of the release before it now, and a new one checks those of the last.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -66,7 +66,7 @@
         /// How it ended.
         outcome: AttemptOutcome,
     },
-    /// The run of a stream was interrupted, and resumes from a copy.
+    /// The run of a stream was interrupted, and there is a copy from which it can resume.
     RunInterrupted {
         /// The request.
         request_number: RequestNumber,
@@ -149,6 +149,11 @@
         /// The version of the destination's software.
         target_version: Option<SoftwareVersion>,
     },
+    /// Resume an interrupted run from its copy.
+    ResumeFromCopy {
+        /// The request.
+        request_number: RequestNumber,
+    },
     /// No target has room for a run that should migrate.
     NoDestination {
         /// The request.
@@ -246,6 +251,18 @@
         /// The shared parts of its prompt.
         shared_parts: Vec<PartId>,
     },
+    /// Requests with a part of a prompt are refused from now on: targets crash under it.
+    PartRefused {
+        /// The part.
+        part: PartId,
+        /// Number of crashed targets that this host knows of.
+        crashed_targets: usize,
+    },
+    /// A request with a refused part was answered, so requests with it are accepted again.
+    PartAccepted {
+        /// The part.
+        part: PartId,
+    },
     /// A stream that its caller takes up again continues at the version that began it.
     StreamResumed {
         /// The id of the caller's attempt.
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -19,7 +19,8 @@
 //! - A stream continues only at the version of the targets' software that began it, at whichever
 //!   host its caller takes it up again ([`continuation`], [`stream_origin`]).
 //! - A poison request, which crashes every target that runs it, is refused by all hosts
-//!   ([`poison_requests`]).
+//!   ([`poison_requests`]), and so are requests that share a poison part of their prompts
+//!   ([`poison_parts`]).
 //!
 //! # Cost
 //!
@@ -43,6 +44,7 @@
 pub mod migration;
 pub mod migration_plan;
 pub mod peers;
+pub mod poison_parts;
 pub mod poison_requests;
 pub mod prelude;
 pub mod prompt_part;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -15,6 +15,7 @@
 use crate::configuration_change::ConfigurationChange;
 use crate::host_ring::HostRing;
 use crate::migration_plan::HostRuns;
+use crate::poison_parts::PartReports;
 use crate::poison_requests::Fingerprint;
 use crate::store::{READER_SILENCE_MS, StorePosition};
 use crate::target::TargetChange;
@@ -97,6 +98,10 @@
     /// of the last release don't send it.
     #[serde(skip)]
     pub version_digest: Option<u64>,
+    /// What the sender knows of parts of prompts that crash targets. Hosts of the last release
+    /// don't send it.
+    #[serde(skip)]
+    pub part_reports: PartReports,
     /// A sample of the addresses of other hosts.
     pub addresses: Vec<SocketAddr>,
     /// A change that the sender has read from the store.
@@ -240,6 +245,7 @@
             last_message: Message {
                 update: None,
                 notices: Vec::new(),
+                part_reports: PartReports::default(),
                 ..message
             },
             is_counted: true,
--- /dev/null
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -0,0 +1,434 @@
+//! Detects poison parts of prompts, which crash every target that begins to answer a request
+//! with one.
+//!
+//! No two requests with such a part need be alike, and sound requests share their other parts.
+//! So evidence is collected for each part:
+//!
+//! - **Crash.** A run is interrupted before its target has answered for a while. Longer runs
+//!   beside it end with the target too, but didn't crash it. The crash counts against the parts
+//!   of the request that have not been in a recent answer; if all have, against the one whose
+//!   answer is the oldest.
+//! - **Answer.** A run answers for a while, or completely. What counted against its parts before
+//!   is withdrawn, at all hosts.
+//!
+//! A part is poison once [`CRASHES_MAX`] targets have crashed under it and no other part explains
+//! these crashes. While two parts have been in the same crashed runs only, a request is refused
+//! if it has both. All hosts share the evidence and the verdicts. See
+//! docs/design/poison-parts.md.
+
+use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
+use toucancleat_core::prelude::*;
+use toucancleat_core::rng::stable_hash;
+
+use crate::prompt_part::PartId;
+
+/// Number of targets that have crashed under a part at which it is poison. One may be a faulty
+/// link, and two a coincidence.
+pub const CRASHES_MAX: usize = 3;
+
+/// Time from the first event of a target to the one from which its run counts as sound.
+pub const SOUND_AFTER_MS: u64 = 1_000;
+
+/// Time for which a crash is remembered.
+pub const CRASH_RETENTION_MS: u64 = 60_000;
+
+/// Time for which requests with a poison part are refused. Callers that send one again learn
+/// this way whether it still crashes targets.
+pub const REFUSAL_MS: u64 = 600_000;
+
+/// Time after that in which a single crash suffices for another verdict.
+const PROBATION_MS: u64 = 600_000;
+
+/// Time between an answer and a peer's verdict within which the two contradict each other: ages
+/// grow a little with each host that passes a verdict on.
+const VERDICT_MARGIN_MS: u64 = 2_000;
+
+/// Time for which an answer speaks for a part when another part of its request may be to blame.
+const ANSWER_RETENTION_MS: u64 = 120_000;
+
+/// Maximum number of parts with answers that are remembered; a host forgets the oldest half.
+const ANSWERED_PARTS_MAX: usize = 8_192;
+
+/// Maximum number of parts with crashes or a verdict; the oldest is forgotten.
+const SUSPECTS_MAX: usize = 1_024;
+
+/// Maximum number of crashes that are remembered of one part, and reported of one.
+const CRASHES_OF_PART_MAX: usize = 16;
+
+/// Maximum number of parts in each list of a message. An entry takes some 15 bytes, and five
+/// more for each crash.
+const REPORTED_MAX: usize = 32;
+
+/// Identifies one start of a target, for which every host computes the same value.
+pub type TargetKey = u32;
+
+/// Returns the key of a target. Each start of a target has a name of its own.
+pub fn target_key(target: &TargetName) -> TargetKey {
+    stable_hash(target.as_str().as_bytes()) as TargetKey
+}
+
+/// What a host reports to its peers about parts of prompts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PartReports {
+    /// Parts, the targets that crashed under each at this host, and the age of each crash.
+    pub crashes: Vec<(PartId, Vec<(TargetKey, u32)>)>,
+    /// Poison parts, and the age of each verdict.
+    pub poison: Vec<(PartId, u32)>,
+    /// Parts that other hosts suspect, and the age of their last answer here.
+    pub answered: Vec<(PartId, u32)>,
+}
+
+/// A change of what is known of a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartChange {
+    /// Requests with the part are refused from now on. Holds the number of crashed targets that
+    /// this host knows of.
+    Poison(PartId, usize),
+    /// A request with the part was answered, so that it is no longer suspected.
+    Sound(PartId),
+}
+
+/// A crash under a part.
+#[derive(Clone, Copy, Debug)]
+struct Crash {
+    at_ms: u64,
+    is_own: bool,
+}
+
+/// A part under which targets have crashed.
+#[derive(Clone, Debug, Default)]
+struct Suspect {
+    crashes: IndexMap<TargetKey, Crash>,
+    /// When it was found to be poison.
+    poison_since_ms: Option<u64>,
+    /// When a peer last reported it as suspect or poison.
+    peer_reported_ms: Option<u64>,
+}
+
+impl Suspect {
+    fn is_refused(&self, now_ms: u64) -> bool {
+        self.poison_since_ms
+            .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) < REFUSAL_MS)
+    }
+
+    fn is_on_probation(&self) -> bool {
+        self.poison_since_ms.is_some()
+    }
+
+    fn is_kept(&self, now_ms: u64) -> bool {
+        let is_recent = |at_ms: Option<u64>, retention_ms: u64| {
+            at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < retention_ms)
+        };
+        !self.crashes.is_empty()
+            || is_recent(self.poison_since_ms, REFUSAL_MS + PROBATION_MS)
+            || is_recent(self.peer_reported_ms, CRASH_RETENTION_MS)
+    }
+}
+
+/// Parts with answers, and when the last was received. Held in two generations, so that the
+/// oldest are forgotten without being searched for.
+#[derive(Clone, Debug, Default)]
+struct AnsweredParts {
+    recent: IndexMap<PartId, u64>,
+    earlier: IndexMap<PartId, u64>,
+}
+
+impl AnsweredParts {
+    fn record(&mut self, at_ms: u64, part: PartId) {
+        if self.recent.len() >= ANSWERED_PARTS_MAX / 2 {
+            self.earlier = std::mem::take(&mut self.recent);
+        }
+        let answered_ms = self.recent.entry(part).or_default();
+        *answered_ms = at_ms.max(*answered_ms);
+    }
+
+    fn last_ms(&self, part: PartId) -> Option<u64> {
+        let recent = self.recent.get(&part).copied();
+        recent.max(self.earlier.get(&part).copied())
+    }
+}
+
+/// The evidence for and against parts of prompts, of all hosts.
+#[derive(Clone, Debug, Default)]
+pub struct PoisonParts {
+    suspects: IndexMap<PartId, Suspect>,
+    /// Answers at this host.
+    own_answers: AnsweredParts,
+    /// Answers that peers have reported.
+    peer_answers: AnsweredParts,
+}
+
+impl PoisonParts {
+    /// Records that a target crashed when it began to answer a request with these parts.
+    pub fn record_crash(
+        &mut self,
+        now_ms: u64,
+        target: TargetKey,
+        parts: &[PartId],
+    ) -> Vec<PartChange> {
+        self.expire(now_ms);
+        let crash = Crash {
+            at_ms: now_ms,
+            is_own: true,
+        };
+        for part in self.suspected(now_ms, parts) {
+            self.insert_crash(part, target, crash);
+        }
+        self.find_poison(now_ms)
+    }
+
+    /// Records that a target answered a request with these parts for a while, or completely.
+    pub fn record_answer(&mut self, now_ms: u64, parts: &[PartId]) -> Vec<PartChange> {
+        let mut changes = Vec::new();
+        for part in parts {
+            self.own_answers.record(now_ms, *part);
+            changes.extend(self.clear(now_ms, *part));
+        }
+        changes
+    }
+
+    /// Records the reports of a peer, which have just been received.
+    pub fn record_reports(
+        &mut self,
+        now_ms: u64,
+        reports: &PartReports,
+    ) -> Vec<PartChange> {
+        let mut changes = Vec::new();
+        if *reports == PartReports::default() {
+            return changes;
+        }
+        let received_at = |age_ms: u32| now_ms.checked_sub(u64::from(age_ms));
+        for (part, age_ms) in reports.answered.iter().take(REPORTED_MAX) {
+            if let Some(at_ms) = received_at(*age_ms) {
+                self.peer_answers.record(at_ms, *part);
+                changes.extend(self.clear(at_ms, *part));
+            }
+        }
+        for (part, age_ms) in reports.poison.iter().take(REPORTED_MAX) {
+            let answered_ms = self.answered_ms(*part).unwrap_or_default();
+            let since_ms = received_at(*age_ms).filter(|since_ms| {
+                now_ms - since_ms < REFUSAL_MS + PROBATION_MS
+                    && answered_ms + VERDICT_MARGIN_MS < *since_ms
+            });
+            let suspect = self.suspect(*part);
+            suspect.peer_reported_ms = Some(now_ms);
+            // N.B. a verdict that returns from a peer looks slightly younger. It must not renew
+            // the one that it repeats.
+            let renewable_ms = suspect
+                .poison_since_ms
+                .map(|since_ms| since_ms + REFUSAL_MS);
+            if since_ms > renewable_ms {
+                suspect.poison_since_ms = since_ms;
+                if suspect.is_refused(now_ms) {
+                    changes.push(PartChange::Poison(*part, suspect.crashes.len()));
+                }
+            }
+        }
+        for (part, crashes) in reports.crashes.iter().take(REPORTED_MAX) {
+            self.suspect(*part).peer_reported_ms = Some(now_ms);
+            for (target, age_ms) in crashes.iter().take(CRASHES_OF_PART_MAX) {
+                let at_ms = received_at(*age_ms)
+                    .filter(|at_ms| now_ms - at_ms < CRASH_RETENTION_MS)
+                    .filter(|at_ms| self.answered_ms(*part) < Some(*at_ms));
+                if let Some(at_ms) = at_ms {
+                    let is_own = false;
+                    self.insert_crash(*part, *target, Crash { at_ms, is_own });
+                }
+            }
+        }
+        self.expire(now_ms);
+        changes.extend(self.find_poison(now_ms));
+        changes
+    }
+
+    /// Returns what this host reports to its peers.
+    ///
+    /// Verdicts are reported by all hosts that know them, so that they outlive the hosts that
+    /// found them.
+    pub fn own_reports(&self, now_ms: u64) -> PartReports {
+        let age_ms =
+            |at_ms: u64| u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX);
+        let mut reports = PartReports::default();
+        // The most recent suspects come last.
+        for (part, suspect) in self.suspects.iter().rev() {
+            if let Some(since_ms) = suspect.poison_since_ms {
+                reports.poison.push((*part, age_ms(since_ms)));
+            }
+            let own: Vec<(TargetKey, u32)> = suspect
+                .crashes
+                .iter()
+                .filter(|(_, crash)| crash.is_own)
+                .map(|(target, crash)| (*target, age_ms(crash.at_ms)))
+                .collect();
+            if !own.is_empty() {
+                reports.crashes.push((*part, own));
+            }
+            if suspect.peer_reported_ms.is_some()
+                && let Some(answered_ms) = self.own_answers.last_ms(*part)
+            {
+                reports.answered.push((*part, age_ms(answered_ms)));
+            }
+        }
+        reports.crashes.truncate(REPORTED_MAX);
+        reports.poison.truncate(REPORTED_MAX);
+        reports.answered.truncate(REPORTED_MAX);
+        reports
+    }
+
+    /// Returns for how long requests with these parts are refused, in milliseconds, or `None` if
+    /// they aren't.
+    pub fn refused_for_ms(&self, now_ms: u64, parts: &[PartId]) -> Option<u64> {
+        let suspects = parts.iter().filter_map(|part| {
+            let suspect = self.suspects.get(part)?;
+            Some((part, suspect))
+        });
+        let refused_ms = suspects.filter_map(|(part, suspect)| {
+            if suspect.is_refused(now_ms) {
+                let since_ms = suspect.poison_since_ms?;
+                return Some((since_ms + REFUSAL_MS).saturating_sub(now_ms));
+            }
+            self.is_inseparable(now_ms, *part, parts)
+                .then_some(CRASH_RETENTION_MS)
+        });
+        refused_ms.max()
+    }
+
+    /// Returns the number of poison parts.
+    pub fn poison_count(&self, now_ms: u64) -> usize {
+        self.suspects
+            .values()
+            .filter(|suspect| suspect.is_refused(now_ms))
+            .count()
+    }
+
+    /// Returns the parts of a crashed request that the crash counts against.
+    fn suspected(&self, now_ms: u64, parts: &[PartId]) -> Vec<PartId> {
+        let has_answer = |part: &PartId| {
+            self.answered_ms(*part)
+                .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < ANSWER_RETENTION_MS)
+        };
+        let without_answer: Vec<PartId> = parts
+            .iter()
+            .copied()
+            .filter(|part| !has_answer(part))
+            .collect();
+        if !without_answer.is_empty() {
+            return without_answer;
+        }
+        let oldest = parts.iter().min_by_key(|part| self.answered_ms(**part));
+        oldest.copied().into_iter().collect()
+    }
+
+    /// Withdraws what counted against a part before an answer.
+    fn clear(&mut self, at_ms: u64, part: PartId) -> Option<PartChange> {
+        let suspect = self.suspects.get_mut(&part)?;
+        suspect.crashes.retain(|_, crash| crash.at_ms > at_ms);
+        let was_poison = suspect.poison_since_ms.is_some();
+        suspect.poison_since_ms =
+            suspect.poison_since_ms.filter(|since_ms| *since_ms > at_ms);
+        (was_poison && suspect.poison_since_ms.is_none())
+            .then_some(PartChange::Sound(part))
+    }
+
+    fn answered_ms(&self, part: PartId) -> Option<u64> {
+        let own = self.own_answers.last_ms(part);
+        own.max(self.peer_answers.last_ms(part))
+    }
+
+    fn suspect(&mut self, part: PartId) -> &mut Suspect {
+        if !self.suspects.contains_key(&part) && self.suspects.len() >= SUSPECTS_MAX {
+            // A verdict is worth more than a suspicion.
+            let without_verdict = |suspect: &Suspect| suspect.poison_since_ms.is_none();
+            let oldest = self.suspects.values().position(without_verdict);
+            self.suspects.shift_remove_index(oldest.unwrap_or_default());
+        }
+        self.suspects.entry(part).or_default()
+    }
+
+    fn insert_crash(&mut self, part: PartId, target: TargetKey, crash: Crash) {
+        let crashes = &mut self.suspect(part).crashes;
+        if crashes.len() < CRASHES_OF_PART_MAX || crashes.contains_key(&target) {
+            let known = crashes.entry(target).or_insert(crash);
+            known.is_own |= crash.is_own;
+        }
+    }
+
+    /// Finds the parts that explain the crashes, the one with the most crashes first.
+    ///
+    /// A crash that a poison part explains counts against no other part.
+    fn find_poison(&mut self, now_ms: u64) -> Vec<PartChange> {
+        let mut changes = Vec::new();
+        loop {
+            let unexplained = self.unexplained(now_ms);
+            let candidates = unexplained.iter().filter(|(part, targets)| {
+                let is_alone = !unexplained
+                    .iter()
+                    .any(|(other, others)| other != *part && others.is_superset(targets));
+                let is_on_probation = self
+                    .suspects
+                    .get(*part)
+                    .is_some_and(Suspect::is_on_probation);
+                is_on_probation || (targets.len() >= CRASHES_MAX && is_alone)
+            });
+            let found = candidates.max_by_key(|(_, targets)| targets.len());
+            let Some((part, targets)) = found else {
+                return changes;
+            };
+            changes.push(PartChange::Poison(*part, targets.len()));
+            let part = *part;
+            self.suspect(part).poison_since_ms = Some(now_ms);
+        }
+    }
+
+    /// Returns the crashes under each part that isn't refused, without those that a poison part
+    /// explains.
+    fn unexplained(&self, now_ms: u64) -> IndexMap<PartId, IndexSet<TargetKey>> {
+        let (refused, open): (Vec<_>, Vec<_>) = self
+            .suspects
+            .iter()
+            .partition(|(_, suspect)| suspect.is_refused(now_ms));
+        let explained: IndexSet<TargetKey> = refused
+            .iter()
+            .flat_map(|(_, suspect)| suspect.crashes.keys().copied())
+            .collect();
+        open.into_iter()
+            .map(|(part, suspect)| {
+                let crashes = suspect.crashes.keys().copied();
+                let targets = crashes.filter(|target| !explained.contains(target));
+                (*part, targets.collect::<IndexSet<TargetKey>>())
+            })
+            .filter(|(_, targets)| !targets.is_empty())
+            .collect()
+    }
+
+    /// Returns true if a request has a part with enough crashes, and also each part that was in
+    /// the same crashed runs.
+    fn is_inseparable(&self, now_ms: u64, part: PartId, parts: &[PartId]) -> bool {
+        let crashes = |part| self.suspects.get(part).map_or(0, |s| s.crashes.len());
+        if crashes(&part) < CRASHES_MAX {
+            return false;
+        }
+        let unexplained = self.unexplained(now_ms);
+        let Some(targets) = unexplained.get(&part) else {
+            return false;
+        };
+        targets.len() >= CRASHES_MAX
+            && unexplained
+                .iter()
+                .filter(|(_, others)| others.is_superset(targets))
+                .all(|(other, others)| {
+                    others.len() == targets.len() && parts.contains(other)
+                })
+    }
+
+    /// Forgets what is older than its retention time.
+    fn expire(&mut self, now_ms: u64) {
+        self.suspects.retain(|_, suspect| {
+            suspect.crashes.retain(|_, crash| {
+                now_ms.saturating_sub(crash.at_ms) < CRASH_RETENTION_MS
+            });
+            suspect.is_kept(now_ms)
+        });
+    }
+}
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -1,5 +1,6 @@
 //! Sends messages to peers and handles those received from them.
 
+use super::requests::log_part_changes;
 use super::{notices, store_sync};
 use crate::event::Effect;
 use crate::peers::{
@@ -89,6 +90,7 @@
         notices: state.target_notices.own_reports(now_ms),
         store_era: state.store_era,
         version_digest: Some(state.directory.version_digest()),
+        part_reports: state.poison_parts.own_reports(now_ms),
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
@@ -120,6 +122,10 @@
         state
             .poison_requests
             .record_peer_counts(now_ms, from, &message.interruptions);
+        let changes = state
+            .poison_parts
+            .record_reports(now_ms, &message.part_reports);
+        log_part_changes(&changes, effects);
         compare_versions(state, now_ms, &message);
         notices::handle_reports(state, now_ms, &message, effects);
         state
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -199,6 +199,13 @@
     destination: TargetName,
     effects: &mut Vec<Effect>,
 ) {
+    let parts = state
+        .requests
+        .get(&request_number)
+        .map_or(&[][..], |request| &request.incoming.shared_parts);
+    if state.poison_parts.refused_for_ms(now_ms, parts).is_some() {
+        return effects.push(Effect::NoDestination { request_number });
+    }
     state.target_notices.take_permit(now_ms, &destination);
     let entry = state.directory.get(&destination);
     let entry = entry.map(|entry| (entry.address, entry.software_version.clone()));
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -55,13 +55,18 @@
             requests::handle_attempt_end(state, now_ms, request_number, outcome, effects);
         }
         Event::RunInterrupted { request_number } => {
-            requests::handle_interruption(state, now_ms, request_number, effects);
+            requests::handle_interruption_with_copy(
+                state,
+                now_ms,
+                request_number,
+                effects,
+            );
         }
         Event::StreamProgressed {
             request_number,
             events,
         } => {
-            requests::handle_progress(state, now_ms, request_number, events);
+            requests::handle_progress(state, now_ms, request_number, events, effects);
         }
         Event::DestinationNeeded {
             request_number,
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -153,6 +153,13 @@
     if now_ms + ATTEMPT_MIN_MS > request.deadline_ms {
         return refuse(state, request_number, Reason::TooLate, None, effects);
     }
+    if let Some(refused_ms) = state
+        .poison_parts
+        .refused_for_ms(now_ms, &request.incoming.shared_parts)
+    {
+        let reason = Reason::CrashesTargets;
+        return refuse(state, request_number, reason, Some(refused_ms), effects);
+    }
     let is_keyed = !request.route().is_public;
     if is_keyed && !state.is_configuration_fresh(now_ms) {
         let retry_after_ms = Some(RETRY_AFTER_SHORT_MS);
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -12,6 +12,7 @@
 use crate::event::{Effect, LogEvent};
 use crate::health::HealthSample;
 use crate::peers::Load;
+use crate::poison_parts::{PartChange, SOUND_AFTER_MS, target_key};
 use crate::poison_requests::RETENTION_MS;
 use crate::request::{
     AttemptOutcome, IncomingRequest, Reason, Refusal, Request, RequestNumber,
@@ -121,6 +122,12 @@
     {
         return Err(not_run(Reason::CrashesTargets, Some(RETENTION_MS)));
     }
+    if let Some(refused_ms) = state
+        .poison_parts
+        .refused_for_ms(now_ms, &incoming.shared_parts)
+    {
+        return Err(not_run(Reason::CrashesTargets, Some(refused_ms)));
+    }
     if !can_end_before_stop(state, now_ms, route) {
         return Err(not_run(Reason::Stopping, Some(0)));
     }
@@ -175,12 +182,18 @@
     now_ms: u64,
     request_number: RequestNumber,
     events: u64,
+    effects: &mut Vec<Effect>,
 ) {
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
     };
     if events > 0 {
-        request.answering_since_ms.get_or_insert(now_ms);
+        let since_ms = *request.answering_since_ms.get_or_insert(now_ms);
+        if now_ms.saturating_sub(since_ms) >= SOUND_AFTER_MS {
+            let parts = &request.incoming.shared_parts;
+            let changes = state.poison_parts.record_answer(now_ms, parts);
+            log_part_changes(&changes, effects);
+        }
     }
     let event_tokens = request
         .configuration
@@ -222,7 +235,10 @@
     let fingerprint = request.incoming.fingerprint;
     match outcome {
         AttemptOutcome::Answered { .. } => {
-            state.poison_requests.record_answer(now_ms, fingerprint)
+            state.poison_requests.record_answer(now_ms, fingerprint);
+            let parts = &request.incoming.shared_parts;
+            let changes = state.poison_parts.record_answer(now_ms, parts);
+            log_part_changes(&changes, effects);
         }
         AttemptOutcome::Interrupted => state
             .poison_requests
@@ -281,9 +297,10 @@
     }
 }
 
-/// Records that the run of a request was interrupted at its target.
+/// Records that the run of a request was interrupted at its target. If the target had hardly
+/// begun to answer, it may have crashed under the request.
 pub(super) fn handle_interruption(
-    state: &State,
+    state: &mut State,
     now_ms: u64,
     request_number: RequestNumber,
     effects: &mut Vec<Effect>,
@@ -306,6 +323,51 @@
         answered_ms,
         shared_parts: request.incoming.shared_parts.clone(),
     }));
+    if answered_ms.is_none_or(|answered_ms| answered_ms < SOUND_AFTER_MS) {
+        let parts = &request.incoming.shared_parts;
+        let changes = state
+            .poison_parts
+            .record_crash(now_ms, target_key(target), parts);
+        log_part_changes(&changes, effects);
+        state.must_broadcast = true;
+    }
+}
+
+/// Handles the interruption of a run of which there is a copy: it resumes there, unless it
+/// would crash that target too.
+pub(super) fn handle_interruption_with_copy(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    effects: &mut Vec<Effect>,
+) {
+    handle_interruption(state, now_ms, request_number, effects);
+    let Some(request) = state.requests.get(&request_number) else {
+        return;
+    };
+    let parts = &request.incoming.shared_parts;
+    match state.poison_parts.refused_for_ms(now_ms, parts) {
+        None => effects.push(Effect::ResumeFromCopy { request_number }),
+        refused_ms => {
+            if let Some(request) = state.requests.get_mut(&request_number) {
+                request.verdict = request.verdict.max(Verdict::MayHaveRun);
+            }
+            let reason = Reason::CrashesTargets;
+            refuse(state, request_number, reason, refused_ms, effects);
+        }
+    }
+}
+
+/// Logs what has changed about parts of prompts.
+pub(super) fn log_part_changes(changes: &[PartChange], effects: &mut Vec<Effect>) {
+    let events = changes.iter().map(|change| match *change {
+        PartChange::Poison(part, crashed_targets) => LogEvent::PartRefused {
+            part,
+            crashed_targets,
+        },
+        PartChange::Sound(part) => LogEvent::PartAccepted { part },
+    });
+    effects.extend(events.map(Effect::Log));
 }
 
 fn health_sample(outcome: AttemptOutcome) -> HealthSample {
@@ -338,6 +400,10 @@
         && !state
             .poison_requests
             .is_poison(now_ms, request.incoming.fingerprint)
+        && state
+            .poison_parts
+            .refused_for_ms(now_ms, &request.incoming.shared_parts)
+            .is_none()
         && request.runs < route.runs_max
         && request.attempts < ATTEMPTS_MAX
         && now_ms + ATTEMPT_MIN_MS < request.deadline_ms
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -12,6 +12,7 @@
 use crate::departures::Departures;
 use crate::health::HealthTable;
 use crate::peers::{Load, Peers};
+use crate::poison_parts::PoisonParts;
 use crate::poison_requests::PoisonRequests;
 use crate::request::{Request, RequestNumber};
 use crate::store::{ConfigurationRow, QuerySchedule, StorePosition};
@@ -117,6 +118,7 @@
     pub(crate) address_sample_offset: usize,
     pub(crate) retry_budget: RetryBudget,
     pub(crate) poison_requests: PoisonRequests,
+    pub(crate) poison_parts: PoisonParts,
     pub(crate) health: HealthTable,
     pub(crate) stream_origins: StreamOrigins,
     pub(crate) sole_versions: SoleVersions,
@@ -176,6 +178,7 @@
             address_sample_offset: 0,
             retry_budget: RetryBudget::default(),
             poison_requests: PoisonRequests::default(),
+            poison_parts: PoisonParts::default(),
             health: HealthTable::default(),
             stream_origins: StreamOrigins::default(),
             sole_versions: SoleVersions::default(),
@@ -222,6 +225,11 @@
         self.target_notices.limits().count()
     }
 
+    /// Returns the number of parts of prompts with which requests are refused.
+    pub fn poison_parts(&self, now_ms: u64) -> usize {
+        self.poison_parts.poison_count(now_ms)
+    }
+
     /// Returns the number of streams of which this host keeps where they began.
     pub fn kept_origins(&self) -> usize {
         self.stream_origins.len()
--- a/crates/toucancleat-fleet/tests/poison_parts.rs
+++ b/crates/toucancleat-fleet/tests/poison_parts.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
+use support::START_MS;
 use support::crashing::CrashingFleet;
+use toucancleat_fleet::poison_parts::{
+    CRASH_RETENTION_MS, CRASHES_MAX, PartReports, PoisonParts, REFUSAL_MS,
+};
 use toucancleat_fleet::prelude::*;
 
 /// Time after the fifth crash from which hosts know of it.
@@ -11,6 +15,17 @@
 /// Requests with a poison part that may reach engines from then on.
 const LATE_ARRIVALS_MAX: usize = 3;
 
+/// Time between two restarts of hosts.
+const RESTART_PAUSE_MS: u64 = 600;
+
+/// How hosts are restarted, from 4 s after the first poison request on.
+#[derive(Clone, Copy)]
+enum Restarts {
+    None,
+    InTurn,
+    AtOnce,
+}
+
 const POISON: PartId = PartId(u64::MAX);
 
 /// The first parts of prompts, of which there are eight, and the second ones.
@@ -51,9 +66,7 @@
         /// The other parts of a poison request, from a random number.
         other_parts: fn(usize) -> Vec<PartId>,
         kind: &'static str,
-        /// Whether every host is restarted, one after the other, from 4 s after the first crash
-        /// on.
-        restarts_hosts: bool,
+        restarts: Restarts,
         /// Whether the engines of a zone fail at the moment of the first poison request.
         zone_fails: bool,
     }
@@ -64,7 +77,7 @@
         quiet_ms: 10_000,
         other_parts: |n| vec![first_part(n), second_part(n / 8)],
         kind: "check",
-        restarts_hosts: false,
+        restarts: Restarts::None,
         zone_fails: false,
     };
     let cases = [
@@ -89,8 +102,13 @@
             ..plain
         },
         Case {
-            name: "hosts are restarted",
-            restarts_hosts: true,
+            name: "hosts are restarted in turn",
+            restarts: Restarts::InTurn,
+            ..plain
+        },
+        Case {
+            name: "all hosts are restarted at once",
+            restarts: Restarts::AtOnce,
             ..plain
         },
         Case {
@@ -128,9 +146,13 @@
                 simulation.send(case.kind, parts, 0, true);
             }
             let restart_ms = (now_ms - began_ms).saturating_sub(case.quiet_ms + 4_000);
-            if case.restarts_hosts && restart_ms > 0 && restart_ms.is_multiple_of(600) {
-                let host = (restart_ms / 600 - 1) as usize;
-                if host < usize::from(case.hosts) {
+            for host in 0..usize::from(case.hosts) {
+                let due_ms = match case.restarts {
+                    Restarts::None => continue,
+                    Restarts::InTurn => RESTART_PAUSE_MS * (host as u64 + 1),
+                    Restarts::AtOnce => RESTART_PAUSE_MS,
+                };
+                if restart_ms == due_ms {
                     simulation.restart(host);
                 }
             }
@@ -220,3 +242,285 @@
         assert_eq!(simulation.poison_refusals, 0, "{}", case.name);
     }
 }
+
+const A: PartId = PartId(1);
+const B: PartId = PartId(2);
+const P: PartId = PartId(3);
+
+/// A step in the history of a host.
+#[derive(Clone, Copy)]
+enum Step {
+    /// A target, by its key, crashed under a request with these parts.
+    Crashed(u32, &'static [PartId]),
+    Answered(&'static [PartId]),
+    /// A peer reports crashes of these targets, the last of them now.
+    PeerCrashes(PartId, &'static [u32]),
+    /// A peer reports that a part is poison, and the age of its verdict.
+    PeerVerdict(PartId, u32),
+    /// A peer reports an answer, and its age.
+    PeerAnswer(PartId, u32),
+    TimePasses(u64),
+}
+
+fn apply_step(parts: &mut PoisonParts, now_ms: &mut u64, step: Step) {
+    match step {
+        Step::Crashed(target, crashed) => {
+            parts.record_crash(*now_ms, target, crashed);
+        }
+        Step::Answered(answered) => {
+            parts.record_answer(*now_ms, answered);
+        }
+        Step::PeerCrashes(part, targets) => {
+            let targets = targets.iter().map(|target| (*target, 0)).collect();
+            let reports = PartReports {
+                crashes: vec![(part, targets)],
+                ..PartReports::default()
+            };
+            parts.record_reports(*now_ms, &reports);
+        }
+        Step::PeerVerdict(part, age_ms) => {
+            let reports = PartReports {
+                poison: vec![(part, age_ms)],
+                ..PartReports::default()
+            };
+            parts.record_reports(*now_ms, &reports);
+        }
+        Step::PeerAnswer(part, age_ms) => {
+            let reports = PartReports {
+                answered: vec![(part, age_ms)],
+                ..PartReports::default()
+            };
+            parts.record_reports(*now_ms, &reports);
+        }
+        Step::TimePasses(time_ms) => *now_ms += time_ms,
+    }
+}
+
+#[test]
+fn parts_are_refused_by_the_crashes_that_they_explain() {
+    use Step::*;
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        refused: &'static [&'static [PartId]],
+        accepted: &'static [&'static [PartId]],
+    }
+    let cases = [
+        Case {
+            name: "two crashes may be coincidental",
+            steps: &[Crashed(1, &[P]), Crashed(2, &[P])],
+            refused: &[],
+            accepted: &[&[P]],
+        },
+        Case {
+            name: "one target counts once",
+            steps: &[
+                Crashed(1, &[P]),
+                Crashed(1, &[P]),
+                Crashed(1, &[P]),
+                PeerCrashes(P, &[1, 2]),
+            ],
+            refused: &[],
+            accepted: &[&[P]],
+        },
+        Case {
+            name: "crashes at this host and at another",
+            steps: &[Crashed(1, &[P]), PeerCrashes(P, &[2, 3])],
+            refused: &[&[P], &[A, P]],
+            accepted: &[&[A], &[]],
+        },
+        Case {
+            name: "the part with the most crashes explains those of the others",
+            steps: &[
+                Crashed(1, &[A, P]),
+                Crashed(2, &[A, P]),
+                Crashed(3, &[B, P]),
+                Crashed(4, &[A, P]),
+            ],
+            refused: &[&[P]],
+            accepted: &[&[A], &[B], &[A, B]],
+        },
+        Case {
+            name: "parts that were always together are refused together",
+            steps: &[
+                Crashed(1, &[A, P]),
+                Crashed(2, &[A, P]),
+                Crashed(3, &[A, P]),
+            ],
+            refused: &[&[A, P]],
+            accepted: &[&[A], &[P], &[A, B]],
+        },
+        Case {
+            name: "an answer tells them apart",
+            steps: &[
+                Crashed(1, &[A, P]),
+                Crashed(2, &[A, P]),
+                Crashed(3, &[A, P]),
+                Answered(&[A]),
+                Crashed(4, &[A, P]),
+            ],
+            refused: &[&[A, P], &[P]],
+            accepted: &[&[A]],
+        },
+        Case {
+            name: "a part with an earlier answer isn't blamed beside one without",
+            steps: &[
+                Answered(&[A]),
+                Crashed(1, &[A, P]),
+                Crashed(2, &[A, P]),
+                Crashed(3, &[A, P]),
+            ],
+            refused: &[&[P]],
+            accepted: &[&[A]],
+        },
+        Case {
+            name: "a part that was sound before, by the oldest answer",
+            steps: &[
+                Answered(&[P]),
+                TimePasses(20),
+                Answered(&[A]),
+                Crashed(1, &[A, P]),
+                Crashed(2, &[A, P]),
+                Answered(&[A]),
+                Crashed(3, &[A, P]),
+            ],
+            refused: &[&[P]],
+            accepted: &[&[A]],
+        },
+        Case {
+            name: "an answer between crashes",
+            steps: &[
+                Crashed(1, &[P]),
+                Crashed(2, &[P]),
+                TimePasses(5),
+                Answered(&[P]),
+                TimePasses(5),
+                Crashed(3, &[P]),
+            ],
+            refused: &[],
+            accepted: &[&[P]],
+        },
+        Case {
+            name: "a run that began before the verdict is answered after it",
+            steps: &[
+                Crashed(1, &[P]),
+                Crashed(2, &[P]),
+                Crashed(3, &[P]),
+                TimePasses(5),
+                Answered(&[P]),
+                PeerVerdict(P, 4),
+            ],
+            refused: &[],
+            accepted: &[&[P]],
+        },
+        Case {
+            name: "an answer at a peer",
+            steps: &[
+                Crashed(1, &[P]),
+                Crashed(2, &[P]),
+                Crashed(3, &[P]),
+                TimePasses(100),
+                PeerAnswer(P, 30),
+            ],
+            refused: &[],
+            accepted: &[&[P]],
+        },
+        Case {
+            name: "an answer at a peer before the crashes",
+            steps: &[
+                TimePasses(500),
+                Crashed(1, &[P]),
+                Crashed(2, &[P]),
+                Crashed(3, &[P]),
+                PeerAnswer(P, 400),
+            ],
+            refused: &[&[P]],
+            accepted: &[],
+        },
+        Case {
+            name: "a verdict of a peer",
+            steps: &[PeerVerdict(P, 5_000)],
+            refused: &[&[P]],
+            accepted: &[&[A]],
+        },
+        Case {
+            name: "crashes beyond the retention time",
+            steps: &[
+                Crashed(1, &[P]),
+                Crashed(2, &[P]),
+                TimePasses(CRASH_RETENTION_MS),
+                Crashed(3, &[P]),
+            ],
+            refused: &[],
+            accepted: &[&[P]],
+        },
+        Case {
+            name: "a verdict ends",
+            steps: &[PeerVerdict(P, 0), TimePasses(REFUSAL_MS)],
+            refused: &[],
+            accepted: &[&[P]],
+        },
+        Case {
+            name: "a verdict that returns from a peer doesn't last longer",
+            steps: &[
+                PeerVerdict(P, 0),
+                TimePasses(REFUSAL_MS - 1),
+                PeerVerdict(P, REFUSAL_MS as u32 - 10),
+                TimePasses(1),
+                PeerVerdict(P, REFUSAL_MS as u32 - 10),
+            ],
+            refused: &[],
+            accepted: &[&[P]],
+        },
+        Case {
+            name: "one crash after the end of a verdict",
+            steps: &[
+                PeerVerdict(P, 0),
+                TimePasses(REFUSAL_MS + 1),
+                Crashed(1, &[P]),
+            ],
+            refused: &[&[P]],
+            accepted: &[],
+        },
+    ];
+    for case in cases {
+        let mut parts = PoisonParts::default();
+        let mut now_ms = START_MS;
+        for step in case.steps {
+            apply_step(&mut parts, &mut now_ms, *step);
+        }
+        for (requests, is_refused) in [(case.refused, true), (case.accepted, false)] {
+            for request in requests {
+                let refused_for_ms = parts.refused_for_ms(now_ms, request);
+                assert_eq!(
+                    refused_for_ms.is_some(),
+                    is_refused,
+                    "{}: {request:?}",
+                    case.name
+                );
+            }
+        }
+    }
+}
+
+/// Reports of peers, however many, must not use up memory or displace a verdict.
+#[test]
+fn reports_are_bounded() {
+    let mut parts = PoisonParts::default();
+    for target in 0..CRASHES_MAX as u32 {
+        parts.record_crash(START_MS, target, &[P]);
+    }
+    for message in 0..1_000_u64 {
+        let invented = |n: u64| PartId(1_000 + message * 100 + n);
+        let reports = PartReports {
+            crashes: (0..100).map(|n| (invented(n), vec![(7, 0); 100])).collect(),
+            poison: Vec::new(),
+            answered: (0..100).map(|n| (invented(n), 0)).collect(),
+        };
+        parts.record_reports(START_MS, &reports);
+    }
+    assert!(parts.refused_for_ms(START_MS, &[P]).is_some());
+    let reports = parts.own_reports(START_MS);
+    assert_eq!(reports.poison, [(P, 0)]);
+    assert!(reports.crashes.len() <= 32 && reports.answered.len() <= 32);
+}
--- a/crates/toucancleat-gateway/src/datagram.rs
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use toucancleat_fleet::peers::{Echo, Message, Update};
+use toucancleat_fleet::poison_parts::PartReports;
 use toucancleat_fleet::prelude::SoftwareVersion;
 use toucancleat_fleet::stream_origin::OriginMessage;
 use toucancleat_fleet::target_notice::NoticeReport;
@@ -27,6 +28,12 @@
     entry_versions: Vec<Option<SoftwareVersion>>,
 }
 
+/// The parts that follow the versions. Hosts of the last release ignore them.
+#[derive(Serialize, Deserialize)]
+struct PartExtension {
+    part_reports: PartReports,
+}
+
 /// Encodes the parts of a message that precede and follow the echo of each recipient.
 ///
 /// # Errors
@@ -43,10 +50,14 @@
             .map(|version| version.clone())
             .collect(),
     };
+    let parts = PartExtension {
+        part_reports: std::mem::take(&mut message.part_reports),
+    };
     let extension = postcard::to_stdvec(&extension)?;
+    let extension = postcard::to_extend(&versions, extension)?;
     Ok((
         postcard::to_stdvec(&message)?,
-        postcard::to_extend(&versions, extension)?,
+        postcard::to_extend(&parts, extension)?,
     ))
 }
 
@@ -111,11 +122,15 @@
     message.notices = extension.notices;
     message.store_era = extension.store_era;
     if !rest.is_empty() {
-        let versions: VersionExtension = postcard::from_bytes(rest)?;
+        let (versions, rest) = postcard::take_from_bytes::<VersionExtension>(rest)?;
         message.version_digest = Some(versions.version_digest);
         for (version, sent) in entry_versions(&mut message).zip(versions.entry_versions) {
             *version = sent;
         }
+        if !rest.is_empty() {
+            let parts: PartExtension = postcard::from_bytes(rest)?;
+            message.part_reports = parts.part_reports;
+        }
     }
     Ok(message)
 }
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -52,6 +52,8 @@
         /// The version of the destination's software.
         target_version: Option<SoftwareVersion>,
     },
+    /// Resume the interrupted run from its copy.
+    ResumeFromCopy,
     /// No target has room for a run that needs to migrate.
     NoDestination,
 }
@@ -158,6 +160,11 @@
         self.state.borrow().limited_targets()
     }
 
+    /// Returns the number of parts of prompts with which requests are refused.
+    pub fn poison_parts(&self) -> usize {
+        self.state.borrow().poison_parts(clock::now_ms())
+    }
+
     /// Returns the number of streams of which this host keeps where they began.
     pub fn kept_origins(&self) -> usize {
         self.state.borrow().kept_origins()
@@ -246,6 +253,9 @@
                     target_version,
                 },
             ),
+            Effect::ResumeFromCopy { request_number } => {
+                self.send_command(request_number, Command::ResumeFromCopy)
+            }
             Effect::NoDestination { request_number } => {
                 self.send_command(request_number, Command::NoDestination)
             }
@@ -375,6 +385,15 @@
             let shared_parts = part_list(shared_parts);
             log::info!(request:% = attempt_id, target_name:% = target, answered_ms:? = answered_ms, shared_parts; "run interrupted");
         }
+        LogEvent::PartRefused {
+            part,
+            crashed_targets,
+        } => {
+            log::warn!(part:% = part, crashed_targets; "targets crash under a part of prompts; refusing requests with it");
+        }
+        LogEvent::PartAccepted { part } => {
+            log::info!(part:% = part; "a request with a refused part of prompts was answered; accepting requests with it");
+        }
         LogEvent::StreamResumed {
             attempt_id,
             version,
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -46,6 +46,8 @@
     pub limited_targets: Gauge,
     /// Streams of which this host keeps where they began.
     pub stream_origins: Gauge,
+    /// Parts of prompts with which requests are refused.
+    pub poison_parts: Gauge,
     /// Answers whose report about their target is invalid.
     pub invalid_notices: Counter,
     /// Answers of the store whose era is invalid.
@@ -70,6 +72,7 @@
             configuration_version: Gauge::default(),
             limited_targets: Gauge::default(),
             stream_origins: Gauge::default(),
+            poison_parts: Gauge::default(),
             invalid_notices: Counter::default(),
             invalid_eras: Counter::default(),
         };
@@ -130,6 +133,11 @@
             "Streams of which this host keeps where they began",
             self.stream_origins.clone(),
         );
+        registry.register(
+            "poison_parts",
+            "Parts of prompts with which requests are refused",
+            self.poison_parts.clone(),
+        );
         registry.register(
             "invalid_notices",
             "Answers whose report about their target is invalid",
@@ -166,6 +174,8 @@
     host.metrics.limited_targets.set(limited_targets);
     let stream_origins = i64::try_from(host.kept_origins()).unwrap_or(i64::MAX);
     host.metrics.stream_origins.set(stream_origins);
+    let poison_parts = i64::try_from(host.poison_parts()).unwrap_or(i64::MAX);
+    host.metrics.poison_parts.set(poison_parts);
     let mut text = String::new();
     // Writing to a `String` can't fail.
     let _ = encode(&mut text, &host.metrics.registry);
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -301,15 +301,15 @@
         });
     }
 
-    /// Resumes an interrupted stream from a copy of the run's KV cache if there is one.
-    /// Otherwise the reducer decides whether to retry.
+    /// Lets the reducer decide whether an interrupted stream resumes, from a copy of the run's KV
+    /// cache if there is one, or at another target.
     async fn handle_interruption(&mut self) -> NextAction {
         self.upstream = None;
         if self.has_copy() {
             self.host.apply(Event::RunInterrupted {
                 request_number: self.open_request.request_number,
             });
-            return self.resume(false).await;
+            return NextAction::Continue;
         }
         self.abandon_migration();
         self.end_attempt(AttemptOutcome::Interrupted);
@@ -351,6 +351,7 @@
                 self.migrate(destination, address, target_version);
                 NextAction::Continue
             }
+            Command::ResumeFromCopy => self.resume(false).await,
             Command::NoDestination => {
                 self.discard_transfer();
                 let step = self.advance_migration(MigrationEvent::NoDestination);
--- a/crates/toucancleat-gateway/src/relay/migration.rs
+++ b/crates/toucancleat-gateway/src/relay/migration.rs
@@ -218,7 +218,7 @@
             }
             // The run can be resumed from what was copied before the source became
             // unreachable.
-            Step::GiveUp if self.has_copy() => self.resume(false).await,
+            Step::GiveUp if self.has_copy() => self.handle_interruption().await,
             Step::GiveUp => {
                 self.abandon_migration();
                 self.upstream = None;
--- a/crates/toucancleat-gateway/src/request.rs
+++ b/crates/toucancleat-gateway/src/request.rs
@@ -189,7 +189,9 @@
                     active_request,
                 ));
             }
-            Command::Migrate { .. } | Command::NoDestination => {
+            Command::Migrate { .. }
+            | Command::NoDestination
+            | Command::ResumeFromCopy => {
                 let request_number = open_request.request_number;
                 host.apply(Event::MigrationAbandoned { request_number });
             }
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -7,6 +7,7 @@
 use toucancleat_fleet::budget::RetryCounts;
 use toucancleat_fleet::config::FleetConfig;
 use toucancleat_fleet::peers::{Echo, Load, Message, Update};
+use toucancleat_fleet::poison_parts::PartReports;
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::stream_origin::{OriginMessage, StreamKey, StreamOrigin};
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
@@ -69,6 +70,11 @@
         }],
         store_era: 4,
         version_digest: Some(13),
+        part_reports: PartReports {
+            crashes: vec![(PartId(5), vec![(6, 70), (8, 90)])],
+            poison: vec![(PartId(u64::MAX), 1_000)],
+            answered: vec![(PartId(9), 20)],
+        },
         addresses: vec![address],
         update: Some(Update::Targets(vec![
             change("i-1", Some(entry(Some(SoftwareVersion::new("v1"))))),
@@ -128,9 +134,9 @@
     }
 }
 
-/// Hosts of the last release send neither versions nor their digest.
+/// Hosts of the release before the last send neither versions nor their digest.
 #[test]
-fn messages_of_the_last_release_are_decoded() {
+fn messages_of_the_release_before_the_last_are_decoded() {
     let message = message();
     let (mut bytes, _) = datagram(&message);
     let era: (&[NoticeReport], u64) = (&message.notices, message.store_era);
@@ -148,6 +154,24 @@
     assert!(entries.iter().all(|entry| entry.software_version.is_none()));
 }
 
+/// Hosts of the last release send no reports on parts of prompts.
+#[test]
+fn messages_of_the_last_release_are_decoded() {
+    let message = message();
+    let (mut bytes, _) = datagram(&message);
+    let era: (&[NoticeReport], u64) = (&message.notices, message.store_era);
+    let v1 = Some(SoftwareVersion::new("v1"));
+    let v1_1 = Some(SoftwareVersion::new("v1.1"));
+    let versions: (u64, Vec<Option<SoftwareVersion>>) = (13, vec![v1, None, v1_1]);
+    bytes.extend(postcard::to_stdvec(&era).expect("an extension"));
+    bytes.extend(postcard::to_stdvec(&versions).expect("an extension"));
+    let expected = Message {
+        part_reports: PartReports::default(),
+        ..message
+    };
+    assert_eq!(decode(&bytes), Ok(Datagram::State(Box::new(expected))));
+}
+
 /// A malformed datagram must not end the process.
 #[test]
 fn datagrams_that_are_cut_off_are_errors_or_shorter_messages() {
@@ -248,6 +272,14 @@
         });
         message.store_era = highest;
         message.notices[0].age_ms = highest;
+        message.part_reports = PartReports {
+            crashes: vec![
+                (PartId(highest), vec![(highest as u32, highest as u32); 99]);
+                99
+            ],
+            poison: vec![(PartId(highest), highest as u32); 99],
+            answered: vec![(PartId(highest), highest as u32); 99],
+        };
         message.notices[0].rate_limit_per_s = Some(f64::MAX);
         message
     };
