Treat a stream without a length that ends before its first event as interrupted

Callers would have received an empty stream that looks complete if an engine crashed between the head and the first event of a stream with neither a length nor chunks, and the crash would have counted as an answer that clears the parts of the prompt. Found while reading which ways a run ends with its target; not seen in the record. Cause: the end of such a stream was taken for the end of its run unless an event was incomplete. Change: a stream without a length is complete only after a whole event of the same attempt. A stream that resumes after its last event and has nothing left counts as interrupted too: nothing tells the two apart. Result: the cases "ends before its first event" failed before and pass; those of streams that end after and inside an event passed before.

--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -209,13 +209,15 @@
     ///
     /// A run may complete by itself while the engine is being requested to stop it. With a
     /// framed body the end of the stream proves that. Without one, the engine may have closed
-    /// the connection because it stopped the run.
+    /// the connection because it stopped the run, or may have ended before its first event.
     fn is_run_complete(&self) -> bool {
         let is_framed = self
             .upstream
             .as_ref()
             .is_some_and(|stream| stream.is_framed);
-        !self.splitter.has_partial_event() && (is_framed || !self.is_stopping_run())
+        let has_events = self.attempt_event_count > 0;
+        !self.splitter.has_partial_event()
+            && (is_framed || (has_events && !self.is_stopping_run()))
     }
 
     fn is_stopping_run(&self) -> bool {
