Reproduce the incident of hosts without a path to the targets

Hosts of a fleet of 8 or 61 can't connect to targets for 12 s, at once or after the connect timeout, while callers and peers reach them: one host, half of them, a zone, most, or one pool only.

--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod crashing;
 pub mod fleet;
+pub mod partition;
 pub mod store;
 pub mod traffic;
 pub mod versions;
