--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -8,7 +8,10 @@
 use crate::configuration::Configuration;
 use crate::peers::{Message, Recipient};
 use crate::prompt_part::PartId;
-use crate::request::{AttemptOutcome, Dispatch, IncomingRequest, Refusal, RequestNumber};
+use crate::request::{
+    AttemptOutcome, Dispatch, Handoff, HandoffOutcome, IncomingRequest, Refusal,
+    RequestNumber,
+};
 use crate::store::{Query, Reply};
 use crate::stream_origin::{OriginMessage, OriginSource};
 use crate::target::SoftwareVersion;
@@ -95,6 +98,24 @@
         /// The request.
         request_number: RequestNumber,
     },
+    /// The handoff of a request to a peer ended.
+    HandoffEnded {
+        /// The request.
+        request_number: RequestNumber,
+        /// How it ended.
+        outcome: HandoffOutcome,
+    },
+    /// A probe of the path to a pool ended.
+    TargetProbed {
+        /// The pool.
+        pool: PoolName,
+        /// The target.
+        target: TargetName,
+        /// When the probe began.
+        began_ms: u64,
+        /// Whether a connection to the target was opened.
+        is_reachable: bool,
+    },
     /// The caller has received the complete answer or has disconnected.
     RequestClosed {
         /// The request.
@@ -149,6 +170,17 @@
         /// The version of the destination's software.
         target_version: Option<SoftwareVersion>,
     },
+    /// Hand a request off to a peer.
+    HandOff(Handoff),
+    /// Open a connection to a target and close it, to learn whether there is a path.
+    ProbeTarget {
+        /// The pool.
+        pool: PoolName,
+        /// The target.
+        target: TargetName,
+        /// The target's address.
+        address: SocketAddr,
+    },
     /// Resume an interrupted run from its copy.
     ResumeFromCopy {
         /// The request.
@@ -251,6 +283,13 @@
         /// The shared parts of its prompt.
         shared_parts: Vec<PartId>,
     },
+    /// The path to the targets of a pool was lost or is back.
+    PathChanged {
+        /// The pool.
+        pool: PoolName,
+        /// Whether the path is lost.
+        is_lost: bool,
+    },
     /// Requests with a part of a prompt are refused from now on: targets crash under it.
     PartRefused {
         /// The part.
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -18,6 +18,8 @@
 //!   ([`rate_limit`]).
 //! - A stream continues only at the version of the targets' software that began it, at whichever
 //!   host its caller takes it up again ([`continuation`], [`stream_origin`]).
+//! - A host that has lost its path to the targets hands its requests off to peers that have one
+//!   ([`pool_path`]).
 //! - A poison request, which crashes every target that runs it, is refused by all hosts
 //!   ([`poison_requests`]), and so are requests that share a poison part of their prompts
 //!   ([`poison_parts`]).
@@ -46,6 +48,7 @@
 pub mod peers;
 pub mod poison_parts;
 pub mod poison_requests;
+pub mod pool_path;
 pub mod prelude;
 pub mod prompt_part;
 pub mod rate_limit;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -17,6 +17,7 @@
 use crate::migration_plan::HostRuns;
 use crate::poison_parts::PartReports;
 use crate::poison_requests::Fingerprint;
+use crate::pool_path::PathReport;
 use crate::store::{READER_SILENCE_MS, StorePosition};
 use crate::target::TargetChange;
 use crate::target_notice::NoticeReport;
@@ -102,6 +103,10 @@
     /// don't send it.
     #[serde(skip)]
     pub part_reports: PartReports,
+    /// The sender's paths to the pools. Hosts of the last release don't send them, and take no
+    /// requests of peers.
+    #[serde(skip)]
+    pub path_reports: Vec<PathReport>,
     /// A sample of the addresses of other hosts.
     pub addresses: Vec<SocketAddr>,
     /// A change that the sender has read from the store.
@@ -440,6 +445,34 @@
             .collect()
     }
 
+    /// Chooses a live peer for which `is_usable` returns true.
+    ///
+    /// A host of the zone is preferred. Its share of the choices is that of the usable hosts
+    /// of the zone, so that the last of them doesn't take the load of all others.
+    pub fn choose(
+        &self,
+        now_ms: u64,
+        zone: &ZoneName,
+        hash: u64,
+        is_usable: impl Fn(&HostName, &Peer) -> bool,
+    ) -> Option<(HostName, SocketAddr)> {
+        let silence_limit_ms = self.silence_limit_ms();
+        let is_usable = |host: &HostName| {
+            self.peers.get(host).is_some_and(|peer| {
+                now_ms.saturating_sub(peer.received_ms) <= silence_limit_ms
+                    && is_usable(host, peer)
+            })
+        };
+        let in_zone = self.zone_rings.get(zone).and_then(|ring| {
+            let drawn = ring.successors(hash, 1, |_| true).first().copied();
+            drawn.filter(|host| is_usable(host))
+        });
+        let anywhere = || self.ring.successors(hash, 1, is_usable).first().copied();
+        let host = in_zone.or_else(anywhere)?;
+        let peer = self.peers.get(host)?;
+        Some((host.clone(), peer.address))
+    }
+
     /// Returns true if another host reads the store, so that this one need not.
     pub fn has_other_reader(
         &self,
--- a/crates/toucancleat-fleet/src/prelude.rs
+++ b/crates/toucancleat-fleet/src/prelude.rs
@@ -9,7 +9,8 @@
 pub use crate::prompt_part::PartId;
 pub use crate::reduce::reduce;
 pub use crate::request::{
-    AttemptOutcome, Dispatch, IncomingRequest, Reason, Refusal, RequestNumber,
+    AttemptOutcome, Dispatch, Handoff, HandoffOutcome, IncomingRequest, Reason, Refusal,
+    RequestNumber,
 };
 pub use crate::state::{Identity, State};
 pub use crate::target::SoftwareVersion;
--- /dev/null
+++ b/crates/toucancleat-fleet/src/reduce/handoff.rs
@@ -0,0 +1,171 @@
+//! Hands requests off to peers while this host has no path to the targets.
+
+use toucancleat_core::prelude::*;
+
+use super::requests::{ATTEMPT_MIN_MS, RETRY_AFTER_SHORT_MS, refuse, take_retry};
+use crate::event::{Effect, LogEvent};
+use crate::peers::Peer;
+use crate::request::{Handoff, HandoffOutcome, Reason, Request, RequestNumber};
+use crate::state::{State, random_hash};
+
+/// Maximum number of peers to which a request is handed off, one after the other.
+const HANDOFFS_MAX: u32 = 3;
+
+/// Probes the paths that are lost.
+pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    for pool in state.pool_paths.take_due_probes(now_ms) {
+        let hash = random_hash(&mut state.rng_state);
+        let mut targets = state.usable_targets(&pool);
+        let has_failed = |target: &TargetName| state.pool_paths.has_failed(&pool, target);
+        if targets.iter().any(|(target, _)| !has_failed(target)) {
+            targets.retain(|(target, _)| !has_failed(target));
+        }
+        let index = hash as usize % targets.len().max(1);
+        let Some((target, entry)) = targets.get(index) else {
+            state.pool_paths.forget(&pool);
+            continue;
+        };
+        effects.push(Effect::ProbeTarget {
+            pool: pool.clone(),
+            target: (*target).clone(),
+            address: entry.address,
+        });
+    }
+}
+
+/// Records that a connection to a target was opened at a time.
+pub(super) fn record_reached(
+    state: &mut State,
+    at_ms: u64,
+    pool: &PoolName,
+    effects: &mut Vec<Effect>,
+) {
+    if state.pool_paths.record_reached(at_ms, pool) {
+        log_path(state, pool, false, effects);
+    }
+}
+
+/// Records that no connection to a target could be opened.
+pub(super) fn record_failure(
+    state: &mut State,
+    now_ms: u64,
+    pool: &PoolName,
+    target: &TargetName,
+    effects: &mut Vec<Effect>,
+) {
+    let targets = state.usable_targets(pool).len();
+    if state
+        .pool_paths
+        .record_failure(now_ms, pool, target, targets)
+    {
+        log_path(state, pool, true, effects);
+    }
+}
+
+fn log_path(
+    state: &mut State,
+    pool: &PoolName,
+    is_lost: bool,
+    effects: &mut Vec<Effect>,
+) {
+    state.must_broadcast = true;
+    effects.push(Effect::Log(LogEvent::PathChanged {
+        pool: pool.clone(),
+        is_lost,
+    }));
+}
+
+/// Returns true if a request is better handed off than sent to a target.
+pub(super) fn is_preferred(state: &State, request: &Request) -> bool {
+    state.pool_paths.is_lost(&request.pool)
+}
+
+/// Returns true if connections to targets of a request's pool have failed since the last one was
+/// opened, so that a peer may reach what this host doesn't.
+pub(super) fn is_last_resort(state: &State, request_number: RequestNumber) -> bool {
+    let request = state.requests.get(&request_number);
+    request.is_some_and(|request| state.pool_paths.has_failures(&request.pool))
+}
+
+/// Hands a request off to a peer that reaches the targets. Returns false if the request may have
+/// run, or there is no such peer.
+///
+/// A request that was handed off isn't handed on, so that it can't circle between hosts of which
+/// each takes the other for connected.
+pub(super) fn try_hand_off(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    effects: &mut Vec<Effect>,
+) -> bool {
+    let hash = random_hash(&mut state.rng_state);
+    let Some(request) = state.requests.get(&request_number) else {
+        return false;
+    };
+    let may_hand_off = !request.incoming.is_handed_off
+        && request.runs == 0
+        && request.tried_hosts.len() < HANDOFFS_MAX as usize
+        && now_ms + ATTEMPT_MIN_MS <= request.deadline_ms;
+    if !may_hand_off {
+        return false;
+    }
+    let takes_request = |host: &HostName, peer: &Peer| {
+        let message = &peer.last_message;
+        let age_ms = now_ms.saturating_sub(peer.received_ms);
+        let mut reports = message.path_reports.iter();
+        !message.is_stopping
+            && !request.tried_hosts.contains(host)
+            && reports.any(|report| report.pool == request.pool && report.vouches(age_ms))
+    };
+    let zone = &state.identity.zone;
+    let Some((host, address)) = state.peers.choose(now_ms, zone, hash, takes_request)
+    else {
+        return false;
+    };
+    let Some(request) = state.requests.get_mut(&request_number) else {
+        return false;
+    };
+    request.tried_hosts.push(host.clone());
+    effects.push(Effect::HandOff(Handoff {
+        request_number,
+        host,
+        address,
+        deadline_ms: request.deadline_ms,
+    }));
+    true
+}
+
+/// Handles the end of a handoff.
+pub(super) fn handle_end(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    outcome: HandoffOutcome,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.get_mut(&request_number) else {
+        return;
+    };
+    request.verdict = request.verdict.max(outcome.verdict());
+    let is_idempotent = request.route().retry_safety.is_idempotent();
+    let may_retry = request.verdict.permits_retry(is_idempotent)
+        && outcome != HandoffOutcome::Answered
+        && (outcome.verdict() == Verdict::NotRun
+            || take_retry(state, now_ms, request_number));
+    if may_retry && try_hand_off(state, now_ms, request_number, effects) {
+        return;
+    }
+    let reason = match outcome {
+        HandoffOutcome::Answered | HandoffOutcome::Refused => {
+            return effects.push(Effect::ForwardAnswer { request_number });
+        }
+        HandoffOutcome::NotSent => {
+            let retry_after_ms = Some(RETRY_AFTER_SHORT_MS);
+            let reason = Reason::Unreachable;
+            return refuse(state, request_number, reason, retry_after_ms, effects);
+        }
+        HandoffOutcome::Interrupted => Reason::TargetFailed,
+        HandoffOutcome::TimedOut => Reason::TimedOut,
+    };
+    refuse(state, request_number, reason, None, effects);
+}
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -91,6 +91,7 @@
         store_era: state.store_era,
         version_digest: Some(state.directory.version_digest()),
         part_reports: state.poison_parts.own_reports(now_ms),
+        path_reports: state.pool_paths.reports(now_ms),
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -1,5 +1,6 @@
 //! The reducer over all events of an entry host.
 
+mod handoff;
 mod messages;
 mod migration;
 mod notices;
@@ -21,6 +22,7 @@
             store_sync::tick(state, now_ms, effects);
             notices::tick(state, now_ms, effects);
             origins::tick(state, now_ms, effects);
+            handoff::tick(state, now_ms, effects);
             placement::tick(state, now_ms, effects);
             messages::tick(state, now_ms, effects);
         }
@@ -84,6 +86,24 @@
         Event::MigrationAbandoned { request_number } => {
             migration::handle_abandoned(state, request_number)
         }
+        Event::HandoffEnded {
+            request_number,
+            outcome,
+        } => {
+            handoff::handle_end(state, now_ms, request_number, outcome, effects);
+        }
+        Event::TargetProbed {
+            pool,
+            target,
+            began_ms,
+            is_reachable,
+        } => {
+            if is_reachable {
+                handoff::record_reached(state, began_ms, &pool, effects);
+            } else {
+                handoff::record_failure(state, now_ms, &pool, &target, effects);
+            }
+        }
         Event::RequestClosed { request_number } => {
             requests::handle_close(state, request_number)
         }
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -5,7 +5,7 @@
 use super::requests::{
     ATTEMPT_MIN_MS, RETRY_AFTER_LONG_MS, RETRY_AFTER_SHORT_MS, refuse,
 };
-use super::{messages, origins};
+use super::{handoff, messages, origins};
 use crate::configuration::RetrySafety;
 use crate::continuation::Continuation;
 use crate::event::Effect;
@@ -58,6 +58,14 @@
     request_number: RequestNumber,
     effects: &mut Vec<Effect>,
 ) {
+    let Some(request) = state.requests.get(&request_number) else {
+        return;
+    };
+    if handoff::is_preferred(state, request)
+        && handoff::try_hand_off(state, now_ms, request_number, effects)
+    {
+        return;
+    }
     let Some(request) = state.requests.get(&request_number) else {
         return;
     };
@@ -172,6 +180,11 @@
         );
     }
     let Some(selection) = select_for(state, now_ms, request_number, false) else {
+        if handoff::is_last_resort(state, request_number)
+            && handoff::try_hand_off(state, now_ms, request_number, effects)
+        {
+            return;
+        }
         return refuse_without_target(state, now_ms, request_number, effects);
     };
     let listed = state.directory.get(&selection.target);
@@ -201,6 +214,7 @@
         return;
     };
     request.attempts += 1;
+    request.dispatched_ms = now_ms;
     request.tried_targets.push(selection.target.clone());
     let added = request.load();
     request.placement = Some((selection.target.clone(), added));
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -3,8 +3,8 @@
 use toucancleat_core::prelude::*;
 
 use super::migration::release_destination;
-use super::origins;
 use super::placement::{dispatch, place};
+use super::{handoff, origins};
 use crate::budget::RetryBound;
 use crate::config::EXIT_RESERVE_MS;
 use crate::configuration::{RetrySafety, Route};
@@ -56,10 +56,13 @@
             refusal,
         }),
         Ok(request) => {
-            let window_ms = state.config.retry_window_ms;
-            state
-                .retry_budget
-                .count_request(now_ms, window_ms, &request.pool);
+            // A request that was handed off counts at the host that its caller sent it to.
+            if !request.incoming.is_handed_off {
+                let window_ms = state.config.retry_window_ms;
+                state
+                    .retry_budget
+                    .count_request(now_ms, window_ms, &request.pool);
+            }
             let is_resumption = request.incoming.is_resumption
                 && request.route().retry_safety.is_stream();
             state.requests.insert(request_number, request);
@@ -150,6 +153,8 @@
         configuration,
         incoming,
         tried_targets: Vec::new(),
+        tried_hosts: Vec::new(),
+        dispatched_ms: now_ms,
         runs: 0,
         attempts: 0,
         verdict: Verdict::NotRun,
@@ -233,6 +238,23 @@
         return;
     };
     let fingerprint = request.incoming.fingerprint;
+    let pool = request.pool.clone();
+    let dispatched_ms = request.dispatched_ms;
+    match outcome {
+        AttemptOutcome::NotSent => {
+            handoff::record_failure(state, now_ms, &pool, &target, effects)
+        }
+        AttemptOutcome::Answered { .. }
+        | AttemptOutcome::ErrorAnswer
+        | AttemptOutcome::Declined
+        | AttemptOutcome::Misdirected => {
+            handoff::record_reached(state, dispatched_ms, &pool, effects)
+        }
+        _ => {}
+    }
+    let Some(request) = state.requests.get_mut(&request_number) else {
+        return;
+    };
     match outcome {
         AttemptOutcome::Answered { .. } => {
             state.poison_requests.record_answer(now_ms, fingerprint);
@@ -253,6 +275,14 @@
     if matches!(outcome, AttemptOutcome::Answered { .. }) {
         return effects.push(Effect::ForwardAnswer { request_number });
     }
+    // Nothing has reached a target, so this isn't a retry.
+    let is_lost = state.pool_paths.is_lost(&pool);
+    if outcome == AttemptOutcome::NotSent
+        && is_lost
+        && handoff::try_hand_off(state, now_ms, request_number, effects)
+    {
+        return;
+    }
     if can_retry(state, now_ms, request_number, verdict)
         && take_retry(state, now_ms, request_number)
     {
@@ -281,6 +311,8 @@
                 effects,
             );
         }
+        AttemptOutcome::NotSent
+            if handoff::try_hand_off(state, now_ms, request_number, effects) => {}
         AttemptOutcome::Misdirected | AttemptOutcome::NotSent => {
             refuse(
                 state,
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -32,6 +32,8 @@
     pub resumed_attempt_id: Option<Arc<str>>,
     /// Whether the caller has received events of the stream already.
     pub is_resumption: bool,
+    /// Whether a peer without a path to the targets has handed the request off to this host.
+    pub is_handed_off: bool,
     /// Identifies the request's content across attempts with different ids.
     pub fingerprint: Fingerprint,
     /// How long the caller waits, in milliseconds.
@@ -177,6 +179,45 @@
     pub retry_after_ms: Option<u64>,
 }
 
+/// A request that is handed off to a peer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Handoff {
+    /// The request.
+    pub request_number: RequestNumber,
+    /// The peer.
+    pub host: HostName,
+    /// The address at which the peer takes requests of its peers.
+    pub address: SocketAddr,
+    /// When the caller's deadline or the route's timeout ends the request.
+    pub deadline_ms: u64,
+}
+
+/// How the handoff of a request to a peer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HandoffOutcome {
+    /// The peer answered, or relayed the complete stream.
+    Answered,
+    /// The peer refused the request, which has not run.
+    Refused,
+    /// No byte of the request reached the peer.
+    NotSent,
+    /// The connection was interrupted, or the response was malformed.
+    Interrupted,
+    /// No answer arrived in time.
+    TimedOut,
+}
+
+impl HandoffOutcome {
+    /// Returns whether the request may have run.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            HandoffOutcome::Answered => Verdict::Ran,
+            HandoffOutcome::Refused | HandoffOutcome::NotSent => Verdict::NotRun,
+            HandoffOutcome::Interrupted | HandoffOutcome::TimedOut => Verdict::MayHaveRun,
+        }
+    }
+}
+
 /// How an attempt at one target ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
@@ -233,6 +274,10 @@
     pub deadline_ms: u64,
     /// Targets that it was sent to.
     pub tried_targets: Vec<TargetName>,
+    /// Peers that it was handed off to.
+    pub tried_hosts: Vec<HostName>,
+    /// When it was last sent to a target.
+    pub dispatched_ms: u64,
     /// Number of attempts that may have run it.
     pub runs: u32,
     /// Number of all attempts.
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -14,6 +14,7 @@
 use crate::peers::{Load, Peers};
 use crate::poison_parts::PoisonParts;
 use crate::poison_requests::PoisonRequests;
+use crate::pool_path::PoolPaths;
 use crate::request::{Request, RequestNumber};
 use crate::store::{ConfigurationRow, QuerySchedule, StorePosition};
 use crate::stream_origin::{SoleVersions, StreamOrigins};
@@ -119,6 +120,7 @@
     pub(crate) retry_budget: RetryBudget,
     pub(crate) poison_requests: PoisonRequests,
     pub(crate) poison_parts: PoisonParts,
+    pub(crate) pool_paths: PoolPaths,
     pub(crate) health: HealthTable,
     pub(crate) stream_origins: StreamOrigins,
     pub(crate) sole_versions: SoleVersions,
@@ -179,6 +181,7 @@
             retry_budget: RetryBudget::default(),
             poison_requests: PoisonRequests::default(),
             poison_parts: PoisonParts::default(),
+            pool_paths: PoolPaths::default(),
             health: HealthTable::default(),
             stream_origins: StreamOrigins::default(),
             sole_versions: SoleVersions::default(),
@@ -225,6 +228,11 @@
         self.target_notices.limits().count()
     }
 
+    /// Returns the number of pools to which this host has no path.
+    pub fn lost_paths(&self) -> usize {
+        self.pool_paths.lost_count()
+    }
+
     /// Returns the number of parts of prompts with which requests are refused.
     pub fn poison_parts(&self, now_ms: u64) -> usize {
         self.poison_parts.poison_count(now_ms)
@@ -289,8 +297,13 @@
 /// Returns a pseudorandom number from 0 to 1. Xorshift suffices, since the numbers only
 /// spread load; they repeat in each run of a test.
 pub(crate) fn random_unit(rng_state: &mut u64) -> f64 {
+    (random_hash(rng_state) >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+/// Returns a pseudorandom number of 64 bits.
+pub(crate) fn random_hash(rng_state: &mut u64) -> u64 {
     *rng_state ^= *rng_state << 13;
     *rng_state ^= *rng_state >> 7;
     *rng_state ^= *rng_state << 17;
-    (*rng_state >> 11) as f64 / (1_u64 << 53) as f64
+    *rng_state
 }
--- a/crates/toucancleat-fleet/tests/support/crashing.rs
+++ b/crates/toucancleat-fleet/tests/support/crashing.rs
@@ -22,10 +22,13 @@
     pub host: usize,
     pub sent_ms: u64,
     pub is_poison: bool,
+    incoming: IncomingRequest,
     /// Time from the first event to the last.
     pub length_ms: u64,
     /// Whether the first attempt has begun to answer.
     pub has_begun: bool,
+    /// The request that was handed off to this host.
+    handed_off_by: Option<u64>,
 }
 
 /// A run at an engine.
@@ -115,8 +118,10 @@
             host,
             sent_ms: self.fleet.now_ms,
             is_poison,
+            incoming: request.clone(),
             length_ms,
             has_begun: false,
+            handed_off_by: None,
         };
         self.requests.insert(number, simulated);
         self.fleet.send_request(host, number, request);
@@ -126,6 +131,8 @@
     /// Advances the clock by one tick, and ends the runs that are due.
     pub fn step(&mut self) {
         self.fleet.advance(25);
+        self.end_probes();
+        self.hand_off();
         self.start_runs();
         let now_ms = self.fleet.now_ms;
         let due: Vec<u64> = self
@@ -149,11 +156,77 @@
             if refusal.reason == Reason::CrashesTargets && !request.is_poison {
                 self.poison_refusals += 1;
             }
+            let origin = request.handed_off_by;
+            self.fleet
+                .apply(host, Event::RequestClosed { request_number });
+            if let Some(origin) = origin {
+                let outcome = match refusal.verdict {
+                    Verdict::NotRun => HandoffOutcome::Refused,
+                    _ => HandoffOutcome::Interrupted,
+                };
+                self.end_handoff(origin, outcome);
+            }
+        }
+    }
+
+    fn end_probes(&mut self) {
+        let now_ms = self.fleet.now_ms;
+        for (host, pool, target) in std::mem::take(&mut self.fleet.probes) {
+            let is_reachable = self.is_up(&target);
+            let probed = Event::TargetProbed {
+                pool,
+                target,
+                began_ms: now_ms,
+                is_reachable,
+            };
+            self.fleet.apply(host, probed);
+        }
+    }
+
+    /// Lets peers receive the requests that hosts hand off to them.
+    fn hand_off(&mut self) {
+        for (host, handoff) in std::mem::take(&mut self.fleet.handoffs) {
+            let origin = handoff.request_number.0;
+            let peer = usize::from(handoff.address.port()) - 1;
+            assert_ne!(peer, host, "a host doesn't hand requests off to itself");
+            let number = self.requests.len() as u64;
+            let first = self.requests[&origin].clone();
+            let request = IncomingRequest {
+                is_handed_off: true,
+                ..first.incoming.clone()
+            };
+            let simulated = SimulatedRequest {
+                host: peer,
+                handed_off_by: Some(origin),
+                ..first
+            };
+            self.requests.insert(number, simulated);
+            self.fleet.send_request(peer, number, request);
+        }
+    }
+
+    fn end_handoff(&mut self, origin: u64, outcome: HandoffOutcome) {
+        let host = self.requests[&origin].host;
+        let request_number = RequestNumber(origin);
+        self.fleet.apply(
+            host,
+            Event::HandoffEnded {
+                request_number,
+                outcome,
+            },
+        );
+        if outcome == HandoffOutcome::Answered {
             self.fleet
                 .apply(host, Event::RequestClosed { request_number });
         }
     }
 
+    fn is_up(&self, target: &TargetName) -> bool {
+        self.engines
+            .get(target)
+            .is_some_and(|(_, down_until_ms)| *down_until_ms <= self.fleet.now_ms)
+    }
+
     /// Starts a run for each attempt that reached an engine.
     fn start_runs(&mut self) {
         while let Some((request_number, target)) =
@@ -164,11 +237,7 @@
             let number = request_number.0;
             let request = &self.requests[&number];
             let host = request.host;
-            let is_up = self
-                .engines
-                .get(&target)
-                .is_some_and(|(_, down_until_ms)| *down_until_ms <= now_ms);
-            if !is_up {
+            if !self.is_up(&target) {
                 self.end(number, AttemptOutcome::NotSent);
                 continue;
             }
@@ -198,6 +267,9 @@
         if matches!(outcome, AttemptOutcome::Answered { .. }) {
             self.fleet
                 .apply(host, Event::RequestClosed { request_number });
+            if let Some(origin) = self.requests[&number].handed_off_by {
+                self.end_handoff(origin, HandoffOutcome::Answered);
+            }
         }
     }
 
@@ -216,19 +288,22 @@
             return self.crash(&target);
         }
         request.has_begun = true;
-        if now_ms >= run.begins_ms + request.length_ms {
+        let (host, length_ms) = (request.host, request.length_ms);
+        if let Some(origin) = request.handed_off_by {
+            self.requests[&origin].has_begun = true;
+        }
+        if now_ms >= run.begins_ms + length_ms {
             self.runs.swap_remove(index);
             let took_ms = PREFILL_MS;
             return self.end(number, AttemptOutcome::Answered { took_ms });
         }
         run.events += 16;
-        run.next_progress_ms =
-            (now_ms + PROGRESS_MS).min(run.begins_ms + request.length_ms);
+        run.next_progress_ms = (now_ms + PROGRESS_MS).min(run.begins_ms + length_ms);
         let progressed = Event::StreamProgressed {
             request_number: RequestNumber(number),
             events: run.events,
         };
-        self.fleet.apply(request.host, progressed);
+        self.fleet.apply(host, progressed);
     }
 
     /// Ends an engine with all its runs.
@@ -328,7 +403,7 @@
         let sound: Vec<&SimulatedRequest> = self
             .requests
             .values()
-            .filter(|request| !request.is_poison)
+            .filter(|request| !request.is_poison && request.handed_off_by.is_none())
             .filter(|request| (from_ms..until_ms).contains(&request.sent_ms))
             .collect();
         let begun = sound.iter().filter(|request| request.has_begun).count();
--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -29,6 +29,9 @@
     /// The targets to which requests were sent, and the requests that were refused.
     pub dispatched: Vec<(RequestNumber, TargetName)>,
     pub refused_requests: IndexMap<RequestNumber, Refusal>,
+    /// Requests that hosts have handed off, and probes of targets, with the host.
+    pub handoffs: Vec<(usize, Handoff)>,
+    pub probes: Vec<(usize, PoolName, TargetName)>,
     /// Number of messages about the origins of streams.
     pub origin_messages: usize,
 }
@@ -51,6 +54,8 @@
             queries: Vec::new(),
             dispatched: Vec::new(),
             refused_requests: IndexMap::new(),
+            handoffs: Vec::new(),
+            probes: Vec::new(),
             origin_messages: 0,
         };
         for host in &mut fleet.hosts {
@@ -153,6 +158,12 @@
             {
                 self.refused_requests.insert(request_number, refusal);
             }
+            if let Effect::HandOff(handoff) = &effect {
+                self.handoffs.push((index, handoff.clone()));
+            }
+            if let Effect::ProbeTarget { pool, target, .. } = &effect {
+                self.probes.push((index, pool.clone(), target.clone()));
+            }
             if let Effect::SendOrigin {
                 recipients,
                 message,
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -141,6 +141,7 @@
         api_key: Some(KEY.to_owned()),
         resumed_attempt_id: None,
         is_resumption: false,
+        is_handed_off: false,
         fingerprint: 0,
         time_limit_ms: Some(6_000),
         prompt_tokens: 3_000,
--- a/crates/toucancleat-fleet/tests/support/partition.rs
+++ b/crates/toucancleat-fleet/tests/support/partition.rs
@@ -28,12 +28,19 @@
     runs: u32,
     is_served: bool,
     is_direct: bool,
+    /// The host and the number of the request that was handed off.
+    handed_off_by: Option<(usize, u64)>,
 }
 
-/// What happens to a request at a time.
+/// What ends at a time.
 #[derive(Clone, Debug)]
 enum Due {
-    AttemptEnds(AttemptOutcome),
+    Attempt(AttemptOutcome),
+    Handoff(HandoffOutcome),
+    Probe {
+        target: TargetName,
+        is_reachable: bool,
+    },
 }
 
 /// Hosts, targets that answer each request, and callers.
@@ -47,6 +54,10 @@
     pools: IndexMap<TargetName, &'static str>,
     requests: IndexMap<u64, SimulatedRequest>,
     due: Vec<(u64, usize, u64, Due)>,
+    /// Requests that the last peer refused.
+    refused: IndexSet<u64>,
+    /// Requests that were handed off so far.
+    pub handoffs: usize,
 }
 
 impl PartitionedFleet {
@@ -74,6 +85,8 @@
             pools,
             requests: IndexMap::new(),
             due: Vec::new(),
+            refused: IndexSet::new(),
+            handoffs: 0,
         }
     }
 
@@ -98,6 +111,7 @@
             runs: 0,
             is_served: false,
             is_direct: true,
+            handed_off_by: None,
         };
         self.requests.insert(number, request);
         self.apply(
@@ -124,13 +138,33 @@
         for (_, host, number, due) in due {
             let request_number = RequestNumber(number);
             match due {
-                Due::AttemptEnds(outcome) => self.apply(
+                Due::Attempt(outcome) => self.apply(
                     host,
                     Event::AttemptEnded {
                         request_number,
                         outcome,
                     },
                 ),
+                Due::Handoff(outcome) => self.apply(
+                    host,
+                    Event::HandoffEnded {
+                        request_number,
+                        outcome,
+                    },
+                ),
+                Due::Probe {
+                    target,
+                    is_reachable,
+                } => {
+                    let pool = PoolName::new(self.pools[&target]);
+                    let probed = Event::TargetProbed {
+                        pool,
+                        target,
+                        began_ms: now_ms,
+                        is_reachable,
+                    };
+                    self.apply(host, probed);
+                }
             }
         }
     }
@@ -148,10 +182,27 @@
                     self.connect(host, dispatch.request_number.0, &dispatch.target);
                 }
                 Effect::ForwardAnswer { request_number } => {
-                    self.end(host, *request_number, true);
+                    self.end(host, *request_number, HandoffOutcome::Answered);
+                }
+                Effect::Refuse {
+                    request_number,
+                    refusal,
+                } => {
+                    let outcome = match refusal.verdict {
+                        Verdict::NotRun => HandoffOutcome::Refused,
+                        _ => HandoffOutcome::Interrupted,
+                    };
+                    self.end(host, *request_number, outcome);
                 }
-                Effect::Refuse { request_number, .. } => {
-                    self.end(host, *request_number, false);
+                Effect::HandOff(handoff) => self.hand_off(host, handoff),
+                Effect::ProbeTarget { target, .. } => {
+                    let is_reachable = !self.is_cut(host, target);
+                    let target = target.clone();
+                    let due = Due::Probe {
+                        target,
+                        is_reachable,
+                    };
+                    self.due.push((self.fleet.now_ms + 25, host, 0, due));
                 }
                 _ => {}
             }
@@ -160,10 +211,10 @@
 
     /// Lets a host connect to a target, which answers unless the host is cut off.
     fn connect(&mut self, host: usize, number: u64, target: &TargetName) {
-        let is_cut = self.cut.contains(&host)
-            && self.cut_pool.is_none_or(|pool| self.pools[target] == pool);
-        let (after_ms, outcome) = if !is_cut {
-            self.requests[&number].runs += 1;
+        let (after_ms, outcome) = if !self.is_cut(host, target) {
+            let origin = self.requests[&number].handed_off_by;
+            let first = origin.map_or(number, |(_, number)| number);
+            self.requests[&first].runs += 1;
             (ANSWER_MS, AttemptOutcome::Answered { took_ms: ANSWER_MS })
         } else if self.refusing == Refusing::AtOnce {
             (0, AttemptOutcome::NotSent)
@@ -171,14 +222,66 @@
             (CONNECT_TIMEOUT_MS, AttemptOutcome::NotSent)
         };
         let at_ms = self.fleet.now_ms + after_ms;
-        self.due
-            .push((at_ms, host, number, Due::AttemptEnds(outcome)));
+        self.due.push((at_ms, host, number, Due::Attempt(outcome)));
     }
 
-    /// Ends a request for its caller.
-    fn end(&mut self, host: usize, request_number: RequestNumber, is_served: bool) {
-        if let Some(request) = self.requests.get_mut(&request_number.0) {
-            request.is_served = is_served;
+    fn is_cut(&self, host: usize, target: &TargetName) -> bool {
+        self.cut.contains(&host)
+            && self.cut_pool.is_none_or(|pool| self.pools[target] == pool)
+    }
+
+    /// Lets the peer that a host has chosen receive a request.
+    fn hand_off(&mut self, host: usize, handoff: &Handoff) {
+        let peer = usize::from(handoff.address.port()) - 1;
+        assert_ne!(peer, host, "a host doesn't hand requests off to itself");
+        let origin = handoff.request_number.0;
+        self.requests[&origin].is_direct = false;
+        let number = self.requests.len() as u64;
+        let incoming = IncomingRequest {
+            is_handed_off: true,
+            ..self.requests[&origin].incoming.clone()
+        };
+        let request = SimulatedRequest {
+            host: peer,
+            sent_ms: 0,
+            incoming: incoming.clone(),
+            runs: 0,
+            is_served: false,
+            is_direct: false,
+            handed_off_by: Some((host, origin)),
+        };
+        self.requests.insert(number, request);
+        self.handoffs += 1;
+        self.apply(
+            peer,
+            Event::RequestReceived {
+                request_number: RequestNumber(number),
+                request: incoming,
+            },
+        );
+    }
+
+    /// Ends a request, for its caller or for the host that handed it off.
+    fn end(
+        &mut self,
+        host: usize,
+        request_number: RequestNumber,
+        outcome: HandoffOutcome,
+    ) {
+        let number = request_number.0;
+        // The peer of a handoff may have refused the request.
+        let is_answered = outcome == HandoffOutcome::Answered
+            && self.refused.shift_take(&number).is_none();
+        let request = &mut self.requests[&number];
+        request.is_served = is_answered;
+        if let Some((origin_host, origin)) = request.handed_off_by {
+            if outcome == HandoffOutcome::Refused {
+                self.refused.insert(origin);
+            } else {
+                self.refused.shift_remove(&origin);
+            }
+            let due = Due::Handoff(outcome);
+            self.due.push((self.fleet.now_ms, origin_host, origin, due));
         }
         let closed = Event::RequestClosed { request_number };
         let effects = apply(&mut self.fleet.hosts[host], self.fleet.now_ms, closed);
@@ -195,6 +298,7 @@
         let sent: Vec<&SimulatedRequest> = self
             .requests
             .values()
+            .filter(|request| request.handed_off_by.is_none())
             .filter(|request| span.contains(&request.sent_ms) && is_host(request.host))
             .collect();
         let counted = sent.iter().filter(|request| counts(request)).count();
--- a/crates/toucancleat-gateway/src/attempt.rs
+++ b/crates/toucancleat-gateway/src/attempt.rs
@@ -163,7 +163,8 @@
     }
     let remaining_ms = dispatch.deadline_ms.saturating_sub(clock::now_ms());
     let timeout = Duration::from_millis(remaining_ms);
-    let body = tokio::time::timeout(timeout, read_answer(host, dispatch, body))
+    let sender = dispatch.target.as_str();
+    let body = tokio::time::timeout(timeout, read_answer(host, sender, body))
         .await
         .map_err(|_| AttemptOutcome::TimedOut)?
         .ok_or(AttemptOutcome::Interrupted)?;
@@ -186,9 +187,9 @@
 
 /// Reads the body of an answer, or returns `None` if it is interrupted, too long, or exceeds
 /// the bound on all answers.
-async fn read_answer(
+pub async fn read_answer(
     host: &Host,
-    dispatch: &Dispatch,
+    sender: &str,
     mut body: Incoming,
 ) -> Option<HeldBytes> {
     let mut reservation = host.answer_memory.start_reservation();
@@ -200,7 +201,7 @@
         };
         length += part.len();
         if length > ANSWER_MAX_BYTES || reservation.resize(length as u64).is_err() {
-            log::warn!(target_name:% = dispatch.target, bytes = length; "answer exceeds the bound on one answer or on all; closing the connection");
+            log::warn!(sender, bytes = length; "answer exceeds the bound on one answer or on all; closing the connection");
             return None;
         }
         parts.push(part);
@@ -265,7 +266,8 @@
     request
 }
 
-fn is_stream(headers: &HeaderMap) -> bool {
+/// Returns true if the body of an answer is a stream of events.
+pub fn is_stream(headers: &HeaderMap) -> bool {
     headers
         .get(header::CONTENT_TYPE)
         .and_then(|kind| kind.to_str().ok())
--- a/crates/toucancleat-gateway/src/callers.rs
+++ b/crates/toucancleat-gateway/src/callers.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 
 use crate::host::Host;
+use crate::request::Origin;
 use crate::timeouts::{Activity, MonitoredStream, TimeoutStatus};
 use crate::{Error, clock, connection, request, stop};
 
@@ -65,7 +66,8 @@
     match accepted {
         Ok((stream, _)) => {
             connection::set_options(&stream);
-            tokio::task::spawn_local(serve_connection(host.clone(), stream));
+            let serving = serve_connection(host.clone(), stream, Origin::Caller);
+            tokio::task::spawn_local(serving);
         }
         Err(error) => {
             log::warn!(error:% = error; "could not accept a caller's connection; waiting for the next")
@@ -73,13 +75,14 @@
     }
 }
 
-async fn serve_connection(host: Rc<Host>, stream: TcpStream) {
+/// Serves the requests on one connection until it ends.
+pub async fn serve_connection(host: Rc<Host>, stream: TcpStream, origin: Origin) {
     let activity = Rc::new(Activity::default());
     let service = {
         let host = host.clone();
         let activity = activity.clone();
         service_fn(move |request| {
-            request::serve(host.clone(), activity.begin_request(), request)
+            request::serve(host.clone(), activity.begin_request(), request, origin)
         })
     };
     let limits = host.caller_limits();
--- a/crates/toucancleat-gateway/src/connection.rs
+++ b/crates/toucancleat-gateway/src/connection.rs
@@ -47,6 +47,12 @@
     }
 }
 
+/// Connects to an address. Fails if the connection isn't open within the connect timeout.
+pub async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)?
+}
+
 /// A client connection that sends one request; dropping it closes the connection.
 ///
 /// Connections to targets are not reused: a late answer, or bytes after an answer, would be
@@ -75,8 +81,7 @@
 {
     /// Opens a connection. Fails if it isn't open within the connect timeout.
     pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        let connect = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let stream = connect.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
+        let stream = connect(address).await?;
         set_options(&stream);
         let (sender, connection) =
             hyper::client::conn::http1::handshake(TokioIo::new(stream))
--- a/crates/toucancleat-gateway/src/datagram.rs
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use toucancleat_fleet::peers::{Echo, Message, Update};
 use toucancleat_fleet::poison_parts::PartReports;
+use toucancleat_fleet::pool_path::PathReport;
 use toucancleat_fleet::prelude::SoftwareVersion;
 use toucancleat_fleet::stream_origin::OriginMessage;
 use toucancleat_fleet::target_notice::NoticeReport;
@@ -30,8 +31,9 @@
 
 /// The parts that follow the versions. Hosts of the last release ignore them.
 #[derive(Serialize, Deserialize)]
-struct PartExtension {
+struct ReportExtension {
     part_reports: PartReports,
+    path_reports: Vec<PathReport>,
 }
 
 /// Encodes the parts of a message that precede and follow the echo of each recipient.
@@ -50,14 +52,15 @@
             .map(|version| version.clone())
             .collect(),
     };
-    let parts = PartExtension {
+    let reports = ReportExtension {
         part_reports: std::mem::take(&mut message.part_reports),
+        path_reports: std::mem::take(&mut message.path_reports),
     };
     let extension = postcard::to_stdvec(&extension)?;
     let extension = postcard::to_extend(&versions, extension)?;
     Ok((
         postcard::to_stdvec(&message)?,
-        postcard::to_extend(&parts, extension)?,
+        postcard::to_extend(&reports, extension)?,
     ))
 }
 
@@ -128,8 +131,9 @@
             *version = sent;
         }
         if !rest.is_empty() {
-            let parts: PartExtension = postcard::from_bytes(rest)?;
-            message.part_reports = parts.part_reports;
+            let reports: ReportExtension = postcard::from_bytes(rest)?;
+            message.part_reports = reports.part_reports;
+            message.path_reports = reports.path_reports;
         }
     }
     Ok(message)
--- /dev/null
+++ b/crates/toucancleat-gateway/src/handoff.rs
@@ -0,0 +1,229 @@
+//! Hands a request off to a peer, and serves the requests that peers hand off.
+//!
+//! A peer serves such a request as if its caller had sent it there, and its answer is passed on.
+//! It listens at the address at which it receives messages, for TCP.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, StatusCode, Version};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+use toucancleat_fleet::event_stream::EventSplitter;
+use toucancleat_fleet::prelude::*;
+use toucancleat_platform::answer::{PeerAnswerClass, classify_peer_answer};
+use toucancleat_platform::caller::handoff_headers;
+
+use crate::attempt::{Answer, Outbound, is_stream, read_answer};
+use crate::callers::serve_connection;
+use crate::clock;
+use crate::connection::{Connection, Driver, set_options};
+use crate::host::{Host, OpenRequest};
+use crate::memory::HeldBytes;
+use crate::request::{Interrupted, Origin};
+
+/// Maximum number of events that are queued for a caller that reads slowly.
+const EVENT_QUEUE_MAX: usize = 64;
+
+/// The result of a handoff.
+#[derive(Debug)]
+pub enum HandoffResult {
+    /// The handoff ended, with an answer that isn't a stream or with none.
+    Ended {
+        /// How it ended.
+        outcome: HandoffOutcome,
+        /// The answer, if there is one to forward.
+        answer: Option<Answer>,
+    },
+    /// The peer started to answer with a stream.
+    Stream(PeerStream),
+}
+
+/// The head of a peer's answer that is a stream, and the connection that delivers its body.
+#[derive(Debug)]
+pub struct PeerStream {
+    /// The HTTP status.
+    pub status: StatusCode,
+    /// The headers as the peer sent them.
+    pub headers: HeaderMap,
+    body: Incoming,
+    _driver: Driver,
+}
+
+/// Sends a request to a peer and waits for the complete answer, or for the head of a stream.
+pub async fn hand_off(
+    host: &Host,
+    outbound: &Outbound,
+    handoff: &Handoff,
+) -> HandoffResult {
+    let began_ms = clock::now_ms();
+    let remaining_ms = handoff.deadline_ms.saturating_sub(began_ms);
+    let sending = send(host, outbound, handoff, remaining_ms);
+    let timeout = Duration::from_millis(remaining_ms);
+    let result = match tokio::time::timeout(timeout, sending).await {
+        Ok(Ok(result)) => result,
+        Ok(Err(outcome)) => ended(outcome),
+        Err(_) => ended(HandoffOutcome::TimedOut),
+    };
+    let outcome = match &result {
+        HandoffResult::Ended { outcome, .. } => outcome_name(*outcome),
+        HandoffResult::Stream(_) => "stream",
+    };
+    host.metrics.count_handoff(outcome);
+    log::info!(
+        request:% = outbound.attempt_id,
+        peer:% = handoff.host,
+        outcome,
+        took_ms = clock::now_ms().saturating_sub(began_ms);
+        "request handed off to a peer"
+    );
+    result
+}
+
+fn ended(outcome: HandoffOutcome) -> HandoffResult {
+    HandoffResult::Ended {
+        outcome,
+        answer: None,
+    }
+}
+
+async fn send(
+    host: &Host,
+    outbound: &Outbound,
+    handoff: &Handoff,
+    remaining_ms: u64,
+) -> Result<HandoffResult, HandoffOutcome> {
+    let connection = Connection::open(handoff.address)
+        .await
+        .map_err(|_| HandoffOutcome::NotSent)?;
+    let mut request = Request::new(Full::new(outbound.body.bytes.clone()));
+    *request.method_mut() = outbound.parts.method.clone();
+    *request.uri_mut() = outbound.parts.uri.clone();
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = handoff_headers(&outbound.parts, remaining_ms);
+    let sent = connection.send(request).await;
+    let (response, driver) = sent.map_err(|_| HandoffOutcome::Interrupted)?;
+    let (head, body) = response.into_parts();
+    let class = classify_peer_answer(&outbound.attempt_id, head.status, &head.headers);
+    let outcome = match class {
+        PeerAnswerClass::Answer => HandoffOutcome::Answered,
+        PeerAnswerClass::Refusal => HandoffOutcome::Refused,
+        PeerAnswerClass::Unverified => return Err(HandoffOutcome::Interrupted),
+    };
+    if head.status.is_success() && is_stream(&head.headers) {
+        return Ok(HandoffResult::Stream(PeerStream {
+            status: head.status,
+            headers: head.headers,
+            body,
+            _driver: driver,
+        }));
+    }
+    let body = read_answer(host, handoff.host.as_str(), body)
+        .await
+        .ok_or(HandoffOutcome::Interrupted)?;
+    let answer = Some(Answer {
+        status: head.status,
+        headers: head.headers,
+        body,
+    });
+    Ok(HandoffResult::Ended { outcome, answer })
+}
+
+/// Starts to pass a peer's stream on, and returns the receiver of its events.
+pub fn pass_on(
+    host: Rc<Host>,
+    open_request: OpenRequest,
+    outbound: Rc<Outbound>,
+    handoff: Handoff,
+    stream: PeerStream,
+) -> Receiver<Result<HeldBytes, Interrupted>> {
+    let (events, receiver) = channel(EVENT_QUEUE_MAX);
+    tokio::task::spawn_local(async move {
+        let outcome = tokio::select! {
+            outcome = pass_events(&host, stream, &events) => outcome,
+            () = clock::sleep_until(handoff.deadline_ms) => "timed_out",
+            () = events.closed() => "caller_left",
+        };
+        if outcome != "answered" && outcome != "caller_left" {
+            // A caller that doesn't read must not keep the request open.
+            tokio::task::spawn_local(async move {
+                // Sending fails if the caller has disconnected in the meantime.
+                let _ = events.send(Err(Interrupted)).await;
+            });
+        }
+        log::info!(request:% = outbound.attempt_id, peer:% = handoff.host, outcome; "stream of a peer ended");
+        host.metrics.count_request(outcome);
+        drop(open_request);
+    });
+    receiver
+}
+
+/// Passes whole events on until the stream ends. A peer that is killed may stop in the middle of
+/// one.
+async fn pass_events(
+    host: &Host,
+    mut stream: PeerStream,
+    events: &Sender<Result<HeldBytes, Interrupted>>,
+) -> &'static str {
+    let mut splitter = EventSplitter::default();
+    let mut pending = host.answer_memory.start_reservation();
+    while let Some(frame) = stream.body.frame().await {
+        let Ok(frame) = frame else {
+            return "target_failed";
+        };
+        let Ok(bytes) = frame.into_data() else {
+            continue;
+        };
+        let mut complete = Vec::new();
+        let has_room = splitter.push(&bytes, &mut complete).is_ok()
+            && pending.resize(splitter.pending_bytes() as u64).is_ok();
+        if !has_room {
+            return "target_failed";
+        }
+        for event in complete {
+            let Ok(reservation) = host.answer_memory.reserve(event.bytes.len() as u64)
+            else {
+                return "target_failed";
+            };
+            let held = HeldBytes::new(Bytes::from(event.bytes), reservation);
+            if events.send(Ok(held)).await.is_err() {
+                return "caller_left";
+            }
+        }
+    }
+    if splitter.has_partial_event() {
+        "target_failed"
+    } else {
+        "answered"
+    }
+}
+
+/// Serves the requests that peers hand off, until the process exits.
+pub async fn serve(host: Rc<Host>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                set_options(&stream);
+                let serving = serve_connection(host.clone(), stream, Origin::Peer);
+                tokio::task::spawn_local(serving);
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "could not accept a peer's connection; waiting for the next");
+                tokio::task::yield_now().await;
+            }
+        }
+    }
+}
+
+fn outcome_name(outcome: HandoffOutcome) -> &'static str {
+    match outcome {
+        HandoffOutcome::Answered => "answered",
+        HandoffOutcome::Refused => "refused",
+        HandoffOutcome::NotSent => "not_sent",
+        HandoffOutcome::Interrupted => "broken",
+        HandoffOutcome::TimedOut => "silent",
+    }
+}
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -18,7 +18,7 @@
 use crate::metrics::Metrics;
 use crate::peers::OutgoingMessage;
 use crate::settings::Settings;
-use crate::{clock, store};
+use crate::{clock, connection, store};
 
 /// Interval between two ticks of the reducer; a fifth of the shortest interval that it keeps.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -52,6 +52,8 @@
         /// The version of the destination's software.
         target_version: Option<SoftwareVersion>,
     },
+    /// Hand the request off to a peer.
+    HandOff(Handoff),
     /// Resume the interrupted run from its copy.
     ResumeFromCopy,
     /// No target has room for a run that needs to migrate.
@@ -160,6 +162,11 @@
         self.state.borrow().limited_targets()
     }
 
+    /// Returns the number of pools to which this host has no path.
+    pub fn lost_paths(&self) -> usize {
+        self.state.borrow().lost_paths()
+    }
+
     /// Returns the number of parts of prompts with which requests are refused.
     pub fn poison_parts(&self) -> usize {
         self.state.borrow().poison_parts(clock::now_ms())
@@ -253,6 +260,18 @@
                     target_version,
                 },
             ),
+            Effect::HandOff(handoff) => {
+                self.send_command(handoff.request_number, Command::HandOff(handoff));
+            }
+            Effect::ProbeTarget {
+                pool,
+                target,
+                address,
+            } => {
+                if let Some(host) = self.weak_self.upgrade() {
+                    tokio::task::spawn_local(probe_target(host, pool, target, address));
+                }
+            }
             Effect::ResumeFromCopy { request_number } => {
                 self.send_command(request_number, Command::ResumeFromCopy)
             }
@@ -318,6 +337,22 @@
     }
 }
 
+async fn probe_target(
+    host: Rc<Host>,
+    pool: PoolName,
+    target: TargetName,
+    address: SocketAddr,
+) {
+    let began_ms = clock::now_ms();
+    let is_reachable = connection::connect(address).await.is_ok();
+    host.apply(Event::TargetProbed {
+        pool,
+        target,
+        began_ms,
+        is_reachable,
+    });
+}
+
 /// Returns a version of targets' software for the log; empty if it isn't known.
 pub fn version_text(version: Option<&SoftwareVersion>) -> &str {
     version.map_or("", SoftwareVersion::as_str)
@@ -385,6 +420,13 @@
             let shared_parts = part_list(shared_parts);
             log::info!(request:% = attempt_id, target_name:% = target, answered_ms:? = answered_ms, shared_parts; "run interrupted");
         }
+        LogEvent::PathChanged { pool, is_lost } => {
+            if *is_lost {
+                log::warn!(pool:% = pool; "no target of a pool can be reached; handing its requests off to peers");
+            } else {
+                log::info!(pool:% = pool; "targets of a pool can be reached again");
+            }
+        }
         LogEvent::PartRefused {
             part,
             crashed_targets,
--- a/crates/toucancleat-gateway/src/lib.rs
+++ b/crates/toucancleat-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod connection;
 pub mod datagram;
 mod error;
+mod handoff;
 mod host;
 mod logging;
 mod memory;
@@ -66,10 +67,12 @@
     let state = State::new(identity, settings.fleet_config(), &settings.seed_addresses);
     let callers_listener = connection::listen(settings.callers_address)?;
     let readiness_listener = connection::listen(settings.readiness_address)?;
+    let handoffs_listener = connection::listen(settings.peers_address)?;
     let (host, outgoing) = Host::new(settings, state);
     let peers = peers::Socket::bind(&host).await?;
     tokio::task::spawn_local(peers::receive(host.clone(), peers.clone()));
     tokio::task::spawn_local(peers::send(host.clone(), peers, outgoing));
+    tokio::task::spawn_local(handoff::serve(host.clone(), handoffs_listener));
     tokio::task::spawn_local(page::serve(
         host.clone(),
         readiness_listener,
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -30,6 +30,10 @@
     pub attempts: Family<OutcomeLabel, Counter>,
     /// Migrations of runs by outcome, including those that did not take place.
     pub migrations: Family<OutcomeLabel, Counter>,
+    /// Requests that were handed off to peers, by outcome.
+    pub handoffs: Family<OutcomeLabel, Counter>,
+    /// Pools to which this host has no path.
+    pub lost_paths: Gauge,
     /// Time to a complete answer that isn't a stream, in seconds.
     pub answer_s: Histogram,
     /// Time to the first event of a stream, in seconds.
@@ -64,6 +68,8 @@
             requests: Family::default(),
             attempts: Family::default(),
             migrations: Family::default(),
+            handoffs: Family::default(),
+            lost_paths: Gauge::default(),
             answer_s: histogram(),
             first_event_s: histogram(),
             migration_pause_s: histogram(),
@@ -93,6 +99,16 @@
             "Moves of runs by their end",
             self.migrations.clone(),
         );
+        registry.register(
+            "handoffs",
+            "Requests handed off to peers by their end",
+            self.handoffs.clone(),
+        );
+        registry.register(
+            "lost_paths",
+            "Pools to which this host has no path",
+            self.lost_paths.clone(),
+        );
         registry.register(
             "answer_seconds",
             "Time to a whole plain answer",
@@ -160,6 +176,11 @@
         self.attempts.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts the outcome of a handoff.
+    pub fn count_handoff(&self, outcome: &'static str) {
+        self.handoffs.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     /// Counts the outcome of a migration.
     pub fn count_migration(&self, outcome: &'static str) {
         self.migrations
@@ -174,6 +195,8 @@
     host.metrics.limited_targets.set(limited_targets);
     let stream_origins = i64::try_from(host.kept_origins()).unwrap_or(i64::MAX);
     host.metrics.stream_origins.set(stream_origins);
+    let lost_paths = i64::try_from(host.lost_paths()).unwrap_or(i64::MAX);
+    host.metrics.lost_paths.set(lost_paths);
     let poison_parts = i64::try_from(host.poison_parts()).unwrap_or(i64::MAX);
     host.metrics.poison_parts.set(poison_parts);
     let mut text = String::new();
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -353,6 +353,8 @@
                 self.migrate(destination, address, target_version);
                 NextAction::Continue
             }
+            // A stream that has begun isn't handed off.
+            Command::HandOff(_) => NextAction::End("unreachable"),
             Command::ResumeFromCopy => self.resume(false).await,
             Command::NoDestination => {
                 self.discard_transfer();
--- a/crates/toucancleat-gateway/src/request.rs
+++ b/crates/toucancleat-gateway/src/request.rs
@@ -16,6 +16,7 @@
 use crate::attempt::{Answer, AttemptResult, Outbound, Resumption, run_attempt};
 use crate::bodies::BodyError;
 use crate::clock;
+use crate::handoff::{HandoffResult, hand_off, pass_on};
 use crate::host::{Command, Host, OpenRequest};
 use crate::memory::HeldBytes;
 use crate::relay::Relay;
@@ -25,6 +26,15 @@
 /// requests take, after which their bodies are freed.
 const BODY_RETRY_AFTER_S: u16 = 1;
 
+/// Where a request was received from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// From its caller.
+    Caller,
+    /// From a peer without a path to the targets, which hands it off.
+    Peer,
+}
+
 /// The answer to a caller was interrupted. `hyper` then closes the connection without the
 /// terminator that would make the answer look complete.
 #[derive(Clone, Copy, Debug, thiserror::Error)]
@@ -84,6 +94,7 @@
     host: Rc<Host>,
     active_request: ActiveRequest,
     request: Request<Incoming>,
+    origin: Origin,
 ) -> Result<Response<AnswerBody>, Interrupted> {
     let (parts, body) = request.into_parts();
     let arrived_ms = clock::now_ms();
@@ -92,6 +103,7 @@
         Err(error) => return Ok(refuse_body(error, active_request)),
     };
     let mut incoming = caller::decode_request(&parts);
+    incoming.is_handed_off = origin == Origin::Peer;
     incoming.fingerprint = fingerprint(&parts.uri, &incoming, &body.bytes);
     let spent_ms = clock::now_ms().saturating_sub(arrived_ms);
     incoming.time_limit_ms = incoming
@@ -163,6 +175,36 @@
                     }
                 }
             }
+            Command::HandOff(handoff) => {
+                match hand_off(host, &outbound, &handoff).await {
+                    HandoffResult::Stream(stream) => {
+                        let headers = answer::forwarded_headers(&stream.headers);
+                        let status = stream.status;
+                        let events = pass_on(
+                            host.clone(),
+                            open_request,
+                            outbound,
+                            handoff,
+                            stream,
+                        );
+                        let content = Content::Stream(events);
+                        return Ok(build_response(
+                            status,
+                            headers,
+                            content,
+                            active_request,
+                        ));
+                    }
+                    HandoffResult::Ended { outcome, answer } => {
+                        last_answer = answer.or(last_answer);
+                        let request_number = open_request.request_number;
+                        host.apply(Event::HandoffEnded {
+                            request_number,
+                            outcome,
+                        });
+                    }
+                }
+            }
             Command::ForwardAnswer => {
                 let Some(answer) = last_answer else {
                     return Err(Interrupted);
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -8,6 +8,7 @@
 use toucancleat_fleet::config::FleetConfig;
 use toucancleat_fleet::peers::{Echo, Load, Message, Update};
 use toucancleat_fleet::poison_parts::PartReports;
+use toucancleat_fleet::pool_path::PathReport;
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::stream_origin::{OriginMessage, StreamKey, StreamOrigin};
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
@@ -75,6 +76,11 @@
             poison: vec![(PartId(u64::MAX), 1_000)],
             answered: vec![(PartId(9), 20)],
         },
+        path_reports: vec![PathReport {
+            pool: PoolName::new("engines"),
+            reached_age_ms: Some(30),
+            is_lost: true,
+        }],
         addresses: vec![address],
         update: Some(Update::Targets(vec![
             change("i-1", Some(entry(Some(SoftwareVersion::new("v1"))))),
@@ -154,7 +160,7 @@
     assert!(entries.iter().all(|entry| entry.software_version.is_none()));
 }
 
-/// Hosts of the last release send no reports on parts of prompts.
+/// Hosts of the last release send no reports on parts of prompts and on paths.
 #[test]
 fn messages_of_the_last_release_are_decoded() {
     let message = message();
@@ -167,6 +173,7 @@
     bytes.extend(postcard::to_stdvec(&versions).expect("an extension"));
     let expected = Message {
         part_reports: PartReports::default(),
+        path_reports: Vec::new(),
         ..message
     };
     assert_eq!(decode(&bytes), Ok(Datagram::State(Box::new(expected))));
@@ -280,6 +287,7 @@
             poison: vec![(PartId(highest), highest as u32); 99],
             answered: vec![(PartId(highest), highest as u32); 99],
         };
+        message.path_reports[0].reached_age_ms = Some(highest);
         message.notices[0].rate_limit_per_s = Some(f64::MAX);
         message
     };
