Send brittle targets no more requests than they run at once

Targets of a pool may report that they fall over if they have to turn more than some requests away in a second, and let fewer requests wait then. Change: the report is read and shared by the hosts. While it holds, each host sends a target a request only while its known load is below its slots, its own below its part of them, and, if there are more hosts than slots, within its part of the rate at which the target answers.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -265,6 +265,13 @@
         /// The limit before.
         limit_before_per_s: Option<f64>,
     },
+    /// The targets of a pool have become brittle, or no longer are.
+    BrittlenessChanged {
+        /// The pool.
+        pool: PoolName,
+        /// Requests that each may turn away in a second without falling over.
+        rejections_max_per_s: Option<f64>,
+    },
     /// The host starts or stops reading the store on behalf of the others.
     ReaderRoleChanged {
         /// Whether it reads now.
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -16,6 +16,8 @@
 //!   reach each other ([`budget`]).
 //! - The requests of the whole fleet to a target that limits them stay within its limit
 //!   ([`rate_limit`]).
+//! - Targets that fall over if they turn requests away get no more than they run at once
+//!   ([`brittle_targets`]).
 //! - A stream continues only at the version of the targets' software that began it, at whichever
 //!   host its caller takes it up again ([`continuation`], [`stream_origin`]).
 //! - A host that has lost its path to the targets hands its requests off to peers that have one
@@ -33,6 +35,7 @@
 //!
 //! See docs/design/platform.md for the design.
 
+pub mod brittle_targets;
 pub mod budget;
 pub mod config;
 pub mod configuration;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -11,6 +11,7 @@
 use toucancleat_core::prelude::*;
 use toucancleat_core::rng::stable_hash;
 
+use crate::brittle_targets::BrittleReports;
 use crate::budget::RetryCounts;
 use crate::configuration_change::ConfigurationChange;
 use crate::host_ring::HostRing;
@@ -107,6 +108,10 @@
     /// requests of peers.
     #[serde(skip)]
     pub path_reports: Vec<PathReport>,
+    /// What targets that fall over when they turn requests away have told the sender. Hosts of
+    /// the last release don't send it.
+    #[serde(skip)]
+    pub brittle_reports: BrittleReports,
     /// A sample of the addresses of other hosts.
     pub addresses: Vec<SocketAddr>,
     /// A change that the sender has read from the store.
@@ -251,6 +256,7 @@
                 update: None,
                 notices: Vec::new(),
                 part_reports: PartReports::default(),
+                brittle_reports: BrittleReports::default(),
                 ..message
             },
             is_counted: true,
--- a/crates/toucancleat-fleet/src/rate_limit.rs
+++ b/crates/toucancleat-fleet/src/rate_limit.rs
@@ -103,6 +103,12 @@
         self.stored = (self.stored - 1.0).max(0.0);
     }
 
+    /// Discards all permits but for a part of one, and refills none until a time.
+    pub fn discard(&mut self, until_ms: u64, part: f64) {
+        self.refill(until_ms);
+        self.stored = self.stored.min(part);
+    }
+
     /// Returns when the next request may be sent, or `None` if this host isn't a sender.
     pub fn next_ms(&self, now_ms: u64) -> Option<u64> {
         let mut refilled = *self;
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -92,6 +92,7 @@
         version_digest: Some(state.directory.version_digest()),
         part_reports: state.poison_parts.own_reports(now_ms),
         path_reports: state.pool_paths.reports(now_ms),
+        brittle_reports: state.brittle_targets.own_reports(now_ms),
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
--- a/crates/toucancleat-fleet/src/reduce/notices.rs
+++ b/crates/toucancleat-fleet/src/reduce/notices.rs
@@ -15,6 +15,7 @@
 
 /// Discards notices that are out of date, and updates this host's shares of the limits.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
+    state.brittle_targets.expire(now_ms);
     for (target, before) in state.target_notices.expire(now_ms) {
         log_change(state, now_ms, &target, &before, effects);
     }
@@ -22,6 +23,7 @@
         return;
     }
     state.shares_due_ms = now_ms + SHARE_INTERVAL_MS;
+    update_brittle_rates(state, now_ms);
     let limits = state.target_notices.limits();
     let limits: Vec<_> = limits
         .map(|(target, limit_per_s)| (target.clone(), limit_per_s))
@@ -44,6 +46,18 @@
     let Some(entry) = known_entry(state, target).cloned() else {
         return;
     };
+    let is_brittle = notice.rejections_max_per_s.is_some();
+    if state
+        .brittle_targets
+        .record_answer(now_ms, &entry.pool, is_brittle)
+    {
+        state.must_broadcast = true;
+        update_brittle_rates(state, now_ms);
+        effects.push(Effect::Log(LogEvent::BrittlenessChanged {
+            pool: entry.pool.clone(),
+            rejections_max_per_s: notice.rejections_max_per_s,
+        }));
+    }
     let source = AnswerSource {
         started_unix_ms: entry.started_unix_ms,
         answered_ms: now_ms,
@@ -70,6 +84,11 @@
     else {
         return;
     };
+    state.brittle_targets.record_reports(
+        sent_ms,
+        &state.identity.host,
+        &message.brittle_reports,
+    );
     for report in &message.notices {
         handle_report(state, now_ms, sent_ms, report, effects);
     }
@@ -93,7 +112,7 @@
     let notice = TargetNotice {
         rate_limit_per_s: report.rate_limit_per_s,
         is_leaving: report.is_leaving,
-        pause_ms: None,
+        ..TargetNotice::default()
     };
     let source = AnswerSource {
         started_unix_ms: entry.started_unix_ms,
@@ -129,6 +148,31 @@
     }
 }
 
+/// Updates this host's parts of the rates at which brittle targets answer. An engine's latency is
+/// that of its first event and says nothing about its rate.
+fn update_brittle_rates(state: &mut State, now_ms: u64) {
+    let hosts = state.peers.fleet_size();
+    let pools: Vec<PoolName> = state.brittle_targets.pools(now_ms).cloned().collect();
+    for pool in pools {
+        let configuration = state.configuration.as_ref();
+        if configuration.is_some_and(|known| known.engine(&pool).is_some()) {
+            continue;
+        }
+        let latencies = state.directory.accepting(&pool);
+        let highest_ms = latencies
+            .filter_map(|(target, _)| state.health.latency_ms(target))
+            .max_by(f64::total_cmp);
+        for (target, entry) in state.directory.accepting(&pool) {
+            let latency_ms = state.health.latency_ms(target).or(highest_ms);
+            let first_part = random_unit(&mut state.rng_state);
+            let slots = entry.slots;
+            state
+                .brittle_targets
+                .set_rate(now_ms, target, hosts, slots, latency_ms, first_part);
+        }
+    }
+}
+
 fn update_share(state: &mut State, now_ms: u64, target: &TargetName, limit_per_s: f64) {
     let share_per_s = own_share_per_s(state, now_ms, target, limit_per_s);
     let first_part = random_unit(&mut state.rng_state);
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -6,6 +6,7 @@
     ATTEMPT_MIN_MS, RETRY_AFTER_LONG_MS, RETRY_AFTER_SHORT_MS, refuse,
 };
 use super::{handoff, messages, origins};
+use crate::brittle_targets::Occupancy;
 use crate::configuration::RetrySafety;
 use crate::continuation::Continuation;
 use crate::event::Effect;
@@ -13,6 +14,7 @@
 use crate::request::{DecisionInputs, Dispatch, Reason, Request, RequestNumber};
 use crate::selection::{Candidate, Demand, Selection, select_target};
 use crate::state::{State, random_unit};
+use crate::target::TargetEntry;
 
 /// Divisor of the latency objective that yields the maximum time for which a request is
 /// queued. A caller that is refused within that time loses little by retrying.
@@ -119,7 +121,7 @@
 /// would be pointless.
 fn has_room(state: &State, now_ms: u64, request: &Request, scope: ZoneScope) -> bool {
     let Some(engine) = request.configuration.engine(&request.pool) else {
-        return true;
+        return has_room_if_brittle(state, now_ms, request);
     };
     let share = match (scope, request.route().retry_safety) {
         _ if request.continuation != Continuation::AnyVersion => CONTINUED_STREAM_SHARE,
@@ -143,11 +145,49 @@
     if targets.peek().is_none() {
         return scope == ZoneScope::OwnZone;
     }
-    targets.any(|(target, _)| {
+    targets.any(|(target, entry)| {
         load_at(state, target).tokens.saturating_add(tokens) <= memory_limit
+            && !is_brittle_and_full(state, now_ms, request, (target, entry))
     })
 }
 
+/// Returns true unless the targets of a request's pool are brittle and all are full.
+fn has_room_if_brittle(state: &State, now_ms: u64, request: &Request) -> bool {
+    !state.brittle_targets.is_brittle(now_ms, &request.pool)
+        || state
+            .usable_targets(&request.pool)
+            .into_iter()
+            .any(|target| !is_brittle_and_full(state, now_ms, request, target))
+}
+
+/// Returns true if a target would have to let a request wait, or turn it away, and may fall over
+/// for that.
+fn is_brittle_and_full(
+    state: &State,
+    now_ms: u64,
+    request: &Request,
+    (target, entry): (&TargetName, &TargetEntry),
+) -> bool {
+    if !state.brittle_targets.is_brittle(now_ms, &entry.pool) {
+        return false;
+    }
+    let load = load_at(state, target);
+    let own_load = state.own_loads.get(target).copied().unwrap_or_default();
+    let occupancy = Occupancy {
+        target,
+        slots: entry.slots,
+        own_runs: own_load.runs,
+        all_runs: load.runs,
+    };
+    let hosts = state.peers.fleet_size();
+    let engine = request.configuration.engine(&request.pool);
+    let has_memory = engine.is_none_or(|engine| {
+        let memory_limit = (LONG_STREAM_SHARE * engine.memory_tokens as f64) as u64;
+        load.tokens.saturating_add(request.memory_tokens()) <= memory_limit
+    });
+    !has_memory || !state.brittle_targets.has_room(now_ms, hosts, occupancy)
+}
+
 /// Dispatches a request to the best target, or refuses it.
 pub(super) fn dispatch(
     state: &mut State,
@@ -245,6 +285,7 @@
         inputs,
     };
     state.target_notices.take_permit(now_ms, &selection.target);
+    state.brittle_targets.take_permit(now_ms, &selection.target);
     state
         .own_loads
         .entry(selection.target)
@@ -362,6 +403,7 @@
             !tried_targets.contains(*target)
                 && continuation.permits(entry)
                 && state.target_notices.takes_request(now_ms, target)
+                && !is_brittle_and_full(state, now_ms, request, (*target, *entry))
         })
         .map(|(target, entry)| Candidate {
             target,
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -4,7 +4,7 @@
 
 use super::migration::release_destination;
 use super::placement::{dispatch, place};
-use super::{handoff, origins};
+use super::{handoff, messages, origins};
 use crate::budget::RetryBound;
 use crate::config::EXIT_RESERVE_MS;
 use crate::configuration::{RetrySafety, Route};
@@ -240,6 +240,16 @@
     let fingerprint = request.incoming.fingerprint;
     let pool = request.pool.clone();
     let dispatched_ms = request.dispatched_ms;
+    if outcome == AttemptOutcome::Declined
+        && state.brittle_targets.is_brittle(now_ms, &pool)
+    {
+        let host = &state.identity.host;
+        state
+            .brittle_targets
+            .record_rejection(now_ms, host, &target);
+        // By the next tick, peers may have sent as many requests as the target can turn away.
+        messages::broadcast(state, now_ms, None, effects);
+    }
     match outcome {
         AttemptOutcome::NotSent => {
             handoff::record_failure(state, now_ms, &pool, &target, effects)
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use toucancleat_core::prelude::*;
 
+use crate::brittle_targets::BrittleTargets;
 use crate::budget::RetryBudget;
 use crate::config::FleetConfig;
 use crate::configuration::Configuration;
@@ -127,6 +128,7 @@
     /// When the host list that this host knows was last the newest.
     pub(crate) host_list_confirmed_ms: Option<u64>,
     pub(crate) target_notices: TargetNotices,
+    pub(crate) brittle_targets: BrittleTargets,
     /// When this host's shares of the targets' limits are computed next.
     pub(crate) shares_due_ms: u64,
     /// Whether peers have to learn of something before the next periodic message.
@@ -187,6 +189,7 @@
             sole_versions: SoleVersions::default(),
             host_list_confirmed_ms: None,
             target_notices: TargetNotices::default(),
+            brittle_targets: BrittleTargets::default(),
             shares_due_ms: 0,
             must_broadcast: false,
             requests: IndexMap::new(),
--- a/crates/toucancleat-fleet/src/target_notice.rs
+++ b/crates/toucancleat-fleet/src/target_notice.rs
@@ -46,6 +46,9 @@
     pub is_leaving: bool,
     /// Time for which the target wants no requests from this host, in milliseconds.
     pub pause_ms: Option<u64>,
+    /// Requests that the targets of the pool may turn away in a second without falling over, if
+    /// they are brittle.
+    pub rejections_max_per_s: Option<f64>,
 }
 
 /// A notice as a host sends it to its peers. A pause concerns only the host that was told.
@@ -138,6 +141,10 @@
         notice: TargetNotice,
         source: AnswerSource,
     ) -> Option<KnownNotice> {
+        let notice = TargetNotice {
+            rejections_max_per_s: None,
+            ..notice
+        };
         if notice == TargetNotice::default() && !self.known.contains_key(target) {
             return None;
         }
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test uses a part of this")]
 
+pub mod brittle;
 pub mod crashing;
 pub mod fleet;
 pub mod partition;
--- a/crates/toucancleat-gateway/src/datagram.rs
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -6,6 +6,7 @@
 //! that they know them.
 
 use serde::{Deserialize, Serialize};
+use toucancleat_fleet::brittle_targets::BrittleReports;
 use toucancleat_fleet::peers::{Echo, Message, Update};
 use toucancleat_fleet::poison_parts::PartReports;
 use toucancleat_fleet::pool_path::PathReport;
@@ -34,6 +35,7 @@
 struct ReportExtension {
     part_reports: PartReports,
     path_reports: Vec<PathReport>,
+    brittle_reports: BrittleReports,
 }
 
 /// Encodes the parts of a message that precede and follow the echo of each recipient.
@@ -55,6 +57,7 @@
     let reports = ReportExtension {
         part_reports: std::mem::take(&mut message.part_reports),
         path_reports: std::mem::take(&mut message.path_reports),
+        brittle_reports: std::mem::take(&mut message.brittle_reports),
     };
     let extension = postcard::to_stdvec(&extension)?;
     let extension = postcard::to_extend(&versions, extension)?;
@@ -134,6 +137,7 @@
             let reports: ReportExtension = postcard::from_bytes(rest)?;
             message.part_reports = reports.part_reports;
             message.path_reports = reports.path_reports;
+            message.brittle_reports = reports.brittle_reports;
         }
     }
     Ok(message)
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -405,6 +405,12 @@
         } => {
             log::info!(target_name:% = target, limit_per_s, limit_before_per_s; "target's rate limit changed");
         }
+        LogEvent::BrittlenessChanged {
+            pool,
+            rejections_max_per_s,
+        } => {
+            log::info!(pool:% = pool, rejections_max_per_s:? = rejections_max_per_s; "targets of a pool fall over if they turn more requests away, or no longer do");
+        }
         LogEvent::ReaderRoleChanged {
             is_reader,
             live_peers,
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -4,6 +4,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use toucancleat_fleet::brittle_targets::BrittleReports;
 use toucancleat_fleet::budget::RetryCounts;
 use toucancleat_fleet::config::FleetConfig;
 use toucancleat_fleet::peers::{Echo, Load, Message, Update};
@@ -81,6 +82,10 @@
             reached_age_ms: Some(30),
             is_lost: true,
         }],
+        brittle_reports: BrittleReports {
+            pools: vec![(PoolName::new("roster"), true, 40)],
+            rejections: vec![(TargetName::new("i-1"), 25)],
+        },
         addresses: vec![address],
         update: Some(Update::Targets(vec![
             change("i-1", Some(entry(Some(SoftwareVersion::new("v1"))))),
@@ -174,6 +179,7 @@
     let expected = Message {
         part_reports: PartReports::default(),
         path_reports: Vec::new(),
+        brittle_reports: BrittleReports::default(),
         ..message
     };
     assert_eq!(decode(&bytes), Ok(Datagram::State(Box::new(expected))));
@@ -288,6 +294,8 @@
             answered: vec![(PartId(highest), highest as u32); 99],
         };
         message.path_reports[0].reached_age_ms = Some(highest);
+        message.brittle_reports.pools[0].2 = highest;
+        message.brittle_reports.rejections[0].1 = highest;
         message.notices[0].rate_limit_per_s = Some(f64::MAX);
         message
     };
