Wait up to three seconds for a silent target

A sound target may fall silent for a second or so and go on. A run that migrated to a target which was silent for 1.8 s was lost: its caller received three of six events. Cause: a resumption timed out after 1.5 s, and a copy can be resumed once only. Bytes that were not acknowledged for as long closed a connection too. Change: both wait 3 s. Result: the case "the destination is silent for a while" failed before and passes. The timeout of unacknowledged bytes has no test, since a kernel acknowledges for a silent process.

--- a/crates/toucancleat-gateway/src/connection.rs
+++ b/crates/toucancleat-gateway/src/connection.rs
@@ -18,8 +18,10 @@
 /// only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Maximum time that sent bytes may stay unacknowledged before the connection is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Maximum time that sent bytes may stay unacknowledged before the connection is closed. A sound
+/// machine may be silent for a second or two. Keep-alive probes, of which none are sent, would be
+/// given up after this time too, whatever their number.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Maximum number of connections that wait to be accepted; callers may connect in bursts.
 const BACKLOG: u32 = 1_024;
--- a/crates/toucancleat-gateway/src/relay/migration.rs
+++ b/crates/toucancleat-gateway/src/relay/migration.rs
@@ -26,8 +26,9 @@
 /// Maximum wait for the end of a stream whose run has been stopped.
 const SOURCE_DRAIN_TIMEOUT_MS: u64 = 60;
 
-/// Maximum wait for a run to be resumed, at its destination or its source.
-const RESUME_TIMEOUT_MS: u64 = 1_500;
+/// Maximum wait for a run to be resumed, at its destination or its source. A sound target may be
+/// silent for a second or two.
+const RESUME_TIMEOUT_MS: u64 = 3_000;
 
 /// Delay before the one retry at a target that didn't resume a run.
 const RESUME_RETRY_DELAY: Duration = Duration::from_millis(25);
