Hand requests off only to peers with as new a configuration, and once they may have run not again

Peers report their version with each message; a peer with an earlier one takes no requests now. - An idempotent request whose peer was lost could go to two more peers, each with all attempts of its route. It ends with 502 now, as others do. Result: new tables of the peers that take requests and of what callers learn from the end of a handoff; the cases of the earlier configuration and of the interrupted lookup are those that the change is for.

--- a/crates/toucancleat-fleet/src/reduce/handoff.rs
+++ b/crates/toucancleat-fleet/src/reduce/handoff.rs
@@ -2,7 +2,7 @@
 
 use toucancleat_core::prelude::*;
 
-use super::requests::{ATTEMPT_MIN_MS, RETRY_AFTER_SHORT_MS, refuse, take_retry};
+use super::requests::{ATTEMPT_MIN_MS, RETRY_AFTER_SHORT_MS, refuse};
 use crate::event::{Effect, LogEvent};
 use crate::peers::Peer;
 use crate::request::{Handoff, HandoffOutcome, Reason, Request, RequestNumber};
@@ -109,11 +109,14 @@
     if !may_hand_off {
         return false;
     }
+    let own_version = state.configuration.as_ref().map(|known| known.version);
     let takes_request = |host: &HostName, peer: &Peer| {
         let message = &peer.last_message;
         let age_ms = now_ms.saturating_sub(peer.received_ms);
         let mut reports = message.path_reports.iter();
+        // A peer with an earlier configuration may refuse what this one allows.
         !message.is_stopping
+            && message.configuration_version >= own_version
             && !request.tried_hosts.contains(host)
             && reports.any(|report| report.pool == request.pool && report.vouches(age_ms))
     };
@@ -147,12 +150,10 @@
         return;
     };
     request.verdict = request.verdict.max(outcome.verdict());
-    let is_idempotent = request.route().retry_safety.is_idempotent();
-    let may_retry = request.verdict.permits_retry(is_idempotent)
-        && outcome != HandoffOutcome::Answered
-        && (outcome.verdict() == Verdict::NotRun
-            || take_retry(state, now_ms, request_number));
-    if may_retry && try_hand_off(state, now_ms, request_number, effects) {
+    // The peer may have used all attempts that the route permits.
+    if outcome.verdict() == Verdict::NotRun
+        && try_hand_off(state, now_ms, request_number, effects)
+    {
         return;
     }
     let reason = match outcome {
--- a/crates/toucancleat-fleet/tests/partitioned_hosts.rs
+++ b/crates/toucancleat-fleet/tests/partitioned_hosts.rs
@@ -2,8 +2,14 @@
 
 mod support;
 
+use support::fleet::Fleet;
 use support::partition::{PartitionedFleet, Refusing};
+use support::{address, apply, dispatches, entry, incoming_request, receive_request};
 use toucancleat_core::rng::Rng;
+use toucancleat_fleet::event::Effect;
+use toucancleat_fleet::peers::Message;
+use toucancleat_fleet::pool_path::{PathReport, VOUCH_MS};
+use toucancleat_fleet::prelude::*;
 
 /// Time after the beginning of a partition from which callers have to be served.
 const CONTACT_MS: u64 = 3_000;
@@ -111,3 +117,171 @@
         );
     }
 }
+
+/// A request must go only to a peer that can serve it as well as this host could.
+#[test]
+fn requests_are_handed_off_only_to_peers_that_can_serve_them() {
+    struct Case {
+        name: &'static str,
+        /// Changes the message of the only peer, which reaches the pool.
+        change: fn(&mut Message),
+        is_handed_off: bool,
+    }
+    let cases = [
+        Case {
+            name: "a peer that reaches the pool",
+            change: |_| {},
+            is_handed_off: true,
+        },
+        Case {
+            name: "a peer with a later configuration",
+            change: |message| message.configuration_version = Some(2),
+            is_handed_off: true,
+        },
+        Case {
+            name: "a peer without a configuration",
+            change: |message| message.configuration_version = None,
+            is_handed_off: false,
+        },
+        Case {
+            name: "a stopping peer",
+            change: |message| message.is_stopping = true,
+            is_handed_off: false,
+        },
+        Case {
+            name: "a peer that has lost its path",
+            change: |message| message.path_reports[0].is_lost = true,
+            is_handed_off: false,
+        },
+        Case {
+            name: "a peer that has sent no request to the pool lately",
+            change: |message| message.path_reports[0].reached_age_ms = Some(VOUCH_MS + 1),
+            is_handed_off: false,
+        },
+        Case {
+            name: "a peer that reaches another pool",
+            change: |message| message.path_reports[0].pool = PoolName::new("engines"),
+            is_handed_off: false,
+        },
+        Case {
+            name: "a peer of the last release",
+            change: |message| message.path_reports.clear(),
+            is_handed_off: false,
+        },
+    ];
+    for case in cases {
+        let mut fleet = Fleet::new(
+            2,
+            &["upp-a"],
+            &[("roster-1", entry("roster", "upp-a", 900))],
+        );
+        let now_ms = fleet.now_ms;
+        let effects = apply(&mut fleet.hosts[1], now_ms + 200, Event::Tick);
+        let sent = effects.into_iter().find_map(|effect| match effect {
+            Effect::Send { message, .. } => Some(message),
+            _ => None,
+        });
+        let mut message = sent.expect("a message of the peer");
+        message.path_reports = vec![PathReport {
+            pool: PoolName::new("roster"),
+            reached_age_ms: Some(0),
+            is_lost: false,
+        }];
+        (case.change)(&mut message);
+        let host = &mut fleet.hosts[0];
+        let now_ms = now_ms + 200;
+        apply(host, now_ms, Event::MessageReceived(message));
+        let effects = receive_request(host, now_ms, 1, incoming_request("lookup"));
+        assert_eq!(dispatches(&effects).len(), 1, "{}", case.name);
+        let ended = Event::AttemptEnded {
+            request_number: RequestNumber(1),
+            outcome: AttemptOutcome::NotSent,
+        };
+        let effects = apply(host, now_ms, ended);
+        let handoff = effects.iter().find_map(|effect| match effect {
+            Effect::HandOff(handoff) => Some(handoff.address),
+            _ => None,
+        });
+        let expected = case.is_handed_off.then(|| address(2));
+        assert_eq!(handoff, expected, "{}", case.name);
+    }
+}
+
+/// Guards against work that runs twice, or of which the caller learns that it hasn't run, when
+/// the peer is lost with its answer.
+#[test]
+fn the_end_of_a_handoff_decides_what_the_caller_learns() {
+    struct Case {
+        outcome: HandoffOutcome,
+        kind: &'static str,
+        /// The verdict of the refusal, or `None` if the answer is forwarded.
+        verdict: Option<Verdict>,
+    }
+    let cases = [
+        Case {
+            outcome: HandoffOutcome::Answered,
+            kind: "booking",
+            verdict: None,
+        },
+        Case {
+            outcome: HandoffOutcome::Refused,
+            kind: "booking",
+            verdict: None,
+        },
+        Case {
+            outcome: HandoffOutcome::NotSent,
+            kind: "booking",
+            verdict: Some(Verdict::NotRun),
+        },
+        Case {
+            outcome: HandoffOutcome::Interrupted,
+            kind: "booking",
+            verdict: Some(Verdict::MayHaveRun),
+        },
+        Case {
+            outcome: HandoffOutcome::TimedOut,
+            kind: "booking",
+            verdict: Some(Verdict::MayHaveRun),
+        },
+        Case {
+            outcome: HandoffOutcome::Interrupted,
+            kind: "lookup",
+            verdict: Some(Verdict::MayHaveRun),
+        },
+    ];
+    for case in cases {
+        let targets = [("roster-1", entry("roster", "upp-a", 900))];
+        let mut fleet = Fleet::new(2, &["upp-a"], &targets);
+        let now_ms = fleet.now_ms;
+        let answered = |number| Event::AttemptEnded {
+            request_number: RequestNumber(number),
+            outcome: AttemptOutcome::Answered { took_ms: 5 },
+        };
+        fleet.send_request(1, 1, incoming_request("lookup"));
+        fleet.apply(1, answered(1));
+        fleet.advance(200);
+        let host = &mut fleet.hosts[0];
+        receive_request(host, now_ms + 200, 2, incoming_request(case.kind));
+        let request_number = RequestNumber(2);
+        let not_sent = Event::AttemptEnded {
+            request_number,
+            outcome: AttemptOutcome::NotSent,
+        };
+        let effects = apply(host, now_ms + 200, not_sent);
+        let name = format!("{} {:?}", case.kind, case.outcome);
+        assert!(matches!(effects[..], [Effect::HandOff(_)]), "{name}");
+        let outcome = case.outcome;
+        let ended = Event::HandoffEnded {
+            request_number,
+            outcome,
+        };
+        let effects = apply(host, now_ms + 210, ended);
+        match (&effects[..], case.verdict) {
+            ([Effect::ForwardAnswer { .. }], None) => {}
+            ([Effect::Refuse { refusal, .. }], Some(verdict)) => {
+                assert_eq!(refusal.verdict, verdict, "{name}");
+            }
+            _ => panic!("{name}: {effects:?}"),
+        }
+    }
+}
