Don't bypass a target's pause by a handoff

Cause: a target that pauses or limits was taken for one that can't be reached. Change: a request for which a target may be tried later is refused with that time, as before the handoffs. Result: the new test failed before (the request was handed off) and passes.

--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -220,11 +220,6 @@
         );
     }
     let Some(selection) = select_for(state, now_ms, request_number, false) else {
-        if handoff::is_last_resort(state, request_number)
-            && handoff::try_hand_off(state, now_ms, request_number, effects)
-        {
-            return;
-        }
         return refuse_without_target(state, now_ms, request_number, effects);
     };
     let listed = state.directory.get(&selection.target);
@@ -346,6 +341,11 @@
     let retry_at_ms =
         untried.filter_map(|target| state.target_notices.retry_at_ms(now_ms, target));
     let Some(retry_at_ms) = retry_at_ms.min() else {
+        if handoff::is_last_resort(state, request_number)
+            && handoff::try_hand_off(state, now_ms, request_number, effects)
+        {
+            return;
+        }
         let retry_after_ms = Some(RETRY_AFTER_LONG_MS);
         return refuse(
             state,
--- a/crates/toucancleat-fleet/tests/partitioned_hosts.rs
+++ b/crates/toucancleat-fleet/tests/partitioned_hosts.rs
@@ -285,3 +285,41 @@
         }
     }
 }
+
+/// Guards against requests that reach a target by way of a peer though the target has asked this
+/// host for a pause (seed 110 of the soak).
+#[test]
+fn a_pause_is_not_bypassed_by_a_handoff() {
+    let targets = [
+        ("roster-1", entry("roster", "upp-a", 900)),
+        ("roster-2", entry("roster", "upp-a", 901)),
+    ];
+    let mut fleet = Fleet::new(2, &["upp-a"], &targets);
+    let answered = Event::AttemptEnded {
+        request_number: RequestNumber(1),
+        outcome: AttemptOutcome::Answered { took_ms: 5 },
+    };
+    fleet.send_request(1, 1, incoming_request("lookup"));
+    fleet.apply(1, answered);
+    fleet.advance(200);
+    let now_ms = fleet.now_ms;
+    let host = &mut fleet.hosts[0];
+    let notice = TargetNotice {
+        pause_ms: Some(1_400),
+        ..TargetNotice::default()
+    };
+    let target = TargetName::new("roster-2");
+    apply(host, now_ms, Event::NoticeReceived { target, notice });
+    let effects = receive_request(host, now_ms, 2, incoming_request("lookup"));
+    assert_eq!(dispatches(&effects)[0].target.as_str(), "roster-1");
+    let not_sent = Event::AttemptEnded {
+        request_number: RequestNumber(2),
+        outcome: AttemptOutcome::NotSent,
+    };
+    let effects = apply(host, now_ms, not_sent);
+    let [Effect::Refuse { refusal, .. }] = &effects[..] else {
+        panic!("{effects:?}");
+    };
+    assert_eq!(refusal.reason, Reason::TargetsLimited);
+    assert!(refusal.retry_after_ms >= Some(1_400));
+}
