Don't bypass a pause by a handoff when the retry budget is used up either

Cause: where no retry is permitted, a request that hasn't reached a target was handed off without asking whether a target may be tried later. Change: one function decides for both places.

--- a/crates/toucancleat-fleet/src/reduce/handoff.rs
+++ b/crates/toucancleat-fleet/src/reduce/handoff.rs
@@ -80,11 +80,27 @@
     state.pool_paths.is_lost(&request.pool)
 }
 
-/// Returns true if connections to targets of a request's pool have failed since the last one was
-/// opened, so that a peer may reach what this host doesn't.
-pub(super) fn is_last_resort(state: &State, request_number: RequestNumber) -> bool {
-    let request = state.requests.get(&request_number);
-    request.is_some_and(|request| state.pool_paths.has_failures(&request.pool))
+/// Returns true if a peer may reach what this host doesn't: connections to targets of a request's
+/// pool have failed since the last one was opened.
+///
+/// A target that this host may try later, because of its limit or pause, isn't reached by way of
+/// a peer meanwhile.
+pub(super) fn is_last_resort(
+    state: &State,
+    now_ms: u64,
+    request_number: RequestNumber,
+) -> bool {
+    let Some(request) = state.requests.get(&request_number) else {
+        return false;
+    };
+    let takes_it_later = |target: &TargetName| {
+        !request.tried_targets.contains(target)
+            && !state.target_notices.takes_request(now_ms, target)
+            && state.target_notices.retry_at_ms(now_ms, target).is_some()
+    };
+    let mut targets = state.usable_targets(&request.pool).into_iter();
+    state.pool_paths.has_failures(&request.pool)
+        && !targets.any(|(target, _)| takes_it_later(target))
 }
 
 /// Hands a request off to a peer that reaches the targets. Returns false if the request may have
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -341,7 +341,7 @@
     let retry_at_ms =
         untried.filter_map(|target| state.target_notices.retry_at_ms(now_ms, target));
     let Some(retry_at_ms) = retry_at_ms.min() else {
-        if handoff::is_last_resort(state, request_number)
+        if handoff::is_last_resort(state, now_ms, request_number)
             && handoff::try_hand_off(state, now_ms, request_number, effects)
         {
             return;
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -322,7 +322,8 @@
             );
         }
         AttemptOutcome::NotSent
-            if handoff::try_hand_off(state, now_ms, request_number, effects) => {}
+            if handoff::is_last_resort(state, now_ms, request_number)
+                && handoff::try_hand_off(state, now_ms, request_number, effects) => {}
         AttemptOutcome::Misdirected | AttemptOutcome::NotSent => {
             refuse(
                 state,
