--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -274,7 +274,12 @@
     ) -> Vec<TargetTransition> {
         let mut transitions = Vec::new();
         self.enter_era(position.era);
-        let known = self.known_position();
+        // A host that has not read the list yet knows it as of the beginning of any era.
+        let unknown = StorePosition {
+            era: position.era,
+            version: 0,
+        };
+        let known = self.known_position.unwrap_or(unknown);
         changes.retain(|change| {
             let later = self.later_changes.get(&change.target);
             let is_overtaken =
