--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -33,8 +33,8 @@
 /// Time for which a crash is remembered.
 pub const CRASH_RETENTION_MS: u64 = 60_000;
 
-/// Time for which requests with a poison part are refused. Callers that send one again learn
-/// this way whether it still crashes targets.
+/// Time for which requests with a poison part are refused. The next one then shows whether the
+/// part still crashes targets.
 pub const REFUSAL_MS: u64 = 600_000;
 
 /// Time after that in which a single crash suffices for another verdict.
@@ -53,7 +53,7 @@
 /// Maximum number of parts with crashes or a verdict; the oldest is forgotten.
 const SUSPECTS_MAX: usize = 1_024;
 
-/// Maximum number of crashes that are remembered of one part, and reported of one.
+/// Maximum number of crashes under one part that are remembered and reported.
 const CRASHES_OF_PART_MAX: usize = 16;
 
 /// Maximum number of parts in each list of a message. An entry takes some 15 bytes, and five
--- a/crates/toucancleat-fleet/src/reduce/handoff.rs
+++ b/crates/toucancleat-fleet/src/reduce/handoff.rs
@@ -9,7 +9,7 @@
 use crate::state::{State, random_hash};
 
 /// Maximum number of peers to which a request is handed off, one after the other.
-const HANDOFFS_MAX: u32 = 3;
+const HANDOFFS_MAX: usize = 3;
 
 /// Probes the paths that are lost.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
@@ -120,7 +120,7 @@
     };
     let may_hand_off = !request.incoming.is_handed_off
         && request.runs == 0
-        && request.tried_hosts.len() < HANDOFFS_MAX as usize
+        && request.tried_hosts.len() < HANDOFFS_MAX
         && now_ms + ATTEMPT_MIN_MS <= request.deadline_ms;
     if !may_hand_off {
         return false;
