Break a peer's stream off if an event is missing

Its host had handed the request off; the peer's run ended at 36.523 s, and the event after the gap came at 39.54 s. Cause: events of targets are checked for gaps and repetitions, those of a peer weren't. Change: the host that passes a peer's stream on checks its events in the same way.

--- a/crates/toucancleat-gateway/src/handoff.rs
+++ b/crates/toucancleat-gateway/src/handoff.rs
@@ -12,7 +12,7 @@
 use hyper::{HeaderMap, Request, StatusCode, Version};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
-use toucancleat_fleet::event_stream::EventSplitter;
+use toucancleat_fleet::event_stream::{EventSequence, EventSplitter, SequencePosition};
 use toucancleat_fleet::prelude::*;
 use toucancleat_platform::answer::{PeerAnswerClass, classify_peer_answer};
 use toucancleat_platform::caller::handoff_headers;
@@ -161,14 +161,15 @@
     receiver
 }
 
-/// Passes whole events on until the stream ends. A peer that is killed may stop in the middle of
-/// one.
+/// Passes whole events on, in order, until the stream ends or an event is missing. A peer that is
+/// killed may stop in the middle of one.
 async fn pass_events(
     host: &Host,
     mut stream: PeerStream,
     events: &Sender<Result<HeldBytes, Interrupted>>,
 ) -> &'static str {
     let mut splitter = EventSplitter::default();
+    let mut sequence = EventSequence::default();
     let mut pending = host.answer_memory.start_reservation();
     while let Some(frame) = stream.body.frame().await {
         let Ok(frame) = frame else {
@@ -184,6 +185,11 @@
             return "target_failed";
         }
         for event in complete {
+            match sequence.check(&event) {
+                SequencePosition::Next => {}
+                SequencePosition::Duplicate => continue,
+                SequencePosition::AfterGap => return "target_failed",
+            }
             let Ok(reservation) = host.answer_memory.reserve(event.bytes.len() as u64)
             else {
                 return "target_failed";
