Add the interfaces of evacuations, cold targets, home regions and demand

Change: settings and configuration decode them; messages have parts for them behind all that the last release knows; all ways to a target ask one module which targets may get a request (reduce/eligibility.rs). The test of messages of the last release covers the last two.

--- a/crates/toucancleat-core/src/ids.rs
+++ b/crates/toucancleat-core/src/ids.rs
@@ -113,6 +113,10 @@
     /// Name of an availability zone.
     ZoneName
 }
+name_type! {
+    /// Name of a region, which consists of availability zones.
+    RegionName
+}
 name_type! {
     /// Name of an organisation on whose behalf requests are sent.
     OrganisationName
--- a/crates/toucancleat-core/src/prelude.rs
+++ b/crates/toucancleat-core/src/prelude.rs
@@ -2,6 +2,7 @@
 
 pub use crate::ids::{
     ChangeId, FencingNumber, GenerationId, HostName, Incarnation, KindName,
-    LiveEventName, OrganisationName, PoolName, RequestId, Revision, TargetName, ZoneName,
+    LiveEventName, OrganisationName, PoolName, RegionName, RequestId, Revision,
+    TargetName, ZoneName,
 };
 pub use crate::verdict::Verdict;
--- a/crates/toucancleat-fleet/src/config.rs
+++ b/crates/toucancleat-fleet/src/config.rs
@@ -1,5 +1,8 @@
 //! Configuration of the reducer: the bounds that differ between deployments.
 
+use indexmap::IndexMap;
+use toucancleat_core::prelude::*;
+
 /// Time before the end of the grace period at which a stopping process exits by itself, so
 /// that the callers of unfinished requests receive a closed connection and the log is
 /// written.
@@ -19,6 +22,23 @@
     pub retry_allowance: f64,
     /// Time from the request to stop until the process is killed.
     pub stop_grace_ms: u64,
+    /// The region of each availability zone, if the deployment has regions.
+    pub regions: IndexMap<ZoneName, RegionName>,
+    /// Bound on the requests to a cold target, if the deployment bounds them.
+    pub cold_bound: Option<ColdBound>,
+    /// Time after the evacuation of an availability zone from which no request may be sent to
+    /// its targets, if the deployment evacuates zones.
+    pub evacuation_bound_ms: Option<u64>,
+}
+
+/// Bound on the requests that all hosts together send to a cold target in one second, given the
+/// rate that its pool names.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdBound {
+    /// Requests for each request of the rate.
+    pub overage: f64,
+    /// Requests in addition.
+    pub allowance: f64,
 }
 
 impl Default for FleetConfig {
@@ -30,6 +50,9 @@
             retry_window_ms: 10_000,
             retry_allowance: 10.0,
             stop_grace_ms: 8_000,
+            regions: IndexMap::new(),
+            cold_bound: None,
+            evacuation_bound_ms: None,
         }
     }
 }
--- a/crates/toucancleat-fleet/src/configuration.rs
+++ b/crates/toucancleat-fleet/src/configuration.rs
@@ -44,6 +44,10 @@
     pub is_public: bool,
     /// Pools among which requests are split by weight.
     pub weighted_pools: Vec<WeightedPool>,
+    /// Regions to which requests are confined; any region if there are none. Hosts of the last
+    /// release don't know them, so changes carry them separately.
+    #[serde(skip)]
+    pub home_regions: Vec<RegionName>,
 }
 
 /// Whether a route's requests may run more than once.
@@ -88,6 +92,10 @@
 pub struct Pool {
     /// Capabilities of the targets, if they are model engines.
     pub engine: Option<EngineCapabilities>,
+    /// Requests per second that a cold target takes from all hosts together, if that is limited.
+    /// Hosts of the last release don't know it, so changes carry it separately.
+    #[serde(skip)]
+    pub cold_requests_per_s: Option<f64>,
 }
 
 /// Capabilities of each model engine of a pool.
@@ -136,6 +144,10 @@
     pub name: OrganisationName,
     /// Priority of its requests, which overrides the route's.
     pub priority: Option<u8>,
+    /// Regions to which its requests are confined; any region if there are none. Hosts of the
+    /// last release don't know them, so changes carry them separately.
+    #[serde(skip)]
+    pub home_regions: Vec<RegionName>,
 }
 
 impl Configuration {
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -37,11 +37,14 @@
 
 pub mod brittle_targets;
 pub mod budget;
+pub mod cold_targets;
 pub mod config;
 pub mod configuration;
 pub mod configuration_change;
+pub mod contention;
 pub mod continuation;
 pub mod departures;
+pub mod evacuation;
 pub mod event;
 pub mod event_stream;
 pub mod health;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -13,7 +13,10 @@
 
 use crate::brittle_targets::BrittleReports;
 use crate::budget::RetryCounts;
+use crate::cold_targets::ColdReport;
 use crate::configuration_change::ConfigurationChange;
+use crate::contention::DemandReport;
+use crate::evacuation::EvacuationReport;
 use crate::host_ring::HostRing;
 use crate::migration_plan::HostRuns;
 use crate::poison_parts::PartReports;
@@ -112,6 +115,16 @@
     /// the last release don't send it.
     #[serde(skip)]
     pub brittle_reports: BrittleReports,
+    /// Availability zones that operators have evacuated. Hosts of the last release don't send
+    /// this and the next two parts.
+    #[serde(skip)]
+    pub evacuations: EvacuationReport,
+    /// Targets that are cold.
+    #[serde(skip)]
+    pub cold_reports: Vec<ColdReport>,
+    /// The requests that wait for room at the sender.
+    #[serde(skip)]
+    pub demand: DemandReport,
     /// A sample of the addresses of other hosts.
     pub addresses: Vec<SocketAddr>,
     /// A change that the sender has read from the store.
@@ -257,6 +270,7 @@
                 notices: Vec::new(),
                 part_reports: PartReports::default(),
                 brittle_reports: BrittleReports::default(),
+                cold_reports: Vec::new(),
                 ..message
             },
             is_counted: true,
--- a/crates/toucancleat-fleet/src/prelude.rs
+++ b/crates/toucancleat-fleet/src/prelude.rs
@@ -1,7 +1,8 @@
 //! Types that nearly every module of this crate and of the daemon uses.
 
 pub use toucancleat_core::prelude::{
-    HostName, KindName, OrganisationName, PoolName, TargetName, Verdict, ZoneName,
+    HostName, KindName, OrganisationName, PoolName, RegionName, TargetName, Verdict,
+    ZoneName,
 };
 
 pub use crate::configuration::{Configuration, RetrySafety, Route};
--- a/crates/toucancleat-fleet/src/reduce/handoff.rs
+++ b/crates/toucancleat-fleet/src/reduce/handoff.rs
@@ -2,6 +2,7 @@
 
 use toucancleat_core::prelude::*;
 
+use super::eligibility;
 use super::requests::{ATTEMPT_MIN_MS, RETRY_AFTER_SHORT_MS, refuse};
 use crate::event::{Effect, LogEvent};
 use crate::peers::Peer;
@@ -95,10 +96,10 @@
     };
     let takes_it_later = |target: &TargetName| {
         !request.tried_targets.contains(target)
-            && !state.target_notices.takes_request(now_ms, target)
-            && state.target_notices.retry_at_ms(now_ms, target).is_some()
+            && !eligibility::takes_request(state, now_ms, target)
+            && eligibility::retry_at_ms(state, now_ms, target).is_some()
     };
-    let mut targets = state.usable_targets(&request.pool).into_iter();
+    let mut targets = eligibility::permitted_targets(state, request).into_iter();
     state.pool_paths.has_failures(&request.pool)
         && !targets.any(|(target, _)| takes_it_later(target))
 }
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -2,6 +2,8 @@
 
 use super::requests::log_part_changes;
 use super::{notices, store_sync};
+use crate::contention::DemandReport;
+use crate::evacuation::EvacuationReport;
 use crate::event::Effect;
 use crate::peers::{
     ANNOUNCEMENT_SPREAD_PER_HOST_MS, Message, Recipient, Update, earliest_send_ms,
@@ -93,6 +95,9 @@
         part_reports: state.poison_parts.own_reports(now_ms),
         path_reports: state.pool_paths.reports(now_ms),
         brittle_reports: state.brittle_targets.own_reports(now_ms),
+        evacuations: EvacuationReport::default(),
+        cold_reports: Vec::new(),
+        demand: DemandReport::default(),
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -2,9 +2,9 @@
 
 use toucancleat_core::prelude::*;
 
-use super::messages;
 use super::placement::{load_at, select_for};
 use super::requests::{release_placement, subtract_load, take_retry};
+use super::{eligibility, messages};
 use crate::configuration::RetrySafety;
 use crate::continuation::Continuation;
 use crate::event::Effect;
@@ -150,7 +150,7 @@
             !entry.is_leaving
                 && is_of_pool(entry)
                 // All hosts know the same limits, but each has permits of its own.
-                && state.target_notices.takes_any_rate(now_ms, target)
+                && eligibility::takes_any_rate(state, now_ms, target)
                 && !state.health.is_ejected(now_ms, target)
         })
         .filter_map(|(target, entry)| {
@@ -206,7 +206,7 @@
     if state.poison_parts.refused_for_ms(now_ms, parts).is_some() {
         return effects.push(Effect::NoDestination { request_number });
     }
-    state.target_notices.take_permit(now_ms, &destination);
+    eligibility::take_permit(state, now_ms, &destination);
     let entry = state.directory.get(&destination);
     let entry = entry.map(|entry| (entry.address, entry.software_version.clone()));
     let (Some((address, target_version)), Some(request)) =
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -1,5 +1,6 @@
 //! The reducer over all events of an entry host.
 
+mod eligibility;
 mod handoff;
 mod messages;
 mod migration;
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -5,7 +5,7 @@
 use super::requests::{
     ATTEMPT_MIN_MS, RETRY_AFTER_LONG_MS, RETRY_AFTER_SHORT_MS, refuse,
 };
-use super::{handoff, messages, origins};
+use super::{eligibility, handoff, messages, origins};
 use crate::brittle_targets::Occupancy;
 use crate::configuration::RetrySafety;
 use crate::continuation::Continuation;
@@ -137,9 +137,9 @@
         .accepting(&request.pool)
         .filter(|(target, entry)| {
             (entry.zone == *own_zone) == (scope == ZoneScope::OwnZone)
-                && request.continuation.permits(entry)
+                && eligibility::permits(state, request, entry)
                 && !state.health.is_ejected(now_ms, target)
-                && state.target_notices.takes_request(now_ms, target)
+                && eligibility::takes_request(state, now_ms, target)
         })
         .peekable();
     if targets.peek().is_none() {
@@ -154,8 +154,7 @@
 /// Returns true unless the targets of a request's pool are brittle and all are full.
 fn has_room_if_brittle(state: &State, now_ms: u64, request: &Request) -> bool {
     !state.brittle_targets.is_brittle(now_ms, &request.pool)
-        || state
-            .usable_targets(&request.pool)
+        || eligibility::permitted_targets(state, request)
             .into_iter()
             .any(|target| !is_brittle_and_full(state, now_ms, request, target))
 }
@@ -279,8 +278,7 @@
         retry_safety: route.retry_safety,
         inputs,
     };
-    state.target_notices.take_permit(now_ms, &selection.target);
-    state.brittle_targets.take_permit(now_ms, &selection.target);
+    eligibility::take_permit(state, now_ms, &selection.target);
     state
         .own_loads
         .entry(selection.target)
@@ -306,14 +304,12 @@
     let Some(request) = state.requests.get(&request_number) else {
         return false;
     };
-    state
-        .usable_targets(&request.pool)
+    eligibility::permitted_targets(state, request)
         .into_iter()
-        .any(|(target, entry)| {
+        .any(|(target, _)| {
             target != selected
                 && !request.tried_targets.contains(target)
-                && request.continuation.permits(entry)
-                && state.target_notices.takes_request(now_ms, target)
+                && eligibility::takes_request(state, now_ms, target)
         })
 }
 
@@ -339,7 +335,7 @@
         .map(|(target, _)| *target)
         .filter(|target| !request.tried_targets.contains(*target));
     let retry_at_ms =
-        untried.filter_map(|target| state.target_notices.retry_at_ms(now_ms, target));
+        untried.filter_map(|target| eligibility::retry_at_ms(state, now_ms, target));
     let Some(retry_at_ms) = retry_at_ms.min() else {
         if handoff::is_last_resort(state, now_ms, request_number)
             && handoff::try_hand_off(state, now_ms, request_number, effects)
@@ -402,7 +398,7 @@
         .filter(|(target, entry)| {
             !tried_targets.contains(*target)
                 && continuation.permits(entry)
-                && state.target_notices.takes_request(now_ms, target)
+                && eligibility::takes_request(state, now_ms, target)
                 && !is_brittle_and_full(state, now_ms, request, (*target, *entry))
         })
         .map(|(target, entry)| Candidate {
--- a/crates/toucancleat-fleet/tests/configuration_change.rs
+++ b/crates/toucancleat-fleet/tests/configuration_change.rs
@@ -25,6 +25,7 @@
         let organisation = Organisation {
             name: OrganisationName::new(&format!("depot-{}", number % 5)),
             priority: None,
+            home_regions: Vec::new(),
         };
         (format!("key-{}", number / 2), organisation)
     });
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -56,6 +56,7 @@
             pool: PoolName::new(pool),
             weight: 1.0,
         }],
+        home_regions: Vec::new(),
     }
 }
 
@@ -70,6 +71,7 @@
     let organisation = Organisation {
         name: OrganisationName::new("depot"),
         priority: None,
+        home_regions: Vec::new(),
     };
     Configuration {
         version,
@@ -84,6 +86,7 @@
                 PoolName::new("engines"),
                 Pool {
                     engine: Some(engine),
+                    ..Pool::default()
                 },
             ),
             (PoolName::new("roster"), Pool::default()),
--- a/crates/toucancleat-gateway/src/datagram.rs
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -7,6 +7,9 @@
 
 use serde::{Deserialize, Serialize};
 use toucancleat_fleet::brittle_targets::BrittleReports;
+use toucancleat_fleet::cold_targets::ColdReport;
+use toucancleat_fleet::contention::DemandReport;
+use toucancleat_fleet::evacuation::EvacuationReport;
 use toucancleat_fleet::peers::{Echo, Message, Update};
 use toucancleat_fleet::poison_parts::PartReports;
 use toucancleat_fleet::pool_path::PathReport;
@@ -38,6 +41,14 @@
     brittle_reports: BrittleReports,
 }
 
+/// The parts that follow the reports. Hosts of the last release ignore them.
+#[derive(Serialize, Deserialize)]
+struct OperationExtension {
+    evacuations: EvacuationReport,
+    cold_reports: Vec<ColdReport>,
+    demand: DemandReport,
+}
+
 /// Encodes the parts of a message that precede and follow the echo of each recipient.
 ///
 /// # Errors
@@ -59,11 +70,17 @@
         path_reports: std::mem::take(&mut message.path_reports),
         brittle_reports: std::mem::take(&mut message.brittle_reports),
     };
+    let operation = OperationExtension {
+        evacuations: std::mem::take(&mut message.evacuations),
+        cold_reports: std::mem::take(&mut message.cold_reports),
+        demand: std::mem::take(&mut message.demand),
+    };
     let extension = postcard::to_stdvec(&extension)?;
     let extension = postcard::to_extend(&versions, extension)?;
+    let extension = postcard::to_extend(&reports, extension)?;
     Ok((
         postcard::to_stdvec(&message)?,
-        postcard::to_extend(&reports, extension)?,
+        postcard::to_extend(&operation, extension)?,
     ))
 }
 
@@ -134,10 +151,16 @@
             *version = sent;
         }
         if !rest.is_empty() {
-            let reports: ReportExtension = postcard::from_bytes(rest)?;
+            let (reports, rest) = postcard::take_from_bytes::<ReportExtension>(rest)?;
             message.part_reports = reports.part_reports;
             message.path_reports = reports.path_reports;
             message.brittle_reports = reports.brittle_reports;
+            if !rest.is_empty() {
+                let operation: OperationExtension = postcard::from_bytes(rest)?;
+                message.evacuations = operation.evacuations;
+                message.cold_reports = operation.cold_reports;
+                message.demand = operation.demand;
+            }
         }
     }
     Ok(message)
--- a/crates/toucancleat-gateway/src/settings.rs
+++ b/crates/toucancleat-gateway/src/settings.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+use indexmap::IndexMap;
 use serde::Deserialize;
-use toucancleat_fleet::config::FleetConfig;
+use toucancleat_fleet::config::{ColdBound, FleetConfig};
 use toucancleat_fleet::prelude::*;
 
 use crate::Error;
@@ -43,6 +44,16 @@
     pub memory_max_mb: Option<f64>,
     /// Rate of the machine's link in megabits per second.
     pub link_max_mbps: Option<f64>,
+    /// The region of each availability zone.
+    #[serde(default)]
+    pub regions: IndexMap<ZoneName, RegionName>,
+    /// Requests to a cold target in one second for each request of its rate, over all hosts.
+    pub cold_overage: Option<f64>,
+    /// Requests to a cold target in one second in addition to that, over all hosts.
+    pub cold_allowance: Option<f64>,
+    /// Time in milliseconds after the evacuation of an availability zone from which no request
+    /// may be sent to its targets.
+    pub evacuation_bound_ms: Option<f64>,
 }
 
 /// Memory in megabytes of a process whose settings omit it: that of a small machine.
@@ -93,6 +104,9 @@
             ("stop_grace_s", self.stop_grace_s),
             ("memory_max_mb", self.memory_max_mb),
             ("link_max_mbps", self.link_max_mbps),
+            ("cold_overage", self.cold_overage),
+            ("cold_allowance", self.cold_allowance),
+            ("evacuation_bound_ms", self.evacuation_bound_ms),
         ];
         for (name, number) in numbers {
             if number.is_some_and(|number| !number.is_finite() || number < 0.0) {
@@ -142,6 +156,12 @@
             retry_window_ms: seconds_or(self.retry_window_s, default.retry_window_ms),
             retry_allowance: self.retry_allowance.unwrap_or(default.retry_allowance),
             stop_grace_ms: seconds_or(self.stop_grace_s, default.stop_grace_ms),
+            regions: self.regions.clone(),
+            cold_bound: self.cold_overage.map(|overage| ColdBound {
+                overage,
+                allowance: self.cold_allowance.unwrap_or_default(),
+            }),
+            evacuation_bound_ms: self.evacuation_bound_ms.map(|ms| ms as u64),
         }
     }
 }
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -6,11 +6,15 @@
 use proptest::test_runner::RngSeed;
 use toucancleat_fleet::brittle_targets::BrittleReports;
 use toucancleat_fleet::budget::RetryCounts;
+use toucancleat_fleet::cold_targets::ColdReport;
 use toucancleat_fleet::config::FleetConfig;
+use toucancleat_fleet::contention::DemandReport;
+use toucancleat_fleet::evacuation::EvacuationReport;
 use toucancleat_fleet::peers::{Echo, Load, Message, Update};
 use toucancleat_fleet::poison_parts::PartReports;
 use toucancleat_fleet::pool_path::PathReport;
 use toucancleat_fleet::prelude::*;
+use toucancleat_fleet::store::StorePosition;
 use toucancleat_fleet::stream_origin::{OriginMessage, StreamKey, StreamOrigin};
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
 use toucancleat_fleet::target_notice::NoticeReport;
@@ -86,6 +90,19 @@
             pools: vec![(PoolName::new("roster"), true, 40)],
             rejections: vec![(TargetName::new("i-1"), 25)],
         },
+        evacuations: EvacuationReport {
+            position: StorePosition { era: 4, version: 9 },
+            zones: vec![ZoneName::new("upp-b")],
+        },
+        cold_reports: vec![ColdReport {
+            target: TargetName::new("i-4"),
+            started_unix_ms: Some(1),
+            left_ms: 900,
+        }],
+        demand: DemandReport {
+            waiting_tokens: vec![(PoolName::new("engines"), 0, 3_000)],
+            used_tokens: vec![(OrganisationName::new("depot"), 9_000)],
+        },
         addresses: vec![address],
         update: Some(Update::Targets(vec![
             change("i-1", Some(entry(Some(SoftwareVersion::new("v1"))))),
@@ -167,8 +184,14 @@
 
 /// Hosts of the last release send no reports on parts of prompts and on paths.
 #[test]
-fn messages_of_the_last_release_are_decoded() {
+fn messages_of_the_last_two_releases_are_decoded() {
     let message = message();
+    let last = Message {
+        evacuations: EvacuationReport::default(),
+        cold_reports: Vec::new(),
+        demand: DemandReport::default(),
+        ..message.clone()
+    };
     let (mut bytes, _) = datagram(&message);
     let era: (&[NoticeReport], u64) = (&message.notices, message.store_era);
     let v1 = Some(SoftwareVersion::new("v1"));
@@ -176,13 +199,20 @@
     let versions: (u64, Vec<Option<SoftwareVersion>>) = (13, vec![v1, None, v1_1]);
     bytes.extend(postcard::to_stdvec(&era).expect("an extension"));
     bytes.extend(postcard::to_stdvec(&versions).expect("an extension"));
-    let expected = Message {
+    let before_last = Message {
         part_reports: PartReports::default(),
         path_reports: Vec::new(),
         brittle_reports: BrittleReports::default(),
-        ..message
+        ..last.clone()
     };
-    assert_eq!(decode(&bytes), Ok(Datagram::State(Box::new(expected))));
+    assert_eq!(decode(&bytes), Ok(Datagram::State(Box::new(before_last))));
+    let reports = (
+        &message.part_reports,
+        &message.path_reports,
+        &message.brittle_reports,
+    );
+    bytes.extend(postcard::to_stdvec(&reports).expect("an extension"));
+    assert_eq!(decode(&bytes), Ok(Datagram::State(Box::new(last))));
 }
 
 /// A malformed datagram must not end the process.
