Send nothing to the targets of evacuated availability zones

Operators evacuate a zone by a row in their table of the store.

Each host now keeps the last change of each zone with its position in the store's history. It reads the rows with the configuration, and tells them in its messages. Targets of evacuated zones get no first attempts, retries, second choices, queued or resumed requests, migrations, handoffs or probes. Requests of an emptied zone's callers take the place of requests of another zone, drawn by its targets. Deployments without a bound on evacuations ignore the rows.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -6,6 +6,7 @@
 use toucancleat_core::prelude::*;
 
 use crate::configuration::Configuration;
+use crate::evacuation::EvacuationRows;
 use crate::peers::{Message, Recipient};
 use crate::prompt_part::PartId;
 use crate::request::{
@@ -29,6 +30,9 @@
         query: Query,
         /// How often the store has returned to a copy, if its answer says so.
         era: Option<u64>,
+        /// What the reply says about evacuated zones, which are in the operators' table beside
+        /// the configuration.
+        evacuations: Option<EvacuationRows>,
         /// Its reply.
         reply: Reply,
     },
@@ -186,6 +190,11 @@
         /// The request.
         request_number: RequestNumber,
     },
+    /// Choose another destination for a migrating run, unless its source is being stopped.
+    LeaveDestination {
+        /// The request.
+        request_number: RequestNumber,
+    },
     /// No target has room for a run that should migrate.
     NoDestination {
         /// The request.
@@ -272,6 +281,22 @@
         /// Requests that each may turn away in a second without falling over.
         rejections_max_per_s: Option<f64>,
     },
+    /// Operators have evacuated an availability zone.
+    ZoneEvacuated {
+        /// The zone.
+        zone: ZoneName,
+        /// The store's version of that.
+        store_version: u64,
+        /// This host's runs at the targets of the zone.
+        runs: u32,
+    },
+    /// Operators have taken an evacuated availability zone back.
+    ZoneTakenBack {
+        /// The zone.
+        zone: ZoneName,
+        /// The store's version of that.
+        store_version: u64,
+    },
     /// The host starts or stops reading the store on behalf of the others.
     ReaderRoleChanged {
         /// Whether it reads now.
--- a/crates/toucancleat-fleet/src/migration.rs
+++ b/crates/toucancleat-fleet/src/migration.rs
@@ -59,6 +59,9 @@
         /// Whether the source has stopped the run and keeps its memory.
         is_kept: bool,
     },
+    /// The destination has no room. The source has stopped the run and keeps its memory, but the
+    /// run may not be resumed there.
+    RefusedWithoutReturn,
     /// The call received no answer.
     Failed,
 }
@@ -101,10 +104,10 @@
         }
     }
 
-    /// Returns the first step.
+    /// Returns the first step towards a destination.
     pub fn first_step(&self) -> Step {
         Step::Copy {
-            is_last: false,
+            is_last: self.is_source_stopping,
             after_ms: 0,
         }
     }
@@ -147,6 +150,16 @@
                 self.is_source_stopping = false;
                 Step::ResumeAtSource
             }
+            Event::RefusedWithoutReturn => {
+                self.refusals += 1;
+                let is_round_over = self.refusals.is_multiple_of(DESTINATIONS_PER_ROUND);
+                let after_ms = if is_round_over { RETRY_PAUSE_MS } else { 0 };
+                if self.has_time(now_ms + after_ms) {
+                    Step::ChooseAnother { after_ms }
+                } else {
+                    Step::GiveUp
+                }
+            }
             Event::Refused { is_kept: false } | Event::Failed => {
                 self.refusals += 1;
                 let is_round_over = self.refusals.is_multiple_of(DESTINATIONS_PER_ROUND);
--- a/crates/toucancleat-fleet/src/reduce/eligibility.rs
+++ b/crates/toucancleat-fleet/src/reduce/eligibility.rs
@@ -10,8 +10,8 @@
 use crate::target::TargetEntry;
 
 /// Returns true if a request may be sent to a target, now or later.
-pub(super) fn permits(_state: &State, request: &Request, entry: &TargetEntry) -> bool {
-    request.continuation.permits(entry)
+pub(super) fn permits(state: &State, request: &Request, entry: &TargetEntry) -> bool {
+    request.continuation.permits(entry) && !state.evacuations.contains(&entry.zone)
 }
 
 /// Returns the usable targets of a request's pool to which the request may be sent.
--- a/crates/toucancleat-fleet/src/reduce/handoff.rs
+++ b/crates/toucancleat-fleet/src/reduce/handoff.rs
@@ -134,6 +134,7 @@
         // A peer with an earlier configuration may refuse what this one allows.
         !message.is_stopping
             && message.configuration_version >= own_version
+            && state.evacuations.are_known_to(&message.evacuations)
             && !request.tried_hosts.contains(host)
             && reports.any(|report| report.pool == request.pool && report.vouches(age_ms))
     };
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -1,9 +1,8 @@
 //! Sends messages to peers and handles those received from them.
 
 use super::requests::log_part_changes;
-use super::{notices, store_sync};
+use super::{evacuation, notices, store_sync};
 use crate::contention::DemandReport;
-use crate::evacuation::EvacuationReport;
 use crate::event::Effect;
 use crate::peers::{
     ANNOUNCEMENT_SPREAD_PER_HOST_MS, Message, Recipient, Update, earliest_send_ms,
@@ -95,7 +94,7 @@
         part_reports: state.poison_parts.own_reports(now_ms),
         path_reports: state.pool_paths.reports(now_ms),
         brittle_reports: state.brittle_targets.own_reports(now_ms),
-        evacuations: EvacuationReport::default(),
+        evacuations: state.evacuations.report(now_ms),
         cold_reports: Vec::new(),
         demand: DemandReport::default(),
         addresses: state.peers.sample_addresses(state.address_sample_offset),
@@ -118,6 +117,7 @@
         return;
     }
     store_sync::enter_era(state, now_ms, message.store_era, effects);
+    evacuation::handle_report(state, now_ms, &message, effects);
     // An update is applied even if a later message has overtaken it.
     apply_update(state, now_ms, &message, effects);
     if state.peers.is_newest(&message) {
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -149,6 +149,7 @@
         .filter(|(target, entry)| {
             !entry.is_leaving
                 && is_of_pool(entry)
+                && !state.evacuations.contains(&entry.zone)
                 // All hosts know the same limits, but each has permits of its own.
                 && eligibility::takes_any_rate(state, now_ms, target)
                 && !state.health.is_ejected(now_ms, target)
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -1,6 +1,7 @@
 //! The reducer over all events of an entry host.
 
 mod eligibility;
+mod evacuation;
 mod handoff;
 mod messages;
 mod migration;
@@ -27,8 +28,18 @@
             placement::tick(state, now_ms, effects);
             messages::tick(state, now_ms, effects);
         }
-        Event::StoreReplied { query, era, reply } => {
-            store_sync::handle_reply(state, now_ms, query, era, reply, effects);
+        Event::StoreReplied {
+            query,
+            era,
+            evacuations,
+            reply,
+        } => {
+            let answer = store_sync::Answer {
+                era,
+                evacuations,
+                reply,
+            };
+            store_sync::handle_reply(state, now_ms, query, answer, effects);
         }
         Event::MessageReceived(message) => {
             messages::handle_message(state, now_ms, *message, effects)
--- a/crates/toucancleat-fleet/src/reduce/notices.rs
+++ b/crates/toucancleat-fleet/src/reduce/notices.rs
@@ -195,7 +195,10 @@
         return limit_per_s / fleet_size as f64;
     }
     let target_zone = known_entry(state, target).map(|entry| &entry.zone);
-    let is_in_zone = |zone: &ZoneName| target_zone.is_none_or(|known| known == zone);
+    // Hosts of an evacuated zone send to the targets of all others.
+    let is_in_zone = |zone: &ZoneName| {
+        target_zone.is_none_or(|known| known == zone) || state.evacuations.contains(zone)
+    };
     let own = SenderCandidate {
         host: &state.identity.host,
         is_in_zone: is_in_zone(&state.identity.zone),
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -5,7 +5,7 @@
 use super::requests::{
     ATTEMPT_MIN_MS, RETRY_AFTER_LONG_MS, RETRY_AFTER_SHORT_MS, refuse,
 };
-use super::{eligibility, handoff, messages, origins};
+use super::{eligibility, evacuation, handoff, messages, origins};
 use crate::brittle_targets::Occupancy;
 use crate::configuration::RetrySafety;
 use crate::continuation::Continuation;
@@ -131,7 +131,7 @@
     };
     let tokens = request.memory_tokens();
     let memory_limit = (share * engine.memory_tokens as f64) as u64;
-    let own_zone = &state.identity.zone;
+    let own_zone = evacuation::preferred_zone(state, request);
     let mut targets = state
         .directory
         .accepting(&request.pool)
@@ -241,6 +241,7 @@
         target_version: entry.software_version.clone(),
         live_peers: state.peers.live(now_ms).count(),
         limited_targets: state.limited_targets(),
+        evacuated_zones: state.evacuations.len(),
     };
     let has_alternative =
         has_alternative(state, now_ms, request_number, &selection.target);
@@ -325,6 +326,17 @@
     };
     let mut targets = state.usable_targets(&request.pool);
     let has_targets = !targets.is_empty();
+    if evacuation::are_all_evacuated(state, request) {
+        let retry_after_ms = RETRY_AFTER_FULL_MIN_MS
+            + (random_unit(&mut state.rng_state) * RETRY_AFTER_FULL_SPREAD_MS) as u64;
+        return refuse(
+            state,
+            request_number,
+            Reason::ZonesEvacuated,
+            Some(retry_after_ms),
+            effects,
+        );
+    }
     targets.retain(|(_, entry)| request.continuation.permits(entry));
     if has_targets && targets.is_empty() {
         // Waiting doesn't help: the caller has to begin the stream anew.
@@ -380,7 +392,7 @@
     let demand = Demand {
         zone: source_zone
             .filter(|_| is_migration)
-            .unwrap_or(&state.identity.zone),
+            .unwrap_or_else(|| evacuation::preferred_zone(state, request)),
         tokens: request.memory_tokens(),
         prefill_tokens: request.load().prefill_tokens,
         is_stream: request.route().retry_safety.is_stream(),
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{messages, migration};
+use super::{evacuation, messages, migration};
 use crate::configuration::Configuration;
 use crate::configuration_change::ConfigurationChange;
+use crate::evacuation::EvacuationRows;
 use crate::event::{Effect, LogEvent};
 use crate::peers::Update;
 use crate::state::{DepartedTarget, Registration, State};
@@ -49,6 +50,9 @@
         let query = configuration_query(state, now_ms);
         start_if_due(state, now_ms, query, effects);
     }
+    if evacuation::must_read(state, now_ms, configuration_query(state, now_ms)) {
+        start_if_due(state, now_ms, Query::Evacuations, effects);
+    }
     // In a new era of the store, feeds continue after the first list.
     let after = state.directory.known_position().version;
     let can_follow_feeds = is_store_answering && after > 0;
@@ -188,15 +192,27 @@
     }
 }
 
-/// Handles the reply to a query.
+/// What the store has answered to a query.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) era: Option<u64>,
+    pub(super) evacuations: Option<EvacuationRows>,
+    pub(super) reply: Reply,
+}
+
+/// Handles the answer to a query.
 pub(super) fn handle_reply(
     state: &mut State,
     now_ms: u64,
     query: Query,
-    era: Option<u64>,
-    reply: Reply,
+    answer: Answer,
     effects: &mut Vec<Effect>,
 ) {
+    let Answer {
+        era,
+        evacuations,
+        reply,
+    } = answer;
     let succeeded = reply != Reply::Failed;
     let was_failing = state.query_schedule.failures() > 0;
     let started_ms = state.query_schedule.end(now_ms, query, succeeded);
@@ -213,6 +229,9 @@
         state.query_schedule.make_due(now_ms, query);
         return tick(state, now_ms, effects);
     }
+    if let Some(rows) = evacuations {
+        evacuation::handle_rows(state, now_ms, started_ms, &rows, effects);
+    }
     match reply {
         Reply::Configuration(configuration) => {
             let Some(stored) = configuration else {
@@ -297,6 +316,7 @@
             apply_transitions(state, now_ms, transitions, effects);
             tick(state, now_ms, effects);
         }
+        Reply::Evacuations => {}
         Reply::HistoryExpired => {
             state.query_schedule.make_due(now_ms, Query::Targets);
             state.query_schedule.make_due(now_ms, Query::Configuration);
@@ -358,6 +378,7 @@
     state.configuration_row = None;
     state.query_schedule.make_due(now_ms, Query::Targets);
     state.query_schedule.make_due(now_ms, Query::Configuration);
+    state.query_schedule.make_due(now_ms, Query::Evacuations);
     let is_row_at_risk = state
         .registered_ms
         .is_some_and(|at_ms| now_ms < at_ms + ROW_AT_RISK_MS);
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -106,6 +106,8 @@
     pub live_peers: usize,
     /// Number of targets that limit the rate of requests.
     pub limited_targets: usize,
+    /// Number of availability zones that are evacuated.
+    pub evacuated_zones: usize,
 }
 
 /// Why a request is refused or has failed.
@@ -122,6 +124,8 @@
     UnknownKey,
     /// No target of the pool accepts new work.
     NoTarget,
+    /// All targets that could run the request are in evacuated availability zones.
+    ZonesEvacuated,
     /// No target has the version of the software that began the stream.
     VersionGone,
     /// No host knows which version of the software began the stream.
@@ -154,6 +158,7 @@
             Reason::NoRoute => "no_route",
             Reason::UnknownKey => "unknown_key",
             Reason::NoTarget => "no_target",
+            Reason::ZonesEvacuated => "zones_evacuated",
             Reason::VersionGone => "version_gone",
             Reason::UnknownStream => "unknown_stream",
             Reason::TargetsFull => "targets_full",
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -11,6 +11,7 @@
 use crate::config::FleetConfig;
 use crate::configuration::Configuration;
 use crate::departures::Departures;
+use crate::evacuation::Evacuations;
 use crate::health::HealthTable;
 use crate::peers::{Load, Peers};
 use crate::poison_parts::PoisonParts;
@@ -129,6 +130,7 @@
     pub(crate) host_list_confirmed_ms: Option<u64>,
     pub(crate) target_notices: TargetNotices,
     pub(crate) brittle_targets: BrittleTargets,
+    pub(crate) evacuations: Evacuations,
     /// When this host's shares of the targets' limits are computed next.
     pub(crate) shares_due_ms: u64,
     /// Whether peers have to learn of something before the next periodic message.
@@ -190,6 +192,7 @@
             host_list_confirmed_ms: None,
             target_notices: TargetNotices::default(),
             brittle_targets: BrittleTargets::default(),
+            evacuations: Evacuations::default(),
             shares_due_ms: 0,
             must_broadcast: false,
             requests: IndexMap::new(),
@@ -241,6 +244,19 @@
         self.poison_parts.poison_count(now_ms)
     }
 
+    /// Returns the availability zones that operators have evacuated.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns true if a run whose memory has been copied may be resumed at a target: its zone
+    /// isn't evacuated, or this host has only just learnt that it is.
+    pub fn permits_resumption(&self, now_ms: u64, target: &TargetName) -> bool {
+        self.directory
+            .get(target)
+            .is_none_or(|entry| self.evacuations.permits_resumption(now_ms, &entry.zone))
+    }
+
     /// Returns the number of streams of which this host keeps where they began.
     pub fn kept_origins(&self) -> usize {
         self.stream_origins.len()
@@ -259,14 +275,18 @@
             && self.directory.is_known()
     }
 
-    /// Returns the targets of a pool that may get new work.
+    /// Returns the targets of a pool that may get new work. Those of evacuated zones don't.
     ///
     /// If the host list names none, targets whose entries expired recently are returned.
     pub(crate) fn usable_targets<'a>(
         &'a self,
         pool: &'a PoolName,
     ) -> Vec<(&'a TargetName, &'a TargetEntry)> {
-        let accepting: Vec<_> = self.directory.accepting(pool).collect();
+        let is_evacuated = |entry: &TargetEntry| self.evacuations.contains(&entry.zone);
+        let accepting = self.directory.accepting(pool);
+        let accepting: Vec<_> = accepting
+            .filter(|(_, entry)| !is_evacuated(entry))
+            .collect();
         if !accepting.is_empty() {
             return accepting;
         }
@@ -274,7 +294,9 @@
             .expired_entries
             .iter()
             .map(|(target, (entry, _))| (target, entry));
-        expired.filter(|(_, entry)| entry.pool == *pool).collect()
+        expired
+            .filter(|(_, entry)| entry.pool == *pool && !is_evacuated(entry))
+            .collect()
     }
 
     /// Returns true if a peer has reported a newer configuration.
--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -116,6 +116,8 @@
         /// The version of the row that this host knows.
         row_version: u64,
     },
+    /// The evacuated zones alone, while the configuration beside them isn't read.
+    Evacuations,
     /// The complete host list of targets.
     Targets,
     /// Changes of the host list after a version, as soon as there are any.
@@ -140,6 +142,7 @@
         match self {
             Query::Configuration => "configuration",
             Query::ConfigurationCheck { .. } => "configuration check",
+            Query::Evacuations => "evacuations",
             Query::Targets => "targets",
             Query::TargetFeed { .. } => "target feed",
             Query::ConfigurationFeed { .. } => "configuration feed",
@@ -167,6 +170,7 @@
             Query::ConfigurationFeed { .. } => 3,
             Query::Hosts => 4,
             Query::Register => 5,
+            Query::Evacuations => 6,
         }
     }
 }
@@ -196,6 +200,8 @@
     Configuration(Option<StoredConfiguration>),
     /// The row of the configuration has the version that was asked for.
     ConfigurationUnchanged,
+    /// The evacuated zones, which the event carries beside the reply.
+    Evacuations,
     /// The complete host list.
     Targets {
         /// The version of the list.
@@ -237,8 +243,8 @@
 /// Queries in progress, and when the next ones are due.
 #[derive(Clone, Debug, Default)]
 pub struct QuerySchedule {
-    started_ms: [Option<u64>; 6],
-    due_ms: [u64; 6],
+    started_ms: [Option<u64>; 7],
+    due_ms: [u64; 7],
     last_success_ms: Option<u64>,
     failures: u32,
     configuration_feed_after: u64,
@@ -281,9 +287,12 @@
             (false, _) => {
                 (RETRY_INTERVAL_MIN_MS << self.failures.min(4)).min(RETRY_INTERVAL_MAX_MS)
             }
-            (true, Query::Configuration | Query::ConfigurationCheck { .. }) => {
-                CONFIRM_INTERVAL_MS
-            }
+            (
+                true,
+                Query::Configuration
+                | Query::ConfigurationCheck { .. }
+                | Query::Evacuations,
+            ) => CONFIRM_INTERVAL_MS,
             (true, Query::Targets) => LIST_INTERVAL_MS,
             (true, Query::TargetFeed { .. } | Query::ConfigurationFeed { .. }) => {
                 self.feed_interval_ms.max(FEED_INTERVAL_MIN_MS)
--- a/crates/toucancleat-fleet/tests/fleet_start.rs
+++ b/crates/toucancleat-fleet/tests/fleet_start.rs
@@ -88,6 +88,7 @@
                 let event = Event::StoreReplied {
                     query: Query::Register,
                     era: Some(1),
+                    evacuations: None,
                     reply: Reply::Registered,
                 };
                 self.handle(index, event);
@@ -115,6 +116,7 @@
                 Event::StoreReplied {
                     query,
                     era: Some(1),
+                    evacuations: None,
                     reply,
                 },
             );
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod brittle;
 pub mod crashing;
+pub mod evacuation;
 pub mod fleet;
 pub mod partition;
 pub mod store;
@@ -157,17 +158,26 @@
 
 /// Returns a host without a configuration and targets.
 pub fn empty_host(name: &str, zone: &str, number: u16) -> State {
+    host_with(name, zone, number, default_config())
+}
+
+/// Returns the configuration of such a host.
+pub fn default_config() -> FleetConfig {
+    FleetConfig {
+        retry_ratio: 0.2,
+        retry_allowance: 56.0,
+        ..FleetConfig::default()
+    }
+}
+
+/// Returns a host without a configuration and targets, with settings of its own.
+pub fn host_with(name: &str, zone: &str, number: u16, config: FleetConfig) -> State {
     let identity = Identity {
         host: HostName::new(name),
         zone: ZoneName::new(zone),
         address: address(number),
         incarnation: u64::from(number) * 7_919 + 1,
     };
-    let config = FleetConfig {
-        retry_ratio: 0.2,
-        retry_allowance: 56.0,
-        ..FleetConfig::default()
-    };
     State::new(identity, config, &[])
 }
 
@@ -191,7 +201,16 @@
     era: Option<u64>,
     reply: Reply,
 ) -> Vec<Effect> {
-    apply(state, now_ms, Event::StoreReplied { query, era, reply })
+    apply(
+        state,
+        now_ms,
+        Event::StoreReplied {
+            query,
+            era,
+            evacuations: None,
+            reply,
+        },
+    )
 }
 
 /// Supplies a host with the configuration and the host list.
--- a/crates/toucancleat-fleet/tests/support/store.rs
+++ b/crates/toucancleat-fleet/tests/support/store.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
+use toucancleat_fleet::evacuation::{EvacuationRow, EvacuationRows};
 use toucancleat_fleet::event::{Effect, LogEvent};
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::store::{LONG_POLL_MS, Query, Reply};
@@ -26,6 +27,8 @@
     /// Size of the configuration's row, in bytes.
     pub configuration_bytes: usize,
     pub targets: IndexMap<String, TargetChange>,
+    /// The version of each evacuated zone's row, and whether it is there or was removed.
+    pub evacuations: IndexMap<String, (u64, bool)>,
     pub hosts: IndexMap<SocketAddr, u64>,
 }
 
@@ -37,6 +40,13 @@
         self.targets.insert(target.to_owned(), change);
     }
 
+    /// Evacuates a zone or takes it back.
+    pub fn write_evacuation(&mut self, zone: &str, is_evacuated: bool) {
+        self.version += 1;
+        let row = (self.version, is_evacuated);
+        self.evacuations.insert(zone.to_owned(), row);
+    }
+
     /// Writes a version of the configuration.
     pub fn write_configuration(&mut self, version: u64) {
         self.version += 1;
@@ -55,6 +65,16 @@
     }
 }
 
+/// A reply that is on its way to a host.
+struct PendingReply {
+    due_ms: u64,
+    host: usize,
+    query: Query,
+    era: Option<u64>,
+    evacuations: Option<EvacuationRows>,
+    reply: Reply,
+}
+
 /// Hosts whose queries are answered by a store and whose messages arrive at once.
 pub struct StoreFleet {
     pub hosts: Vec<State>,
@@ -63,6 +83,14 @@
     pub era: u64,
     /// Whether the store answers.
     pub is_up: bool,
+    /// Time from a query to its reply, if the store doesn't hold it.
+    pub reply_time_ms: u64,
+    /// Hosts that the store refuses.
+    pub refused: IndexSet<usize>,
+    /// Hosts that neither receive messages nor are heard.
+    pub isolated: IndexSet<usize>,
+    /// Whether each second message is lost.
+    pub loses_messages: bool,
     /// Whether the store answers conditional calls.
     pub answers_checks: bool,
     /// Whether feeds are answered without changes.
@@ -71,13 +99,26 @@
     pub calls: IndexMap<&'static str, usize>,
     /// Log records so far, with the host.
     pub records: Vec<(usize, LogEvent)>,
-    replies: VecDeque<(u64, usize, Query, Option<u64>, Reply)>,
+    /// Configuration of the hosts.
+    config: FleetConfig,
+    sent_messages: usize,
+    replies: VecDeque<PendingReply>,
     held_feeds: Vec<(u64, usize, Query)>,
 }
 
 impl StoreFleet {
     /// Starts hosts and waits until they know each other and the store's rows.
     pub fn new(size: u16, zones: &[&str], targets: &[(&str, TargetEntry)]) -> Self {
+        StoreFleet::with_config(size, zones, targets, default_config())
+    }
+
+    /// Starts hosts with a configuration in the same way.
+    pub fn with_config(
+        size: u16,
+        zones: &[&str],
+        targets: &[(&str, TargetEntry)],
+        config: FleetConfig,
+    ) -> Self {
         let zone_of = |n: u16| zones[usize::from(n - 1) % zones.len()];
         let mut rows = Rows::default();
         rows.write_configuration(1);
@@ -86,12 +127,20 @@
         }
         let mut fleet = StoreFleet {
             hosts: (1..=size)
-                .map(|n| empty_host(&format!("host-{n:02}"), zone_of(n), n))
+                .map(|n| {
+                    host_with(&format!("host-{n:02}"), zone_of(n), n, config.clone())
+                })
                 .collect(),
             now_ms: START_MS,
             rows,
             era: 1,
             is_up: true,
+            reply_time_ms: REPLY_TIME_MS,
+            refused: IndexSet::new(),
+            isolated: IndexSet::new(),
+            loses_messages: false,
+            config,
+            sent_messages: 0,
             answers_checks: true,
             silent_feeds: false,
             calls: IndexMap::new(),
@@ -111,10 +160,16 @@
 
     /// Replaces a host by one that has just started under its name.
     pub fn restart(&mut self, index: usize) {
+        self.restart_with(index, self.config.clone());
+    }
+
+    /// Replaces a host in the same way, with settings of its own.
+    pub fn restart_with(&mut self, index: usize, config: FleetConfig) {
         let zone = self.hosts[index].zone().to_string();
         let number = index as u16 + 1;
-        self.hosts[index] = empty_host(&format!("host-{number:02}"), &zone, number);
-        self.replies.retain(|(_, host, ..)| *host != index);
+        let name = format!("host-{number:02}");
+        self.hosts[index] = host_with(&name, &zone, number, config);
+        self.replies.retain(|reply| reply.host != index);
         self.held_feeds.retain(|(_, host, _)| *host != index);
     }
 
@@ -136,7 +191,10 @@
         let effects = apply(&mut self.hosts[index], self.now_ms, event);
         for (to, message) in messages(&effects) {
             let to = usize::from(to.port()) - 1;
-            if to < self.hosts.len() {
+            self.sent_messages += 1;
+            let is_lost = self.loses_messages && self.sent_messages.is_multiple_of(2);
+            let is_cut = [index, to].iter().any(|host| self.isolated.contains(host));
+            if to < self.hosts.len() && !is_lost && !is_cut {
                 self.apply(to, Event::MessageReceived(Box::new(message)));
             }
         }
@@ -165,9 +223,37 @@
     }
 
     fn push_reply(&mut self, index: usize, query: Query, reply: Reply) {
-        let era = (reply != Reply::Failed).then_some(self.era);
-        let due_ms = self.now_ms + REPLY_TIME_MS;
-        self.replies.push_back((due_ms, index, query, era, reply));
+        let is_answered = reply != Reply::Failed;
+        self.replies.push_back(PendingReply {
+            due_ms: self.now_ms + self.reply_time_ms,
+            host: index,
+            query,
+            era: is_answered.then_some(self.era),
+            evacuations: self.evacuations(query).filter(|_| is_answered),
+            reply,
+        });
+    }
+
+    fn evacuations(&self, query: Query) -> Option<EvacuationRows> {
+        let (after, complete_at) = match query {
+            Query::Configuration | Query::Evacuations => (0, Some(self.rows.version)),
+            Query::ConfigurationFeed { .. } if self.silent_feeds => return None,
+            Query::ConfigurationFeed { after } => (after, None),
+            _ => return None,
+        };
+        let rows = self.rows.evacuations.iter();
+        let rows = rows
+            .filter(|(_, (version, _))| *version > after)
+            .filter(|(_, (_, is_evacuated))| complete_at.is_none() || *is_evacuated)
+            .map(|(zone, (version, is_evacuated))| EvacuationRow {
+                zone: ZoneName::new(zone),
+                store_version: *version,
+                is_evacuated: *is_evacuated,
+            });
+        Some(EvacuationRows {
+            complete_at,
+            rows: rows.collect(),
+        })
     }
 
     fn release_feeds(&mut self) {
@@ -190,7 +276,10 @@
                 after > self.rows.version || !self.changes(after).is_empty()
             }
             Query::ConfigurationFeed { after } => {
-                after > self.rows.version || self.rows.configuration.1 > after
+                let mut evacuations = self.rows.evacuations.values();
+                after > self.rows.version
+                    || self.rows.configuration.1 > after
+                    || evacuations.any(|(version, _)| *version > after)
             }
             _ => true,
         }
@@ -218,7 +307,7 @@
             },
         };
         match query {
-            _ if !self.is_up => Reply::Failed,
+            _ if !self.is_up || self.refused.contains(&index) => Reply::Failed,
             Query::ConfigurationCheck { .. } if !self.answers_checks => Reply::Failed,
             Query::ConfigurationCheck { row_version }
                 if row_version == self.rows.configuration.1 =>
@@ -247,6 +336,7 @@
                 store_version,
                 configuration: (self.rows.configuration.1 > after).then_some(newest),
             },
+            Query::Evacuations => Reply::Evacuations,
             Query::Targets => {
                 let mut list = self.changes(0);
                 list.retain(|change| change.entry.is_some());
@@ -273,12 +363,18 @@
         while self
             .replies
             .front()
-            .is_some_and(|(due_ms, ..)| *due_ms <= self.now_ms)
+            .is_some_and(|reply| reply.due_ms <= self.now_ms)
         {
-            let Some((_, index, query, era, reply)) = self.replies.pop_front() else {
+            let Some(reply) = self.replies.pop_front() else {
                 return;
             };
-            self.apply(index, Event::StoreReplied { query, era, reply });
+            let event = Event::StoreReplied {
+                query: reply.query,
+                era: reply.era,
+                evacuations: reply.evacuations,
+                reply: reply.reply,
+            };
+            self.apply(reply.host, event);
         }
     }
 
--- a/crates/toucancleat-gateway/src/attempt.rs
+++ b/crates/toucancleat-gateway/src/attempt.rs
@@ -289,7 +289,8 @@
         configuration_age_ms = inputs.configuration_age_ms,
         targets_version = inputs.host_list_version,
         hosts_heard = inputs.live_peers,
-        limited_targets = inputs.limited_targets;
+        limited_targets = inputs.limited_targets,
+        evacuated_zones = inputs.evacuated_zones;
         "request attempt outcome"
     );
 }
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -56,6 +56,8 @@
     HandOff(Handoff),
     /// Resume the interrupted run from its copy.
     ResumeFromCopy,
+    /// Choose another destination for the migrating run, unless its source is being stopped.
+    LeaveDestination,
     /// No target has room for a run that needs to migrate.
     NoDestination,
 }
@@ -167,6 +169,18 @@
         self.state.borrow().lost_paths()
     }
 
+    /// Returns the number of evacuated availability zones.
+    pub fn evacuated_zones(&self) -> usize {
+        self.state.borrow().evacuations().len()
+    }
+
+    /// Returns true if a run whose memory has been copied may be resumed at a target.
+    pub fn permits_resumption(&self, target: &TargetName) -> bool {
+        self.state
+            .borrow()
+            .permits_resumption(clock::now_ms(), target)
+    }
+
     /// Returns the number of parts of prompts with which requests are refused.
     pub fn poison_parts(&self) -> usize {
         self.state.borrow().poison_parts(clock::now_ms())
@@ -275,6 +289,9 @@
             Effect::ResumeFromCopy { request_number } => {
                 self.send_command(request_number, Command::ResumeFromCopy)
             }
+            Effect::LeaveDestination { request_number } => {
+                self.send_command(request_number, Command::LeaveDestination)
+            }
             Effect::NoDestination { request_number } => {
                 self.send_command(request_number, Command::NoDestination)
             }
@@ -411,6 +428,19 @@
         } => {
             log::info!(pool:% = pool, rejections_max_per_s:? = rejections_max_per_s; "targets of a pool fall over if they turn more requests away, or no longer do");
         }
+        LogEvent::ZoneEvacuated {
+            zone,
+            store_version,
+            runs,
+        } => {
+            log::warn!(zone:% = zone, store_version, runs; "availability zone evacuated; no requests are routed to its targets");
+        }
+        LogEvent::ZoneTakenBack {
+            zone,
+            store_version,
+        } => {
+            log::info!(zone:% = zone, store_version; "evacuated availability zone taken back; its targets accept requests");
+        }
         LogEvent::ReaderRoleChanged {
             is_reader,
             live_peers,
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -356,6 +356,14 @@
             // A stream that has begun isn't handed off.
             Command::HandOff(_) => NextAction::End("unreachable"),
             Command::ResumeFromCopy => self.resume(false).await,
+            Command::LeaveDestination => {
+                // A run that its source is stopping can only go on there or at the destination.
+                if self.transfer.is_some() && !self.is_stopping_run() {
+                    self.discard_transfer();
+                    self.request_destination();
+                }
+                NextAction::Continue
+            }
             Command::NoDestination => {
                 self.discard_transfer();
                 let step = self.advance_migration(MigrationEvent::NoDestination);
--- a/crates/toucancleat-gateway/src/relay/migration.rs
+++ b/crates/toucancleat-gateway/src/relay/migration.rs
@@ -155,10 +155,16 @@
             Ok(CopyReply::Busy) => MigrationEvent::Busy,
             Ok(CopyReply::Refused { handle }) => {
                 let is_kept = is_stopping && handle.is_some();
-                if is_kept {
-                    transfer.handle.clone_from(handle);
+                if is_kept && !self.host.permits_resumption(&self.dispatch.target) {
+                    // Freeing the handle would discard what the source keeps.
+                    transfer.handle = None;
+                    MigrationEvent::RefusedWithoutReturn
+                } else {
+                    if is_kept {
+                        transfer.handle.clone_from(handle);
+                    }
+                    MigrationEvent::Refused { is_kept }
                 }
-                MigrationEvent::Refused { is_kept }
             }
             Err(_) => MigrationEvent::Failed,
         };
@@ -241,6 +247,12 @@
         };
         self.migration = None;
         let stopped_ms = self.last_event_ms;
+        let resumed_at = if is_at_source {
+            &self.dispatch.target
+        } else {
+            &transfer.destination
+        };
+        let is_permitted = self.host.permits_resumption(resumed_at);
         if !is_at_source {
             self.dispatch.target = transfer.destination.clone();
             self.dispatch.address = transfer.destination_address;
@@ -254,8 +266,8 @@
             kv_cache: transfer.handle.map(|handle| (transfer.source, handle)),
         };
         let request_number = self.open_request.request_number;
-        let mut is_resumed = self.start_attempt(&resumption).await;
-        if !is_resumed {
+        let mut is_resumed = is_permitted && self.start_attempt(&resumption).await;
+        if !is_resumed && is_permitted {
             tokio::time::sleep(RESUME_RETRY_DELAY).await;
             is_resumed = self.start_attempt(&resumption).await;
         }
--- a/crates/toucancleat-gateway/src/request.rs
+++ b/crates/toucancleat-gateway/src/request.rs
@@ -232,6 +232,7 @@
                 ));
             }
             Command::Migrate { .. }
+            | Command::LeaveDestination
             | Command::NoDestination
             | Command::ResumeFromCopy => {
                 let request_number = open_request.request_number;
--- a/crates/toucancleat-gateway/src/store.rs
+++ b/crates/toucancleat-gateway/src/store.rs
@@ -84,5 +84,10 @@
             }
         }
     };
-    host.apply(Event::StoreReplied { query, era, reply });
+    host.apply(Event::StoreReplied {
+        query,
+        era,
+        evacuations: exchange.evacuations(),
+        reply,
+    });
 }
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -9,7 +9,7 @@
 use toucancleat_fleet::cold_targets::ColdReport;
 use toucancleat_fleet::config::FleetConfig;
 use toucancleat_fleet::contention::DemandReport;
-use toucancleat_fleet::evacuation::EvacuationReport;
+use toucancleat_fleet::evacuation::{EvacuationReport, ZoneReport};
 use toucancleat_fleet::peers::{Echo, Load, Message, Update};
 use toucancleat_fleet::poison_parts::PartReports;
 use toucancleat_fleet::pool_path::PathReport;
@@ -91,8 +91,12 @@
             rejections: vec![(TargetName::new("i-1"), 25)],
         },
         evacuations: EvacuationReport {
-            position: StorePosition { era: 4, version: 9 },
-            zones: vec![ZoneName::new("upp-b")],
+            confirmed_age_ms: Some(300),
+            zones: vec![ZoneReport {
+                zone: ZoneName::new("upp-b"),
+                position: StorePosition { era: 4, version: 9 },
+                is_evacuated: true,
+            }],
         },
         cold_reports: vec![ColdReport {
             target: TargetName::new("i-4"),
