Bound the requests to cold targets over all hosts

Cause: no code read the rate of a cold target or looked at the countdown of an entry after its first. A target that becomes cold again was not noticed, since the host list counts heartbeats as no change.

Change: a few senders divide the rate of a cold target by the permits of rate limits. They are chosen from all hosts that may be running (known or listed), half of them from the target's zone, so that hosts that can't reach each other or have just started choose the same; what all may send in a second leaves room for half as many further senders. Entries are looked at before the host list drops heartbeats, and the reader tells its peers which targets are cold. A target that could not be reached counts as cold until its entry can have said more. It takes effect where the settings and the pool name a bound.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -265,6 +265,13 @@
         /// The limit before.
         limit_before_per_s: Option<f64>,
     },
+    /// A target is cold, and takes only so many requests.
+    TargetCold {
+        /// The target.
+        target: TargetName,
+        /// Remaining time for which it is cold.
+        left_ms: u64,
+    },
     /// The targets of a pool have become brittle, or no longer are.
     BrittlenessChanged {
         /// The pool.
--- a/crates/toucancleat-fleet/src/host_ring.rs
+++ b/crates/toucancleat-fleet/src/host_ring.rs
@@ -1,8 +1,8 @@
 //! Assigns keys to hosts by consistent hashing.
 
 use std::collections::BTreeMap;
+use std::fmt::Display;
 
-use toucancleat_core::prelude::*;
 use toucancleat_core::rng::stable_hash;
 
 /// Points of each host on the ring. With one point, some hosts of a large fleet would have
@@ -13,26 +13,34 @@
 /// doesn't grow when many hosts are down.
 const POINTS_EXAMINED_MAX: usize = 128;
 
-/// Hosts on a ring of hashes.
+/// Hosts on a ring of hashes, by their names or addresses.
 ///
 /// A key belongs to the hosts whose points follow its hash. When a host joins or leaves, only
 /// the keys next to its points change hosts. Hosts that know slightly different fleets mostly
 /// agree on the hosts of a key.
-#[derive(Clone, Debug, Default)]
-pub struct HostRing {
-    points: BTreeMap<u64, HostName>,
+#[derive(Clone, Debug)]
+pub struct HostRing<H> {
+    points: BTreeMap<u64, H>,
 }
 
-impl HostRing {
+impl<H> Default for HostRing<H> {
+    fn default() -> Self {
+        HostRing {
+            points: BTreeMap::new(),
+        }
+    }
+}
+
+impl<H: Clone + Display + PartialEq> HostRing<H> {
     /// Adds a host.
-    pub fn insert(&mut self, host: &HostName) {
+    pub fn insert(&mut self, host: &H) {
         for point in points(host) {
             self.points.insert(point, host.clone());
         }
     }
 
     /// Removes a host.
-    pub fn remove(&mut self, host: &HostName) {
+    pub fn remove(&mut self, host: &H) {
         for point in points(host) {
             self.points.remove(&point);
         }
@@ -43,9 +51,9 @@
         &self,
         hash: u64,
         count: usize,
-        is_usable: impl Fn(&HostName) -> bool,
-    ) -> Vec<&HostName> {
-        let mut found: Vec<&HostName> = Vec::new();
+        is_usable: impl Fn(&H) -> bool,
+    ) -> Vec<&H> {
+        let mut found: Vec<&H> = Vec::new();
         let around = self.points.range(hash..).chain(self.points.range(..hash));
         for (_, host) in around.take(POINTS_EXAMINED_MAX) {
             if found.len() == count {
@@ -59,6 +67,6 @@
     }
 }
 
-fn points(host: &HostName) -> impl Iterator<Item = u64> {
+fn points<H: Display>(host: &H) -> impl Iterator<Item = u64> {
     (0..POINTS_PER_HOST).map(move |n| stable_hash(format!("{n} {host}").as_bytes()))
 }
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -18,10 +18,12 @@
 use crate::contention::DemandReport;
 use crate::evacuation::EvacuationReport;
 use crate::host_ring::HostRing;
+pub use crate::load::Load;
 use crate::migration_plan::HostRuns;
 use crate::poison_parts::PartReports;
 use crate::poison_requests::Fingerprint;
 use crate::pool_path::PathReport;
+use crate::sender_ring::SenderRing;
 use crate::store::{READER_SILENCE_MS, StorePosition};
 use crate::target::TargetChange;
 use crate::target_notice::NoticeReport;
@@ -150,45 +152,6 @@
     Configuration(Box<ConfigurationChange>),
 }
 
-/// Load at a target.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    /// Number of requests.
-    pub runs: u32,
-    /// Memory that the requests need now and in the near future, in tokens.
-    pub tokens: u64,
-    /// Prompt tokens included in it that the target has yet to prefill.
-    pub prefill_tokens: u64,
-    /// Number of the requests that have to migrate when the target leaves.
-    pub migratable_runs: u32,
-    /// Memory of those requests, in tokens.
-    pub migratable_tokens: u64,
-}
-
-impl Load {
-    /// Adds another load, saturating at the highest numbers.
-    pub fn add(&mut self, other: Load) {
-        self.runs = self.runs.saturating_add(other.runs);
-        self.tokens = self.tokens.saturating_add(other.tokens);
-        self.prefill_tokens = self.prefill_tokens.saturating_add(other.prefill_tokens);
-        self.migratable_runs = self.migratable_runs.saturating_add(other.migratable_runs);
-        self.migratable_tokens = self
-            .migratable_tokens
-            .saturating_add(other.migratable_tokens);
-    }
-
-    /// Subtracts another load, saturating at zero.
-    pub fn subtract(&mut self, other: Load) {
-        self.runs = self.runs.saturating_sub(other.runs);
-        self.tokens = self.tokens.saturating_sub(other.tokens);
-        self.prefill_tokens = self.prefill_tokens.saturating_sub(other.prefill_tokens);
-        self.migratable_runs = self.migratable_runs.saturating_sub(other.migratable_runs);
-        self.migratable_tokens = self
-            .migratable_tokens
-            .saturating_sub(other.migratable_tokens);
-    }
-}
-
 /// The last message received from a host.
 ///
 /// It lets that host bound the age of a message that it receives without comparing
@@ -235,8 +198,10 @@
     /// when messages are sent there.
     candidate_addresses: IndexMap<SocketAddr, u64>,
     /// The peers of all zones, and of each zone, by which keys are assigned to them.
-    ring: HostRing,
-    zone_rings: IndexMap<ZoneName, HostRing>,
+    ring: HostRing<HostName>,
+    zone_rings: IndexMap<ZoneName, HostRing<HostName>>,
+    /// All hosts that may be running, this one included.
+    senders: SenderRing,
     listed_hosts: usize,
 }
 
@@ -277,6 +242,7 @@
         };
         let address = peer.address;
         let zone = &peer.last_message.zone;
+        self.senders.record_zone(address, zone);
         let known = self.peers.get(&from);
         if known.is_none_or(|known| known.last_message.zone != *zone) {
             for ring in self.zone_rings.values_mut() {
@@ -291,6 +257,9 @@
                 subtract_loads(&mut self.load_totals, &before.last_message.loads);
             }
             self.peer_addresses.swap_remove(&before.address);
+            if before.address != address {
+                self.senders.remove(before.address);
+            }
         }
         self.peer_addresses.insert(address);
     }
@@ -309,9 +278,20 @@
         }
         self.candidate_addresses
             .insert(address, now_ms + PEER_EXPIRY_MS);
+        self.senders.add(address);
         true
     }
 
+    /// Adds this host to those that may be running.
+    pub fn add_own(&mut self, address: SocketAddr, zone: &ZoneName) {
+        self.senders.record_zone(address, zone);
+    }
+
+    /// Returns all hosts that may be running, this one included.
+    pub fn senders(&self) -> &SenderRing {
+        &self.senders
+    }
+
     /// Records how many entry hosts the store lists.
     pub fn record_listed_hosts(&mut self, hosts: usize) {
         self.listed_hosts = self.listed_hosts.max(hosts);
@@ -330,12 +310,14 @@
             }
         }
         let peer_addresses = &mut self.peer_addresses;
+        let senders = &mut self.senders;
         let ring = &mut self.ring;
         let zone_rings = &mut self.zone_rings;
         self.peers.retain(|host, peer| {
             let is_kept = now_ms.saturating_sub(peer.received_ms) < PEER_EXPIRY_MS;
             if !is_kept {
                 peer_addresses.swap_remove(&peer.address);
+                senders.record_silence(now_ms, peer.address);
                 ring.remove(host);
                 if let Some(zone_ring) = zone_rings.get_mut(&peer.last_message.zone) {
                     zone_ring.remove(host);
@@ -343,8 +325,14 @@
             }
             is_kept
         });
-        self.candidate_addresses
-            .retain(|_, until_ms| now_ms < *until_ms);
+        self.candidate_addresses.retain(|address, until_ms| {
+            let is_kept = now_ms < *until_ms;
+            if !is_kept {
+                senders.record_silence(now_ms, *address);
+            }
+            is_kept
+        });
+        senders.expire(now_ms);
     }
 
     /// Returns the recipients of a message: all known hosts, or the peers of one zone.
--- a/crates/toucancleat-fleet/src/rate_limit.rs
+++ b/crates/toucancleat-fleet/src/rate_limit.rs
@@ -24,7 +24,7 @@
 
 /// Maximum rate of one sender for which unused permits are kept, in milliseconds of its
 /// share, if that is more than one permit.
-const BURST_MS: f64 = 250.0;
+pub const BURST_MS: f64 = 250.0;
 
 /// A host that may be a sender.
 #[derive(Clone, Copy, Debug)]
--- a/crates/toucancleat-fleet/src/reduce/eligibility.rs
+++ b/crates/toucancleat-fleet/src/reduce/eligibility.rs
@@ -27,11 +27,13 @@
 /// Returns true if a target takes a request of this host now.
 pub(super) fn takes_request(state: &State, now_ms: u64, target: &TargetName) -> bool {
     state.target_notices.takes_request(now_ms, target)
+        && state.cold_targets.takes_request(now_ms, target)
 }
 
 /// Returns true if a target takes any number of requests now.
 pub(super) fn takes_any_rate(state: &State, now_ms: u64, target: &TargetName) -> bool {
     state.target_notices.takes_any_rate(now_ms, target)
+        && state.cold_targets.takes_any_rate(now_ms, target)
 }
 
 /// Returns when a caller whose request a target doesn't take now should retry, or `None` if the
@@ -41,11 +43,13 @@
     now_ms: u64,
     target: &TargetName,
 ) -> Option<u64> {
-    state.target_notices.retry_at_ms(now_ms, target)
+    let retry_at_ms = state.target_notices.retry_at_ms(now_ms, target)?;
+    Some(retry_at_ms.max(state.cold_targets.retry_at_ms(now_ms, target)))
 }
 
 /// Counts a request to a target.
 pub(super) fn take_permit(state: &mut State, now_ms: u64, target: &TargetName) {
     state.target_notices.take_permit(now_ms, target);
     state.brittle_targets.take_permit(now_ms, target);
+    state.cold_targets.take_permit(now_ms, target);
 }
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -1,7 +1,7 @@
 //! Sends messages to peers and handles those received from them.
 
 use super::requests::log_part_changes;
-use super::{notices, store_sync};
+use super::{cold, notices, store_sync};
 use crate::contention::DemandReport;
 use crate::evacuation::EvacuationReport;
 use crate::event::Effect;
@@ -96,7 +96,7 @@
         path_reports: state.pool_paths.reports(now_ms),
         brittle_reports: state.brittle_targets.own_reports(now_ms),
         evacuations: EvacuationReport::default(),
-        cold_reports: Vec::new(),
+        cold_reports: state.cold_targets.own_reports(now_ms),
         demand: DemandReport::default(),
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
@@ -135,6 +135,7 @@
         log_part_changes(&changes, effects);
         compare_versions(state, now_ms, &message);
         notices::handle_reports(state, now_ms, &message, effects);
+        cold::handle_reports(state, now_ms, &message, effects);
         state
             .peers
             .record_message(now_ms, state.identity.address, message);
@@ -166,6 +167,7 @@
             };
             let mut changes = changes.clone();
             store_sync::hold_back_departed(state, &mut changes);
+            cold::record_changes(state, now_ms, position.era, &changes, effects);
             let transitions = state.directory.apply_changes(position, &mut changes);
             store_sync::log_transitions(state, &transitions, effects);
             store_sync::apply_transitions(state, now_ms, transitions, effects);
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -1,5 +1,6 @@
 //! The reducer over all events of an entry host.
 
+mod cold;
 mod eligibility;
 mod handoff;
 mod messages;
@@ -22,6 +23,7 @@
         Event::Tick => {
             store_sync::tick(state, now_ms, effects);
             notices::tick(state, now_ms, effects);
+            cold::tick(state, now_ms);
             origins::tick(state, now_ms, effects);
             handoff::tick(state, now_ms, effects);
             placement::tick(state, now_ms, effects);
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -408,7 +408,8 @@
             is_in_slow_start: state
                 .slow_start_until_ms
                 .get(target)
-                .is_some_and(|until_ms| now_ms < *until_ms),
+                .is_some_and(|until_ms| now_ms < *until_ms)
+                || state.cold_targets.is_cold(now_ms, target),
             departed_share: state.departures.share(now_ms, entry, &state.directory),
         });
     let selection = select_target(now_ms, candidates, demand, &state.health, || {
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -4,7 +4,7 @@
 
 use super::migration::release_destination;
 use super::placement::{dispatch, place};
-use super::{handoff, messages, origins};
+use super::{cold, handoff, messages, origins};
 use crate::budget::RetryBound;
 use crate::config::EXIT_RESERVE_MS;
 use crate::configuration::{RetrySafety, Route};
@@ -234,6 +234,7 @@
         return;
     };
     state.health.record(now_ms, &target, health_sample(outcome));
+    cold::record_outcome(state, now_ms, &target, outcome);
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
     };
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{messages, migration};
+use super::{cold, messages, migration};
 use crate::configuration::Configuration;
 use crate::configuration_change::ConfigurationChange;
 use crate::event::{Effect, LogEvent};
@@ -267,6 +267,7 @@
                 .advance_configuration_feed(store_version);
             let is_first = !state.directory.is_known();
             hold_back_departed(state, &mut list);
+            cold::record_changes(state, now_ms, state.store_era, &list, effects);
             let position = current_position(state, store_version);
             let transitions = state.directory.replace_all(position, &mut list);
             state.confirm_host_list(started_ms);
@@ -290,6 +291,7 @@
             mut changes,
         } => {
             let position = current_position(state, store_version);
+            cold::record_changes(state, now_ms, position.era, &changes, effects);
             let transitions = state.directory.apply_changes(position, &mut changes);
             state.confirm_host_list(started_ms);
             broadcast_changes(state, now_ms, &changes, effects);
@@ -545,11 +547,15 @@
                 state
                     .target_notices
                     .forget_earlier_start(&target, entry.started_unix_ms);
+                state
+                    .cold_targets
+                    .forget_earlier_start(&target, entry.started_unix_ms);
                 let until_ms = now_ms + entry.slow_start_left_ms;
                 state.slow_start_until_ms.insert(target, until_ms);
             }
             TargetTransition::Leaving(target, entry) => {
                 state.slow_start_until_ms.swap_remove(&target);
+                state.cold_targets.forget_failures(&target);
                 state.departures.record(now_ms, &entry, &state.directory);
                 let departed = DepartedTarget {
                     started_unix_ms: entry.started_unix_ms,
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -8,6 +8,7 @@
 
 use crate::brittle_targets::BrittleTargets;
 use crate::budget::RetryBudget;
+use crate::cold_targets::ColdTargets;
 use crate::config::FleetConfig;
 use crate::configuration::Configuration;
 use crate::departures::Departures;
@@ -129,6 +130,9 @@
     pub(crate) host_list_confirmed_ms: Option<u64>,
     pub(crate) target_notices: TargetNotices,
     pub(crate) brittle_targets: BrittleTargets,
+    pub(crate) cold_targets: ColdTargets,
+    /// What the shares of cold targets were last computed from.
+    pub(crate) cold_share_basis: (u64, Option<u64>, bool),
     /// When this host's shares of the targets' limits are computed next.
     pub(crate) shares_due_ms: u64,
     /// Whether peers have to learn of something before the next periodic message.
@@ -145,6 +149,7 @@
     /// targets.
     pub fn new(identity: Identity, config: FleetConfig, seeds: &[SocketAddr]) -> Self {
         let mut peers = Peers::default();
+        peers.add_own(identity.address, &identity.zone);
         for seed in seeds {
             let _ = peers.add_candidate(0, identity.address, *seed);
         }
@@ -190,6 +195,8 @@
             host_list_confirmed_ms: None,
             target_notices: TargetNotices::default(),
             brittle_targets: BrittleTargets::default(),
+            cold_targets: ColdTargets::default(),
+            cold_share_basis: (0, None, false),
             shares_due_ms: 0,
             must_broadcast: false,
             requests: IndexMap::new(),
@@ -231,6 +238,11 @@
         self.target_notices.limits().count()
     }
 
+    /// Returns the number of targets that are cold.
+    pub fn cold_targets(&self, now_ms: u64) -> usize {
+        self.cold_targets.iter(now_ms).count()
+    }
+
     /// Returns the number of pools to which this host has no path.
     pub fn lost_paths(&self) -> usize {
         self.pool_paths.lost_count()
--- a/crates/toucancleat-fleet/src/target_notice.rs
+++ b/crates/toucancleat-fleet/src/target_notice.rs
@@ -28,7 +28,7 @@
 pub const PAUSE_MAX_MS: u64 = 300_000;
 
 /// Maximum time to the next permit that callers are told. Another host may have one earlier.
-const PERMIT_WAIT_MAX_MS: u64 = 2_000;
+pub const PERMIT_WAIT_MAX_MS: u64 = 2_000;
 
 /// Maximum number of notices in one message to a peer. One takes some 30 bytes, and a message
 /// has to fit in a datagram.
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test uses a part of this")]
 
 pub mod brittle;
+pub mod cold;
 pub mod crashing;
 pub mod fleet;
 pub mod partition;
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -162,6 +162,11 @@
         self.state.borrow().limited_targets()
     }
 
+    /// Returns the number of targets that are cold.
+    pub fn cold_targets(&self) -> usize {
+        self.state.borrow().cold_targets(clock::now_ms())
+    }
+
     /// Returns the number of pools to which this host has no path.
     pub fn lost_paths(&self) -> usize {
         self.state.borrow().lost_paths()
@@ -405,6 +410,9 @@
         } => {
             log::info!(target_name:% = target, limit_per_s, limit_before_per_s; "target's rate limit changed");
         }
+        LogEvent::TargetCold { target, left_ms } => {
+            log::info!(target_name:% = target, left_ms; "target is cold; it gets only so many requests");
+        }
         LogEvent::BrittlenessChanged {
             pool,
             rejections_max_per_s,
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -48,6 +48,8 @@
     pub configuration_version: Gauge,
     /// Targets that limit the rate of requests.
     pub limited_targets: Gauge,
+    /// Targets that are cold.
+    pub cold_targets: Gauge,
     /// Streams of which this host keeps where they began.
     pub stream_origins: Gauge,
     /// Parts of prompts with which requests are refused.
@@ -77,6 +79,7 @@
             datagrams: Counter::default(),
             configuration_version: Gauge::default(),
             limited_targets: Gauge::default(),
+            cold_targets: Gauge::default(),
             stream_origins: Gauge::default(),
             poison_parts: Gauge::default(),
             invalid_notices: Counter::default(),
@@ -144,6 +147,11 @@
             "Targets that limit the rate of requests",
             self.limited_targets.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets that are cold and take only so many requests",
+            self.cold_targets.clone(),
+        );
         registry.register(
             "stream_origins",
             "Streams of which this host keeps where they began",
@@ -193,6 +201,8 @@
 pub fn respond(host: &Host) -> Response<Full<Bytes>> {
     let limited_targets = i64::try_from(host.limited_targets()).unwrap_or(i64::MAX);
     host.metrics.limited_targets.set(limited_targets);
+    let cold_targets = i64::try_from(host.cold_targets()).unwrap_or(i64::MAX);
+    host.metrics.cold_targets.set(cold_targets);
     let stream_origins = i64::try_from(host.kept_origins()).unwrap_or(i64::MAX);
     host.metrics.stream_origins.set(stream_origins);
     let lost_paths = i64::try_from(host.lost_paths()).unwrap_or(i64::MAX);
