Drop what was known of a target that has started again

Cause: after a restart under the same name, the host kept the loads of the peers there and rejections of brittle targets, the end of a run of the earlier start ejected the new one, and runs there waited for their deadline if nobody closed their connections.

Change: the host list reports the restart. Loads, rejections, permits and the health of the earlier start are dropped. A run is abandoned, and counts as interrupted, if it was sent a heartbeat or more before the list was last known to be without the new entry; a run that may have been sent to the new start is waited for. So a request that must run once is never sent again because of this.

--- a/crates/toucancleat-fleet/src/brittle_targets.rs
+++ b/crates/toucancleat-fleet/src/brittle_targets.rs
@@ -260,6 +260,12 @@
         }
     }
 
+    /// Forgets what was known of a target before it restarted.
+    pub fn forget(&mut self, target: &TargetName) {
+        self.rejections.swap_remove(target);
+        self.permits.swap_remove(target);
+    }
+
     /// Forgets what is older than its retention time.
     pub fn expire(&mut self, now_ms: u64) {
         self.answers
--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -186,6 +186,12 @@
         /// The request.
         request_number: RequestNumber,
     },
+    /// The run of a request has ended with its target, which has started again. Its attempt counts
+    /// as interrupted.
+    AbandonRun {
+        /// The request.
+        request_number: RequestNumber,
+    },
     /// No target has room for a run that should migrate.
     NoDestination {
         /// The request.
@@ -242,6 +248,15 @@
         /// This host's runs at the target.
         runs: u32,
     },
+    /// A target has started again under its name.
+    TargetRestarted {
+        /// The target.
+        target: TargetName,
+        /// Version of the host list.
+        store_version: u64,
+        /// This host's runs at the target.
+        runs: u32,
+    },
     /// A target has reported in an answer that it is leaving.
     TargetReportedLeaving {
         /// The target.
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -297,6 +297,16 @@
         self.listed_hosts = self.listed_hosts.max(hosts);
     }
 
+    /// Forgets the load of all peers at targets that have restarted, until their next messages.
+    pub fn forget_loads(&mut self, targets: &IndexSet<TargetName>) {
+        for peer in self.peers.values_mut() {
+            let loads = &mut peer.last_message.loads;
+            loads.retain(|(target, _)| !targets.contains(target));
+        }
+        self.load_totals
+            .retain(|target, _| !targets.contains(target));
+    }
+
     /// Removes peers that have been silent for long. The load of those beyond the silence
     /// limit is subtracted from the totals, since it may have ended with them.
     pub fn expire(&mut self, now_ms: u64) {
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -232,10 +232,18 @@
 }
 
 /// Records that a run has resumed at its destination.
-pub(super) fn handle_migrated(state: &mut State, request_number: RequestNumber) {
+pub(super) fn handle_migrated(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+) {
     release_placement(state, request_number);
     if let Some(request) = state.requests.get_mut(&request_number) {
         request.placement = request.destination.take();
+        request.placed_ms = now_ms;
+        let target = request.placement.as_ref().map(|(target, _)| target);
+        let entry = target.and_then(|target| state.directory.get(target));
+        request.target_started_unix_ms = entry.and_then(|entry| entry.started_unix_ms);
         request.answering_since_ms = None;
         request.has_migration_retry = false;
         // A target that the run has left may take it again after a restart.
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -9,6 +9,7 @@
 mod origins;
 mod placement;
 mod requests;
+mod restarts;
 mod store_sync;
 
 use crate::event::{Effect, Event};
@@ -84,7 +85,7 @@
             effects,
         ),
         Event::Migrated { request_number } => {
-            migration::handle_migrated(state, request_number)
+            migration::handle_migrated(state, now_ms, request_number)
         }
         Event::MigrationAbandoned { request_number } => {
             migration::handle_abandoned(state, request_number)
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -252,6 +252,8 @@
     request.tried_targets.push(selection.target.clone());
     let added = request.load();
     request.placement = Some((selection.target.clone(), added));
+    request.placed_ms = now_ms;
+    request.target_started_unix_ms = entry.started_unix_ms;
     request.running_version.clone_from(&entry.software_version);
     request.answering_since_ms = None;
     let route = request.route();
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -4,7 +4,7 @@
 
 use super::migration::release_destination;
 use super::placement::{dispatch, place};
-use super::{cold, handoff, messages, origins};
+use super::{cold, handoff, messages, origins, restarts};
 use crate::budget::RetryBound;
 use crate::config::EXIT_RESERVE_MS;
 use crate::configuration::{RetrySafety, Route};
@@ -159,6 +159,8 @@
         attempts: 0,
         verdict: Verdict::NotRun,
         placement: None,
+        placed_ms: now_ms,
+        target_started_unix_ms: None,
         running_version: None,
         answering_since_ms: None,
         continuation: Continuation::AnyVersion,
@@ -233,8 +235,10 @@
     let Some(target) = release_placement(state, request_number) else {
         return;
     };
-    state.health.record(now_ms, &target, health_sample(outcome));
-    cold::record_outcome(state, now_ms, &target, outcome);
+    if !restarts::is_of_earlier_start(state, request_number, &target) {
+        state.health.record(now_ms, &target, health_sample(outcome));
+        cold::record_outcome(state, now_ms, &target, outcome);
+    }
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
     };
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{cold, messages, migration};
+use indexmap::IndexSet;
+
+use super::{cold, messages, migration, restarts};
 use crate::configuration::Configuration;
 use crate::configuration_change::ConfigurationChange;
 use crate::event::{Effect, LogEvent};
@@ -270,7 +272,6 @@
             cold::record_changes(state, now_ms, state.store_era, &list, effects);
             let position = current_position(state, store_version);
             let transitions = state.directory.replace_all(position, &mut list);
-            state.confirm_host_list(started_ms);
             let targets = state.directory.iter().count();
             state.query_schedule.set_target_count(targets);
             if is_first {
@@ -285,6 +286,7 @@
                 }
             }
             apply_transitions(state, now_ms, transitions, effects);
+            state.confirm_host_list(started_ms);
         }
         Reply::TargetFeed {
             store_version,
@@ -293,10 +295,10 @@
             let position = current_position(state, store_version);
             cold::record_changes(state, now_ms, position.era, &changes, effects);
             let transitions = state.directory.apply_changes(position, &mut changes);
-            state.confirm_host_list(started_ms);
             broadcast_changes(state, now_ms, &changes, effects);
             log_transitions(state, &transitions, effects);
             apply_transitions(state, now_ms, transitions, effects);
+            state.confirm_host_list(started_ms);
             tick(state, now_ms, effects);
         }
         Reply::HistoryExpired => {
@@ -519,6 +521,11 @@
                 slow_start_left_ms: entry.slow_start_left_ms,
                 target_version: entry.software_version.clone(),
             },
+            TargetTransition::Restarted(target) => LogEvent::TargetRestarted {
+                target: target.clone(),
+                store_version,
+                runs: state.own_loads.get(target).map_or(0, |load| load.runs),
+            },
             TargetTransition::Leaving(target, _) => LogEvent::TargetLeaving {
                 target: target.clone(),
                 store_version,
@@ -537,11 +544,20 @@
     effects: &mut Vec<Effect>,
 ) {
     let mut leaving = Vec::new();
+    let mut restarted = IndexSet::new();
     for transition in transitions {
         match transition {
+            TargetTransition::Restarted(target) => {
+                restarted.insert(target);
+            }
             TargetTransition::Joined(target, entry) => {
                 state.expired_entries.swap_remove(&target);
-                state.departed_targets.swap_remove(&target);
+                let departed = state.departed_targets.swap_remove(&target);
+                if departed.is_some_and(|departed| {
+                    departed.started_unix_ms != entry.started_unix_ms
+                }) {
+                    restarted.insert(target.clone());
+                }
                 state.health.remove(&target);
                 state.leaves_at_ms.swap_remove(&target);
                 state
@@ -574,5 +590,6 @@
             }
         }
     }
+    restarts::apply(state, &restarted, effects);
     migration::leave(state, now_ms, &leaving, effects);
 }
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -286,6 +286,10 @@
     pub verdict: Verdict,
     /// The target that runs it, and the load that is counted for it there.
     pub placement: Option<(TargetName, Load)>,
+    /// When it was sent there, or its run had migrated there.
+    pub placed_ms: u64,
+    /// When that target had started then, in Unix time.
+    pub target_started_unix_ms: Option<u64>,
     /// Version of that target's software.
     pub running_version: Option<SoftwareVersion>,
     /// When the first event of that target was received.
--- a/crates/toucancleat-fleet/src/target.rs
+++ b/crates/toucancleat-fleet/src/target.rs
@@ -136,6 +136,8 @@
 pub enum TargetTransition {
     /// The target is new or has restarted. Holds its entry.
     Joined(TargetName, TargetEntry),
+    /// The target has started again under its name. Precedes what else has changed.
+    Restarted(TargetName),
     /// The target no longer takes new work. Holds its last entry.
     Leaving(TargetName, TargetEntry),
 }
@@ -356,6 +358,9 @@
             Some(entry) => {
                 let restarted = before
                     .is_some_and(|old| old.started_unix_ms != entry.started_unix_ms);
+                if restarted {
+                    transitions.push(TargetTransition::Restarted(target.clone()));
+                }
                 if entry.is_leaving && (was_accepting || before.is_none()) {
                     transitions
                         .push(TargetTransition::Leaving(target.clone(), entry.clone()));
--- a/crates/toucancleat-gateway/src/attempt.rs
+++ b/crates/toucancleat-gateway/src/attempt.rs
@@ -17,7 +17,7 @@
 
 use crate::clock;
 use crate::connection::{Connection, Driver};
-use crate::host::{Host, version_text};
+use crate::host::{Host, RunEnd, version_text};
 use crate::memory::HeldBytes;
 
 /// Maximum size in bytes of an answer that isn't a stream. Such an answer is buffered
@@ -105,9 +105,14 @@
     outbound: &Outbound,
     dispatch: &Dispatch,
     resumption: &Resumption,
+    run_end: &RunEnd,
 ) -> AttemptResult {
     let began_ms = clock::now_ms();
-    let result = send_request(host, outbound, dispatch, resumption).await;
+    let result = tokio::select! {
+        biased;
+        result = send_request(host, outbound, dispatch, resumption) => result,
+        () = run_end.wait() => Err(AttemptOutcome::Interrupted),
+    };
     let took_ms = clock::now_ms().saturating_sub(began_ms);
     let (outcome, answer) = match result {
         Ok(AttemptResult::Stream(start)) => {
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -7,7 +7,7 @@
 
 use indexmap::IndexMap;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use toucancleat_fleet::configuration::CallerLimits;
 use toucancleat_fleet::prelude::*;
 use toucancleat_platform::engine;
@@ -72,7 +72,7 @@
     /// The bound on what is held of the targets' answers.
     pub answer_memory: MemoryBound,
     state: RefCell<State>,
-    commands: RefCell<IndexMap<RequestNumber, UnboundedSender<Command>>>,
+    commands: RefCell<IndexMap<RequestNumber, CommandSender>>,
     limits: Cell<CallerLimits>,
     outgoing: UnboundedSender<OutgoingMessage>,
     stop_began_ms: watch::Sender<Option<u64>>,
@@ -80,6 +80,42 @@
     weak_self: std::rc::Weak<Host>,
 }
 
+/// The reducer's end of the commands to the task of a request.
+#[derive(Debug)]
+struct CommandSender {
+    commands: UnboundedSender<Command>,
+    run_end: Rc<RunEnd>,
+}
+
+/// Tells the task of a request that the run that it waits for has ended with its target. The task
+/// takes no commands while it waits for an answer.
+#[derive(Debug, Default)]
+pub struct RunEnd {
+    has_ended: Cell<bool>,
+    changed: Notify,
+}
+
+impl RunEnd {
+    /// Waits until the run of the last dispatch has ended with its target.
+    pub async fn wait(&self) {
+        while !self.has_ended.replace(false) {
+            self.changed.notified().await;
+        }
+    }
+
+    /// Forgets the end of a run that has migrated.
+    pub fn reset(&self) {
+        self.set(false);
+    }
+
+    fn set(&self, has_ended: bool) {
+        self.has_ended.set(has_ended);
+        if has_ended {
+            self.changed.notify_one();
+        }
+    }
+}
+
 /// A request that is registered with the host until this is dropped.
 #[derive(Debug)]
 pub struct OpenRequest {
@@ -88,6 +124,8 @@
     pub request_number: RequestNumber,
     /// The commands of the reducer to the task of the request.
     pub commands: UnboundedReceiver<Command>,
+    /// Whether the run that the task waits for has ended with its target.
+    pub run_end: Rc<RunEnd>,
 }
 
 impl Drop for OpenRequest {
@@ -134,11 +172,17 @@
         let request_number = RequestNumber(self.next_request_number.get());
         self.next_request_number.set(request_number.0 + 1);
         let (sender, commands) = unbounded_channel();
+        let run_end = Rc::new(RunEnd::default());
+        let sender = CommandSender {
+            commands: sender,
+            run_end: run_end.clone(),
+        };
         self.commands.borrow_mut().insert(request_number, sender);
         Some(OpenRequest {
             host,
             request_number,
             commands,
+            run_end,
         })
     }
 
@@ -241,6 +285,7 @@
                     .send(OutgoingMessage::Origin(recipients, message));
             }
             Effect::Dispatch(dispatch) => {
+                self.set_run_end(dispatch.request_number, false);
                 self.send_command(dispatch.request_number, Command::Dispatch(dispatch));
             }
             Effect::ForwardAnswer { request_number } => {
@@ -280,6 +325,10 @@
             Effect::ResumeFromCopy { request_number } => {
                 self.send_command(request_number, Command::ResumeFromCopy)
             }
+            Effect::AbandonRun { request_number } => {
+                log::info!(request = request_number.0; "target started again; its earlier runs have ended");
+                self.set_run_end(request_number, true);
+            }
             Effect::NoDestination { request_number } => {
                 self.send_command(request_number, Command::NoDestination)
             }
@@ -310,7 +359,13 @@
     fn send_command(&self, request_number: RequestNumber, command: Command) {
         if let Some(sender) = self.commands.borrow().get(&request_number) {
             // Sending fails if the task has just ended; it needs no more commands.
-            let _ = sender.send(command);
+            let _ = sender.commands.send(command);
+        }
+    }
+
+    fn set_run_end(&self, request_number: RequestNumber, has_ended: bool) {
+        if let Some(sender) = self.commands.borrow().get(&request_number) {
+            sender.run_end.set(has_ended);
         }
     }
 }
@@ -397,6 +452,13 @@
         } => {
             log::info!(target_name:% = target, store_version, runs; "target leaving; no new requests are routed to it");
         }
+        LogEvent::TargetRestarted {
+            target,
+            store_version,
+            runs,
+        } => {
+            log::info!(target_name:% = target, store_version, runs; "target started again under its name; forgetting what was known of it");
+        }
         LogEvent::TargetReportedLeaving { target, runs } => {
             log::info!(target_name:% = target, runs; "target reported that it is leaving; no new requests are routed to it");
         }
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -169,6 +169,9 @@
             command = self.open_request.commands.recv() => RelayEvent::Command(command),
             // N.B. this precedes the upstream, which may have bytes at all times.
             () = clock::sleep_until(self.dispatch.deadline_ms) => RelayEvent::DeadlineReached,
+            () = self.open_request.run_end.wait(), if self.upstream.is_some() => {
+                RelayEvent::UpstreamFailed
+            }
             event = read_upstream(&mut self.upstream) => event,
             result = copying => RelayEvent::CopyEnded(result),
             () = destination_request_due => RelayEvent::DestinationRequestDue,
@@ -367,7 +370,14 @@
     /// Sends the request to the dispatched target and replaces the upstream by the stream
     /// that it answers with. Returns true if there is one.
     async fn start_attempt(&mut self, resumption: &Resumption) -> bool {
-        match run_attempt(&self.host, &self.outbound, &self.dispatch, resumption).await {
+        let attempt = run_attempt(
+            &self.host,
+            &self.outbound,
+            &self.dispatch,
+            resumption,
+            &self.open_request.run_end,
+        );
+        match attempt.await {
             AttemptResult::Stream(start) => {
                 self.upstream = Some(start.upstream);
                 self.splitter = EventSplitter::default();
--- a/crates/toucancleat-gateway/src/relay/migration.rs
+++ b/crates/toucancleat-gateway/src/relay/migration.rs
@@ -283,6 +283,8 @@
                 .apply(Event::MigrationAbandoned { request_number });
         } else {
             self.migrations += 1;
+            // The end of the run at its source says nothing about its destination.
+            self.open_request.run_end.reset();
             self.host.apply(Event::Migrated { request_number });
         }
         if !is_resumed {
--- a/crates/toucancleat-gateway/src/request.rs
+++ b/crates/toucancleat-gateway/src/request.rs
@@ -143,8 +143,9 @@
     while let Some(command) = open_request.commands.recv().await {
         match command {
             Command::Dispatch(dispatch) => {
-                match run_attempt(host, &outbound, &dispatch, &Resumption::default())
-                    .await
+                let resumption = Resumption::default();
+                let run_end = open_request.run_end.clone();
+                match run_attempt(host, &outbound, &dispatch, &resumption, &run_end).await
                 {
                     AttemptResult::Stream(start) => {
                         let headers = answer::forwarded_headers(&start.headers);
