--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -195,6 +195,12 @@
         /// The request.
         request_number: RequestNumber,
     },
+    /// The run of a request has ended with its target, which has started again. Its attempt counts
+    /// as interrupted.
+    AbandonRun {
+        /// The request.
+        request_number: RequestNumber,
+    },
     /// No target has room for a run that should migrate.
     NoDestination {
         /// The request.
@@ -251,6 +257,15 @@
         /// This host's runs at the target.
         runs: u32,
     },
+    /// A target has started again under its name.
+    TargetRestarted {
+        /// The target.
+        target: TargetName,
+        /// Version of the host list.
+        store_version: u64,
+        /// This host's runs at the target.
+        runs: u32,
+    },
     /// A target has reported in an answer that it is leaving.
     TargetReportedLeaving {
         /// The target.
@@ -274,6 +289,13 @@
         /// The limit before.
         limit_before_per_s: Option<f64>,
     },
+    /// A target is cold, and takes only so many requests.
+    TargetCold {
+        /// The target.
+        target: TargetName,
+        /// Remaining time for which it is cold.
+        left_ms: u64,
+    },
     /// The targets of a pool have become brittle, or no longer are.
     BrittlenessChanged {
         /// The pool.
--- a/crates/toucancleat-fleet/src/reduce/evacuation.rs
+++ b/crates/toucancleat-fleet/src/reduce/evacuation.rs
@@ -3,7 +3,7 @@
 use toucancleat_core::prelude::*;
 use toucancleat_core::rng::stable_hash;
 
-use super::{eligibility, messages};
+use super::{cold, eligibility, messages};
 use crate::evacuation::{
     CONFIRMED_AGE_BASE_MS, EvacuationRows, LOST_ROW_BOUNDS, ZoneChange,
 };
@@ -38,7 +38,7 @@
         state.evacuations.confirm(started_ms);
     }
     let is_changed = !changes.is_empty();
-    apply_changes(state, changes, effects);
+    apply_changes(state, now_ms, changes, effects);
     if is_changed && state.is_reader && state.directory.is_known() {
         messages::broadcast(state, now_ms, None, effects);
     }
@@ -56,7 +56,7 @@
     }
     let report = &message.evacuations;
     let changes = state.evacuations.record_report(now_ms, report);
-    apply_changes(state, changes, effects);
+    apply_changes(state, now_ms, changes, effects);
     let sent_ms = earliest_send_ms(message, state.identity.incarnation, now_ms);
     if let (Some(age_ms), Some(sent_ms)) = (report.confirmed_age_ms, sent_ms) {
         state.evacuations.confirm(sent_ms.saturating_sub(age_ms));
@@ -84,8 +84,16 @@
 
 /// Logs changes, and lets the runs that are migrating to an evacuated zone choose again. Runs that
 /// are there stay: their targets keep running, and a migration would pause them.
-fn apply_changes(state: &mut State, changes: Vec<ZoneChange>, effects: &mut Vec<Effect>) {
+fn apply_changes(
+    state: &mut State,
+    now_ms: u64,
+    changes: Vec<ZoneChange>,
+    effects: &mut Vec<Effect>,
+) {
     for change in changes {
+        if !change.is_evacuated {
+            cold::zone_returned(state, now_ms, &change.zone);
+        }
         let is_there = |target: &TargetName| {
             let entry = state.directory.get(target);
             entry.is_some_and(|entry| entry.zone == change.zone)
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -1,5 +1,6 @@
 //! The reducer over all events of an entry host.
 
+mod cold;
 mod eligibility;
 mod evacuation;
 mod handoff;
@@ -9,6 +10,7 @@
 mod origins;
 mod placement;
 mod requests;
+mod restarts;
 mod store_sync;
 
 use crate::event::{Effect, Event};
@@ -23,6 +25,7 @@
         Event::Tick => {
             store_sync::tick(state, now_ms, effects);
             notices::tick(state, now_ms, effects);
+            cold::tick(state, now_ms);
             origins::tick(state, now_ms, effects);
             handoff::tick(state, now_ms, effects);
             placement::tick(state, now_ms, effects);
@@ -93,7 +96,7 @@
             effects,
         ),
         Event::Migrated { request_number } => {
-            migration::handle_migrated(state, request_number)
+            migration::handle_migrated(state, now_ms, request_number)
         }
         Event::MigrationAbandoned { request_number } => {
             migration::handle_abandoned(state, request_number)
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -253,6 +253,8 @@
     request.tried_targets.push(selection.target.clone());
     let added = request.load();
     request.placement = Some((selection.target.clone(), added));
+    request.placed_ms = now_ms;
+    request.target_started_unix_ms = entry.started_unix_ms;
     request.running_version.clone_from(&entry.software_version);
     request.answering_since_ms = None;
     let route = request.route();
@@ -420,7 +422,8 @@
             is_in_slow_start: state
                 .slow_start_until_ms
                 .get(target)
-                .is_some_and(|until_ms| now_ms < *until_ms),
+                .is_some_and(|until_ms| now_ms < *until_ms)
+                || state.cold_targets.is_cold(now_ms, target),
             departed_share: state.departures.share(now_ms, entry, &state.directory),
         });
     let selection = select_target(now_ms, candidates, demand, &state.health, || {
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::{evacuation, messages, migration};
+use indexmap::IndexSet;
+
+use super::{cold, evacuation, messages, migration, restarts};
 use crate::configuration::Configuration;
 use crate::configuration_change::ConfigurationChange;
 use crate::evacuation::EvacuationRows;
@@ -286,9 +288,9 @@
                 .advance_configuration_feed(store_version);
             let is_first = !state.directory.is_known();
             hold_back_departed(state, &mut list);
+            cold::record_changes(state, now_ms, state.store_era, &list, effects);
             let position = current_position(state, store_version);
             let transitions = state.directory.replace_all(position, &mut list);
-            state.confirm_host_list(started_ms);
             let targets = state.directory.iter().count();
             state.query_schedule.set_target_count(targets);
             if is_first {
@@ -303,17 +305,19 @@
                 }
             }
             apply_transitions(state, now_ms, transitions, effects);
+            state.confirm_host_list(started_ms);
         }
         Reply::TargetFeed {
             store_version,
             mut changes,
         } => {
             let position = current_position(state, store_version);
+            cold::record_changes(state, now_ms, position.era, &changes, effects);
             let transitions = state.directory.apply_changes(position, &mut changes);
-            state.confirm_host_list(started_ms);
             broadcast_changes(state, now_ms, &changes, effects);
             log_transitions(state, &transitions, effects);
             apply_transitions(state, now_ms, transitions, effects);
+            state.confirm_host_list(started_ms);
             tick(state, now_ms, effects);
         }
         Reply::Evacuations => {}
@@ -538,6 +542,11 @@
                 slow_start_left_ms: entry.slow_start_left_ms,
                 target_version: entry.software_version.clone(),
             },
+            TargetTransition::Restarted(target) => LogEvent::TargetRestarted {
+                target: target.clone(),
+                store_version,
+                runs: state.own_loads.get(target).map_or(0, |load| load.runs),
+            },
             TargetTransition::Leaving(target, _) => LogEvent::TargetLeaving {
                 target: target.clone(),
                 store_version,
@@ -556,21 +565,34 @@
     effects: &mut Vec<Effect>,
 ) {
     let mut leaving = Vec::new();
+    let mut restarted = IndexSet::new();
     for transition in transitions {
         match transition {
+            TargetTransition::Restarted(target) => {
+                restarted.insert(target);
+            }
             TargetTransition::Joined(target, entry) => {
                 state.expired_entries.swap_remove(&target);
-                state.departed_targets.swap_remove(&target);
+                let departed = state.departed_targets.swap_remove(&target);
+                if departed.is_some_and(|departed| {
+                    departed.started_unix_ms != entry.started_unix_ms
+                }) {
+                    restarted.insert(target.clone());
+                }
                 state.health.remove(&target);
                 state.leaves_at_ms.swap_remove(&target);
                 state
                     .target_notices
                     .forget_earlier_start(&target, entry.started_unix_ms);
+                state
+                    .cold_targets
+                    .forget_earlier_start(&target, entry.started_unix_ms);
                 let until_ms = now_ms + entry.slow_start_left_ms;
                 state.slow_start_until_ms.insert(target, until_ms);
             }
             TargetTransition::Leaving(target, entry) => {
                 state.slow_start_until_ms.swap_remove(&target);
+                state.cold_targets.forget_failures(&target);
                 state.departures.record(now_ms, &entry, &state.directory);
                 let departed = DepartedTarget {
                     started_unix_ms: entry.started_unix_ms,
@@ -589,5 +611,6 @@
             }
         }
     }
+    restarts::apply(state, &restarted, effects);
     migration::leave(state, now_ms, &leaving, effects);
 }
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -50,6 +50,8 @@
     pub limited_targets: Gauge,
     /// Availability zones that operators have evacuated.
     pub evacuated_zones: Gauge,
+    /// Targets that are cold.
+    pub cold_targets: Gauge,
     /// Streams of which this host keeps where they began.
     pub stream_origins: Gauge,
     /// Parts of prompts with which requests are refused.
@@ -80,6 +82,7 @@
             configuration_version: Gauge::default(),
             limited_targets: Gauge::default(),
             evacuated_zones: Gauge::default(),
+            cold_targets: Gauge::default(),
             stream_origins: Gauge::default(),
             poison_parts: Gauge::default(),
             invalid_notices: Counter::default(),
@@ -152,6 +155,11 @@
             "Availability zones that operators have evacuated",
             self.evacuated_zones.clone(),
         );
+        registry.register(
+            "cold_targets",
+            "Targets that are cold and take only so many requests",
+            self.cold_targets.clone(),
+        );
         registry.register(
             "stream_origins",
             "Streams of which this host keeps where they began",
@@ -203,6 +211,8 @@
     host.metrics.limited_targets.set(limited_targets);
     let evacuated_zones = i64::try_from(host.evacuated_zones()).unwrap_or(i64::MAX);
     host.metrics.evacuated_zones.set(evacuated_zones);
+    let cold_targets = i64::try_from(host.cold_targets()).unwrap_or(i64::MAX);
+    host.metrics.cold_targets.set(cold_targets);
     let stream_origins = i64::try_from(host.kept_origins()).unwrap_or(i64::MAX);
     host.metrics.stream_origins.set(stream_origins);
     let lost_paths = i64::try_from(host.lost_paths()).unwrap_or(i64::MAX);
