--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -566,7 +566,7 @@
                 state
                     .cold_targets
                     .forget_earlier_start(&target, entry.started_unix_ms);
-                let until_ms = now_ms + entry.slow_start_left_ms;
+                let until_ms = now_ms.saturating_add(entry.slow_start_left_ms);
                 state.slow_start_until_ms.insert(target, until_ms);
             }
             TargetTransition::Leaving(target, entry) => {
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -77,6 +77,8 @@
     outgoing: UnboundedSender<OutgoingMessage>,
     stop_began_ms: watch::Sender<Option<u64>>,
     next_request_number: Cell<u64>,
+    /// From when on invalid entries of the host list are logged again.
+    pub invalid_entries_log_due_ms: Cell<u64>,
     weak_self: std::rc::Weak<Host>,
 }
 
@@ -161,6 +163,7 @@
             outgoing,
             stop_began_ms,
             next_request_number: Cell::new(0),
+            invalid_entries_log_due_ms: Cell::new(0),
             weak_self: weak_self.clone(),
         });
         (host, queue)
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub poison_parts: Gauge,
     /// Answers whose report about their target is invalid.
     pub invalid_notices: Counter,
+    /// Entries of the host list that are invalid, each time they are read.
+    pub invalid_entries: Counter,
     /// Answers of the store whose era is invalid.
     pub invalid_eras: Counter,
 }
@@ -83,6 +85,7 @@
             stream_origins: Gauge::default(),
             poison_parts: Gauge::default(),
             invalid_notices: Counter::default(),
+            invalid_entries: Counter::default(),
             invalid_eras: Counter::default(),
         };
         metrics.register();
@@ -167,6 +170,11 @@
             "Answers whose report about their target is invalid",
             self.invalid_notices.clone(),
         );
+        registry.register(
+            "invalid_entries",
+            "Entries of the host list that name no target, each time they are read",
+            self.invalid_entries.clone(),
+        );
         registry.register(
             "invalid_eras",
             "Answers of the store whose era is invalid",
--- a/crates/toucancleat-gateway/src/store.rs
+++ b/crates/toucancleat-gateway/src/store.rs
@@ -5,9 +5,12 @@
 
 use toucancleat_fleet::event::Event;
 use toucancleat_fleet::store::{LONG_POLL_MS, Query, Reply};
-use toucancleat_platform::store::{Registration, StoreExchange, decode_era};
+use toucancleat_platform::store::{
+    InvalidEntry, Registration, StoreExchange, decode_era,
+};
 
 use crate::call::{CallError, ReplyLimits, call};
+use crate::clock;
 use crate::host::Host;
 
 /// Maximum wait for the head of a reply, and for each further part. It is many times what the
@@ -24,6 +27,10 @@
 /// too early makes them wait longer.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(2_000);
 
+/// Minimum time between two log lines about invalid entries. The host list is read each second,
+/// with the same entries.
+const INVALID_ENTRIES_LOG_INTERVAL_MS: u64 = 10_000;
+
 /// Executes a query and applies its reply to the reducer.
 pub async fn execute(host: Rc<Host>, query: Query) {
     let registration = Registration {
@@ -75,7 +82,10 @@
             }
         }
         match exchange.decode_reply(response.status(), response.body()) {
-            Ok(Some(reply)) => break reply,
+            Ok(Some(reply)) => {
+                report_invalid_entries(&host, exchange.invalid_entries());
+                break reply;
+            }
             Ok(None) => {}
             Err(error) => {
                 let status = response.status().as_u16();
@@ -86,3 +96,19 @@
     };
     host.apply(Event::StoreReplied { query, era, reply });
 }
+
+/// Counts the rows of the host list that name no target, and logs the first of them now and then.
+fn report_invalid_entries(host: &Host, invalid_entries: &[InvalidEntry]) {
+    let Some(first) = invalid_entries.first() else {
+        return;
+    };
+    host.metrics
+        .invalid_entries
+        .inc_by(invalid_entries.len() as u64);
+    let now_ms = clock::now_ms();
+    let due_ms = &host.invalid_entries_log_due_ms;
+    if now_ms >= due_ms.get() {
+        due_ms.set(now_ms + INVALID_ENTRIES_LOG_INTERVAL_MS);
+        log::warn!(target_name:% = first.target, error:% = first.error, invalid = invalid_entries.len(); "entries of the host list are invalid; they name no targets");
+    }
+}
