Confine requests to home regions, and freeze the messages of the last two landings

Cause: no code read the home regions of routes and organisations. Changes of the configuration that a reader sends its peers can't carry them, or the rates of cold targets, in the encoding of the last release. Nothing checked that a message keeps the encoding that earlier builds know, and each datagram that can't be decoded was a log line.

Change: fleet::home_regions says whether a request may be sent to a zone. reduce::eligibility asks it for first attempts, retries, second targets, queued requests, destinations of migrations and peers that take handoffs. A request without a target at home is refused at once with no_target_at_home. What a change adds follows the parts that the last release knows; a change without it, of a reader of the last release, isn't applied but read from the store, unless it only removes. Messages that encoded themselves are decoded in a table, and this build's encoding of them begins with the same bytes.

Tests that failed before: with a check that permits every zone, five of the six tests of fleet/home_regions fail, such as "of the route: draft Declined" sent to engines-north-a; without the choice of a zone at home, a handoff in a fleet of 202 peers finds no host at home (request 5). With incomplete changes applied, fleet/configuration_change fails for "last release, a route". With two fields of the message in another order, gateway/compatibility fails for ": targets".

Measured: the tests of toucancleat-fleet, toucancleat-gateway (with the soak) and toucancleat-platform passed.

--- a/crates/toucancleat-fleet/src/configuration_change.rs
+++ b/crates/toucancleat-fleet/src/configuration_change.rs
@@ -15,6 +15,9 @@
 /// datagram, so peers read the new version from the store.
 pub const CHANGED_ENTRIES_MAX: usize = 100;
 
+/// Maximum number of home regions in one change, for the same reason.
+pub const CHANGED_HOMES_MAX: usize = 200;
+
 /// What one version of the configuration changes in another.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ConfigurationChange {
@@ -34,6 +37,22 @@
     pub removed_keys: Vec<String>,
     /// API keys that are added or that get another organisation or priority.
     pub organisations: IndexMap<String, Organisation>,
+    /// Whether the routes, pools and organisations have all fields that this release knows. Hosts
+    /// of the last release send changes without some, see [`ChangeAdditions`].
+    #[serde(skip)]
+    pub is_complete: bool,
+}
+
+/// The fields of a change that hosts of the last release don't know. They are encoded apart from
+/// it, since the encoding of the change is theirs too. See docs/design/compatibility.md.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ChangeAdditions {
+    /// The home regions of each route, in the order of the change.
+    pub route_homes: Vec<Vec<RegionName>>,
+    /// The home regions of each organisation, in the order of the change.
+    pub organisation_homes: Vec<Vec<RegionName>>,
+    /// The rate of cold targets of each pool, in the order of the change.
+    pub cold_requests_per_s: Vec<Option<f64>>,
 }
 
 /// The host and the path prefix that select a route.
@@ -48,8 +67,8 @@
 impl ConfigurationChange {
     /// Returns what `after` changes in `before`.
     ///
-    /// Returns `None` if the change is larger than [`CHANGED_ENTRIES_MAX`], or if two routes
-    /// of a version have the same key.
+    /// Returns `None` if the change is larger than [`CHANGED_ENTRIES_MAX`] or
+    /// [`CHANGED_HOMES_MAX`], or if two routes of a version have the same key.
     pub fn between(before: &Configuration, after: &Configuration) -> Option<Self> {
         let old_routes = routes_by_key(before)?;
         let new_routes = routes_by_key(after)?;
@@ -82,14 +101,19 @@
             limits: (before.limits != after.limits).then_some(after.limits),
             removed_keys: removed_keys.collect(),
             organisations: organisations.collect(),
+            is_complete: true,
         };
-        (change.entries() <= CHANGED_ENTRIES_MAX).then_some(change)
+        let fits = change.entries() <= CHANGED_ENTRIES_MAX
+            && change.homes() <= CHANGED_HOMES_MAX;
+        fits.then_some(change)
     }
 
-    /// Returns the configuration that results from applying the change to `before`, or
-    /// `None` if that isn't the version that the change applies to.
+    /// Returns the configuration that results from applying the change to `before`.
+    ///
+    /// Returns `None` if that isn't the version that the change applies to, or if the change
+    /// lacks fields of what it adds. The new version then has to be read from the store.
     pub fn apply(&self, before: &Configuration) -> Option<Configuration> {
-        if before.version != self.base_version {
+        if before.version != self.base_version || self.lacks_additions() {
             return None;
         }
         let replaced: IndexSet<RouteKey> = self.routes.iter().map(route_key).collect();
@@ -114,6 +138,56 @@
         })
     }
 
+    /// Returns the fields that hosts of the last release don't know.
+    pub fn additions(&self) -> ChangeAdditions {
+        let pools = self.pools.iter().flat_map(IndexMap::values);
+        let organisations = self.organisations.values();
+        ChangeAdditions {
+            route_homes: self.routes.iter().map(|r| r.home_regions.clone()).collect(),
+            organisation_homes: organisations.map(|o| o.home_regions.clone()).collect(),
+            cold_requests_per_s: pools.map(|pool| pool.cold_requests_per_s).collect(),
+        }
+    }
+
+    /// Restores the fields that hosts of the last release don't know. The change stays
+    /// incomplete if they don't belong to it.
+    pub fn restore(&mut self, additions: ChangeAdditions) {
+        let pools = self.pools.as_ref().map_or(0, IndexMap::len);
+        self.is_complete = additions.route_homes.len() == self.routes.len()
+            && additions.organisation_homes.len() == self.organisations.len()
+            && additions.cold_requests_per_s.len() == pools;
+        if !self.is_complete {
+            return;
+        }
+        for (route, homes) in self.routes.iter_mut().zip(additions.route_homes) {
+            route.home_regions = homes;
+        }
+        let organisations = self.organisations.values_mut();
+        for (organisation, homes) in organisations.zip(additions.organisation_homes) {
+            organisation.home_regions = homes;
+        }
+        let pools = self.pools.iter_mut().flat_map(IndexMap::values_mut);
+        for (pool, rate_per_s) in pools.zip(additions.cold_requests_per_s) {
+            pool.cold_requests_per_s = rate_per_s;
+        }
+    }
+
+    /// Returns true if the change adds something of which it lacks fields. What it removes, such
+    /// as a revoked key, is complete in any release.
+    fn lacks_additions(&self) -> bool {
+        let adds = !self.routes.is_empty()
+            || !self.organisations.is_empty()
+            || self.pools.is_some();
+        adds && !self.is_complete
+    }
+
+    fn homes(&self) -> usize {
+        let of_routes = self.routes.iter().map(|route| route.home_regions.len());
+        let organisations = self.organisations.values();
+        let of_organisations = organisations.map(|o| o.home_regions.len());
+        of_routes.chain(of_organisations).sum()
+    }
+
     fn entries(&self) -> usize {
         self.removed_routes.len()
             + self.routes.len()
--- /dev/null
+++ b/crates/toucancleat-fleet/src/home_regions.rs
@@ -0,0 +1,58 @@
+//! Regions to which requests are confined.
+//!
+//! A route and an organisation may each name home regions. A request reaches only targets in
+//! them, and is handed off only to hosts in them. First attempts, retries, migrations and
+//! handoffs all ask this. See docs/design/home-regions.md.
+
+use indexmap::IndexMap;
+use toucancleat_core::prelude::*;
+
+use crate::configuration::{Configuration, Route};
+
+/// The home regions of one request.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HomeRegions<'a> {
+    route: &'a [RegionName],
+    organisation: &'a [RegionName],
+}
+
+impl<'a> HomeRegions<'a> {
+    /// Returns the home regions of a request that belongs to a route and to the organisation of
+    /// an API key.
+    pub fn new(
+        configuration: &'a Configuration,
+        route: &'a Route,
+        api_key: Option<&str>,
+    ) -> Self {
+        let organisation = api_key.and_then(|key| configuration.organisations.get(key));
+        HomeRegions {
+            route: &route.home_regions,
+            organisation: organisation
+                .map_or(&[], |organisation| &organisation.home_regions),
+        }
+    }
+
+    /// Returns true if the request is confined to some regions.
+    pub fn is_confined(&self) -> bool {
+        !self.route.is_empty() || !self.organisation.is_empty()
+    }
+
+    /// Returns true if the request may be sent to a zone, given the region of each.
+    ///
+    /// If the route and the organisation both have home regions, both bind. A zone whose region
+    /// isn't known is foreign. A deployment without regions confines nothing.
+    pub fn permit(
+        &self,
+        regions: &IndexMap<ZoneName, RegionName>,
+        zone: &ZoneName,
+    ) -> bool {
+        if !self.is_confined() || regions.is_empty() {
+            return true;
+        }
+        let contains =
+            |homes: &[RegionName], region| homes.is_empty() || homes.contains(region);
+        regions.get(zone).is_some_and(|region| {
+            contains(self.route, region) && contains(self.organisation, region)
+        })
+    }
+}
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod event;
 pub mod event_stream;
 pub mod health;
+pub mod home_regions;
 pub mod host_ring;
 pub mod migration;
 pub mod migration_plan;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -125,6 +125,9 @@
     /// The requests that wait for room at the sender.
     #[serde(skip)]
     pub demand: DemandReport,
+    /// Whether the sender confines requests to home regions. Hosts of the last release don't.
+    #[serde(skip)]
+    pub heeds_home_regions: bool,
     /// A sample of the addresses of other hosts.
     pub addresses: Vec<SocketAddr>,
     /// A change that the sender has read from the store.
--- a/crates/toucancleat-fleet/src/reduce/eligibility.rs
+++ b/crates/toucancleat-fleet/src/reduce/eligibility.rs
@@ -5,13 +5,61 @@
 
 use toucancleat_core::prelude::*;
 
+use crate::continuation::Continuation;
+use crate::peers::Message;
 use crate::request::Request;
 use crate::state::State;
 use crate::target::TargetEntry;
 
 /// Returns true if a request may be sent to a target, now or later.
-pub(super) fn permits(_state: &State, request: &Request, entry: &TargetEntry) -> bool {
-    request.continuation.permits(entry)
+pub(super) fn permits(state: &State, request: &Request, entry: &TargetEntry) -> bool {
+    permits_continuation(state, request, &request.continuation, entry)
+}
+
+/// Returns true if a request whose stream may continue at some versions only may be sent to a
+/// target, now or later. A migrating run names the version that runs it.
+pub(super) fn permits_continuation(
+    state: &State,
+    request: &Request,
+    continuation: &Continuation,
+    entry: &TargetEntry,
+) -> bool {
+    continuation.permits(entry) && permits_zone(state, request, &entry.zone)
+}
+
+/// Returns true if a request may leave this host for targets or hosts of a zone.
+pub(super) fn permits_zone(state: &State, request: &Request, zone: &ZoneName) -> bool {
+    request.home_regions().permit(&state.config.regions, zone)
+}
+
+/// Returns true if a request may be handed off to the host that has sent a message.
+///
+/// A host in the caller's own region would be permitted, too, but only the caller knows which
+/// that is: it may have connected from elsewhere. Hosts of the last release take no notice of
+/// home regions.
+pub(super) fn permits_host(state: &State, request: &Request, message: &Message) -> bool {
+    let is_confined = request.home_regions().is_confined();
+    permits_zone(state, request, &message.zone)
+        && (!is_confined || message.heeds_home_regions)
+}
+
+/// Returns the zone whose hosts a request is handed off to first: the own one, or one of the home
+/// regions if the own one is foreign. `hash` chooses among them.
+pub(super) fn zone_at_home<'a>(
+    state: &'a State,
+    request: &Request,
+    hash: u64,
+) -> &'a ZoneName {
+    let own_zone = &state.identity.zone;
+    if permits_zone(state, request, own_zone) {
+        return own_zone;
+    }
+    let zones = state.config.regions.keys();
+    let at_home: Vec<&ZoneName> = zones
+        .filter(|zone| permits_zone(state, request, zone))
+        .collect();
+    let index = hash % at_home.len().max(1) as u64;
+    at_home.get(index as usize).copied().unwrap_or(own_zone)
 }
 
 /// Returns the usable targets of a request's pool to which the request may be sent.
--- a/crates/toucancleat-fleet/src/reduce/handoff.rs
+++ b/crates/toucancleat-fleet/src/reduce/handoff.rs
@@ -134,10 +134,11 @@
         // A peer with an earlier configuration may refuse what this one allows.
         !message.is_stopping
             && message.configuration_version >= own_version
+            && eligibility::permits_host(state, request, message)
             && !request.tried_hosts.contains(host)
             && reports.any(|report| report.pool == request.pool && report.vouches(age_ms))
     };
-    let zone = &state.identity.zone;
+    let zone = eligibility::zone_at_home(state, request, hash);
     let Some((host, address)) = state.peers.choose(now_ms, zone, hash, takes_request)
     else {
         return false;
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -98,6 +98,7 @@
         evacuations: EvacuationReport::default(),
         cold_reports: Vec::new(),
         demand: DemandReport::default(),
+        heeds_home_regions: true,
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -91,18 +91,42 @@
     for (target, _) in leaving {
         let mut destinations = plan.swap_remove(target).unwrap_or_default();
         for request_number in migratable_at(state, target) {
-            match destinations.pop() {
+            match take_permitted(state, request_number, &mut destinations) {
                 Some(destination)
                     if reserve_migration_retry(state, now_ms, request_number) =>
                 {
                     migrate_to(state, now_ms, request_number, destination, effects);
                 }
+                // The plan doesn't know which runs are confined to which regions.
+                None if is_confined(state, request_number) => {
+                    choose_destination(state, now_ms, request_number, false, effects);
+                }
                 _ => effects.push(Effect::NoDestination { request_number }),
             }
         }
     }
 }
 
+/// Takes the last of the planned destinations that a run may be sent to.
+fn take_permitted(
+    state: &State,
+    request_number: RequestNumber,
+    destinations: &mut Vec<TargetName>,
+) -> Option<TargetName> {
+    let request = state.requests.get(&request_number)?;
+    let is_permitted = |destination: &TargetName| {
+        let entry = state.directory.get(destination);
+        entry.is_some_and(|entry| eligibility::permits_zone(state, request, &entry.zone))
+    };
+    let index = destinations.iter().rposition(is_permitted)?;
+    Some(destinations.remove(index))
+}
+
+fn is_confined(state: &State, request_number: RequestNumber) -> bool {
+    let request = state.requests.get(&request_number);
+    request.is_some_and(|request| request.home_regions().is_confined())
+}
+
 fn sources(
     state: &State,
     now_ms: u64,
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -324,7 +324,14 @@
         return;
     };
     let mut targets = state.usable_targets(&request.pool);
+    let has_targets_anywhere = !targets.is_empty();
+    targets.retain(|(_, entry)| eligibility::permits_zone(state, request, &entry.zone));
     let has_targets = !targets.is_empty();
+    let reason_without_target = if has_targets_anywhere && !has_targets {
+        Reason::NoTargetAtHome
+    } else {
+        Reason::NoTarget
+    };
     targets.retain(|(_, entry)| request.continuation.permits(entry));
     if has_targets && targets.is_empty() {
         // Waiting doesn't help: the caller has to begin the stream anew.
@@ -346,7 +353,7 @@
         return refuse(
             state,
             request_number,
-            Reason::NoTarget,
+            reason_without_target,
             retry_after_ms,
             effects,
         );
@@ -397,7 +404,7 @@
         .into_iter()
         .filter(|(target, entry)| {
             !tried_targets.contains(*target)
-                && continuation.permits(entry)
+                && eligibility::permits_continuation(state, request, &continuation, entry)
                 && eligibility::takes_request(state, now_ms, target)
                 && !is_brittle_and_full(state, now_ms, request, (*target, *entry))
         })
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -7,6 +7,7 @@
 
 use crate::configuration::{Configuration, RetrySafety, Route};
 use crate::continuation::Continuation;
+use crate::home_regions::HomeRegions;
 use crate::peers::Load;
 use crate::poison_requests::Fingerprint;
 use crate::prompt_part::PartId;
@@ -122,6 +123,8 @@
     UnknownKey,
     /// No target of the pool accepts new work.
     NoTarget,
+    /// No target of the pool is in the home regions of the route and the organisation.
+    NoTargetAtHome,
     /// No target has the version of the software that began the stream.
     VersionGone,
     /// No host knows which version of the software began the stream.
@@ -154,6 +157,7 @@
             Reason::NoRoute => "no_route",
             Reason::UnknownKey => "unknown_key",
             Reason::NoTarget => "no_target",
+            Reason::NoTargetAtHome => "no_target_at_home",
             Reason::VersionGone => "version_gone",
             Reason::UnknownStream => "unknown_stream",
             Reason::TargetsFull => "targets_full",
@@ -330,4 +334,10 @@
     pub fn route(&self) -> &Route {
         &self.configuration.routes[self.route_index]
     }
+
+    /// Returns the regions to which it is confined.
+    pub fn home_regions(&self) -> HomeRegions<'_> {
+        let api_key = self.incoming.api_key.as_deref();
+        HomeRegions::new(&self.configuration, self.route(), api_key)
+    }
 }
--- a/crates/toucancleat-gateway/src/datagram.rs
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use toucancleat_fleet::brittle_targets::BrittleReports;
 use toucancleat_fleet::cold_targets::ColdReport;
+use toucancleat_fleet::configuration_change::ChangeAdditions;
 use toucancleat_fleet::contention::DemandReport;
 use toucancleat_fleet::evacuation::EvacuationReport;
 use toucancleat_fleet::peers::{Echo, Message, Update};
@@ -49,6 +50,13 @@
     demand: DemandReport,
 }
 
+/// The part that follows the operation: what the last release doesn't know of a change of the
+/// configuration. It is empty if the message has no such change.
+#[derive(Serialize, Deserialize)]
+struct ConfigurationExtension {
+    additions: ChangeAdditions,
+}
+
 /// Encodes the parts of a message that precede and follow the echo of each recipient.
 ///
 /// # Errors
@@ -77,10 +85,16 @@
     };
     let extension = postcard::to_stdvec(&extension)?;
     let extension = postcard::to_extend(&versions, extension)?;
+    let additions = match &message.update {
+        Some(Update::Configuration(change)) => change.additions(),
+        _ => ChangeAdditions::default(),
+    };
+    let configuration = ConfigurationExtension { additions };
     let extension = postcard::to_extend(&reports, extension)?;
+    let extension = postcard::to_extend(&operation, extension)?;
     Ok((
         postcard::to_stdvec(&message)?,
-        postcard::to_extend(&operation, extension)?,
+        postcard::to_extend(&configuration, extension)?,
     ))
 }
 
@@ -156,12 +170,27 @@
             message.path_reports = reports.path_reports;
             message.brittle_reports = reports.brittle_reports;
             if !rest.is_empty() {
-                let operation: OperationExtension = postcard::from_bytes(rest)?;
+                let (operation, rest) =
+                    postcard::take_from_bytes::<OperationExtension>(rest)?;
+                message.heeds_home_regions = true;
                 message.evacuations = operation.evacuations;
                 message.cold_reports = operation.cold_reports;
                 message.demand = operation.demand;
+                restore_change(&mut message, rest)?;
             }
         }
     }
     Ok(message)
 }
+
+/// Restores what the last release doesn't know of a change of the configuration.
+fn restore_change(message: &mut Message, rest: &[u8]) -> postcard::Result<()> {
+    let Some(Update::Configuration(change)) = &mut message.update else {
+        return Ok(());
+    };
+    if !rest.is_empty() {
+        let extension: ConfigurationExtension = postcard::from_bytes(rest)?;
+        change.restore(extension.additions);
+    }
+    Ok(())
+}
--- a/crates/toucancleat-gateway/src/lib.rs
+++ b/crates/toucancleat-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod error;
 mod handoff;
 mod host;
+pub mod log_interval;
 mod logging;
 mod memory;
 mod metrics;
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -56,6 +56,8 @@
     pub invalid_notices: Counter,
     /// Answers of the store whose era is invalid.
     pub invalid_eras: Counter,
+    /// Datagrams of peers that can't be decoded.
+    pub invalid_datagrams: Counter,
 }
 
 impl Metrics {
@@ -81,6 +83,7 @@
             poison_parts: Gauge::default(),
             invalid_notices: Counter::default(),
             invalid_eras: Counter::default(),
+            invalid_datagrams: Counter::default(),
         };
         metrics.register();
         metrics
@@ -164,6 +167,11 @@
             "Answers of the store whose era is invalid",
             self.invalid_eras.clone(),
         );
+        registry.register(
+            "invalid_datagrams",
+            "Datagrams of peers that can't be decoded",
+            self.invalid_datagrams.clone(),
+        );
     }
 
     /// Counts the outcome of a request.
--- a/crates/toucancleat-gateway/src/peers.rs
+++ b/crates/toucancleat-gateway/src/peers.rs
@@ -12,9 +12,10 @@
 use toucancleat_fleet::peers::{Message, Recipient};
 use toucancleat_fleet::stream_origin::OriginMessage;
 
-use crate::Error;
 use crate::datagram::{Datagram, decode, encode, encode_origin};
 use crate::host::Host;
+use crate::log_interval::LogInterval;
+use crate::{Error, clock};
 
 /// Maximum size in bytes of a received datagram.
 const DATAGRAM_MAX_BYTES: usize = 65_000;
@@ -46,6 +47,7 @@
 /// Receives the messages of peers and applies them to the reducer.
 pub async fn receive(host: Rc<Host>, socket: Socket) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    let mut invalid = LogInterval::default();
     loop {
         let (length, from) = match socket.0.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -60,7 +62,10 @@
                 host.apply(Event::OriginMessageReceived { from, message });
             }
             Err(error) => {
-                log::warn!(error:% = error; "could not decode a datagram; dropping it");
+                host.metrics.invalid_datagrams.inc();
+                if let Some(datagrams) = invalid.record(clock::now_ms()) {
+                    log::warn!(error:% = error, address:% = from, datagrams; "could not decode a datagram; dropping it");
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/toucancleat-gateway/tests/compatibility.rs
@@ -0,0 +1,161 @@
+//! Messages between hosts of this release and of earlier ones.
+//!
+//! tests/recorded has the messages that each release sent, as its own build encoded them. See
+//! docs/design/compatibility.md.
+
+use toucancleat_fleet::peers::{Message, Update};
+use toucancleat_gateway::datagram::{Datagram, decode, encode, encode_origin};
+
+/// A release, or what will be the next one.
+struct Release {
+    name: &'static str,
+    text: &'static str,
+    /// Whether it confines requests to home regions, and sends complete changes.
+    heeds_home_regions: bool,
+    /// Whether it knows parts of prompts that crash targets, paths, and brittle targets.
+    has_reports: bool,
+}
+
+const RELEASES: [Release; 3] = [
+    Release {
+        name: "ec54b7f",
+        text: include_str!("recorded/ec54b7f.txt"),
+        heeds_home_regions: false,
+        has_reports: false,
+    },
+    Release {
+        name: "2b1dfa5",
+        text: include_str!("recorded/2b1dfa5.txt"),
+        heeds_home_regions: false,
+        has_reports: true,
+    },
+    Release {
+        name: "next",
+        text: include_str!("recorded/next.txt"),
+        heeds_home_regions: true,
+        has_reports: true,
+    },
+];
+
+/// A message as a build encoded it, and what it held.
+struct Recorded {
+    name: &'static str,
+    bytes: Vec<u8>,
+    content: &'static str,
+}
+
+fn recorded(release: &Release) -> Vec<Recorded> {
+    let sections = release.text.split("== ").skip(1);
+    sections
+        .map(|section| {
+            let (name, rest) = section.split_once('\n').expect("a name");
+            let (digits, content) = rest.split_once("--\n").expect("a content");
+            let digits: String = digits.split_whitespace().collect();
+            let byte = |index| u8::from_str_radix(&digits[index..index + 2], 16);
+            let bytes = (0..digits.len()).step_by(2).map(byte);
+            Recorded {
+                name,
+                bytes: bytes.collect::<Result<_, _>>().expect("hexadecimal digits"),
+                content,
+            }
+        })
+        .collect()
+}
+
+/// Encodes a datagram as this build sends it.
+fn encode_datagram(datagram: &Datagram) -> Vec<u8> {
+    match datagram {
+        Datagram::Origin(message) => {
+            encode_origin(message).expect("a message that can be encoded")
+        }
+        Datagram::State(message) => {
+            let (body, extension) =
+                encode((**message).clone()).expect("a message that can be encoded");
+            let body = postcard::to_extend(&message.echo, body).expect("an echo");
+            [body, extension].concat()
+        }
+    }
+}
+
+/// Returns the first line of a recorded content that a message lacks. A message may have more
+/// lines, of fields that the release doesn't know.
+fn missing_line<'a>(content: &'a str, message: &str) -> Option<&'a str> {
+    let mut lines = message.lines();
+    content
+        .lines()
+        .find(|line| !lines.any(|candidate| candidate == *line))
+}
+
+/// Each message of an earlier release is decoded with the values that it had there, and
+/// this build's encoding of the same message begins with the same bytes: an earlier release
+/// decodes what it knows and ignores the rest.
+#[test]
+fn messages_of_earlier_releases_keep_their_encoding() {
+    for release in RELEASES {
+        let messages = recorded(&release);
+        let names: Vec<&str> = messages.iter().map(|message| message.name).collect();
+        let expected = ["targets", "configuration", "began", "query", "reply"];
+        assert_eq!(names, expected, "{}", release.name);
+        for message in messages {
+            let name = format!("{}: {}", release.name, message.name);
+            let decoded = decode(&message.bytes).expect("a message of a release");
+            let content = match &decoded {
+                Datagram::State(state) => format!("{state:#?}"),
+                Datagram::Origin(origin) => format!("{origin:#?}"),
+            };
+            assert_eq!(missing_line(message.content, &content), None, "{name}");
+            let encoded = encode_datagram(&decoded);
+            let begins_alike = encoded.starts_with(&message.bytes);
+            assert!(begins_alike, "{name}: {encoded:02x?}");
+            if release.name == "next" {
+                assert_eq!(encoded, message.bytes, "{name}: record it again");
+            }
+        }
+    }
+}
+
+/// What an earlier release doesn't send has its default, and is recognisable as not sent.
+#[test]
+fn what_earlier_releases_lack_is_absent() {
+    for release in RELEASES {
+        for message in recorded(&release) {
+            let name = format!("{}: {}", release.name, message.name);
+            let decoded = decode(&message.bytes).expect("a message of a release");
+            let Datagram::State(state) = decoded else {
+                continue;
+            };
+            let Message {
+                heeds_home_regions,
+                version_digest,
+                path_reports,
+                evacuations,
+                cold_reports,
+                demand,
+                update,
+                ..
+            } = *state;
+            assert_eq!(heeds_home_regions, release.heeds_home_regions, "{name}");
+            assert!(version_digest.is_some(), "{name}");
+            assert_eq!(!path_reports.is_empty(), release.has_reports, "{name}");
+            let has_operation = !evacuations.zones.is_empty()
+                && !cold_reports.is_empty()
+                && !demand.used_tokens.is_empty();
+            assert_eq!(has_operation, release.heeds_home_regions, "{name}");
+            if let Some(Update::Configuration(change)) = update {
+                assert_eq!(change.is_complete, release.heeds_home_regions, "{name}");
+            }
+        }
+    }
+}
+
+/// A datagram of a later release has more bytes behind all that this one knows.
+#[test]
+fn what_later_releases_add_is_ignored() {
+    for release in RELEASES.into_iter().skip(2) {
+        for message in recorded(&release) {
+            let later = [&message.bytes[..], &[1, 2, 3]].concat();
+            let name = message.name;
+            assert_eq!(decode(&later), decode(&message.bytes), "{name}");
+        }
+    }
+}
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -2,12 +2,18 @@
 
 use std::net::SocketAddr;
 
+use indexmap::IndexMap;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use toucancleat_fleet::brittle_targets::BrittleReports;
 use toucancleat_fleet::budget::RetryCounts;
 use toucancleat_fleet::cold_targets::ColdReport;
 use toucancleat_fleet::config::FleetConfig;
+use toucancleat_fleet::configuration::{
+    CallerLimits, Configuration, EngineCapabilities, Organisation, Pool, RetrySafety,
+    Route, WeightedPool,
+};
+use toucancleat_fleet::configuration_change::ConfigurationChange;
 use toucancleat_fleet::contention::DemandReport;
 use toucancleat_fleet::evacuation::EvacuationReport;
 use toucancleat_fleet::peers::{Echo, Load, Message, Update};
@@ -103,6 +109,7 @@
             waiting_tokens: vec![(PoolName::new("engines"), 0, 3_000)],
             used_tokens: vec![(OrganisationName::new("depot"), 9_000)],
         },
+        heeds_home_regions: true,
         addresses: vec![address],
         update: Some(Update::Targets(vec![
             change("i-1", Some(entry(Some(SoftwareVersion::new("v1"))))),
@@ -129,6 +136,83 @@
     assert_eq!(decode(&bytes), Ok(Datagram::State(Box::new(message))));
 }
 
+/// A change of the configuration, with what the last release doesn't know of it.
+fn change_message() -> Message {
+    let configuration = |version, homes: &[&str], rate_per_s| {
+        let home_regions: Vec<RegionName> =
+            homes.iter().map(|home| RegionName::new(home)).collect();
+        let route = Route {
+            kind: KindName::new("draft"),
+            hostname: "plans.example".to_owned(),
+            path_prefix: "/draft/".to_owned(),
+            retry_safety: RetrySafety::ResumableStream,
+            timeout_ms: 39_000,
+            latency_objective_ms: 1_800,
+            inter_event_objective_ms: 180,
+            priority: 1,
+            runs_max: 2,
+            is_public: false,
+            weighted_pools: vec![WeightedPool {
+                pool: PoolName::new("engines"),
+                weight: 1.0,
+            }],
+            home_regions: home_regions.clone(),
+        };
+        let organisation = Organisation {
+            name: OrganisationName::new("depot"),
+            priority: Some(0),
+            home_regions,
+        };
+        let pool = Pool {
+            engine: Some(EngineCapabilities {
+                slots: 24,
+                memory_tokens: 21_873,
+                event_tokens: 4,
+                can_migrate: true,
+            }),
+            cold_requests_per_s: rate_per_s,
+        };
+        Configuration {
+            version,
+            routes: vec![route],
+            pools: IndexMap::from([(PoolName::new("engines"), pool)]),
+            limits: CallerLimits::default(),
+            organisations: IndexMap::from([("key-1".to_owned(), organisation)]),
+        }
+    };
+    let before = configuration(3, &[], None);
+    let after = configuration(4, &["north", "south"], Some(2.5));
+    let change = ConfigurationChange::between(&before, &after).expect("it is small");
+    Message {
+        update: Some(Update::Configuration(Box::new(change))),
+        ..message()
+    }
+}
+
+/// A host that took a change of the last release as it is would let requests leave their home
+/// regions, so that change must not look complete.
+#[test]
+fn changes_of_the_configuration_carry_what_the_last_release_lacks() {
+    let message = change_message();
+    let (body, extension) = datagram(&message);
+    let whole = [body, extension].concat();
+    assert_eq!(
+        decode(&whole),
+        Ok(Datagram::State(Box::new(message.clone())))
+    );
+
+    let (body, _) = datagram(&message);
+    let Ok(Datagram::State(decoded)) = decode(&body) else {
+        panic!("expected a message of an earlier release");
+    };
+    assert!(!decoded.heeds_home_regions);
+    let Some(Update::Configuration(change)) = decoded.update else {
+        panic!("expected a change of the configuration");
+    };
+    assert!(!change.is_complete);
+    assert!(change.routes[0].home_regions.is_empty());
+}
+
 #[test]
 fn messages_about_origins_are_decoded() {
     let key = StreamKey::new(None, "attempt-1");
@@ -162,6 +246,47 @@
     }
 }
 
+/// Prints a message of each kind with its content, as tests/recorded holds them for each release.
+#[test]
+#[ignore = "records the messages of a release, see docs/design/compatibility.md"]
+#[allow(clippy::print_stdout, reason = "the output is what is recorded")]
+fn record_messages() {
+    let key = StreamKey::new(None, "attempt-1");
+    let origin = StreamOrigin {
+        pool: PoolName::new("engines"),
+        version: SoftwareVersion::new("v1"),
+    };
+    let began = OriginMessage::Began {
+        key,
+        origin: origin.clone(),
+        attempt: 1,
+        retention_ms: 11_000,
+    };
+    let reply = OriginMessage::Reply {
+        key,
+        origin: Some(origin),
+    };
+    let mut recorded = Vec::new();
+    for (name, message) in [("targets", message()), ("configuration", change_message())] {
+        let (body, extension) = datagram(&message);
+        let content = format!("{message:#?}");
+        recorded.push((name, [body, extension].concat(), content));
+    }
+    let query = OriginMessage::Query { key };
+    for (name, message) in [("began", began), ("query", query), ("reply", reply)] {
+        let bytes = encode_origin(&message).expect("a message that can be encoded");
+        recorded.push((name, bytes, format!("{message:#?}")));
+    }
+    for (name, bytes, content) in recorded {
+        println!("== {name}");
+        for line in bytes.chunks(40) {
+            let digits = line.iter().map(|byte| format!("{byte:02x}"));
+            println!("{}", digits.collect::<String>());
+        }
+        println!("--\n{content}");
+    }
+}
+
 /// Hosts of the release before the last send neither versions nor their digest.
 #[test]
 fn messages_of_the_release_before_the_last_are_decoded() {
@@ -190,6 +315,7 @@
         evacuations: EvacuationReport::default(),
         cold_reports: Vec::new(),
         demand: DemandReport::default(),
+        heeds_home_regions: false,
         ..message.clone()
     };
     let (mut bytes, _) = datagram(&message);
