--- a/crates/toucancleat-fleet/src/reduce/evacuation.rs
+++ b/crates/toucancleat-fleet/src/reduce/evacuation.rs
@@ -146,8 +146,10 @@
 /// Returns true if targets could run a request, and the zones of all of them are evacuated.
 pub(super) fn are_all_evacuated(state: &State, request: &Request) -> bool {
     let accepting = state.directory.accepting(&request.pool);
-    let mut could_run =
-        accepting.filter(|(_, entry)| request.continuation.permits(entry));
+    let mut could_run = accepting.filter(|(_, entry)| {
+        request.continuation.permits(entry)
+            && eligibility::permits_zone(state, request, &entry.zone)
+    });
     !state.evacuations.is_empty()
         && could_run.next().is_some()
         && eligibility::permitted_targets(state, request).is_empty()
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -97,6 +97,7 @@
         evacuations: state.evacuations.report(now_ms),
         cold_reports: state.cold_targets.own_reports(now_ms),
         demand: DemandReport::default(),
+        heeds_home_regions: true,
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -327,6 +327,8 @@
         return;
     };
     let mut targets = state.usable_targets(&request.pool);
+    let has_targets_anywhere = !targets.is_empty();
+    targets.retain(|(_, entry)| eligibility::permits_zone(state, request, &entry.zone));
     let has_targets = !targets.is_empty();
     if evacuation::are_all_evacuated(state, request) {
         let retry_after_ms = RETRY_AFTER_FULL_MIN_MS
@@ -339,6 +341,11 @@
             effects,
         );
     }
+    let reason_without_target = if has_targets_anywhere && !has_targets {
+        Reason::NoTargetAtHome
+    } else {
+        Reason::NoTarget
+    };
     targets.retain(|(_, entry)| request.continuation.permits(entry));
     if has_targets && targets.is_empty() {
         // Waiting doesn't help: the caller has to begin the stream anew.
@@ -360,7 +367,7 @@
         return refuse(
             state,
             request_number,
-            Reason::NoTarget,
+            reason_without_target,
             retry_after_ms,
             effects,
         );
@@ -411,7 +418,7 @@
         .into_iter()
         .filter(|(target, entry)| {
             !tried_targets.contains(*target)
-                && continuation.permits(entry)
+                && eligibility::permits_continuation(state, request, &continuation, entry)
                 && eligibility::takes_request(state, now_ms, target)
                 && !is_brittle_and_full(state, now_ms, request, (*target, *entry))
         })
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -7,6 +7,7 @@
 
 use crate::configuration::{Configuration, RetrySafety, Route};
 use crate::continuation::Continuation;
+use crate::home_regions::HomeRegions;
 use crate::peers::Load;
 use crate::poison_requests::Fingerprint;
 use crate::prompt_part::PartId;
@@ -126,6 +127,8 @@
     NoTarget,
     /// All targets that could run the request are in evacuated availability zones.
     ZonesEvacuated,
+    /// No target of the pool is in the home regions of the route and the organisation.
+    NoTargetAtHome,
     /// No target has the version of the software that began the stream.
     VersionGone,
     /// No host knows which version of the software began the stream.
@@ -159,6 +162,7 @@
             Reason::UnknownKey => "unknown_key",
             Reason::NoTarget => "no_target",
             Reason::ZonesEvacuated => "zones_evacuated",
+            Reason::NoTargetAtHome => "no_target_at_home",
             Reason::VersionGone => "version_gone",
             Reason::UnknownStream => "unknown_stream",
             Reason::TargetsFull => "targets_full",
@@ -339,4 +343,10 @@
     pub fn route(&self) -> &Route {
         &self.configuration.routes[self.route_index]
     }
+
+    /// Returns the regions to which it is confined.
+    pub fn home_regions(&self) -> HomeRegions<'_> {
+        let api_key = self.incoming.api_key.as_deref();
+        HomeRegions::new(&self.configuration, self.route(), api_key)
+    }
 }
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -62,6 +62,8 @@
     pub invalid_entries: Counter,
     /// Answers of the store whose era is invalid.
     pub invalid_eras: Counter,
+    /// Datagrams of peers that can't be decoded.
+    pub invalid_datagrams: Counter,
 }
 
 impl Metrics {
@@ -90,6 +92,7 @@
             invalid_notices: Counter::default(),
             invalid_entries: Counter::default(),
             invalid_eras: Counter::default(),
+            invalid_datagrams: Counter::default(),
         };
         metrics.register();
         metrics
@@ -188,6 +191,11 @@
             "Answers of the store whose era is invalid",
             self.invalid_eras.clone(),
         );
+        registry.register(
+            "invalid_datagrams",
+            "Datagrams of peers that can't be decoded",
+            self.invalid_datagrams.clone(),
+        );
     }
 
     /// Counts the outcome of a request.
