Specify evacuations and explore them

A specification of one zone, its evacuations and returns of the store to a copy found two faults of the first version. A late list with a zone that a later list lacked evacuated it again until the next list, and so did one in a new era while a lost row was held. A list now counts for the zones that it lacks, also if they aren't known or are held.

--- a/crates/toucancleat-fleet/src/evacuation.rs
+++ b/crates/toucancleat-fleet/src/evacuation.rs
@@ -94,6 +94,9 @@
     zones: IndexMap<ZoneName, KnownZone>,
     /// Number of zones that are evacuated, so that a host without any compares no names.
     evacuated: usize,
+    /// The position of the latest complete list. Zones that it lacks and that aren't known weren't
+    /// evacuated then.
+    listed_position: StorePosition,
     /// When these were last known to be the newest.
     confirmed_ms: Option<u64>,
 }
@@ -167,6 +170,10 @@
             changes.extend(missing);
         }
         changes.retain(|change| self.record(now_ms, change));
+        if let Some(version) = rows.complete_at {
+            let position = StorePosition { era, version };
+            self.listed_position = self.listed_position.max(position);
+        }
         changes
     }
 
@@ -192,7 +199,12 @@
     /// now and wasn't, or the other way round.
     fn record(&mut self, now_ms: u64, change: &ZoneChange) -> bool {
         let known = self.zones.get(&change.zone);
-        if known.is_some_and(|known| known.position >= change.position) {
+        let is_in_listed_era = change.position.era == self.listed_position.era;
+        let is_older_than_list =
+            is_in_listed_era && change.position < self.listed_position;
+        if is_older_than_list
+            || known.is_some_and(|known| known.position >= change.position)
+        {
             return false;
         }
         let was_evacuated = known.is_some_and(|known| known.is_evacuated);
--- a/crates/toucancleat-fleet/tests/evacuation_spread.rs
+++ b/crates/toucancleat-fleet/tests/evacuation_spread.rs
@@ -381,6 +381,14 @@
                 true,
             )],
         },
+        Case {
+            name: "a late list with a zone that the first list lacked",
+            steps: vec![
+                (1, list(45, &[]), false),
+                (1, list(44, &[row(40, true)]), false),
+                (1, feed(&[row(46, true)]), true),
+            ],
+        },
         Case {
             name: "a lower version of a later era",
             steps: vec![
--- a/crates/toucancleat-model/src/lib.rs
+++ b/crates/toucancleat-model/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod claims;
 pub mod delivery;
+pub mod evacuations;
 mod explore;
 pub mod orders;
 pub mod settings;
