Bound cold targets of pools with a rate only; keep shares of expired entries

Cause: targets of pools without a rate were reported to peers as well, and a cold target whose entry had expired lost its bound when the hosts changed, though it may still get requests.

Change: both.

--- a/crates/toucancleat-fleet/src/reduce/cold.rs
+++ b/crates/toucancleat-fleet/src/reduce/cold.rs
@@ -42,7 +42,8 @@
     }
     let is_first = !state.directory.is_known();
     for change in changes {
-        let Some(entry) = &change.entry else {
+        let entry = change.entry.as_ref();
+        let Some(entry) = entry.filter(|entry| is_bounded(state, &entry.pool)) else {
             continue;
         };
         let target = &change.target;
@@ -99,7 +100,8 @@
     if state.config.cold_bound.is_none() {
         return;
     }
-    let Some(entry) = state.directory.get(target) else {
+    let entry = state.directory.get(target);
+    let Some(entry) = entry.filter(|entry| is_bounded(state, &entry.pool)) else {
         return;
     };
     let started_unix_ms = entry.started_unix_ms;
@@ -133,7 +135,7 @@
     let in_zone = state
         .directory
         .iter()
-        .filter(|(_, entry)| entry.zone == *zone);
+        .filter(|(_, entry)| entry.zone == *zone && is_bounded(state, &entry.pool));
     let targets: Vec<(TargetName, Option<u64>)> = in_zone
         .map(|(target, entry)| (target.clone(), entry.started_unix_ms))
         .collect();
@@ -150,6 +152,15 @@
     }
 }
 
+/// Returns true unless cold targets of a pool are known to take any number of requests.
+fn is_bounded(state: &State, pool: &PoolName) -> bool {
+    let configuration = state.configuration.as_ref();
+    configuration.is_none_or(|known| {
+        let pool = known.pools.get(pool);
+        pool.is_some_and(|pool| pool.cold_requests_per_s.is_some())
+    })
+}
+
 /// Returns what the shares depend on, apart from the targets.
 fn share_basis(state: &State) -> (u64, Option<u64>, bool) {
     (
@@ -167,8 +178,12 @@
     target: &TargetName,
     entry: Option<&TargetEntry>,
 ) {
+    let expired = || state.expired_entries.get(target).map(|(entry, _)| entry);
     let entry = entry.or_else(|| state.directory.get(target));
-    let share_per_s = entry.and_then(|entry| share_per_s(state, target, entry));
+    let Some(entry) = entry.or_else(expired) else {
+        return;
+    };
+    let share_per_s = share_per_s(state, target, entry);
     state
         .cold_targets
         .set_share_per_s(now_ms, target, share_per_s);
