Give room in one order over all hosts while engines are full

An arriving request took free room without a look at those that wait, and a waiting one was refused after an eighth of its objective with a random time to retry after. So less urgent newcomers overtook urgent requests, prompts queued at engines past the objective of short answers, and callers that were refused first didn't return first.

Hosts tell each other what waits by pool and rank, and what they have observed of the speed of the targets. A request is sent if the room of the zone suffices for those before it; prompts at an engine are bounded by the time until answers are due; a request waits while its answer can be in time; refused callers get times in order. Organisations that use more than their max-min share come after others of their priority.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -6,6 +6,7 @@
 use toucancleat_core::prelude::*;
 
 use crate::configuration::Configuration;
+use crate::contention::RoomCause;
 use crate::peers::{Message, Recipient};
 use crate::prompt_part::PartId;
 use crate::request::{
@@ -318,6 +319,25 @@
         /// How it is known.
         source: OriginSource,
     },
+    /// A request was refused since there was no room for it.
+    RoomRefused {
+        /// The id of the caller's attempt.
+        attempt_id: Arc<str>,
+        /// The pool.
+        pool: PoolName,
+        /// The organisation.
+        organisation: Option<OrganisationName>,
+        /// In whose favour it was refused.
+        cause: RoomCause,
+        /// Its place in the order; the lowest gets room first.
+        rank: u8,
+        /// How long it has waited.
+        waited_ms: u64,
+        /// Tokens of the requests that come before it.
+        ahead_tokens: u64,
+        /// Tokens that are free for requests like it.
+        free_tokens: u64,
+    },
     /// The store has returned to a copy.
     StoreEraChanged {
         /// The era.
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -37,6 +37,7 @@
 
 pub mod brittle_targets;
 pub mod budget;
+pub mod claim;
 pub mod cold_targets;
 pub mod config;
 pub mod configuration;
@@ -51,6 +52,7 @@
 pub mod host_ring;
 pub mod migration;
 pub mod migration_plan;
+pub mod organisation_share;
 pub mod peers;
 pub mod poison_parts;
 pub mod poison_requests;
@@ -61,6 +63,7 @@
 mod reduce;
 pub mod request;
 pub mod selection;
+pub mod service_rate;
 pub mod state;
 pub mod store;
 pub mod stream_origin;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -271,6 +271,7 @@
                 part_reports: PartReports::default(),
                 brittle_reports: BrittleReports::default(),
                 cold_reports: Vec::new(),
+                demand: DemandReport::default(),
                 ..message
             },
             is_counted: true,
@@ -392,6 +393,15 @@
         message_interval_ms(in_zone.count())
     }
 
+    /// Returns how many hosts of a zone may be running, including this one.
+    pub fn zone_size(&self, zone: &ZoneName) -> usize {
+        let in_zone = self
+            .peers
+            .values()
+            .filter(|peer| peer.last_message.zone == *zone);
+        in_zone.count() + 1
+    }
+
     fn silence_limit_ms(&self) -> u64 {
         SILENCE_LIMIT_INTERVALS * self.interval_ms()
     }
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -1,8 +1,7 @@
 //! Sends messages to peers and handles those received from them.
 
 use super::requests::log_part_changes;
-use super::{notices, store_sync};
-use crate::contention::DemandReport;
+use super::{contention, notices, store_sync};
 use crate::evacuation::EvacuationReport;
 use crate::event::Effect;
 use crate::peers::{
@@ -24,7 +23,9 @@
     let must_announce = state.announce_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
     if is_due || must_announce || state.has_unsent_load || state.must_broadcast {
         broadcast(state, now_ms, None, effects);
-    } else if now_ms.saturating_sub(state.last_zone_send_ms) >= zone_interval_ms {
+    } else if now_ms.saturating_sub(state.last_zone_send_ms) >= zone_interval_ms
+        || state.contention.has_unsent_demand
+    {
         let recipients = state.peers.recipients(now_ms, Some(&zone));
         send(state, now_ms, recipients, None, effects);
     }
@@ -63,6 +64,7 @@
     effects: &mut Vec<Effect>,
 ) {
     state.last_zone_send_ms = now_ms;
+    state.contention.has_unsent_demand = false;
     if recipients.is_empty() {
         return;
     }
@@ -97,7 +99,7 @@
         brittle_reports: state.brittle_targets.own_reports(now_ms),
         evacuations: EvacuationReport::default(),
         cold_reports: Vec::new(),
-        demand: DemandReport::default(),
+        demand: contention::own_report(state, now_ms),
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
@@ -135,6 +137,12 @@
         log_part_changes(&changes, effects);
         compare_versions(state, now_ms, &message);
         notices::handle_reports(state, now_ms, &message, effects);
+        state.contention.record_report(
+            now_ms,
+            &message.from,
+            &message.zone,
+            &message.demand,
+        );
         state
             .peers
             .record_message(now_ms, state.identity.address, message);
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -1,5 +1,6 @@
 //! The reducer over all events of an entry host.
 
+mod contention;
 mod eligibility;
 mod handoff;
 mod messages;
@@ -24,6 +25,7 @@
             notices::tick(state, now_ms, effects);
             origins::tick(state, now_ms, effects);
             handoff::tick(state, now_ms, effects);
+            contention::tick(state, now_ms);
             placement::tick(state, now_ms, effects);
             messages::tick(state, now_ms, effects);
         }
@@ -106,7 +108,7 @@
             }
         }
         Event::RequestClosed { request_number } => {
-            requests::handle_close(state, request_number)
+            requests::handle_close(state, now_ms, request_number)
         }
         Event::StopRequested => {
             state.stopping_since_ms.get_or_insert(now_ms);
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -5,9 +5,10 @@
 use super::requests::{
     ATTEMPT_MIN_MS, RETRY_AFTER_LONG_MS, RETRY_AFTER_SHORT_MS, refuse,
 };
-use super::{eligibility, handoff, messages, origins};
+use super::{contention, eligibility, handoff, messages, origins};
 use crate::brittle_targets::Occupancy;
 use crate::configuration::RetrySafety;
+use crate::contention::Decision;
 use crate::continuation::Continuation;
 use crate::event::Effect;
 use crate::peers::Load;
@@ -16,12 +17,12 @@
 use crate::state::{State, random_unit};
 use crate::target::TargetEntry;
 
-/// Divisor of the latency objective that yields the maximum time for which a request is
-/// queued. A caller that is refused within that time loses little by retrying.
+/// Divisor of the latency objective that yields the maximum time for which a request for
+/// brittle targets is queued. A caller that is refused within that time loses little by
+/// retrying.
 const QUEUE_TIME_DIVISOR: u64 = 8;
 
-/// Minimum delay after which a caller may retry if all engines are full; about the
-/// remaining duration of a long stream.
+/// Minimum delay after which a caller may retry if all brittle targets are full.
 const RETRY_AFTER_FULL_MIN_MS: u64 = 2_000;
 
 /// Range of the random delay added to the minimum, so that callers don't retry all at
@@ -71,84 +72,85 @@
     let Some(request) = state.requests.get(&request_number) else {
         return;
     };
-    if has_room(state, now_ms, request, ZoneScope::OwnZone) {
+    let configuration = request.configuration.clone();
+    let Some(engine) = configuration.engine(&request.pool) else {
+        return place_if_brittle(state, now_ms, request_number, effects);
+    };
+    match contention::decide_on(state, now_ms, request_number, request, engine) {
+        Decision::Dispatch => dispatch(state, now_ms, request_number, effects),
+        Decision::Wait => {
+            state.contention.has_unsent_demand |= request.arrived_ms == now_ms;
+            state.queue.push(request_number);
+        }
+        Decision::Refuse => {
+            contention::refuse_for_room(state, now_ms, request_number, engine, effects);
+        }
+    }
+}
+
+/// Dispatches a request to a target that isn't an engine, or queues it while all are brittle and
+/// full.
+fn place_if_brittle(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.get(&request_number) else {
+        return;
+    };
+    if has_room_if_brittle(state, now_ms, request) {
         return dispatch(state, now_ms, request_number, effects);
     }
     let objective_ms = request.route().latency_objective_ms;
     let waited_ms = now_ms.saturating_sub(request.arrived_ms);
     if waited_ms < objective_ms / QUEUE_TIME_DIVISOR {
         state.queue.push(request_number);
-    } else if has_room(state, now_ms, request, ZoneScope::OtherZones) {
-        dispatch(state, now_ms, request_number, effects);
-    } else {
-        let retry_after_ms = RETRY_AFTER_FULL_MIN_MS
-            + (random_unit(&mut state.rng_state) * RETRY_AFTER_FULL_SPREAD_MS) as u64;
-        refuse(
-            state,
-            request_number,
-            Reason::TargetsFull,
-            Some(retry_after_ms),
-            effects,
-        );
+        return;
     }
+    let retry_after_ms = RETRY_AFTER_FULL_MIN_MS
+        + (random_unit(&mut state.rng_state) * RETRY_AFTER_FULL_SPREAD_MS) as u64;
+    refuse(
+        state,
+        request_number,
+        Reason::TargetsFull,
+        Some(retry_after_ms),
+        effects,
+    );
 }
 
 /// Dispatches the queued requests that now have room, the most urgent first.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
-    let mut waiting = std::mem::take(&mut state.queue);
-    waiting.retain(|request_number| state.requests.contains_key(request_number));
-    waiting.sort_by_key(|request_number| {
-        let request = &state.requests[request_number];
-        let due_ms = request.arrived_ms + request.route().latency_objective_ms;
-        (request.priority, due_ms)
+    let requests = &state.requests;
+    state
+        .queue
+        .retain(|request_number| requests.contains_key(request_number));
+    let mut waiting = state.queue.clone();
+    waiting.sort_by_cached_key(|request_number| {
+        contention::order(state, now_ms, *request_number)
     });
     for request_number in waiting {
+        // The others stay in the queue, since messages report what waits.
+        state.queue.retain(|queued| *queued != request_number);
         place(state, now_ms, request_number, effects);
     }
 }
 
 /// Zones whose engines are considered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ZoneScope {
+pub(super) enum ZoneScope {
     OwnZone,
     OtherZones,
 }
 
-/// Returns true if a request can start at some target now.
-///
-/// Targets that aren't engines have no memory limit. If no engine of the own zone works and
-/// takes requests of this host, this returns true for that zone, since waiting for room there
-/// would be pointless.
-fn has_room(state: &State, now_ms: u64, request: &Request, scope: ZoneScope) -> bool {
-    let Some(engine) = request.configuration.engine(&request.pool) else {
-        return has_room_if_brittle(state, now_ms, request);
-    };
-    let share = match (scope, request.route().retry_safety) {
+/// Returns the share of an engine's memory up to which it takes a request.
+pub(super) fn memory_share(request: &Request, scope: ZoneScope) -> f64 {
+    match (scope, request.route().retry_safety) {
         _ if request.continuation != Continuation::AnyVersion => CONTINUED_STREAM_SHARE,
         (ZoneScope::OtherZones, _) => OTHER_ZONE_SHARE,
         (ZoneScope::OwnZone, RetrySafety::AtMostOnceStream) => LONG_STREAM_SHARE,
         (ZoneScope::OwnZone, _) => SHORT_STREAM_SHARE,
-    };
-    let tokens = request.memory_tokens();
-    let memory_limit = (share * engine.memory_tokens as f64) as u64;
-    let own_zone = &state.identity.zone;
-    let mut targets = state
-        .directory
-        .accepting(&request.pool)
-        .filter(|(target, entry)| {
-            (entry.zone == *own_zone) == (scope == ZoneScope::OwnZone)
-                && eligibility::permits(state, request, entry)
-                && !state.health.is_ejected(now_ms, target)
-                && eligibility::takes_request(state, now_ms, target)
-        })
-        .peekable();
-    if targets.peek().is_none() {
-        return scope == ZoneScope::OwnZone;
     }
-    targets.any(|(target, entry)| {
-        load_at(state, target).tokens.saturating_add(tokens) <= memory_limit
-            && !is_brittle_and_full(state, now_ms, request, (target, entry))
-    })
 }
 
 /// Returns true unless the targets of a request's pool are brittle and all are full.
@@ -161,7 +163,7 @@
 
 /// Returns true if a target would have to let a request wait, or turn it away, and may fall over
 /// for that.
-fn is_brittle_and_full(
+pub(super) fn is_brittle_and_full(
     state: &State,
     now_ms: u64,
     request: &Request,
@@ -244,11 +246,13 @@
     };
     let has_alternative =
         has_alternative(state, now_ms, request_number, &selection.target);
+    let pending_tokens = load_at(state, &selection.target).prefill_tokens;
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
     };
     request.attempts += 1;
     request.dispatched_ms = now_ms;
+    request.prefill_at_dispatch = pending_tokens + request.load().prefill_tokens;
     request.tried_targets.push(selection.target.clone());
     let added = request.load();
     request.placement = Some((selection.target.clone(), added));
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -4,7 +4,7 @@
 
 use super::migration::release_destination;
 use super::placement::{dispatch, place};
-use super::{handoff, messages, origins};
+use super::{contention, handoff, messages, origins};
 use crate::budget::RetryBound;
 use crate::config::EXIT_RESERVE_MS;
 use crate::configuration::{RetrySafety, Route};
@@ -155,6 +155,7 @@
         tried_targets: Vec::new(),
         tried_hosts: Vec::new(),
         dispatched_ms: now_ms,
+        prefill_at_dispatch: 0,
         runs: 0,
         attempts: 0,
         verdict: Verdict::NotRun,
@@ -193,6 +194,9 @@
         return;
     };
     if events > 0 {
+        if request.answering_since_ms.is_none() && request.generated_tokens == 0 {
+            contention::record_first_event(&mut state.contention, now_ms, request);
+        }
         let since_ms = *request.answering_since_ms.get_or_insert(now_ms);
         if now_ms.saturating_sub(since_ms) >= SOUND_AFTER_MS {
             let parts = &request.incoming.shared_parts;
@@ -496,7 +500,12 @@
 }
 
 /// Removes a request and the load that is counted for it.
-pub(super) fn handle_close(state: &mut State, request_number: RequestNumber) {
+pub(super) fn handle_close(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+) {
+    contention::record_end(state, now_ms, request_number);
     let is_stream = |request: &Request| request.route().retry_safety.is_stream();
     if state
         .requests
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -278,6 +278,8 @@
     pub tried_hosts: Vec<HostName>,
     /// When it was last sent to a target.
     pub dispatched_ms: u64,
+    /// Prompt tokens that its target had to prefill then, its own included.
+    pub prefill_at_dispatch: u64,
     /// Number of attempts that may have run it.
     pub runs: u32,
     /// Number of all attempts.
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -10,6 +10,7 @@
 use crate::budget::RetryBudget;
 use crate::config::FleetConfig;
 use crate::configuration::Configuration;
+use crate::contention::Contention;
 use crate::departures::Departures;
 use crate::health::HealthTable;
 use crate::peers::{Load, Peers};
@@ -129,6 +130,7 @@
     pub(crate) host_list_confirmed_ms: Option<u64>,
     pub(crate) target_notices: TargetNotices,
     pub(crate) brittle_targets: BrittleTargets,
+    pub(crate) contention: Contention,
     /// When this host's shares of the targets' limits are computed next.
     pub(crate) shares_due_ms: u64,
     /// Whether peers have to learn of something before the next periodic message.
@@ -190,6 +192,7 @@
             host_list_confirmed_ms: None,
             target_notices: TargetNotices::default(),
             brittle_targets: BrittleTargets::default(),
+            contention: Contention::default(),
             shares_due_ms: 0,
             must_broadcast: false,
             requests: IndexMap::new(),
@@ -236,6 +239,17 @@
         self.pool_paths.lost_count()
     }
 
+    /// Returns the number of requests that wait for room.
+    pub fn waiting_requests(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the number of organisations that use more than their share of a pool for which
+    /// requests wait.
+    pub fn organisations_over_share(&self) -> usize {
+        self.contention.over_share_count()
+    }
+
     /// Returns the number of parts of prompts with which requests are refused.
     pub fn poison_parts(&self, now_ms: u64) -> usize {
         self.poison_parts.poison_count(now_ms)
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -157,6 +157,16 @@
         self.state.borrow().configuration().is_some()
     }
 
+    /// Returns the number of requests that wait for room.
+    pub fn waiting_requests(&self) -> usize {
+        self.state.borrow().waiting_requests()
+    }
+
+    /// Returns the number of organisations that use more than their share of a pool.
+    pub fn organisations_over_share(&self) -> usize {
+        self.state.borrow().organisations_over_share()
+    }
+
     /// Returns the number of targets that limit the rate of requests.
     pub fn limited_targets(&self) -> usize {
         self.state.borrow().limited_targets()
@@ -286,7 +296,12 @@
             Effect::ApplyConfiguration(configuration) => {
                 self.apply_configuration(&configuration)
             }
-            Effect::Log(event) => log_event(&event),
+            Effect::Log(event) => {
+                if let LogEvent::RoomRefused { cause, .. } = &event {
+                    self.metrics.count_room_refusal(cause.as_str());
+                }
+                log_event(&event);
+            }
             _ => {}
         }
     }
@@ -449,6 +464,19 @@
         } => {
             log::info!(request:% = attempt_id, target_version:% = version, source = source.as_str(); "stream resumed by its caller; it continues at the version that began it");
         }
+        LogEvent::RoomRefused {
+            attempt_id,
+            pool,
+            organisation,
+            cause,
+            rank,
+            waited_ms,
+            ahead_tokens,
+            free_tokens,
+        } => {
+            let organisation = organisation.as_ref().map_or("", |name| name.as_str());
+            log::info!(request:% = attempt_id, pool:% = pool, organisation, cause = cause.as_str(), rank, waited_ms, ahead_tokens, free_tokens; "no room in time for a request");
+        }
         LogEvent::StoreEraChanged { era, era_before } => {
             log::warn!(era, era_before; "the platform's store has returned to a copy; reading it completely");
         }
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -20,6 +20,13 @@
     pub outcome: &'static str,
 }
 
+/// The label by which refusals for want of room are counted.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct CauseLabel {
+    /// The name of the cause.
+    pub cause: &'static str,
+}
+
 /// All metrics of one host.
 #[derive(Debug)]
 pub struct Metrics {
@@ -32,6 +39,12 @@
     pub migrations: Family<OutcomeLabel, Counter>,
     /// Requests that were handed off to peers, by outcome.
     pub handoffs: Family<OutcomeLabel, Counter>,
+    /// Requests that were refused since there was no room, by cause.
+    pub room_refusals: Family<CauseLabel, Counter>,
+    /// Requests that wait for room.
+    pub waiting_requests: Gauge,
+    /// Organisations that use more than their share of a pool for which requests wait.
+    pub organisations_over_share: Gauge,
     /// Pools to which this host has no path.
     pub lost_paths: Gauge,
     /// Time to a complete answer that isn't a stream, in seconds.
@@ -69,6 +82,9 @@
             attempts: Family::default(),
             migrations: Family::default(),
             handoffs: Family::default(),
+            room_refusals: Family::default(),
+            waiting_requests: Gauge::default(),
+            organisations_over_share: Gauge::default(),
             lost_paths: Gauge::default(),
             answer_s: histogram(),
             first_event_s: histogram(),
@@ -104,6 +120,21 @@
             "Requests handed off to peers by their end",
             self.handoffs.clone(),
         );
+        registry.register(
+            "room_refusals",
+            "Requests refused since there was no room, by cause",
+            self.room_refusals.clone(),
+        );
+        registry.register(
+            "waiting_requests",
+            "Requests that wait for room",
+            self.waiting_requests.clone(),
+        );
+        registry.register(
+            "organisations_over_share",
+            "Organisations that use more than their share while requests wait",
+            self.organisations_over_share.clone(),
+        );
         registry.register(
             "lost_paths",
             "Pools to which this host has no path",
@@ -181,6 +212,13 @@
         self.handoffs.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a request that was refused since there was no room.
+    pub fn count_room_refusal(&self, cause: &'static str) {
+        self.room_refusals
+            .get_or_create(&CauseLabel { cause })
+            .inc();
+    }
+
     /// Counts the outcome of a migration.
     pub fn count_migration(&self, outcome: &'static str) {
         self.migrations
@@ -193,6 +231,10 @@
 pub fn respond(host: &Host) -> Response<Full<Bytes>> {
     let limited_targets = i64::try_from(host.limited_targets()).unwrap_or(i64::MAX);
     host.metrics.limited_targets.set(limited_targets);
+    let waiting_requests = i64::try_from(host.waiting_requests()).unwrap_or(i64::MAX);
+    host.metrics.waiting_requests.set(waiting_requests);
+    let over_share = i64::try_from(host.organisations_over_share()).unwrap_or(i64::MAX);
+    host.metrics.organisations_over_share.set(over_share);
     let stream_origins = i64::try_from(host.kept_origins()).unwrap_or(i64::MAX);
     host.metrics.stream_origins.set(stream_origins);
     let lost_paths = i64::try_from(host.lost_paths()).unwrap_or(i64::MAX);
