Merge the order of requests under contention, for deployments that ask for it

Change: it is in force where the platform's rules say that callers compete for room (FleetConfig::orders_contention). Elsewhere requests are placed and queued as by the last release, and the test full_fleet_refuses_soon_and_spreads_retries of that is as it was. The recorded messages are checked by a test that isn't ignored; the messages of the next release are recorded again.

--- a/crates/toucancleat-fleet/src/config.rs
+++ b/crates/toucancleat-fleet/src/config.rs
@@ -29,6 +29,9 @@
     /// Time after the evacuation of an availability zone from which no request may be sent to
     /// its targets, if the deployment evacuates zones.
     pub evacuation_bound_ms: Option<u64>,
+    /// Whether requests get room in the order of their claims over all hosts while engines are
+    /// full. See docs/design/contention.md.
+    pub orders_contention: bool,
 }
 
 /// Bound on the requests that all hosts together send to a cold target in one second, given the
@@ -53,6 +56,7 @@
             regions: IndexMap::new(),
             cold_bound: None,
             evacuation_bound_ms: None,
+            orders_contention: false,
         }
     }
 }
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -1,8 +1,7 @@
 //! Sends messages to peers and handles those received from them.
 
 use super::requests::log_part_changes;
-use super::{cold, evacuation, notices, store_sync};
-use crate::contention::DemandReport;
+use super::{cold, contention, evacuation, notices, store_sync};
 use crate::event::Effect;
 use crate::peers::{
     ANNOUNCEMENT_SPREAD_PER_HOST_MS, Message, Recipient, Update, earliest_send_ms,
@@ -23,7 +22,9 @@
     let must_announce = state.announce_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
     if is_due || must_announce || state.has_unsent_load || state.must_broadcast {
         broadcast(state, now_ms, None, effects);
-    } else if now_ms.saturating_sub(state.last_zone_send_ms) >= zone_interval_ms {
+    } else if now_ms.saturating_sub(state.last_zone_send_ms) >= zone_interval_ms
+        || state.contention.has_unsent_demand
+    {
         let recipients = state.peers.recipients(now_ms, Some(&zone));
         send(state, now_ms, recipients, None, effects);
     }
@@ -62,6 +63,7 @@
     effects: &mut Vec<Effect>,
 ) {
     state.last_zone_send_ms = now_ms;
+    state.contention.has_unsent_demand = false;
     if recipients.is_empty() {
         return;
     }
@@ -96,7 +98,7 @@
         brittle_reports: state.brittle_targets.own_reports(now_ms),
         evacuations: state.evacuations.report(now_ms),
         cold_reports: state.cold_targets.own_reports(now_ms),
-        demand: DemandReport::default(),
+        demand: contention::own_report(state, now_ms),
         heeds_home_regions: true,
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
@@ -137,6 +139,12 @@
         compare_versions(state, now_ms, &message);
         notices::handle_reports(state, now_ms, &message, effects);
         cold::handle_reports(state, now_ms, &message, effects);
+        state.contention.record_report(
+            now_ms,
+            &message.from,
+            &message.zone,
+            &message.demand,
+        );
         state
             .peers
             .record_message(now_ms, state.identity.address, message);
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -5,9 +5,10 @@
 use super::requests::{
     ATTEMPT_MIN_MS, RETRY_AFTER_LONG_MS, RETRY_AFTER_SHORT_MS, refuse,
 };
-use super::{eligibility, evacuation, handoff, messages, origins};
+use super::{contention, eligibility, evacuation, handoff, messages, origins};
 use crate::brittle_targets::Occupancy;
-use crate::configuration::RetrySafety;
+use crate::configuration::{EngineCapabilities, RetrySafety};
+use crate::contention::Decision;
 use crate::continuation::Continuation;
 use crate::event::Effect;
 use crate::peers::Load;
@@ -68,6 +69,49 @@
     {
         return;
     }
+    let Some(request) = state.requests.get(&request_number) else {
+        return;
+    };
+    let configuration = request.configuration.clone();
+    match configuration.engine(&request.pool) {
+        Some(engine) if state.config.orders_contention => {
+            place_by_claim(state, now_ms, request_number, engine, effects);
+        }
+        _ => place_or_queue(state, now_ms, request_number, effects),
+    }
+}
+
+/// Decides on a request for an engine by its claim to room.
+fn place_by_claim(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    engine: &EngineCapabilities,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.get(&request_number) else {
+        return;
+    };
+    match contention::decide_on(state, now_ms, request_number, request, engine) {
+        Decision::Dispatch => dispatch(state, now_ms, request_number, effects),
+        Decision::Wait => {
+            state.contention.has_unsent_demand |= request.arrived_ms == now_ms;
+            state.queue.push(request_number);
+        }
+        Decision::Refuse => {
+            contention::refuse_for_room(state, now_ms, request_number, engine, effects);
+        }
+    }
+}
+
+/// Dispatches a request if a target has room, and queues it otherwise for a part of its
+/// objective.
+fn place_or_queue(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    effects: &mut Vec<Effect>,
+) {
     let Some(request) = state.requests.get(&request_number) else {
         return;
     };
@@ -95,25 +139,46 @@
 
 /// Dispatches the queued requests that now have room, the most urgent first.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
-    let mut waiting = std::mem::take(&mut state.queue);
-    waiting.retain(|request_number| state.requests.contains_key(request_number));
-    waiting.sort_by_key(|request_number| {
-        let request = &state.requests[request_number];
-        let due_ms = request.arrived_ms + request.route().latency_objective_ms;
-        (request.priority, due_ms)
-    });
+    let requests = &state.requests;
+    state
+        .queue
+        .retain(|request_number| requests.contains_key(request_number));
+    let mut waiting = state.queue.clone();
+    if state.config.orders_contention {
+        waiting.sort_by_cached_key(|request_number| {
+            contention::order(state, now_ms, *request_number)
+        });
+    } else {
+        waiting.sort_by_key(|request_number| {
+            let request = &state.requests[request_number];
+            let due_ms = request.arrived_ms + request.route().latency_objective_ms;
+            (request.priority, due_ms)
+        });
+    }
     for request_number in waiting {
+        // The others stay in the queue, since messages report what waits.
+        state.queue.retain(|queued| *queued != request_number);
         place(state, now_ms, request_number, effects);
     }
 }
 
 /// Zones whose engines are considered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ZoneScope {
+pub(super) enum ZoneScope {
     OwnZone,
     OtherZones,
 }
 
+/// Returns the share of an engine's memory up to which it takes a request.
+pub(super) fn memory_share(request: &Request, scope: ZoneScope) -> f64 {
+    match (scope, request.route().retry_safety) {
+        _ if request.continuation != Continuation::AnyVersion => CONTINUED_STREAM_SHARE,
+        (ZoneScope::OtherZones, _) => OTHER_ZONE_SHARE,
+        (ZoneScope::OwnZone, RetrySafety::AtMostOnceStream) => LONG_STREAM_SHARE,
+        (ZoneScope::OwnZone, _) => SHORT_STREAM_SHARE,
+    }
+}
+
 /// Returns true if a request can start at some target now.
 ///
 /// Targets that aren't engines have no memory limit. If no engine of the own zone works and
@@ -123,14 +188,9 @@
     let Some(engine) = request.configuration.engine(&request.pool) else {
         return has_room_if_brittle(state, now_ms, request);
     };
-    let share = match (scope, request.route().retry_safety) {
-        _ if request.continuation != Continuation::AnyVersion => CONTINUED_STREAM_SHARE,
-        (ZoneScope::OtherZones, _) => OTHER_ZONE_SHARE,
-        (ZoneScope::OwnZone, RetrySafety::AtMostOnceStream) => LONG_STREAM_SHARE,
-        (ZoneScope::OwnZone, _) => SHORT_STREAM_SHARE,
-    };
     let tokens = request.memory_tokens();
-    let memory_limit = (share * engine.memory_tokens as f64) as u64;
+    let memory_limit =
+        (memory_share(request, scope) * engine.memory_tokens as f64) as u64;
     let own_zone = evacuation::preferred_zone(state, request);
     let mut targets = state
         .directory
@@ -161,7 +221,7 @@
 
 /// Returns true if a target would have to let a request wait, or turn it away, and may fall over
 /// for that.
-fn is_brittle_and_full(
+pub(super) fn is_brittle_and_full(
     state: &State,
     now_ms: u64,
     request: &Request,
@@ -245,11 +305,13 @@
     };
     let has_alternative =
         has_alternative(state, now_ms, request_number, &selection.target);
+    let pending_tokens = load_at(state, &selection.target).prefill_tokens;
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
     };
     request.attempts += 1;
     request.dispatched_ms = now_ms;
+    request.prefill_at_dispatch = pending_tokens + request.load().prefill_tokens;
     request.tried_targets.push(selection.target.clone());
     let added = request.load();
     request.placement = Some((selection.target.clone(), added));
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -11,6 +11,7 @@
 use crate::cold_targets::ColdTargets;
 use crate::config::FleetConfig;
 use crate::configuration::Configuration;
+use crate::contention::Contention;
 use crate::departures::Departures;
 use crate::evacuation::Evacuations;
 use crate::health::HealthTable;
@@ -135,6 +136,7 @@
     pub(crate) cold_targets: ColdTargets,
     /// What the shares of cold targets were last computed from.
     pub(crate) cold_share_basis: (u64, Option<u64>, bool),
+    pub(crate) contention: Contention,
     /// When this host's shares of the targets' limits are computed next.
     pub(crate) shares_due_ms: u64,
     /// Whether peers have to learn of something before the next periodic message.
@@ -200,6 +202,7 @@
             evacuations: Evacuations::default(),
             cold_targets: ColdTargets::default(),
             cold_share_basis: (0, None, false),
+            contention: Contention::default(),
             shares_due_ms: 0,
             must_broadcast: false,
             requests: IndexMap::new(),
@@ -251,6 +254,17 @@
         self.pool_paths.lost_count()
     }
 
+    /// Returns the number of requests that wait for room.
+    pub fn waiting_requests(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the number of organisations that use more than their share of a pool for which
+    /// requests wait.
+    pub fn organisations_over_share(&self) -> usize {
+        self.contention.over_share_count()
+    }
+
     /// Returns the number of parts of prompts with which requests are refused.
     pub fn poison_parts(&self, now_ms: u64) -> usize {
         self.poison_parts.poison_count(now_ms)
--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -1,6 +1,7 @@
 //! A fleet of hosts whose messages are delivered at once.
 
 use indexmap::{IndexMap, IndexSet};
+use toucancleat_fleet::config::FleetConfig;
 use toucancleat_fleet::event::Effect;
 use toucancleat_fleet::peers::Message;
 use toucancleat_fleet::prelude::*;
@@ -40,10 +41,22 @@
     /// Creates hosts, assigned to the zones in turn, that know the targets and each
     /// other.
     pub fn new(size: u16, zones: &[&str], targets: &[(&str, TargetEntry)]) -> Self {
+        Fleet::with_config(size, zones, targets, &default_config())
+    }
+
+    /// Creates such hosts with settings of their own.
+    pub fn with_config(
+        size: u16,
+        zones: &[&str],
+        targets: &[(&str, TargetEntry)],
+        config: &FleetConfig,
+    ) -> Self {
         let zone_of = |n: u16| zones[usize::from(n - 1) % zones.len()];
         let mut fleet = Fleet {
             hosts: (1..=size)
-                .map(|n| empty_host(&format!("host-{n:02}"), zone_of(n), n))
+                .map(|n| {
+                    host_with(&format!("host-{n:02}"), zone_of(n), n, config.clone())
+                })
                 .collect(),
             now_ms: START_MS,
             silent: IndexSet::new(),
--- a/crates/toucancleat-gateway/src/settings.rs
+++ b/crates/toucancleat-gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use toucancleat_fleet::config::{ColdBound, FleetConfig};
 use toucancleat_fleet::prelude::*;
+use toucancleat_platform::rules;
 
 use crate::Error;
 
@@ -54,6 +55,9 @@
     /// Time in milliseconds after the evacuation of an availability zone from which no request
     /// may be sent to its targets.
     pub evacuation_bound_ms: Option<f64>,
+    /// The platform's names of the rules that are in force.
+    #[serde(default)]
+    pub rules: Vec<String>,
 }
 
 /// Memory in megabytes of a process whose settings omit it: that of a small machine.
@@ -162,6 +166,7 @@
                 allowance: self.cold_allowance.unwrap_or_default(),
             }),
             evacuation_bound_ms: self.evacuation_bound_ms.map(|ms| ms as u64),
+            orders_contention: rules::has_contention(&self.rules),
         }
     }
 }
--- a/crates/toucancleat-gateway/tests/compatibility.rs
+++ b/crates/toucancleat-gateway/tests/compatibility.rs
@@ -139,7 +139,7 @@
             assert_eq!(!path_reports.is_empty(), release.has_reports, "{name}");
             let has_operation = !evacuations.zones.is_empty()
                 && !cold_reports.is_empty()
-                && !demand.used_tokens.is_empty();
+                && !demand.organisations.is_empty();
             assert_eq!(has_operation, release.heeds_home_regions, "{name}");
             if let Some(Update::Configuration(change)) = update {
                 assert_eq!(change.is_complete, release.heeds_home_regions, "{name}");
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -7,6 +7,7 @@
 use proptest::test_runner::RngSeed;
 use toucancleat_fleet::brittle_targets::BrittleReports;
 use toucancleat_fleet::budget::RetryCounts;
+use toucancleat_fleet::claim::Rank;
 use toucancleat_fleet::cold_targets::ColdReport;
 use toucancleat_fleet::config::FleetConfig;
 use toucancleat_fleet::configuration::{
@@ -16,10 +17,12 @@
 use toucancleat_fleet::configuration_change::ConfigurationChange;
 use toucancleat_fleet::contention::DemandReport;
 use toucancleat_fleet::evacuation::{EvacuationReport, ZoneReport};
+use toucancleat_fleet::organisation_share::OrganisationTokens;
 use toucancleat_fleet::peers::{Echo, Load, Message, Update};
 use toucancleat_fleet::poison_parts::PartReports;
 use toucancleat_fleet::pool_path::PathReport;
 use toucancleat_fleet::prelude::*;
+use toucancleat_fleet::service_rate::ServiceSums;
 use toucancleat_fleet::store::StorePosition;
 use toucancleat_fleet::stream_origin::{OriginMessage, StreamKey, StreamOrigin};
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
@@ -110,8 +113,24 @@
             left_ms: 900,
         }],
         demand: DemandReport {
-            waiting_tokens: vec![(PoolName::new("engines"), 0, 3_000)],
-            used_tokens: vec![(OrganisationName::new("depot"), 9_000)],
+            waiting_tokens: vec![(PoolName::new("engines"), Rank::default(), 3_000)],
+            organisations: vec![(
+                PoolName::new("engines"),
+                OrganisationName::new("depot"),
+                OrganisationTokens {
+                    used: 9_000,
+                    waiting: 3_000,
+                },
+            )],
+            service: vec![(
+                PoolName::new("engines"),
+                ServiceSums {
+                    prefill_tokens: 3_000,
+                    prefill_ms: 400,
+                    ended_tokens: 3_100,
+                    ended_token_ms: 6_200_000,
+                },
+            )],
         },
         heeds_home_regions: true,
         addresses: vec![address],
@@ -250,11 +269,10 @@
     }
 }
 
-/// Prints a message of each kind with its content, as tests/recorded holds them for each release.
+/// A message of each kind is recorded with its content for the next release. The failure shows what
+/// has to be recorded, see docs/design/compatibility.md.
 #[test]
-#[ignore = "records the messages of a release, see docs/design/compatibility.md"]
-#[allow(clippy::print_stdout, reason = "the output is what is recorded")]
-fn record_messages() {
+fn messages_are_recorded_for_the_next_release() {
     let key = StreamKey::new(None, "attempt-1");
     let origin = StreamOrigin {
         pool: PoolName::new("engines"),
@@ -281,14 +299,17 @@
         let bytes = encode_origin(&message).expect("a message that can be encoded");
         recorded.push((name, bytes, format!("{message:#?}")));
     }
+    let mut text = String::new();
     for (name, bytes, content) in recorded {
-        println!("== {name}");
+        text.push_str(&format!("== {name}\n"));
         for line in bytes.chunks(40) {
             let digits = line.iter().map(|byte| format!("{byte:02x}"));
-            println!("{}", digits.collect::<String>());
+            text.push_str(&format!("{}\n", digits.collect::<String>()));
         }
-        println!("--\n{content}");
+        text.push_str(&format!("--\n{content}\n"));
     }
+    let is_recorded = text == include_str!("recorded/next.txt");
+    assert!(is_recorded, "record the messages again:\n{text}");
 }
 
 /// Hosts of the release before the last send neither versions nor their digest.
