Keep promises of refusals true on every path, and cut off no slow caller

(2) A stopping process counted only requests that were read and not yet answered, so it exited while a caller was still sending its body or had not received its answer. (3) The idle timeout, and the head timeout if part of the next head had arrived, ran while an answer was being sent, and cut it off.

A process waits for connections on which a request is received or answered, until its time to stop ends; bytes count until the caller's socket has taken them. While an answer is being sent, only a caller whose socket takes nothing for a minute is given up (one that reads nothing is given up after 3 s by its connection's own timeout, as before). A refusal of a request that isn't known promises nothing; no path leads there. A request is confined only if its home regions exclude some zone, so hosts of the last release still take handoffs where all zones are homes.

--- a/crates/toucancleat-fleet/src/home_regions.rs
+++ b/crates/toucancleat-fleet/src/home_regions.rs
@@ -32,9 +32,9 @@
         }
     }
 
-    /// Returns true if the request is confined to some regions.
-    pub fn is_confined(&self) -> bool {
-        !self.route.is_empty() || !self.organisation.is_empty()
+    /// Returns true if the request may not be sent to some of the zones whose regions are given.
+    pub fn is_confined(&self, regions: &IndexMap<ZoneName, RegionName>) -> bool {
+        !self.is_empty() && regions.keys().any(|zone| !self.permit(regions, zone))
     }
 
     /// Returns true if the request may be sent to a zone, given the region of each.
@@ -46,7 +46,7 @@
         regions: &IndexMap<ZoneName, RegionName>,
         zone: &ZoneName,
     ) -> bool {
-        if !self.is_confined() || regions.is_empty() {
+        if self.is_empty() || regions.is_empty() {
             return true;
         }
         let contains =
@@ -55,4 +55,8 @@
             contains(self.route, region) && contains(self.organisation, region)
         })
     }
+
+    fn is_empty(&self) -> bool {
+        self.route.is_empty() && self.organisation.is_empty()
+    }
 }
--- a/crates/toucancleat-fleet/src/reduce/eligibility.rs
+++ b/crates/toucancleat-fleet/src/reduce/eligibility.rs
@@ -38,9 +38,13 @@
 /// that is: it may have connected from elsewhere. Hosts of the last release take no notice of
 /// home regions.
 pub(super) fn permits_host(state: &State, request: &Request, message: &Message) -> bool {
-    let is_confined = request.home_regions().is_confined();
     permits_zone(state, request, &message.zone)
-        && (!is_confined || message.heeds_home_regions)
+        && (message.heeds_home_regions || !is_confined(state, request))
+}
+
+/// Returns true if a request may not be sent to some of the deployment's zones.
+pub(super) fn is_confined(state: &State, request: &Request) -> bool {
+    request.home_regions().is_confined(&state.config.regions)
 }
 
 /// Returns the zone whose hosts a request is handed off to first: the own one, or one of the home
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -124,7 +124,7 @@
 
 fn is_confined(state: &State, request_number: RequestNumber) -> bool {
     let request = state.requests.get(&request_number);
-    request.is_some_and(|request| request.home_regions().is_confined())
+    request.is_some_and(|request| eligibility::is_confined(state, request))
 }
 
 fn sources(
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -483,7 +483,7 @@
     let verdict = state
         .requests
         .get(&request_number)
-        .map_or(Verdict::NotRun, |request| request.verdict);
+        .map_or(Verdict::MayHaveRun, |request| request.verdict);
     let refusal = Refusal {
         reason,
         verdict,
--- a/crates/toucancleat-fleet/tests/home_regions.rs
+++ b/crates/toucancleat-fleet/tests/home_regions.rs
@@ -165,10 +165,14 @@
             .filter(|zone| homes.permit(&regions(), &ZoneName::new(zone)))
             .collect();
         assert_eq!(permitted, case.zones, "{}", case.name);
+        let is_confined = !case.route.is_empty() || !case.organisation.is_empty();
+        assert_eq!(homes.is_confined(&regions()), is_confined, "{}", case.name);
         // A deployment without regions confines nothing.
         assert!(homes.permit(&IndexMap::new(), &ZoneName::new("west-a")));
+        assert!(!homes.is_confined(&IndexMap::new()));
         let anonymous = HomeRegions::new(&configuration, route, None);
-        assert_eq!(anonymous.is_confined(), !case.route.is_empty());
+        let is_confined = anonymous.is_confined(&regions());
+        assert_eq!(is_confined, !case.route.is_empty(), "{}", case.name);
     }
 }
 
@@ -315,6 +319,13 @@
             peers: &[("south-a", false)],
             expected: None,
         },
+        Case {
+            name: "all regions are homes, and a peer of the last release",
+            route: &["north", "south", "west"],
+            organisation: &[],
+            peers: &[("south-a", false)],
+            expected: Some(2),
+        },
         Case {
             name: "peers in foreign regions",
             route: &[],
--- a/crates/toucancleat-gateway/src/callers.rs
+++ b/crates/toucancleat-gateway/src/callers.rs
@@ -12,7 +12,7 @@
 
 use crate::host::Host;
 use crate::request::Origin;
-use crate::timeouts::{Activity, MonitoredStream, TimeoutStatus};
+use crate::timeouts::{MonitoredStream, TimeoutStatus};
 use crate::{Error, clock, connection, request, stop};
 
 /// Minimum buffer size per connection that `hyper` accepts.
@@ -51,7 +51,7 @@
         let elapsed_ms = clock::now_ms().saturating_sub(began_ms);
         if stop::can_exit(
             elapsed_ms,
-            host.open_request_count(),
+            host.open_request_count() + host.connections.busy_count(),
             &host.settings.fleet_config(),
         ) {
             return Ok(());
@@ -77,7 +77,8 @@
 
 /// Serves the requests on one connection until it ends.
 pub async fn serve_connection(host: Rc<Host>, stream: TcpStream, origin: Origin) {
-    let activity = Rc::new(Activity::default());
+    let open_connection = host.connections.open();
+    let activity = open_connection.activity.clone();
     let service = {
         let host = host.clone();
         let activity = activity.clone();
@@ -102,6 +103,10 @@
                 continue;
             }
             TimeoutStatus::IdleTimeout => return,
+            TimeoutStatus::SendTimeout => {
+                log::info!("a caller doesn't read its answer; closing its connection");
+                return;
+            }
             TimeoutStatus::HeadTimeout => {
                 return answer_head_timeout(connection.into_parts().io.into_inner())
                     .await;
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -18,6 +18,7 @@
 use crate::metrics::Metrics;
 use crate::peers::OutgoingMessage;
 use crate::settings::Settings;
+use crate::timeouts::OpenConnections;
 use crate::{clock, connection, store};
 
 /// Interval between two ticks of the reducer; a fifth of the shortest interval that it keeps.
@@ -71,6 +72,8 @@
     pub body_reader: BodyReader,
     /// The bound on what is held of the targets' answers.
     pub answer_memory: MemoryBound,
+    /// The connections of callers, and of peers that hand requests off.
+    pub connections: OpenConnections,
     state: RefCell<State>,
     commands: RefCell<IndexMap<RequestNumber, UnboundedSender<Command>>>,
     limits: Cell<CallerLimits>,
@@ -115,6 +118,7 @@
         let host = Rc::new_cyclic(|weak_self| Host {
             body_reader,
             answer_memory,
+            connections: OpenConnections::default(),
             settings,
             metrics: Metrics::new(),
             state: RefCell::new(state),
--- a/crates/toucancleat-gateway/src/stop.rs
+++ b/crates/toucancleat-gateway/src/stop.rs
@@ -21,13 +21,14 @@
 
 /// Returns true if the process may exit.
 ///
-/// It may once new connections have been accepted for long enough and all requests have
-/// ended, or when only the time for an orderly exit is left before the process is killed.
-pub fn can_exit(elapsed_ms: u64, open_requests: usize, config: &FleetConfig) -> bool {
+/// It may once new connections have been accepted for long enough and nothing is in progress: no
+/// request is being received, served or answered, or when only the time for an orderly exit is left
+/// before the process is killed. An answer counts until its caller's socket has taken all of it.
+pub fn can_exit(elapsed_ms: u64, in_progress: usize, config: &FleetConfig) -> bool {
     if elapsed_ms + EXIT_RESERVE_MS >= config.stop_grace_ms {
         return true;
     }
-    elapsed_ms >= ACCEPT_MIN_MS && open_requests == 0
+    elapsed_ms >= ACCEPT_MIN_MS && in_progress == 0
 }
 
 /// The signals that request a planned stop.
