Look up home regions only for requests that have some

Cause: each check of a target looked up the caller's key in the configuration, also for requests without home regions.

Change: a request records at its admission whether its route or organisation has home regions and the deployment has regions.

Measured: the tests of toucancleat-fleet passed (25 test programs), and gateway/answers, compatibility, handoffs, refusals, slow_callers and streams.

--- a/crates/toucancleat-fleet/src/home_regions.rs
+++ b/crates/toucancleat-fleet/src/home_regions.rs
@@ -34,7 +34,7 @@
 
     /// Returns true if the request may not be sent to some of the zones whose regions are given.
     pub fn is_confined(&self, regions: &IndexMap<ZoneName, RegionName>) -> bool {
-        !self.is_empty() && regions.keys().any(|zone| !self.permit(regions, zone))
+        regions.keys().any(|zone| !self.permit(regions, zone))
     }
 
     /// Returns true if the request may be sent to a zone, given the region of each.
@@ -56,7 +56,8 @@
         })
     }
 
-    fn is_empty(&self) -> bool {
+    /// Returns true if neither the route nor the organisation has home regions.
+    pub fn is_empty(&self) -> bool {
         self.route.is_empty() && self.organisation.is_empty()
     }
 }
--- a/crates/toucancleat-fleet/src/reduce/eligibility.rs
+++ b/crates/toucancleat-fleet/src/reduce/eligibility.rs
@@ -29,7 +29,8 @@
 
 /// Returns true if a request may leave this host for targets or hosts of a zone.
 pub(super) fn permits_zone(state: &State, request: &Request, zone: &ZoneName) -> bool {
-    request.home_regions().permit(&state.config.regions, zone)
+    !request.has_home_regions
+        || request.home_regions().permit(&state.config.regions, zone)
 }
 
 /// Returns true if a request may be handed off to the host that has sent a message.
@@ -44,7 +45,7 @@
 
 /// Returns true if a request may not be sent to some of the deployment's zones.
 pub(super) fn is_confined(state: &State, request: &Request) -> bool {
-    request.home_regions().is_confined(&state.config.regions)
+    request.has_home_regions && request.home_regions().is_confined(&state.config.regions)
 }
 
 /// Returns the zone whose hosts a request is handed off to first: the own one, or one of the home
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -266,6 +266,8 @@
     pub configuration: Arc<Configuration>,
     /// Index of its route in that configuration.
     pub route_index: usize,
+    /// Whether its route or organisation has home regions, and the deployment has regions.
+    pub has_home_regions: bool,
     /// The pool that serves it.
     pub pool: PoolName,
     /// The organisation that owns its API key.
