Let overdue requests wait for a quarter of the time left, and tell first events

It now waits for a quarter, and at least for its objective if half of the time is left for its run. While requests wait, a host tells its zone of first events with the next tick: until then others counted the prompt as pending, and let engines idle.

--- a/crates/toucancleat-fleet/src/claim.rs
+++ b/crates/toucancleat-fleet/src/claim.rs
@@ -17,9 +17,12 @@
 /// a target, as a divisor. A request of that kind still begins there in time.
 const URGENT_OBJECTIVE_DIVISOR: u64 = 2;
 
-/// Part of the time that the caller of an overdue request has left for which the request waits,
-/// as a divisor.
-const OVERDUE_WAIT_DIVISOR: u64 = 2;
+/// Part of the time that a caller has left for which an overdue request waits, as a divisor.
+const OVERDUE_WAIT_DIVISOR: u64 = 4;
+
+/// Part of the time that a caller has left that an overdue request keeps for its run, as a
+/// divisor.
+const RUN_TIME_DIVISOR: u64 = 2;
 
 /// Priority from which on requests rank alike.
 const PRIORITY_MAX: u8 = 15;
@@ -72,6 +75,8 @@
     pub deadline_ms: u64,
     /// Time within which an answer is in time, from the caller's first attempt.
     pub objective_ms: u64,
+    /// Time that the first event takes at a target without other prompts.
+    pub first_event_ms: u64,
     /// Its priority; 0 is the most urgent.
     pub priority: u8,
     /// Memory that it needs, in tokens.
@@ -119,15 +124,19 @@
             })
     }
 
-    /// Returns until when the request waits for room. `first_event_ms` is the time that it takes
-    /// from then to the first event.
-    pub fn waits_until_ms(&self, first_event_ms: u64) -> u64 {
-        let in_time_ms = self.due_ms.saturating_sub(first_event_ms);
+    /// Returns until when the request waits for room: while its answer can be in time.
+    ///
+    /// If it can't be from the start, the request waits for a quarter of the time that its caller
+    /// has left, and for as long as its objective if that leaves it half of the time for its run.
+    /// Few callers come back after a second refusal.
+    pub fn waits_until_ms(&self) -> u64 {
+        let in_time_ms = self.due_ms.saturating_sub(self.first_event_ms);
         if self.arrived_ms < in_time_ms {
             return in_time_ms;
         }
         let left_ms = self.deadline_ms.saturating_sub(self.arrived_ms);
-        self.arrived_ms + (left_ms / OVERDUE_WAIT_DIVISOR)
+        let shortest_ms = self.objective_ms.min(left_ms / RUN_TIME_DIVISOR);
+        self.arrived_ms + shortest_ms.max(left_ms / OVERDUE_WAIT_DIVISOR)
     }
 }
 
--- a/crates/toucancleat-fleet/src/contention.rs
+++ b/crates/toucancleat-fleet/src/contention.rs
@@ -134,11 +134,7 @@
     if supply.fits && has_turn {
         return Decision::Dispatch;
     }
-    let first_event_ms = contest
-        .service
-        .prefill_time_ms(claim.prompt_tokens)
-        .unwrap_or(0);
-    let waits_until_ms = claim.waits_until_ms(first_event_ms);
+    let waits_until_ms = claim.waits_until_ms();
     let prefilled_ms = now_ms + prefill_time_ms(claim, contest);
     let can_wait = now_ms < waits_until_ms && prefilled_ms <= waits_until_ms;
     let own_zone_until_ms = claim.arrived_ms + claim.objective_ms / OWN_ZONE_WAIT_DIVISOR;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -386,11 +386,7 @@
 
     /// Returns the time between two messages to the hosts of a zone, in milliseconds.
     pub fn zone_interval_ms(&self, zone: &ZoneName) -> u64 {
-        let in_zone = self
-            .peers
-            .values()
-            .filter(|peer| peer.last_message.zone == *zone);
-        message_interval_ms(in_zone.count())
+        message_interval_ms(self.zone_size(zone) - 1)
     }
 
     /// Returns how many hosts of a zone may be running, including this one.
--- a/crates/toucancleat-fleet/src/reduce/contention.rs
+++ b/crates/toucancleat-fleet/src/reduce/contention.rs
@@ -21,15 +21,17 @@
 use crate::state::{State, random_unit};
 
 /// Returns the claim of a request.
-pub(super) fn claim(state: &State, request: &Request) -> Claim {
+pub(super) fn claim(state: &State, now_ms: u64, request: &Request) -> Claim {
     let route = request.route();
     let incoming = &request.incoming;
     let organisation = request.organisation.as_ref();
+    let service = state.contention.service(now_ms, &request.pool);
     Claim {
         arrived_ms: request.arrived_ms,
         due_ms: claim::due_ms(request.arrived_ms, incoming.time_limit_ms, route),
         deadline_ms: request.deadline_ms,
         objective_ms: route.latency_objective_ms,
+        first_event_ms: service.prefill_time_ms(incoming.prompt_tokens).unwrap_or(0),
         priority: request.priority,
         tokens: request.memory_tokens(),
         prompt_tokens: incoming.prompt_tokens,
@@ -57,7 +59,7 @@
     request_number: RequestNumber,
 ) -> Option<(Rank, u64, RequestNumber)> {
     let request = state.requests.get(&request_number)?;
-    let claim = claim(state, request);
+    let claim = claim(state, now_ms, request);
     Some((
         rank(state, now_ms, request, &claim),
         claim.due_ms,
@@ -73,7 +75,7 @@
     request: &Request,
     engine: &EngineCapabilities,
 ) -> Decision {
-    let claim = claim(state, request);
+    let claim = claim(state, now_ms, request);
     let contest = contest(state, now_ms, request_number, request, &claim, engine);
     let fits_elsewhere = || {
         let scope = ZoneScope::OtherZones;
@@ -216,7 +218,7 @@
     let Some(request) = state.requests.get(&request_number) else {
         return;
     };
-    let claim = claim(state, request);
+    let claim = claim(state, now_ms, request);
     let contest = contest(state, now_ms, request_number, request, &claim, engine);
     let pool = request.pool.clone();
     let hosts = state.peers.zone_size(&state.identity.zone) as u64;
@@ -297,6 +299,8 @@
     request: &Request,
 ) {
     let took_ms = now_ms.saturating_sub(request.dispatched_ms);
+    // Those that wait for this target to prefill need to know that it has.
+    contention.has_unsent_demand |= contention.is_contended(&request.pool);
     contention.observations(&request.pool).record_first_event(
         now_ms,
         request.prefill_at_dispatch,
