Don't let requests wait for a zone that has no targets

A request whose zone has no target that takes it counted as fitting, but still waited for those of its peers that had been reported as waiting there. The new case of request_waits_only_while_it_can_be_in_time got Wait instead of Dispatch.

--- a/crates/toucancleat-fleet/src/contention.rs
+++ b/crates/toucancleat-fleet/src/contention.rs
@@ -130,7 +130,10 @@
 ) -> Decision {
     let supply = contest.supply;
     let needed_tokens = contest.ahead_tokens.saturating_add(claim.tokens);
-    let has_turn = contest.ahead_tokens == 0 || supply.free_tokens >= needed_tokens;
+    // Without targets in the own zone, nobody there waits for their room.
+    let has_turn = contest.ahead_tokens == 0
+        || supply.targets == 0
+        || supply.free_tokens >= needed_tokens;
     if supply.fits && has_turn {
         return Decision::Dispatch;
     }
--- a/crates/toucancleat-fleet/tests/claims.rs
+++ b/crates/toucancleat-fleet/tests/claims.rs
@@ -180,6 +180,7 @@
         free_tokens: u64,
         fits: bool,
         fits_elsewhere: bool,
+        targets: u64,
         decision: Decision,
     }
     let cases = [
@@ -190,6 +191,7 @@
             free_tokens: DRAFT_TOKENS,
             fits: true,
             fits_elsewhere: false,
+            targets: 5,
             decision: Decision::Dispatch,
         },
         Case {
@@ -199,6 +201,7 @@
             free_tokens: 2 * DRAFT_TOKENS,
             fits: true,
             fits_elsewhere: true,
+            targets: 5,
             decision: Decision::Wait,
         },
         Case {
@@ -208,6 +211,7 @@
             free_tokens: 0,
             fits: false,
             fits_elsewhere: true,
+            targets: 5,
             decision: Decision::Dispatch,
         },
         Case {
@@ -217,6 +221,7 @@
             free_tokens: 0,
             fits: false,
             fits_elsewhere: false,
+            targets: 5,
             decision: Decision::Wait,
         },
         Case {
@@ -226,6 +231,7 @@
             free_tokens: 0,
             fits: false,
             fits_elsewhere: false,
+            targets: 5,
             decision: Decision::Refuse,
         },
         Case {
@@ -235,8 +241,19 @@
             free_tokens: 0,
             fits: false,
             fits_elsewhere: false,
+            targets: 5,
             decision: Decision::Refuse,
         },
+        Case {
+            name: "the own zone has no target",
+            waited_ms: 0,
+            ahead_tokens: DRAFT_TOKENS,
+            free_tokens: 0,
+            fits: true,
+            fits_elsewhere: false,
+            targets: 0,
+            decision: Decision::Dispatch,
+        },
     ];
     for case in cases {
         let contest = Contest {
@@ -244,7 +261,7 @@
                 fits: case.fits,
                 free_tokens: case.free_tokens,
                 used_tokens: 100_000,
-                targets: 5,
+                targets: case.targets,
             },
             ahead_tokens: case.ahead_tokens,
             service,
