--- a/crates/toucancleat-fleet/src/contention.rs
+++ b/crates/toucancleat-fleet/src/contention.rs
@@ -130,15 +130,14 @@
 ) -> Decision {
     let supply = contest.supply;
     let needed_tokens = contest.ahead_tokens.saturating_add(claim.tokens);
-    let has_turn = contest.ahead_tokens == 0 || supply.free_tokens >= needed_tokens;
+    // Without targets in the own zone, nobody there waits for their room.
+    let has_turn = contest.ahead_tokens == 0
+        || supply.targets == 0
+        || supply.free_tokens >= needed_tokens;
     if supply.fits && has_turn {
         return Decision::Dispatch;
     }
-    let first_event_ms = contest
-        .service
-        .prefill_time_ms(claim.prompt_tokens)
-        .unwrap_or(0);
-    let waits_until_ms = claim.waits_until_ms(first_event_ms);
+    let waits_until_ms = claim.waits_until_ms();
     let prefilled_ms = now_ms + prefill_time_ms(claim, contest);
     let can_wait = now_ms < waits_until_ms && prefilled_ms <= waits_until_ms;
     let own_zone_until_ms = claim.arrived_ms + claim.objective_ms / OWN_ZONE_WAIT_DIVISOR;
