--- a/crates/toucancleat-fleet/tests/migration.rs
+++ b/crates/toucancleat-fleet/tests/migration.rs
@@ -79,6 +79,24 @@
                 (300, refused(true), Step::ResumeAtSource),
             ],
         },
+        Case {
+            name: "the run may not return to its source, which is in an evacuated zone",
+            events: vec![
+                (250, copied(250), copy(false)),
+                (280, copied(20), copy(true)),
+                (300, Event::RefusedWithoutReturn, another(0)),
+                (310, Event::RefusedWithoutReturn, another(0)),
+                (320, Event::RefusedWithoutReturn, another(100)),
+                (440, copied(20), Step::ResumeAtDestination),
+            ],
+        },
+        Case {
+            name: "the same, and no time is left for another destination",
+            events: vec![
+                (1_450, copied(1_450), copy(true)),
+                (1_700, Event::RefusedWithoutReturn, Step::GiveUp),
+            ],
+        },
         Case {
             name: "no answer after the run may have stopped",
             events: vec![
@@ -147,3 +165,14 @@
     };
     assert!(after_ms > 0 && !is_last);
 }
+
+/// A run that its source has stopped is copied to another destination at once, and not as one
+/// that goes on meanwhile.
+#[test]
+fn a_stopped_run_is_copied_to_another_destination_as_stopped() {
+    let mut migration = Migration::new(NOTICED_MS, Some(LEAVES_MS));
+    migration.apply(NOTICED_MS + 250, Event::Copied { took_ms: 250 });
+    migration.apply(NOTICED_MS + 280, Event::Copied { took_ms: 20 });
+    migration.apply(NOTICED_MS + 300, Event::RefusedWithoutReturn);
+    assert_eq!(migration.first_step(), copy(true));
+}
