--- a/crates/toucancleat-fleet/tests/evacuation.rs
+++ b/crates/toucancleat-fleet/tests/evacuation.rs
@@ -6,6 +6,8 @@
 use support::evacuation::*;
 use support::fleet::Fleet;
 use support::*;
+use toucancleat_fleet::cold_targets::HEARTBEAT_INTERVAL_MS;
+use toucancleat_fleet::config::{ColdBound, FleetConfig};
 use toucancleat_fleet::evacuation::RESUMPTION_GRACE_MS;
 use toucancleat_fleet::event::Effect;
 use toucancleat_fleet::prelude::*;
@@ -497,3 +499,64 @@
         assert!((share - 0.5).abs() <= 0.1, "{zone}: {served:?}");
     }
 }
+
+/// The targets of a zone that operators take back may have become cold shortly before, and their
+/// entries say so only with the next heartbeats.
+#[test]
+fn targets_of_a_zone_that_is_taken_back_count_as_cold() {
+    struct Case {
+        name: &'static str,
+        cold_bound: Option<ColdBound>,
+        after_ms: u64,
+        cold_targets: usize,
+    }
+    let bound = ColdBound {
+        overage: 1.5,
+        allowance: 5.0,
+    };
+    let cases = [
+        Case {
+            name: "at once",
+            cold_bound: Some(bound),
+            after_ms: 0,
+            cold_targets: 2,
+        },
+        Case {
+            name: "after a heartbeat",
+            cold_bound: Some(bound),
+            after_ms: HEARTBEAT_INTERVAL_MS,
+            cold_targets: 0,
+        },
+        Case {
+            name: "without a bound",
+            cold_bound: None,
+            after_ms: 0,
+            cold_targets: 0,
+        },
+    ];
+    for case in cases {
+        let config = FleetConfig {
+            cold_bound: case.cold_bound,
+            ..evacuating_config()
+        };
+        let mut host = host_with("host-01", "upp-a", 1, config);
+        let targets = [
+            ("engine-a", entry("engines", "upp-a", 101)),
+            ("engine-b", entry("engines", "upp-b", 102)),
+            ("roster-b", entry("roster", "upp-b", 103)),
+        ];
+        populate(&mut host, START_MS, &targets);
+        let mut configuration = configuration(2);
+        for pool in configuration.pools.values_mut() {
+            pool.cold_requests_per_s = Some(2.0);
+        }
+        let reply = Reply::Configuration(Some(stored(configuration)));
+        answer(&mut host, START_MS, Query::Configuration, reply);
+        read_row(&mut host, START_MS + 100, "upp-b", 20, true);
+        assert_eq!(host.cold_targets(START_MS + 100), 0, "{}", case.name);
+        let taken_back_ms = START_MS + 4_000;
+        read_row(&mut host, taken_back_ms, "upp-b", 30, false);
+        let cold_targets = host.cold_targets(taken_back_ms + case.after_ms);
+        assert_eq!(cold_targets, case.cold_targets, "{}", case.name);
+    }
+}
