Add up the highest numbers of waiting requests that a peer reports

Cause: the sum over ranks overflowed, so a damaged message of a peer ended a process that checks for overflows.

The test highest_numbers_of_a_peer_are_added_up panicked before (attempt to add with overflow).

--- a/crates/toucancleat-fleet/src/contention.rs
+++ b/crates/toucancleat-fleet/src/contention.rs
@@ -335,7 +335,8 @@
             .get(zone)
             .and_then(|pools| pools.get(pool));
         ranks.map_or(0, |ranks| {
-            ranks.range(..=up_to).map(|(_, tokens)| *tokens).sum()
+            let tokens = ranks.range(..=up_to).map(|(_, tokens)| *tokens);
+            tokens.fold(0, u64::saturating_add)
         })
     }
 
--- a/crates/toucancleat-fleet/tests/contention.rs
+++ b/crates/toucancleat-fleet/tests/contention.rs
@@ -4,7 +4,9 @@
 
 use support::fleet::Fleet;
 use support::*;
+use toucancleat_fleet::claim::{Claim, Rank};
 use toucancleat_fleet::config::FleetConfig;
+use toucancleat_fleet::contention::{Contention, DemandReport};
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::target::TargetEntry;
 
@@ -255,3 +257,33 @@
         assert_eq!(sent.is_some(), is_sent, "after {silent_ms} ms");
     }
 }
+
+/// A damaged message of a peer may report the highest numbers, of several ranks.
+#[test]
+fn highest_numbers_of_a_peer_are_added_up() {
+    let claim = Claim {
+        arrived_ms: 0,
+        due_ms: 1_500,
+        deadline_ms: 6_000,
+        objective_ms: 1_500,
+        first_event_ms: 400,
+        priority: 1,
+        tokens: 3_000,
+        prompt_tokens: 3_000,
+        is_continued: false,
+        is_over_share: false,
+    };
+    let pool = PoolName::new("engines");
+    let zone = ZoneName::new("upp-a");
+    let rank = claim.rank(0, None);
+    let report = DemandReport {
+        waiting_tokens: vec![
+            (pool.clone(), Rank::default(), u64::MAX),
+            (pool.clone(), rank, u64::MAX),
+        ],
+        ..DemandReport::default()
+    };
+    let mut contention = Contention::default();
+    contention.record_report(0, &HostName::new("host-2"), &zone, &report);
+    assert_eq!(contention.waiting_tokens(&zone, &pool, rank), u64::MAX);
+}
