--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -1,7 +1,7 @@
 //! Sends messages to peers and handles those received from them.
 
 use super::requests::log_part_changes;
-use super::{cold, contention, evacuation, notices, store_sync};
+use super::{cold, contention, evacuation, notices, store_sync, transitions};
 use crate::event::Effect;
 use crate::peers::{
     ANNOUNCEMENT_SPREAD_PER_HOST_MS, Message, Recipient, Update, earliest_send_ms,
@@ -178,8 +178,8 @@
             store_sync::hold_back_departed(state, &mut changes);
             cold::record_changes(state, now_ms, position.era, &changes, effects);
             let transitions = state.directory.apply_changes(position, &mut changes);
-            store_sync::log_transitions(state, &transitions, effects);
-            store_sync::apply_transitions(state, now_ms, transitions, effects);
+            transitions::log(state, &transitions, effects);
+            transitions::apply(state, now_ms, transitions, effects);
             if has_same_host_list(state, message) {
                 state.directory.advance_to(message.host_list_position());
             }
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -13,6 +13,7 @@
 mod requests;
 mod restarts;
 mod store_sync;
+mod transitions;
 
 use crate::event::{Effect, Event};
 use crate::state::State;
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -3,15 +3,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use indexmap::IndexSet;
-
-use super::{cold, evacuation, messages, migration, restarts};
+use super::{cold, evacuation, messages, transitions};
 use crate::configuration::Configuration;
 use crate::configuration_change::ConfigurationChange;
 use crate::evacuation::EvacuationRows;
 use crate::event::{Effect, LogEvent};
 use crate::peers::Update;
-use crate::state::{DepartedTarget, Registration, State};
+use crate::state::{Registration, State};
 use crate::store::{
     CHANGES_PER_MESSAGE_MAX, CHECK_RETRY_MS, CHECKED_ROW_MIN_BYTES, ConfigurationRow,
     EXPIRED_ENTRY_GRACE_MS, MISSED_CONFIGURATION_DELAY_MS,
@@ -19,7 +17,7 @@
     READER_STAGGER_MS, RETRY_INTERVAL_MAX_MS, ROW_AT_RISK_MS, Reply, STORE_ANSWERING_MS,
     StorePosition, StoredConfiguration,
 };
-use crate::target::{TargetChange, TargetTransition};
+use crate::target::TargetChange;
 
 /// Starts the queries that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
@@ -299,12 +297,12 @@
                     store_version,
                 }));
             } else {
-                log_transitions(state, &transitions, effects);
+                transitions::log(state, &transitions, effects);
                 if state.is_reader {
                     broadcast_changes(state, now_ms, &list, effects);
                 }
             }
-            apply_transitions(state, now_ms, transitions, effects);
+            transitions::apply(state, now_ms, transitions, effects);
             state.confirm_host_list(started_ms);
         }
         Reply::TargetFeed {
@@ -315,8 +313,8 @@
             cold::record_changes(state, now_ms, position.era, &changes, effects);
             let transitions = state.directory.apply_changes(position, &mut changes);
             broadcast_changes(state, now_ms, &changes, effects);
-            log_transitions(state, &transitions, effects);
-            apply_transitions(state, now_ms, transitions, effects);
+            transitions::log(state, &transitions, effects);
+            transitions::apply(state, now_ms, transitions, effects);
             state.confirm_host_list(started_ms);
             tick(state, now_ms, effects);
         }
@@ -525,92 +523,3 @@
             .map_or(at_ms, |known| known.max(at_ms)),
     );
 }
-
-/// Logs the targets that have joined or are leaving, a line for each. The first list of a
-/// host that has just started is logged in one line instead.
-pub(super) fn log_transitions(
-    state: &State,
-    transitions: &[TargetTransition],
-    effects: &mut Vec<Effect>,
-) {
-    let store_version = state.directory.known_position().version;
-    for transition in transitions {
-        let event = match transition {
-            TargetTransition::Joined(target, entry) => LogEvent::TargetJoined {
-                target: target.clone(),
-                store_version,
-                slow_start_left_ms: entry.slow_start_left_ms,
-                target_version: entry.software_version.clone(),
-            },
-            TargetTransition::Restarted(target) => LogEvent::TargetRestarted {
-                target: target.clone(),
-                store_version,
-                runs: state.own_loads.get(target).map_or(0, |load| load.runs),
-            },
-            TargetTransition::Leaving(target, _) => LogEvent::TargetLeaving {
-                target: target.clone(),
-                store_version,
-                runs: state.own_loads.get(target).map_or(0, |load| load.runs),
-            },
-        };
-        effects.push(Effect::Log(event));
-    }
-}
-
-/// Acts on targets that have joined or are leaving.
-pub(super) fn apply_transitions(
-    state: &mut State,
-    now_ms: u64,
-    transitions: Vec<TargetTransition>,
-    effects: &mut Vec<Effect>,
-) {
-    let mut leaving = Vec::new();
-    let mut restarted = IndexSet::new();
-    for transition in transitions {
-        match transition {
-            TargetTransition::Restarted(target) => {
-                restarted.insert(target);
-            }
-            TargetTransition::Joined(target, entry) => {
-                state.expired_entries.swap_remove(&target);
-                let departed = state.departed_targets.swap_remove(&target);
-                if departed.is_some_and(|departed| {
-                    departed.started_unix_ms != entry.started_unix_ms
-                }) {
-                    restarted.insert(target.clone());
-                }
-                state.health.remove(&target);
-                state.leaves_at_ms.swap_remove(&target);
-                state
-                    .target_notices
-                    .forget_earlier_start(&target, entry.started_unix_ms);
-                state
-                    .cold_targets
-                    .forget_earlier_start(&target, entry.started_unix_ms);
-                let until_ms = now_ms.saturating_add(entry.slow_start_left_ms);
-                state.slow_start_until_ms.insert(target, until_ms);
-            }
-            TargetTransition::Leaving(target, entry) => {
-                state.slow_start_until_ms.swap_remove(&target);
-                state.cold_targets.forget_failures(&target);
-                state.departures.record(now_ms, &entry, &state.directory);
-                let departed = DepartedTarget {
-                    started_unix_ms: entry.started_unix_ms,
-                    departed_ms: now_ms,
-                };
-                state.departed_targets.insert(target.clone(), departed);
-                if !entry.is_leaving {
-                    // Its entry vanished without a notice.
-                    let expired = (entry.clone(), now_ms);
-                    state.expired_entries.insert(target.clone(), expired);
-                }
-                // Its runs began to migrate when it reported in an answer that it leaves.
-                if !state.target_notices.get(&target).is_leaving {
-                    leaving.push((target, entry));
-                }
-            }
-        }
-    }
-    restarts::apply(state, &restarted, effects);
-    migration::leave(state, now_ms, &leaving, effects);
-}
--- a/crates/toucancleat-gateway/src/attempt.rs
+++ b/crates/toucancleat-gateway/src/attempt.rs
@@ -17,7 +17,8 @@
 
 use crate::clock;
 use crate::connection::{Connection, Driver};
-use crate::host::{Host, RunEnd, version_text};
+use crate::event_log::version_text;
+use crate::host::{Host, RunEnd};
 use crate::memory::HeldBytes;
 
 /// Maximum size in bytes of an answer that isn't a stream. Such an answer is buffered
--- a/crates/toucancleat-gateway/src/lib.rs
+++ b/crates/toucancleat-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod connection;
 pub mod datagram;
 mod error;
+mod event_log;
 mod handoff;
 mod host;
 pub mod log_interval;
--- a/crates/toucancleat-gateway/src/relay/migration.rs
+++ b/crates/toucancleat-gateway/src/relay/migration.rs
@@ -13,7 +13,7 @@
 use crate::attempt::Resumption;
 use crate::call::{CallError, ReplyLimits, call};
 use crate::clock;
-use crate::host::version_text;
+use crate::event_log::version_text;
 
 /// Limits on the reply to the copy of a run's KV cache. Its timeout is longer than the notice
 /// that leaving targets give.
