--- a/crates/toucancleat-fleet/src/configuration.rs
+++ b/crates/toucancleat-fleet/src/configuration.rs
@@ -47,7 +47,7 @@
     /// Regions to which requests are confined; any region if there are none. Hosts of the last
     /// release don't know them, so changes carry them separately.
     #[serde(skip)]
-    pub home_regions: Vec<RegionName>,
+    pub confining_regions: Vec<RegionName>,
 }
 
 /// Whether a route's requests may run more than once.
@@ -147,7 +147,7 @@
     /// Regions to which its requests are confined; any region if there are none. Hosts of the
     /// last release don't know them, so changes carry them separately.
     #[serde(skip)]
-    pub home_regions: Vec<RegionName>,
+    pub confining_regions: Vec<RegionName>,
 }
 
 impl Configuration {
--- a/crates/toucancleat-fleet/src/configuration_change.rs
+++ b/crates/toucancleat-fleet/src/configuration_change.rs
@@ -143,8 +143,14 @@
         let pools = self.pools.iter().flat_map(IndexMap::values);
         let organisations = self.organisations.values();
         ChangeAdditions {
-            route_homes: self.routes.iter().map(|r| r.home_regions.clone()).collect(),
-            organisation_homes: organisations.map(|o| o.home_regions.clone()).collect(),
+            route_homes: self
+                .routes
+                .iter()
+                .map(|r| r.confining_regions.clone())
+                .collect(),
+            organisation_homes: organisations
+                .map(|o| o.confining_regions.clone())
+                .collect(),
             cold_requests_per_s: pools.map(|pool| pool.cold_requests_per_s).collect(),
         }
     }
@@ -160,11 +166,11 @@
             return;
         }
         for (route, homes) in self.routes.iter_mut().zip(additions.route_homes) {
-            route.home_regions = homes;
+            route.confining_regions = homes;
         }
         let organisations = self.organisations.values_mut();
         for (organisation, homes) in organisations.zip(additions.organisation_homes) {
-            organisation.home_regions = homes;
+            organisation.confining_regions = homes;
         }
         let pools = self.pools.iter_mut().flat_map(IndexMap::values_mut);
         for (pool, rate_per_s) in pools.zip(additions.cold_requests_per_s) {
@@ -182,9 +188,12 @@
     }
 
     fn homes(&self) -> usize {
-        let of_routes = self.routes.iter().map(|route| route.home_regions.len());
+        let of_routes = self
+            .routes
+            .iter()
+            .map(|route| route.confining_regions.len());
         let organisations = self.organisations.values();
-        let of_organisations = organisations.map(|o| o.home_regions.len());
+        let of_organisations = organisations.map(|o| o.confining_regions.len());
         of_routes.chain(of_organisations).sum()
     }
 
--- a/crates/toucancleat-fleet/src/home_regions.rs
+++ b/crates/toucancleat-fleet/src/confinement.rs
@@ -11,12 +11,12 @@
 
 /// The home regions of one request.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct HomeRegions<'a> {
+pub struct Confinement<'a> {
     route: &'a [RegionName],
     organisation: &'a [RegionName],
 }
 
-impl<'a> HomeRegions<'a> {
+impl<'a> Confinement<'a> {
     /// Returns the home regions of a request that belongs to a route and to the organisation of
     /// an API key.
     pub fn new(
@@ -25,10 +25,10 @@
         api_key: Option<&str>,
     ) -> Self {
         let organisation = api_key.and_then(|key| configuration.organisations.get(key));
-        HomeRegions {
-            route: &route.home_regions,
+        Confinement {
+            route: &route.confining_regions,
             organisation: organisation
-                .map_or(&[], |organisation| &organisation.home_regions),
+                .map_or(&[], |organisation| &organisation.confining_regions),
         }
     }
 
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -129,7 +129,7 @@
     pub demand: DemandReport,
     /// Whether the sender confines requests to home regions. Hosts of the last release don't.
     #[serde(skip)]
-    pub heeds_home_regions: bool,
+    pub heeds_confinement: bool,
     /// A sample of the addresses of other hosts.
     pub addresses: Vec<SocketAddr>,
     /// A change that the sender has read from the store.
--- a/crates/toucancleat-fleet/src/reduce/eligibility.rs
+++ b/crates/toucancleat-fleet/src/reduce/eligibility.rs
@@ -31,8 +31,8 @@
 
 /// Returns true if a request may leave this host for targets or hosts of a zone.
 pub(super) fn permits_zone(state: &State, request: &Request, zone: &ZoneName) -> bool {
-    !request.has_home_regions
-        || request.home_regions().permit(&state.config.regions, zone)
+    !request.has_confining_regions
+        || request.confinement().permit(&state.config.regions, zone)
 }
 
 /// Returns true if a request may be handed off to the host that has sent a message.
@@ -42,12 +42,13 @@
 /// home regions.
 pub(super) fn permits_host(state: &State, request: &Request, message: &Message) -> bool {
     permits_zone(state, request, &message.zone)
-        && (message.heeds_home_regions || !is_confined(state, request))
+        && (message.heeds_confinement || !is_confined(state, request))
 }
 
 /// Returns true if a request may not be sent to some of the deployment's zones.
 pub(super) fn is_confined(state: &State, request: &Request) -> bool {
-    request.has_home_regions && request.home_regions().is_confined(&state.config.regions)
+    request.has_confining_regions
+        && request.confinement().is_confined(&state.config.regions)
 }
 
 /// Returns the zone whose hosts a request is handed off to first: the own one, or one of the home
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -99,7 +99,7 @@
         evacuations: state.evacuations.report(now_ms),
         cold_reports: state.cold_targets.own_reports(now_ms),
         demand: contention::own_report(state, now_ms),
-        heeds_home_regions: true,
+        heeds_confinement: true,
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -8,10 +8,10 @@
 use crate::budget::RetryBound;
 use crate::config::EXIT_RESERVE_MS;
 use crate::configuration::{RetrySafety, Route};
+use crate::confinement::Confinement;
 use crate::continuation::Continuation;
 use crate::event::{Effect, LogEvent};
 use crate::health::HealthSample;
-use crate::home_regions::HomeRegions;
 use crate::peers::Load;
 use crate::poison_parts::{PartChange, SOUND_AFTER_MS, target_key};
 use crate::poison_requests::RETENTION_MS;
@@ -138,8 +138,8 @@
     let Some(pool) = route.pick_pool(random_unit(&mut state.rng_state)).cloned() else {
         return Err(not_run(Reason::NoTarget, Some(RETRY_AFTER_LONG_MS)));
     };
-    let homes = HomeRegions::new(&configuration, route, incoming.api_key.as_deref());
-    let has_home_regions = !homes.is_empty() && !state.config.regions.is_empty();
+    let homes = Confinement::new(&configuration, route, incoming.api_key.as_deref());
+    let has_confining_regions = !homes.is_empty() && !state.config.regions.is_empty();
     let organisation_name = organisation.map(|organisation| organisation.name.clone());
     let priority = organisation.and_then(|organisation| organisation.priority);
     let time_limit_ms = incoming
@@ -152,7 +152,7 @@
         arrived_ms: now_ms,
         deadline_ms: now_ms + time_limit_ms,
         pool,
-        has_home_regions,
+        has_confining_regions,
         route_index,
         configuration,
         incoming,
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -6,8 +6,8 @@
 use toucancleat_core::prelude::*;
 
 use crate::configuration::{Configuration, RetrySafety, Route};
+use crate::confinement::Confinement;
 use crate::continuation::Continuation;
-use crate::home_regions::HomeRegions;
 use crate::peers::Load;
 use crate::poison_requests::Fingerprint;
 use crate::prompt_part::PartId;
@@ -272,7 +272,7 @@
     /// Index of its route in that configuration.
     pub route_index: usize,
     /// Whether its route or organisation has home regions, and the deployment has regions.
-    pub has_home_regions: bool,
+    pub has_confining_regions: bool,
     /// The pool that serves it.
     pub pool: PoolName,
     /// The organisation that owns its API key.
@@ -349,8 +349,8 @@
     }
 
     /// Returns the regions to which it is confined.
-    pub fn home_regions(&self) -> HomeRegions<'_> {
+    pub fn confinement(&self) -> Confinement<'_> {
         let api_key = self.incoming.api_key.as_deref();
-        HomeRegions::new(&self.configuration, self.route(), api_key)
+        Confinement::new(&self.configuration, self.route(), api_key)
     }
 }
--- a/crates/toucancleat-fleet/tests/configuration_change.rs
+++ b/crates/toucancleat-fleet/tests/configuration_change.rs
@@ -29,7 +29,7 @@
 fn with_entries(version: u64, numbers: &[u8]) -> Configuration {
     let routes = numbers.iter().map(|number| Route {
         timeout_ms: u64::from(number % 3),
-        home_regions: homes(number / 3),
+        confining_regions: homes(number / 3),
         ..route(
             &format!("kind-{}", number / 2),
             RetrySafety::Idempotent,
@@ -40,7 +40,7 @@
         let organisation = Organisation {
             name: OrganisationName::new(&format!("depot-{}", number % 5)),
             priority: None,
-            home_regions: homes(number / 7),
+            confining_regions: homes(number / 7),
         };
         (format!("key-{}", number / 2), organisation)
     });
@@ -138,17 +138,17 @@
         },
         Case {
             name: "a route gets home regions",
-            edit: |after| after.routes[0].home_regions = homes(1),
+            edit: |after| after.routes[0].confining_regions = homes(1),
             expected: |change| {
-                assert_eq!(change.routes[0].home_regions, homes(1));
+                assert_eq!(change.routes[0].confining_regions, homes(1));
                 change.routes.clear();
             },
         },
         Case {
             name: "an organisation gets home regions",
-            edit: |after| after.organisations[0].home_regions = homes(6),
+            edit: |after| after.organisations[0].confining_regions = homes(6),
             expected: |change| {
-                assert_eq!(change.organisations[KEY].home_regions, homes(6));
+                assert_eq!(change.organisations[KEY].confining_regions, homes(6));
                 change.organisations.clear();
             },
         },
@@ -214,10 +214,10 @@
         ..change.clone()
     };
     for route in &mut change.routes {
-        route.home_regions.clear();
+        route.confining_regions.clear();
     }
     for organisation in change.organisations.values_mut() {
-        organisation.home_regions.clear();
+        organisation.confining_regions.clear();
     }
     for pool in change.pools.iter_mut().flat_map(IndexMap::values_mut) {
         pool.cold_requests_per_s = None;
@@ -269,13 +269,13 @@
     let cases = [
         Case {
             name: "this release, a route",
-            edit: |after| after.routes[0].home_regions = homes(1),
+            edit: |after| after.routes[0].confining_regions = homes(1),
             is_complete: true,
             is_applied: true,
         },
         Case {
             name: "last release, a route",
-            edit: |after| after.routes[0].home_regions = homes(1),
+            edit: |after| after.routes[0].confining_regions = homes(1),
             is_complete: false,
             is_applied: false,
         },
@@ -287,7 +287,7 @@
         },
         Case {
             name: "last release, an organisation",
-            edit: |after| after.organisations[0].home_regions = homes(1),
+            edit: |after| after.organisations[0].confining_regions = homes(1),
             is_complete: false,
             is_applied: false,
         },
@@ -342,12 +342,12 @@
 }
 
 #[test]
-fn change_with_many_home_regions_is_not_made() {
+fn change_with_many_confining_regions_is_not_made() {
     let before = configuration(1);
     let mut after = configuration(2);
-    after.routes[0].home_regions = vec![RegionName::new("north"); CHANGED_HOMES_MAX];
+    after.routes[0].confining_regions = vec![RegionName::new("north"); CHANGED_HOMES_MAX];
     assert!(ConfigurationChange::between(&before, &after).is_some());
-    after.organisations[0].home_regions = homes(1);
+    after.organisations[0].confining_regions = homes(1);
     assert_eq!(ConfigurationChange::between(&before, &after), None);
 }
 
--- a/crates/toucancleat-fleet/tests/home_regions.rs
+++ b/crates/toucancleat-fleet/tests/confinement.rs
@@ -5,8 +5,8 @@
 use indexmap::IndexMap;
 use support::*;
 use toucancleat_fleet::config::FleetConfig;
+use toucancleat_fleet::confinement::Confinement;
 use toucancleat_fleet::event::Effect;
-use toucancleat_fleet::home_regions::HomeRegions;
 use toucancleat_fleet::peers::{Load, Message};
 use toucancleat_fleet::pool_path::PathReport;
 use toucancleat_fleet::prelude::*;
@@ -36,10 +36,10 @@
 fn confined(version: u64, route: &[&str], organisation: &[&str]) -> Configuration {
     let mut configuration = configuration(version);
     for known in &mut configuration.routes {
-        known.home_regions = names(route);
+        known.confining_regions = names(route);
     }
     for known in configuration.organisations.values_mut() {
-        known.home_regions = names(organisation);
+        known.confining_regions = names(organisation);
     }
     configuration
 }
@@ -158,7 +158,7 @@
     for case in HOMES {
         let configuration = confined(1, case.route, case.organisation);
         let route = &configuration.routes[0];
-        let homes = HomeRegions::new(&configuration, route, Some(KEY));
+        let homes = Confinement::new(&configuration, route, Some(KEY));
         let zones = ["north-a", "north-b", "south-a", "west-a", "unlisted-a"];
         let permitted: Vec<&str> = zones
             .into_iter()
@@ -170,7 +170,7 @@
         // A deployment without regions confines nothing.
         assert!(homes.permit(&IndexMap::new(), &ZoneName::new("west-a")));
         assert!(!homes.is_confined(&IndexMap::new()));
-        let anonymous = HomeRegions::new(&configuration, route, None);
+        let anonymous = Confinement::new(&configuration, route, None);
         let is_confined = anonymous.is_confined(&regions());
         assert_eq!(is_confined, !case.route.is_empty(), "{}", case.name);
     }
@@ -259,7 +259,7 @@
 }
 
 /// Returns a message of a peer that reaches all targets.
-fn peer_message(number: u16, zone: &str, heeds_home_regions: bool) -> Message {
+fn peer_message(number: u16, zone: &str, heeds_confinement: bool) -> Message {
     let path = |pool| PathReport {
         pool: PoolName::new(pool),
         reached_age_ms: Some(0),
@@ -270,7 +270,7 @@
         zone: ZoneName::new(zone),
         address: address(number),
         path_reports: vec![path("engines"), path("roster")],
-        heeds_home_regions,
+        heeds_confinement,
         ..message_of_host()
     }
 }
@@ -288,7 +288,7 @@
 /// The body of a request that is handed off stays in its home regions, too. Which region is the
 /// caller's isn't known, so the own one counts only if it is a home.
 #[test]
-fn requests_are_handed_off_to_hosts_in_their_home_regions_only() {
+fn requests_are_handed_off_to_hosts_in_their_confining_regions_only() {
     struct Case {
         name: &'static str,
         route: &'static [&'static str],
@@ -411,7 +411,7 @@
 /// All hosts plan migrations together without knowing which runs are confined. Each takes care
 /// that its own runs stay in their regions.
 #[test]
-fn runs_migrate_within_their_home_regions() {
+fn runs_migrate_within_their_confining_regions() {
     struct Case {
         name: &'static str,
         /// The home regions of the organisation.
--- a/crates/toucancleat-fleet/tests/support/mod.rs
+++ b/crates/toucancleat-fleet/tests/support/mod.rs
@@ -58,7 +58,7 @@
             pool: PoolName::new(pool),
             weight: 1.0,
         }],
-        home_regions: Vec::new(),
+        confining_regions: Vec::new(),
     }
 }
 
@@ -73,7 +73,7 @@
     let organisation = Organisation {
         name: OrganisationName::new("depot"),
         priority: None,
-        home_regions: Vec::new(),
+        confining_regions: Vec::new(),
     };
     Configuration {
         version,
--- a/crates/toucancleat-gateway/src/datagram.rs
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -172,7 +172,7 @@
             if !rest.is_empty() {
                 let (operation, rest) =
                     postcard::take_from_bytes::<OperationExtension>(rest)?;
-                message.heeds_home_regions = true;
+                message.heeds_confinement = true;
                 message.evacuations = operation.evacuations;
                 message.cold_reports = operation.cold_reports;
                 message.demand = operation.demand;
--- a/crates/toucancleat-gateway/tests/compatibility.rs
+++ b/crates/toucancleat-gateway/tests/compatibility.rs
@@ -11,7 +11,7 @@
     name: &'static str,
     text: &'static str,
     /// Whether it confines requests to home regions, and sends complete changes.
-    heeds_home_regions: bool,
+    heeds_confinement: bool,
     /// Whether it knows parts of prompts that crash targets, paths, and brittle targets.
     has_reports: bool,
 }
@@ -20,19 +20,19 @@
     Release {
         name: "ec54b7f",
         text: include_str!("recorded/ec54b7f.txt"),
-        heeds_home_regions: false,
+        heeds_confinement: false,
         has_reports: false,
     },
     Release {
         name: "2b1dfa5",
         text: include_str!("recorded/2b1dfa5.txt"),
-        heeds_home_regions: false,
+        heeds_confinement: false,
         has_reports: true,
     },
     Release {
         name: "next",
         text: include_str!("recorded/next.txt"),
-        heeds_home_regions: true,
+        heeds_confinement: true,
         has_reports: true,
     },
 ];
@@ -125,7 +125,7 @@
                 continue;
             };
             let Message {
-                heeds_home_regions,
+                heeds_confinement,
                 version_digest,
                 path_reports,
                 evacuations,
@@ -134,15 +134,15 @@
                 update,
                 ..
             } = *state;
-            assert_eq!(heeds_home_regions, release.heeds_home_regions, "{name}");
+            assert_eq!(heeds_confinement, release.heeds_confinement, "{name}");
             assert!(version_digest.is_some(), "{name}");
             assert_eq!(!path_reports.is_empty(), release.has_reports, "{name}");
             let has_operation = !evacuations.zones.is_empty()
                 && !cold_reports.is_empty()
                 && !demand.organisations.is_empty();
-            assert_eq!(has_operation, release.heeds_home_regions, "{name}");
+            assert_eq!(has_operation, release.heeds_confinement, "{name}");
             if let Some(Update::Configuration(change)) = update {
-                assert_eq!(change.is_complete, release.heeds_home_regions, "{name}");
+                assert_eq!(change.is_complete, release.heeds_confinement, "{name}");
             }
         }
     }
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -132,7 +132,7 @@
                 },
             )],
         },
-        heeds_home_regions: true,
+        heeds_confinement: true,
         addresses: vec![address],
         update: Some(Update::Targets(vec![
             change("i-1", Some(entry(Some(SoftwareVersion::new("v1"))))),
@@ -162,7 +162,7 @@
 /// A change of the configuration, with what the last release doesn't know of it.
 fn change_message() -> Message {
     let configuration = |version, homes: &[&str], rate_per_s| {
-        let home_regions: Vec<RegionName> =
+        let confining_regions: Vec<RegionName> =
             homes.iter().map(|home| RegionName::new(home)).collect();
         let route = Route {
             kind: KindName::new("draft"),
@@ -179,12 +179,12 @@
                 pool: PoolName::new("engines"),
                 weight: 1.0,
             }],
-            home_regions: home_regions.clone(),
+            confining_regions: confining_regions.clone(),
         };
         let organisation = Organisation {
             name: OrganisationName::new("depot"),
             priority: Some(0),
-            home_regions,
+            confining_regions,
         };
         let pool = Pool {
             engine: Some(EngineCapabilities {
@@ -228,12 +228,12 @@
     let Ok(Datagram::State(decoded)) = decode(&body) else {
         panic!("expected a message of an earlier release");
     };
-    assert!(!decoded.heeds_home_regions);
+    assert!(!decoded.heeds_confinement);
     let Some(Update::Configuration(change)) = decoded.update else {
         panic!("expected a change of the configuration");
     };
     assert!(!change.is_complete);
-    assert!(change.routes[0].home_regions.is_empty());
+    assert!(change.routes[0].confining_regions.is_empty());
 }
 
 #[test]
@@ -340,7 +340,7 @@
         evacuations: EvacuationReport::default(),
         cold_reports: Vec::new(),
         demand: DemandReport::default(),
-        heeds_home_regions: false,
+        heeds_confinement: false,
         ..message.clone()
     };
     let (mut bytes, _) = datagram(&message);
