Don't count hosts that read only the evacuated zones as readers of the store

Change: the answer to that query doesn't renew the time since the store last answered.

Test: a_host_that_reads_only_the_evacuated_zones_is_no_reader, which failed before (an age of 5 ms instead of none).

--- a/crates/toucancleat-fleet/src/store.rs
+++ b/crates/toucancleat-fleet/src/store.rs
@@ -278,7 +278,11 @@
         let index = query.index();
         let started_ms = self.started_ms[index].take().unwrap_or(now_ms);
         if succeeded {
-            self.last_success_ms = Some(now_ms);
+            // N.B. a host that reads the evacuated zones for itself reads nothing on behalf of
+            // others. If it counted as a reader, nobody would read the configuration.
+            if query != Query::Evacuations {
+                self.last_success_ms = Some(now_ms);
+            }
             self.failures = 0;
         } else {
             self.failures = self.failures.saturating_add(1);
--- a/crates/toucancleat-fleet/tests/evacuation_spread.rs
+++ b/crates/toucancleat-fleet/tests/evacuation_spread.rs
@@ -9,6 +9,7 @@
 use toucancleat_fleet::evacuation::{EvacuationRow, EvacuationRows, REPORTED_ZONES_MAX};
 use toucancleat_fleet::event::LogEvent;
 use toucancleat_fleet::prelude::*;
+use toucancleat_fleet::store::{Query, QuerySchedule};
 use toucancleat_fleet::target::TargetEntry;
 
 const ZONE: &str = "upp-b";
@@ -480,3 +481,31 @@
         assert_eq!(fleet.calls.get("evacuations"), None, "{hosts} hosts");
     }
 }
+
+/// Hosts that no reader tells of evacuations read them by themselves. If they counted as readers for
+/// that, none of them would take over from a reader that has stopped, and the configuration
+/// would become stale everywhere.
+#[test]
+fn a_host_that_reads_only_the_evacuated_zones_is_no_reader() {
+    struct Case {
+        query: Query,
+        age_ms: Option<u64>,
+    }
+    let cases = [
+        Case {
+            query: Query::Evacuations,
+            age_ms: None,
+        },
+        Case {
+            query: Query::Configuration,
+            age_ms: Some(5),
+        },
+    ];
+    for case in cases {
+        let mut schedule = QuerySchedule::default();
+        assert!(schedule.start(START_MS, case.query));
+        schedule.end(START_MS + 5, case.query, true);
+        let age_ms = schedule.success_age_ms(START_MS + 10);
+        assert_eq!(age_ms, case.age_ms, "{:?}", case.query);
+    }
+}
