Never guess where a stream began after all hosts were killed

Another operator reported streams joined from two software versions after a loss of power of all hosts. Here a stream of unknown origin continued at a version that its pool had had alone for twice the route's present timeout. A host that has just started doesn't know that the timeout was longer, or that the route led to another pool, when the stream began. And the sole version went before the keepers, so a host that had not heard of a new version yet continued at the old one what another host had begun at the new one.

The keepers are asked first. A sole origin takes a minute since the start of the host, and twice the longest timeout that the route is known to have had.

--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -67,6 +67,7 @@
 pub mod selection;
 pub mod sender_ring;
 pub mod service_rate;
+pub mod sole_origin;
 pub mod state;
 pub mod store;
 pub mod stream_origin;
--- a/crates/toucancleat-fleet/src/reduce/origins.rs
+++ b/crates/toucancleat-fleet/src/reduce/origins.rs
@@ -9,20 +9,28 @@
 use crate::event::{Effect, LogEvent};
 use crate::peers::Peer;
 use crate::request::{Reason, Request, RequestNumber};
+use crate::sole_origin::HOST_LIST_AGE_MAX_MS;
 use crate::state::State;
 use crate::stream_origin::{
-    KEEPERS, KEEPERS_ASKED, OriginMessage, OriginSource, RETENTION_MARGIN_MS,
-    SOLE_VERSION_AGE_MAX_MS, SOLE_VERSION_TIMEOUTS, StreamKey, StreamOrigin,
+    KEEPERS, KEEPERS_ASKED, OriginMessage, OriginSource, RETENTION_MARGIN_MS, StreamKey,
+    StreamOrigin,
 };
 
-/// Refuses resumptions whose look-up has timed out.
+/// Ends look-ups that have timed out.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
-    state.sole_versions.update(now_ms, &state.directory);
+    update_sole_origins(state, now_ms);
     for request_number in state.stream_origins.expire(now_ms) {
-        refuse_unknown(state, request_number, effects);
+        resume_unknown(state, now_ms, request_number, effects);
     }
 }
 
+fn update_sole_origins(state: &mut State, now_ms: u64) {
+    let configuration = state.configuration.as_deref();
+    state
+        .sole_origins
+        .update(now_ms, &state.directory, configuration);
+}
+
 /// Keeps where a stream has been sent, and tells its keepers.
 ///
 /// They are told before the first event can arrive, since this host may be gone right after.
@@ -96,10 +104,6 @@
         let source = OriginSource::Kept;
         return resume_from(state, now_ms, request_number, origin, source, effects);
     }
-    if let Some(origin) = sole_origin(state, now_ms, request) {
-        let source = OriginSource::SoleVersion;
-        return resume_from(state, now_ms, request_number, origin, source, effects);
-    }
     let keepers = key.map_or_else(Vec::new, |key| {
         let zone = &state.identity.zone;
         state
@@ -107,7 +111,7 @@
             .keepers(now_ms, zone, key.hash(), KEEPERS_ASKED, |_| true)
     });
     let Some(key) = key.filter(|_| !keepers.is_empty()) else {
-        return refuse_unknown(state, request_number, effects);
+        return resume_unknown(state, now_ms, request_number, effects);
     };
     state
         .stream_origins
@@ -115,18 +119,34 @@
     send(keepers, OriginMessage::Query { key }, effects);
 }
 
-/// Returns the origin of a stream if its pool has had a single version for so long that the
-/// stream can't have begun at another.
+/// Resumes a stream of which no host knows the origin if all streams of its route began at the
+/// same pool and version, and refuses it otherwise.
+///
+/// N.B. the keepers come first. This host may not have heard yet of a version at which another
+/// one has begun the stream.
+fn resume_unknown(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    effects: &mut Vec<Effect>,
+) {
+    update_sole_origins(state, now_ms);
+    let request = state.requests.get(&request_number);
+    match request.and_then(|request| sole_origin(state, now_ms, request)) {
+        Some(origin) => {
+            let source = OriginSource::SoleVersion;
+            resume_from(state, now_ms, request_number, origin, source, effects);
+        }
+        None => refuse_unknown(state, request_number, effects),
+    }
+}
+
 fn sole_origin(state: &State, now_ms: u64, request: &Request) -> Option<StreamOrigin> {
     let list_age_ms = now_ms.saturating_sub(state.host_list_confirmed_ms?);
-    let is_recent = list_age_ms <= SOLE_VERSION_AGE_MAX_MS;
-    let has_one_pool = request.route().weighted_pools.len() == 1;
-    let time_ms = SOLE_VERSION_TIMEOUTS * request.route().timeout_ms;
-    let version = state.sole_versions.get(now_ms, &request.pool, time_ms)?;
-    (is_recent && has_one_pool).then(|| StreamOrigin {
-        pool: request.pool.clone(),
-        version: version.clone(),
-    })
+    if list_age_ms > HOST_LIST_AGE_MAX_MS {
+        return None;
+    }
+    state.sole_origins.get(now_ms, request.route())
 }
 
 fn resume_from(
@@ -208,7 +228,7 @@
                         OriginSource::Keeper,
                         effects,
                     ),
-                    None => refuse_unknown(state, request_number, effects),
+                    None => resume_unknown(state, now_ms, request_number, effects),
                 }
             }
         }
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -20,8 +20,9 @@
 use crate::poison_requests::PoisonRequests;
 use crate::pool_path::PoolPaths;
 use crate::request::{Request, RequestNumber};
+use crate::sole_origin::SoleOrigins;
 use crate::store::{ConfigurationRow, QuerySchedule, StorePosition};
-use crate::stream_origin::{SoleVersions, StreamOrigins};
+use crate::stream_origin::StreamOrigins;
 use crate::target::{TargetDirectory, TargetEntry};
 use crate::target_notice::TargetNotices;
 
@@ -127,7 +128,7 @@
     pub(crate) pool_paths: PoolPaths,
     pub(crate) health: HealthTable,
     pub(crate) stream_origins: StreamOrigins,
-    pub(crate) sole_versions: SoleVersions,
+    pub(crate) sole_origins: SoleOrigins,
     /// When the host list that this host knows was last the newest.
     pub(crate) host_list_confirmed_ms: Option<u64>,
     pub(crate) target_notices: TargetNotices,
@@ -195,7 +196,7 @@
             pool_paths: PoolPaths::default(),
             health: HealthTable::default(),
             stream_origins: StreamOrigins::default(),
-            sole_versions: SoleVersions::default(),
+            sole_origins: SoleOrigins::default(),
             host_list_confirmed_ms: None,
             target_notices: TargetNotices::default(),
             brittle_targets: BrittleTargets::default(),
--- a/crates/toucancleat-fleet/src/stream_origin.rs
+++ b/crates/toucancleat-fleet/src/stream_origin.rs
@@ -15,7 +15,7 @@
 use toucancleat_core::rng::stable_hash;
 
 use crate::request::RequestNumber;
-use crate::target::{SoftwareVersion, TargetDirectory};
+use crate::target::SoftwareVersion;
 
 /// Number of keepers of the own zone, and of other zones, that are told of a stream.
 pub const KEEPERS: usize = 2;
@@ -41,14 +41,6 @@
 /// Interval at which origins that are out of date are discarded.
 const EXPIRY_INTERVAL_MS: u64 = 1_000;
 
-/// Number of timeouts of a route for which a pool must have had a single version, so that every
-/// stream that can still be resumed began at it.
-pub const SOLE_VERSION_TIMEOUTS: u64 = 2;
-
-/// Maximum age of the host list at which a single version in it counts as the only one. An
-/// isolated host doesn't learn of a release.
-pub const SOLE_VERSION_AGE_MAX_MS: u64 = 2_000;
-
 /// Identifies a stream over all attempts of its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StreamKey(u64);
@@ -270,38 +262,3 @@
         timed_out
     }
 }
-
-/// The pools whose targets all have the same version, and since when.
-#[derive(Clone, Debug, Default)]
-pub struct SoleVersions {
-    pools: IndexMap<PoolName, (SoftwareVersion, u64)>,
-}
-
-impl SoleVersions {
-    /// Follows the host list.
-    pub fn update(&mut self, now_ms: u64, directory: &TargetDirectory) {
-        self.pools.retain(|pool, (version, _)| {
-            directory
-                .sole_version(pool)
-                .is_some_and(|sole| sole == version)
-        });
-        for pool in directory.pools() {
-            if let Some(version) = directory.sole_version(pool)
-                && !self.pools.contains_key(pool)
-            {
-                self.pools.insert(pool.clone(), (version.clone(), now_ms));
-            }
-        }
-    }
-
-    /// Returns the version that a pool has had alone for at least `time_ms`.
-    pub fn get(
-        &self,
-        now_ms: u64,
-        pool: &PoolName,
-        time_ms: u64,
-    ) -> Option<&SoftwareVersion> {
-        let (version, since_ms) = self.pools.get(pool)?;
-        (now_ms.saturating_sub(*since_ms) >= time_ms).then_some(version)
-    }
-}
--- a/crates/toucancleat-fleet/tests/stream_origins.rs
+++ b/crates/toucancleat-fleet/tests/stream_origins.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use support::fleet::Fleet;
-use support::versions::{engine, host_with_stream, show};
+use support::versions::{engine, host_with_stream, leaving, show};
 use support::*;
 use toucancleat_core::rng::Rng;
 use toucancleat_fleet::prelude::*;
@@ -228,63 +228,130 @@
     }
 }
 
+/// What happens while a host runs that knows one engine, with v1.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    /// An engine with another version joins.
+    OtherJoins,
+    /// It leaves.
+    OtherLeaves,
+    /// The timeout of the routes changes.
+    Timeout(u64),
+    /// The routes lead to another pool, or back.
+    Pool(&'static str),
+}
+
 /// A stream of which no host knows where it began continues only if its pool has had a single
-/// version for longer than any stream lasts. The route's timeout is 6 s.
+/// version, and its route that pool, for longer than any stream can be taken up. What was before
+/// the start of the host isn't known: all hosts may have been killed.
 #[test]
 fn a_stream_of_unknown_origin_continues_only_at_a_sole_version() {
     struct Case {
         name: &'static str,
-        /// When an engine with another version joins and leaves.
-        other_ms: Option<(u64, u64)>,
+        changes: &'static [(u64, Change)],
         /// When the host list is last confirmed.
         confirmed_ms: u64,
+        /// When the caller takes up the stream.
+        resumed_ms: u64,
         continues: bool,
     }
-    let case = |name, other_ms, confirmed_ms, continues| Case {
+    let case = |name, changes, resumed_ms, continues| Case {
         name,
-        other_ms,
-        confirmed_ms,
+        changes,
+        confirmed_ms: resumed_ms - 100,
+        resumed_ms,
         continues,
     };
+    use Change::{OtherJoins, OtherLeaves, Pool, Timeout};
     let cases = [
-        case("one version for long", None, 19_900, true),
-        case("another joins", Some((19_000, 60_000)), 19_900, false),
+        case("one version for long", &[], 70_000, true),
+        case("the host has just started", &[], 20_000, false),
+        case("another joins", &[(69_000, OtherJoins)], 70_000, false),
         case(
             "another was there until lately",
-            Some((1_000, 9_000)),
-            19_900,
+            &[(1_000, OtherJoins), (59_000, OtherLeaves)],
+            70_000,
             false,
         ),
         case(
             "another was there long ago",
-            Some((1_000, 7_000)),
-            19_900,
+            &[(1_000, OtherJoins), (7_000, OtherLeaves)],
+            70_000,
+            true,
+        ),
+        case(
+            "the timeout was shortened",
+            &[
+                (0, Timeout(60_000)),
+                (1_000, OtherJoins),
+                (7_000, OtherLeaves),
+                (8_000, Timeout(1_500)),
+            ],
+            100_000,
+            false,
+        ),
+        case(
+            "the timeout was shortened long ago",
+            &[(0, Timeout(60_000)), (8_000, Timeout(1_500))],
+            130_000,
+            true,
+        ),
+        case(
+            "the route was moved lately",
+            &[(0, Pool("roster")), (60_000, Pool("engines"))],
+            70_000,
+            false,
+        ),
+        case(
+            "the route was moved long ago",
+            &[(0, Pool("roster")), (5_000, Pool("engines"))],
+            70_000,
             true,
         ),
-        case("the host list is old", None, 17_000, false),
+        Case {
+            name: "the host list is old",
+            changes: &[],
+            confirmed_ms: 67_000,
+            resumed_ms: 70_000,
+            continues: false,
+        },
     ];
     for case in cases {
         let mut host = empty_host("host-01", "upp-a", 1);
         let known = [("engine-1", engine("upp-a", 101, "v1"))];
         populate(&mut host, START_MS, &known);
         apply(&mut host, START_MS, Event::Tick);
-        let other = engine("upp-a", 102, "v1.1");
-        let mut events: Vec<(u64, Option<Option<TargetEntry>>)> = Vec::new();
-        if let Some((joins_ms, leaves_ms)) = case.other_ms {
-            events.push((joins_ms, Some(Some(other))));
-            events.push((leaves_ms, Some(None)));
-        }
-        events.push((case.confirmed_ms, None));
-        events.retain(|(at_ms, _)| *at_ms <= case.confirmed_ms);
-        for (version, (at_ms, entry)) in (11..).zip(events) {
-            let changes: Vec<_> = entry.into_iter().map(|e| ("engine-2", e)).collect();
-            show(&mut host, START_MS + at_ms, version, &changes);
+        let mut changed = configuration(1);
+        for (version, (at_ms, change)) in (11..).zip(case.changes) {
+            let now_ms = START_MS + at_ms;
+            match change {
+                OtherJoins => {
+                    let other = engine("upp-a", 102, "v1.1");
+                    show(&mut host, now_ms, version, &[("engine-2", Some(other))]);
+                }
+                OtherLeaves => show(&mut host, now_ms, version, &[("engine-2", None)]),
+                Timeout(timeout_ms) => {
+                    for route in &mut changed.routes {
+                        route.timeout_ms = *timeout_ms;
+                    }
+                }
+                Pool(pool) => {
+                    for route in &mut changed.routes {
+                        route.weighted_pools[0].pool = PoolName::new(pool);
+                    }
+                }
+            }
+            changed.version = version;
+            let reply = Reply::Configuration(Some(stored(changed.clone())));
+            answer(&mut host, now_ms, Query::Configuration, reply);
+            apply(&mut host, now_ms, Event::Tick);
         }
-        let now_ms = START_MS + 20_000;
+        show(&mut host, START_MS + case.confirmed_ms, 50, &[]);
+        let now_ms = START_MS + case.resumed_ms;
         // A call that was made earlier confirms less.
         for _ in 0..2 {
-            let configuration = Reply::Configuration(Some(stored(configuration(1))));
-            answer(&mut host, now_ms, Query::Configuration, configuration);
+            let reply = Reply::Configuration(Some(stored(changed.clone())));
+            answer(&mut host, now_ms, Query::Configuration, reply);
         }
         for id in [None, Some("attempt-of-a-host-that-is-gone")] {
             let effects = receive_request(&mut host, now_ms, 5, resumption(id));
@@ -302,6 +369,124 @@
     }
 }
 
+/// All hosts lose power at once while engines of two versions serve, or when those of the old one
+/// have just left, and callers take up their streams at the hosts that come back. Nobody knows
+/// which version began them, so none may continue.
+#[test]
+fn no_stream_continues_at_a_guessed_version_after_all_hosts_were_killed() {
+    struct Case {
+        name: &'static str,
+        hosts: u16,
+        /// The versions that the list has when the hosts are back.
+        versions_left: &'static [&'static str],
+        /// The timeout of the route when the hosts are back; callers still wait for 6 s.
+        timeout_ms: u64,
+    }
+    let case = |name, hosts, versions_left, timeout_ms| Case {
+        name,
+        hosts,
+        versions_left,
+        timeout_ms,
+    };
+    let both: &[&str] = &["v1", "v1.1"];
+    let new: &[&str] = &["v1.1"];
+    let cases = [
+        case("8 hosts, both versions", 8, both, 6_000),
+        case("8 hosts, the new one", 8, new, 6_000),
+        case("61 hosts, the new one", 61, new, 6_000),
+        case("a timeout was shortened meanwhile", 8, new, 1_500),
+    ];
+    // The callers' streams began at most 6 s before.
+    const RESUMED_MS: [u64; 5] = [600, 1_200, 3_200, 4_500, 5_900];
+    for case in cases {
+        let engines: Vec<(String, TargetEntry)> = engines()
+            .into_iter()
+            .filter(|(_, entry)| {
+                let version = entry.software_version.as_ref();
+                version.is_some_and(|v| case.versions_left.contains(&v.as_str()))
+            })
+            .collect();
+        let targets: Vec<(&str, TargetEntry)> = engines
+            .iter()
+            .map(|(name, entry)| (name.as_str(), entry.clone()))
+            .collect();
+        let mut fleet = Fleet::new(case.hosts, &ZONES, &targets);
+        for host in 0..usize::from(case.hosts) {
+            fleet.restart(host, &targets);
+        }
+        let restarted_ms = fleet.now_ms;
+        for host in 0..usize::from(case.hosts) {
+            let mut changed = configuration(2);
+            for route in &mut changed.routes {
+                route.timeout_ms = case.timeout_ms;
+            }
+            let reply = Reply::Configuration(Some(stored(changed)));
+            answer(
+                &mut fleet.hosts[host],
+                restarted_ms,
+                Query::Configuration,
+                reply,
+            );
+        }
+        for (number, resumed_ms) in (0..).zip(RESUMED_MS) {
+            fleet.advance(restarted_ms + resumed_ms - fleet.now_ms);
+            for host in [0, usize::from(case.hosts) - 1] {
+                // The list is confirmed as by the reader of the store.
+                let now_ms = fleet.now_ms;
+                show(&mut fleet.hosts[host], now_ms, 20 + number, &[]);
+                let id = format!("before-{number}");
+                let request = 2 * number + u64::from(host > 0);
+                fleet.send_request(host, request, resumption(Some(&id)));
+                fleet.advance(LOOKUP_MS);
+                let sent = fleet.dispatched_to(request);
+                assert!(sent.is_empty(), "{}, after {resumed_ms} ms", case.name);
+                assert!(
+                    fleet.is_refused(request),
+                    "{}, after {resumed_ms} ms",
+                    case.name
+                );
+            }
+        }
+    }
+}
+
+/// A host begins a stream at a version that has just appeared. The caller takes it up at a host
+/// that has not heard of that version, and knows another as the only one.
+#[test]
+fn keepers_are_asked_before_a_sole_version_is_assumed() {
+    let old = [("engine-1", engine("upp-a", 101, "v1"))];
+    let mut fleet = Fleet::new(8, &ZONES, &old);
+    for _ in 0..70 {
+        fleet.advance(1_000);
+    }
+    let now_ms = fleet.now_ms;
+    let new = engine("upp-a", 102, "v1.1");
+    // The new engine is the only one with room for new streams.
+    let changes = [
+        ("engine-2", Some(new)),
+        ("engine-1", Some(leaving(&engine("upp-a", 101, "v1")))),
+    ];
+    show(&mut fleet.hosts[0], now_ms, 11, &changes);
+    let incoming = IncomingRequest {
+        attempt_id: "first".into(),
+        ..incoming_request("check")
+    };
+    let target = fleet.send_request(0, 1, incoming);
+    assert_eq!(target, Some(TargetName::new("engine-2")));
+    for host in 1..8 {
+        show(&mut fleet.hosts[host], now_ms, 10, &[]);
+        let number = 10 + host as u64;
+        fleet.send_request(host, number, resumption(Some("first")));
+        fleet.advance(LOOKUP_MS);
+        let sent = fleet.dispatched_to(number);
+        let is_old = sent.contains(&TargetName::new("engine-1"));
+        assert!(
+            !is_old,
+            "host {host} continues at the version that it knows"
+        );
+    }
+}
+
 /// A caller whose stream can't continue is told at once, and to begin anew instead of to wait.
 #[test]
 fn a_resumption_is_refused_at_once_when_its_version_is_gone() {
