Don't take hosts that have missed changes for readers of the store

In the third play the reader gave up its role at 24.4 s, none read the configuration until 30.4 s, and from 28 s on all hosts refused everything as stale. Cold engines return at 23 s while a quarter of the hosts is cut off; hosts that miss changes read the host list for themselves, each second, and their messages said that the store had answered them just now, as a reader's do.

Messages name that time only if the sender reads for all.

--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -82,7 +82,7 @@
     pub host_list_version: u64,
     /// Digest of the host list at that version, without heartbeats.
     pub host_list_digest: u64,
-    /// Time since the store last answered the sender itself.
+    /// Time since the store last answered the sender itself, if it reads the store for all hosts.
     pub store_age_ms: Option<u64>,
     /// The sender's load at each target.
     pub loads: Vec<(TargetName, Load)>,
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -83,7 +83,7 @@
         configuration_age_ms: state.configuration_age_ms(now_ms),
         host_list_version: state.directory.known_position().version,
         host_list_digest: state.directory.digest(),
-        store_age_ms: state.query_schedule.success_age_ms(now_ms),
+        store_age_ms: reader_store_age_ms(state, now_ms),
         loads: loads
             .map(|(target, load)| (target.clone(), *load))
             .collect(),
@@ -109,6 +109,15 @@
     });
 }
 
+/// Returns the time since the store last answered this host, if it reads the store for all.
+///
+/// N.B. a host that has missed a change reads the host list for itself. If it counted as a reader,
+/// the reader would give up its role, and nobody would read the configuration.
+fn reader_store_age_ms(state: &State, now_ms: u64) -> Option<u64> {
+    let age_ms = state.query_schedule.success_age_ms(now_ms);
+    age_ms.filter(|_| state.is_reader)
+}
+
 /// Handles a message of a peer.
 pub(super) fn handle_message(
     state: &mut State,
--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -7,7 +7,7 @@
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::store::{Query, Reply};
 use toucancleat_fleet::stream_origin::OriginMessage;
-use toucancleat_fleet::target::TargetEntry;
+use toucancleat_fleet::target::{TargetChange, TargetEntry};
 
 use super::*;
 
@@ -23,6 +23,8 @@
     pub loses_messages: bool,
     /// Hosts that the store refuses.
     pub refused: IndexSet<usize>,
+    /// What the store answers to queries of the host list, if it does.
+    pub host_list: Option<(u64, Vec<TargetChange>)>,
     /// Hosts that have queried the store.
     pub readers: IndexSet<usize>,
     /// Queries of all hosts, in order.
@@ -63,6 +65,7 @@
             isolated: IndexSet::new(),
             loses_messages: false,
             refused: IndexSet::new(),
+            host_list: None,
             readers: IndexSet::new(),
             queries: Vec::new(),
             dispatched: Vec::new(),
@@ -194,6 +197,13 @@
                     Query::Configuration => {
                         Reply::Configuration(Some(stored(configuration(1))))
                     }
+                    Query::Targets if self.host_list.is_some() => {
+                        let (store_version, list) = self.host_list.clone().unwrap();
+                        Reply::Targets {
+                            store_version,
+                            list,
+                        }
+                    }
                     Query::Register => Reply::Registered,
                     Query::Hosts => Reply::Hosts(Vec::new()),
                     // Feeds and lists stay open. Tests that need a reply to one supply it
