--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -11,13 +11,14 @@
 use crate::peers::{Message, Recipient};
 use crate::prompt_part::PartId;
 use crate::request::{
-    AttemptOutcome, Dispatch, Handoff, HandoffOutcome, IncomingRequest, Refusal,
-    RequestNumber,
+    AttemptOutcome, Dispatch, Handoff, HandoffOutcome, IncomingRequest,
+    MigrationObstacle, Refusal, RequestNumber,
 };
 use crate::store::{Query, Reply};
 use crate::stream_origin::{OriginMessage, OriginSource};
 use crate::target::SoftwareVersion;
 use crate::target_notice::TargetNotice;
+use crate::target_watch::TargetReport;
 
 /// An event of an entry host.
 #[derive(Debug)]
@@ -93,6 +94,13 @@
         /// Whether destinations that refused the run may be tried again.
         can_retry_refused: bool,
     },
+    /// An engine was asked for its report.
+    TargetReported {
+        /// The engine.
+        target: TargetName,
+        /// Its report, or `None` if it gave none.
+        report: Option<TargetReport>,
+    },
     /// A run has resumed at its destination.
     Migrated {
         /// The request.
@@ -214,6 +222,13 @@
         /// The target's address.
         address: SocketAddr,
     },
+    /// Ask an engine for its report.
+    QueryReport {
+        /// The engine.
+        target: TargetName,
+        /// The engine's address.
+        address: SocketAddr,
+    },
     /// Apply a configuration that has come into force.
     ApplyConfiguration(Arc<Configuration>),
     /// Write a log record.
@@ -274,6 +289,27 @@
         /// This host's runs at the target.
         runs: u32,
     },
+    /// This host begins or ends to ask engines whether they are leaving.
+    TargetWatchChanged {
+        /// Whether nobody reads the host list, so that engines are asked.
+        is_watching: bool,
+    },
+    /// A target is suspected to be leaving.
+    TargetSuspected {
+        /// The target.
+        target: TargetName,
+        /// Whether this host has asked it, and not a peer.
+        is_own: bool,
+        /// This host's runs at the target.
+        runs: u32,
+    },
+    /// The time of a suspicion has passed.
+    SuspicionEnded {
+        /// The target.
+        target: TargetName,
+        /// Whether the target has said meanwhile that it is leaving.
+        is_confirmed: bool,
+    },
     /// A target wants no requests from this host for a time.
     TargetPaused {
         /// The target.
@@ -320,6 +356,13 @@
         /// The store's version of that.
         store_version: u64,
     },
+    /// A run that should migrate has no destination.
+    MigrationObstructed {
+        /// The id of the caller's attempt.
+        attempt_id: Arc<str>,
+        /// The cause.
+        cause: MigrationObstacle,
+    },
     /// The host starts or stops reading the store on behalf of the others.
     ReaderRoleChanged {
         /// Whether it reads now.
--- /dev/null
+++ b/crates/toucancleat-fleet/src/lapsed_entries.rs
@@ -0,0 +1,65 @@
+//! Entries of the host list that expired while the store was away.
+//!
+//! Targets renew their entries with heartbeats, which the store doesn't receive while it is away. The
+//! first list after its return may lack the entries of many targets that are running, and those
+//! are back within about two seconds. If they counted as leaving, the runs of all of them would
+//! migrate at once, and new requests would go to the few that are back first. See
+//! docs/design/target-watch.md.
+
+use indexmap::IndexSet;
+use toucancleat_core::prelude::*;
+
+/// Time after the store's return within which entries that have expired are back, if their
+/// targets are running. A target whose entry is missing for longer is gone.
+pub const LAPSED_ENTRY_GRACE_MS: u64 = 2_000;
+
+/// The entries that are missing since the store was away, and are kept for now.
+#[derive(Clone, Debug, Default)]
+pub struct LapsedEntries {
+    phase: Phase,
+    targets: IndexSet<TargetName>,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Phase {
+    /// The host list is read all the time.
+    #[default]
+    Read,
+    /// Nobody reads it, and this host has not received any part of it since.
+    Unread,
+    /// This host has received a part of it.
+    Received,
+}
+
+impl LapsedEntries {
+    /// Records that nobody reads the host list any more.
+    pub fn begin(&mut self) {
+        self.phase = Phase::Unread;
+        self.targets.clear();
+    }
+
+    /// Records what the next list, or the next changes of it, lack. What is missing from the first
+    /// ones may have expired. Later removals are those of targets that leave.
+    pub fn record_missing(&mut self, missing: impl IntoIterator<Item = TargetName>) {
+        if self.phase == Phase::Unread {
+            self.phase = Phase::Received;
+            self.targets.extend(missing);
+        }
+    }
+
+    /// Records that a target's entry is there again.
+    pub fn record_listed(&mut self, target: &TargetName) {
+        self.targets.swap_remove(target);
+    }
+
+    /// Returns true if a target's entry is kept though it is missing.
+    pub fn contains(&self, target: &TargetName) -> bool {
+        self.targets.contains(target)
+    }
+
+    /// Ends the grace.
+    pub fn end(&mut self) {
+        self.phase = Phase::Read;
+        self.targets.clear();
+    }
+}
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod event_stream;
 pub mod health;
 pub mod host_ring;
+pub mod lapsed_entries;
 pub mod load;
 pub mod migration;
 pub mod migration_plan;
@@ -73,5 +74,6 @@
 pub mod stream_origin;
 pub mod target;
 pub mod target_notice;
+pub mod target_watch;
 
 pub use crate::reduce::reduce;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -27,6 +27,7 @@
 use crate::store::{READER_SILENCE_MS, StorePosition};
 use crate::target::TargetChange;
 use crate::target_notice::NoticeReport;
+use crate::target_watch::WatchReport;
 
 /// Minimum time between two messages to the same host. At this interval, loads lag by
 /// less than a third of the lag of the targets' own reports.
@@ -130,6 +131,10 @@
     /// Whether the sender confines requests to home regions. Hosts of the last release don't.
     #[serde(skip)]
     pub heeds_confinement: bool,
+    /// What the sender knows of targets while nobody reads the host list, or `None` if it is of
+    /// the last release.
+    #[serde(skip)]
+    pub watch: Option<WatchReport>,
     /// A sample of the addresses of other hosts.
     pub addresses: Vec<SocketAddr>,
     /// A change that the sender has read from the store.
@@ -191,7 +196,7 @@
 pub struct Peers {
     peers: IndexMap<HostName, Peer>,
     /// The addresses of these peers.
-    peer_addresses: IndexSet<SocketAddr>,
+    peer_addresses: IndexMap<SocketAddr, HostName>,
     /// Total load of all live peers at each target.
     ///
     /// The totals are updated with each message. Adding them up for each selection would
@@ -240,6 +245,10 @@
                 brittle_reports: BrittleReports::default(),
                 cold_reports: Vec::new(),
                 demand: DemandReport::default(),
+                watch: message.watch.map(|watch| WatchReport {
+                    suspicions: Vec::new(),
+                    ..watch
+                }),
                 ..message
             },
             is_counted: true,
@@ -256,7 +265,7 @@
             let zone_ring = self.zone_rings.entry(zone.clone()).or_default();
             zone_ring.insert(&from);
         }
-        if let Some(before) = self.peers.insert(from, peer) {
+        if let Some(before) = self.peers.insert(from.clone(), peer) {
             if before.is_counted {
                 subtract_loads(&mut self.load_totals, &before.last_message.loads);
             }
@@ -265,7 +274,7 @@
                 self.senders.remove(before.address);
             }
         }
-        self.peer_addresses.insert(address);
+        self.peer_addresses.insert(address, from);
     }
 
     /// Adds an address at which an entry host may be, and returns true if it is new.
@@ -275,7 +284,7 @@
         own_address: SocketAddr,
         address: SocketAddr,
     ) -> bool {
-        let is_known = self.peer_addresses.contains(&address)
+        let is_known = self.peer_addresses.contains_key(&address)
             || self.candidate_addresses.contains_key(&address);
         if address == own_address || is_known {
             return false;
@@ -411,6 +420,16 @@
         })
     }
 
+    /// Returns true if the peer at an address is live.
+    pub fn is_live_at(&self, now_ms: u64, address: SocketAddr) -> bool {
+        let host = self.peer_addresses.get(&address);
+        let peer = host.and_then(|host| self.peers.get(host));
+        let silence_limit_ms = self.silence_limit_ms();
+        peer.is_some_and(|peer| {
+            now_ms.saturating_sub(peer.received_ms) <= silence_limit_ms
+        })
+    }
+
     /// Returns how many hosts may be running, including this one and peers that aren't
     /// live.
     pub fn fleet_size(&self) -> usize {
--- a/crates/toucancleat-fleet/src/reduce/eligibility.rs
+++ b/crates/toucancleat-fleet/src/reduce/eligibility.rs
@@ -83,12 +83,14 @@
 /// Returns true if a target takes a request of this host now.
 pub(super) fn takes_request(state: &State, now_ms: u64, target: &TargetName) -> bool {
     state.target_notices.takes_request(now_ms, target)
+        && !state.suspected_targets.contains(now_ms, target)
         && state.cold_targets.takes_request(now_ms, target)
 }
 
 /// Returns true if a target takes any number of requests now.
 pub(super) fn takes_any_rate(state: &State, now_ms: u64, target: &TargetName) -> bool {
     state.target_notices.takes_any_rate(now_ms, target)
+        && !state.suspected_targets.contains(now_ms, target)
         && state.cold_targets.takes_any_rate(now_ms, target)
 }
 
@@ -100,6 +102,8 @@
     target: &TargetName,
 ) -> Option<u64> {
     let retry_at_ms = state.target_notices.retry_at_ms(now_ms, target)?;
+    let suspected_until_ms = state.suspected_targets.until_ms(target);
+    let retry_at_ms = retry_at_ms.max(suspected_until_ms.unwrap_or_default());
     Some(retry_at_ms.max(state.cold_targets.retry_at_ms(now_ms, target)))
 }
 
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -1,7 +1,7 @@
 //! Sends messages to peers and handles those received from them.
 
 use super::requests::log_part_changes;
-use super::{cold, contention, evacuation, notices, store_sync, transitions};
+use super::{cold, contention, evacuation, notices, store_sync, transitions, watch};
 use crate::event::Effect;
 use crate::peers::{
     ANNOUNCEMENT_SPREAD_PER_HOST_MS, Message, Recipient, Update, earliest_send_ms,
@@ -100,6 +100,7 @@
         cold_reports: state.cold_targets.own_reports(now_ms),
         demand: contention::own_report(state, now_ms),
         heeds_confinement: true,
+        watch: Some(watch::own_report(state, now_ms)),
         addresses: state.peers.sample_addresses(state.address_sample_offset),
         update,
     };
@@ -148,6 +149,7 @@
         compare_versions(state, now_ms, &message);
         notices::handle_reports(state, now_ms, &message, effects);
         cold::handle_reports(state, now_ms, &message, effects);
+        watch::handle_peer_report(state, now_ms, &message, effects);
         state.contention.record_report(
             now_ms,
             &message.from,
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -7,17 +7,19 @@
 use super::{eligibility, messages};
 use crate::configuration::RetrySafety;
 use crate::continuation::Continuation;
-use crate::event::Effect;
+use crate::event::{Effect, LogEvent};
 use crate::migration_plan::{self, Destination, HostRuns, Source};
-use crate::request::{Request, RequestNumber};
+use crate::request::{MigrationObstacle, Request, RequestNumber};
 use crate::state::State;
 use crate::target::TargetEntry;
 
 /// Returns the runs at a target that can migrate with their memory.
 pub(super) fn migratable_at(state: &State, target: &TargetName) -> Vec<RequestNumber> {
+    // Runs that are migrating already began to when the target was suspected.
     let is_at_target = |request: &Request| {
         let placement = request.placement.as_ref();
-        placement.is_some_and(|(placed_at, _)| placed_at == target)
+        request.destination.is_none()
+            && placement.is_some_and(|(placed_at, _)| placed_at == target)
     };
     state
         .requests
@@ -92,16 +94,23 @@
         let mut destinations = plan.swap_remove(target).unwrap_or_default();
         for request_number in migratable_at(state, target) {
             match take_permitted(state, request_number, &mut destinations) {
-                Some(destination)
-                    if reserve_migration_retry(state, now_ms, request_number) =>
-                {
-                    migrate_to(state, now_ms, request_number, destination, effects);
+                Some(destination) => {
+                    migrate_within_budget(
+                        state,
+                        now_ms,
+                        request_number,
+                        destination,
+                        effects,
+                    );
                 }
                 // The plan doesn't know which runs are confined to which regions.
                 None if is_confined(state, request_number) => {
                     choose_destination(state, now_ms, request_number, false, effects);
                 }
-                _ => effects.push(Effect::NoDestination { request_number }),
+                None => {
+                    let cause = MigrationObstacle::NoTarget;
+                    report_obstacle(state, request_number, cause, effects);
+                }
             }
         }
     }
@@ -210,10 +219,50 @@
         .is_some_and(is_migratable);
     let selection = can_migrate.then(|| select_for(state, now_ms, request_number, true));
     match selection.flatten() {
-        Some(selection) if reserve_migration_retry(state, now_ms, request_number) => {
-            migrate_to(state, now_ms, request_number, selection.target, effects);
+        Some(selection) => {
+            let destination = selection.target;
+            migrate_within_budget(state, now_ms, request_number, destination, effects);
+        }
+        None => {
+            let cause = MigrationObstacle::NoTarget;
+            report_obstacle(state, request_number, cause, effects);
         }
-        _ => effects.push(Effect::NoDestination { request_number }),
+    }
+}
+
+/// Migrates a run to a destination if the budget of retries permits it.
+fn migrate_within_budget(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    destination: TargetName,
+    effects: &mut Vec<Effect>,
+) {
+    if reserve_migration_retry(state, now_ms, request_number) {
+        migrate_to(state, now_ms, request_number, destination, effects);
+    } else {
+        let cause = MigrationObstacle::RetryBudget;
+        report_obstacle(state, request_number, cause, effects);
+    }
+}
+
+/// Tells the task of a run that it can't migrate now, and logs each cause once.
+fn report_obstacle(
+    state: &mut State,
+    request_number: RequestNumber,
+    cause: MigrationObstacle,
+    effects: &mut Vec<Effect>,
+) {
+    effects.push(Effect::NoDestination { request_number });
+    let Some(request) = state.requests.get_mut(&request_number) else {
+        return;
+    };
+    if request.migration_obstacle != Some(cause) {
+        request.migration_obstacle = Some(cause);
+        effects.push(Effect::Log(LogEvent::MigrationObstructed {
+            attempt_id: request.incoming.attempt_id.clone(),
+            cause,
+        }));
     }
 }
 
@@ -229,7 +278,8 @@
         .get(&request_number)
         .map_or(&[][..], |request| &request.incoming.shared_parts);
     if state.poison_parts.refused_for_ms(now_ms, parts).is_some() {
-        return effects.push(Effect::NoDestination { request_number });
+        let cause = MigrationObstacle::CrashesTargets;
+        return report_obstacle(state, request_number, cause, effects);
     }
     eligibility::take_permit(state, now_ms, &destination);
     let entry = state.directory.get(&destination);
@@ -237,7 +287,8 @@
     let (Some((address, target_version)), Some(request)) =
         (entry, state.requests.get_mut(&request_number))
     else {
-        return effects.push(Effect::NoDestination { request_number });
+        let cause = MigrationObstacle::NoTarget;
+        return report_obstacle(state, request_number, cause, effects);
     };
     let added = request.load();
     request.tried_targets.push(destination.clone());
@@ -271,6 +322,7 @@
         request.target_started_unix_ms = entry.and_then(|entry| entry.started_unix_ms);
         request.answering_since_ms = None;
         request.has_migration_retry = false;
+        request.migration_obstacle = None;
         // A target that the run has left may take it again after a restart.
         request.tried_targets.clear();
     }
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -14,6 +14,7 @@
 mod restarts;
 mod store_sync;
 mod transitions;
+mod watch;
 
 use crate::event::{Effect, Event};
 use crate::state::State;
@@ -27,6 +28,7 @@
         Event::Tick => {
             store_sync::tick(state, now_ms, effects);
             notices::tick(state, now_ms, effects);
+            watch::tick(state, now_ms, effects);
             cold::tick(state, now_ms);
             origins::tick(state, now_ms, effects);
             handoff::tick(state, now_ms, effects);
@@ -59,6 +61,9 @@
         } => {
             state.leaves_at_ms.insert(target, leaves_at_ms);
         }
+        Event::TargetReported { target, report } => {
+            watch::handle_report(state, now_ms, &target, report, effects);
+        }
         Event::NoticeReceived { target, notice } => {
             notices::handle_notice(state, now_ms, &target, notice, effects);
         }
--- a/crates/toucancleat-fleet/src/reduce/notices.rs
+++ b/crates/toucancleat-fleet/src/reduce/notices.rs
@@ -70,6 +70,32 @@
     }
 }
 
+/// Records that a target has said that it is leaving, when it was asked, and tells the peers.
+pub(super) fn record_leaving(
+    state: &mut State,
+    now_ms: u64,
+    target: &TargetName,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(entry) = known_entry(state, target).cloned() else {
+        return;
+    };
+    let notice = TargetNotice {
+        rate_limit_per_s: state.target_notices.get(target).rate_limit_per_s,
+        is_leaving: true,
+        ..TargetNotice::default()
+    };
+    let source = AnswerSource {
+        started_unix_ms: entry.started_unix_ms,
+        answered_ms: now_ms,
+        is_own: true,
+    };
+    if let Some(before) = state.target_notices.record(target, notice, source) {
+        state.must_broadcast = true;
+        apply_change(state, now_ms, (target, &entry), &before, effects);
+    }
+}
+
 /// Records the notices that a peer has received.
 ///
 /// A notice of unknown age could replace a later one, so a message that echoes none of this
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -171,6 +171,7 @@
         continuation: Continuation::AnyVersion,
         destination: None,
         has_migration_retry: false,
+        migration_obstacle: None,
         generated_tokens: 0,
     })
 }
--- a/crates/toucancleat-fleet/src/reduce/restarts.rs
+++ b/crates/toucancleat-fleet/src/reduce/restarts.rs
@@ -25,6 +25,7 @@
             .get(target)
             .and_then(|entry| entry.started_unix_ms);
         state.health.remove(target);
+        state.suspected_targets.remove(target);
         state.leaves_at_ms.swap_remove(target);
         state.brittle_targets.forget(target);
         state
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use indexmap::IndexSet;
+use toucancleat_core::prelude::*;
+
 use super::{cold, evacuation, messages, transitions};
 use crate::configuration::Configuration;
 use crate::configuration_change::ConfigurationChange;
@@ -286,6 +289,7 @@
                 .advance_configuration_feed(store_version);
             let is_first = !state.directory.is_known();
             hold_back_departed(state, &mut list);
+            keep_lapsed(state, store_version, &mut list);
             cold::record_changes(state, now_ms, state.store_era, &list, effects);
             let position = current_position(state, store_version);
             let transitions = state.directory.replace_all(position, &mut list);
@@ -310,6 +314,7 @@
             mut changes,
         } => {
             let position = current_position(state, store_version);
+            hold_back_removals(state, &mut changes);
             cold::record_changes(state, now_ms, position.era, &changes, effects);
             let transitions = state.directory.apply_changes(position, &mut changes);
             broadcast_changes(state, now_ms, &changes, effects);
@@ -417,6 +422,54 @@
     });
 }
 
+/// Returns true if a target counts as running though its entry may be missing: it took requests
+/// before the store was away, and hasn't said since that it is leaving.
+fn was_accepting(state: &State, target: &TargetName) -> bool {
+    let entry = state.directory.get(target);
+    entry.is_some_and(|entry| !entry.is_leaving)
+        && !state.target_notices.get(target).is_leaving
+}
+
+/// Keeps entries in a list from which they are missing since they expired while the store was
+/// away.
+fn keep_lapsed(state: &mut State, store_version: u64, list: &mut Vec<TargetChange>) {
+    let mut listed = IndexSet::new();
+    for change in list.iter() {
+        state.lapsed_entries.record_listed(&change.target);
+        listed.insert(change.target.clone());
+    }
+    let known = state.directory.iter().map(|(target, _)| target);
+    let missing =
+        known.filter(|target| !listed.contains(*target) && was_accepting(state, target));
+    let missing: Vec<TargetName> = missing.cloned().collect();
+    state.lapsed_entries.record_missing(missing);
+    let kept = state
+        .directory
+        .iter()
+        .filter(|(target, _)| state.lapsed_entries.contains(target));
+    list.extend(kept.map(|(target, entry)| TargetChange {
+        target: target.clone(),
+        store_version,
+        entry: Some(entry.clone()),
+    }));
+}
+
+/// Drops the removals of such entries from changes of the host list. The first list after the
+/// grace has those that stay removed.
+fn hold_back_removals(state: &mut State, changes: &mut Vec<TargetChange>) {
+    let removed = changes
+        .iter()
+        .filter(|change| change.entry.is_none() && was_accepting(state, &change.target));
+    let removed: Vec<TargetName> = removed.map(|change| change.target.clone()).collect();
+    state.lapsed_entries.record_missing(removed);
+    for change in changes.iter().filter(|change| change.entry.is_some()) {
+        state.lapsed_entries.record_listed(&change.target);
+    }
+    changes.retain(|change| {
+        change.entry.is_some() || !state.lapsed_entries.contains(&change.target)
+    });
+}
+
 /// Broadcasts changes of the host list.
 ///
 /// What a reader finds in the complete list is broadcast as well. A host that takes over has
--- a/crates/toucancleat-fleet/src/reduce/transitions.rs
+++ b/crates/toucancleat-fleet/src/reduce/transitions.rs
@@ -61,6 +61,7 @@
                     restarted.insert(target.clone());
                 }
                 state.health.remove(&target);
+                state.suspected_targets.remove(&target);
                 state.leaves_at_ms.swap_remove(&target);
                 state
                     .target_notices
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -262,6 +262,29 @@
     }
 }
 
+/// Why a run that should migrate has no destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum MigrationObstacle {
+    /// No target takes it.
+    NoTarget,
+    /// A migration counts as a retry, and the budget has none left.
+    RetryBudget,
+    /// Targets crash under it.
+    CrashesTargets,
+}
+
+impl MigrationObstacle {
+    /// Returns the name of the cause in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            MigrationObstacle::NoTarget => "no_target",
+            MigrationObstacle::RetryBudget => "retry_budget",
+            MigrationObstacle::CrashesTargets => "crashes_targets",
+        }
+    }
+}
+
 /// A request in progress.
 #[derive(Clone, Debug)]
 pub struct Request {
@@ -313,6 +336,8 @@
     pub destination: Option<(TargetName, Load)>,
     /// Whether the retry that its next migration counts as has been taken.
     pub has_migration_retry: bool,
+    /// Why it has no destination, as last logged.
+    pub migration_obstacle: Option<MigrationObstacle>,
     /// Number of tokens generated so far.
     pub generated_tokens: u64,
 }
--- a/crates/toucancleat-fleet/src/sender_ring.rs
+++ b/crates/toucancleat-fleet/src/sender_ring.rs
@@ -75,6 +75,28 @@
         }
     }
 
+    /// Returns the first host after a hash for which `is_usable` returns true.
+    pub fn first(
+        &self,
+        hash: u64,
+        is_usable: impl Fn(SocketAddr) -> bool,
+    ) -> Option<SocketAddr> {
+        let found = self.ring.successors(hash, 1, |address| is_usable(*address));
+        found.first().map(|address| **address)
+    }
+
+    /// Returns the first host of a zone after a hash for which `is_usable` returns true.
+    pub fn first_of_zone(
+        &self,
+        zone: &ZoneName,
+        hash: u64,
+        is_usable: impl Fn(SocketAddr) -> bool,
+    ) -> Option<SocketAddr> {
+        self.first(hash, |address| {
+            self.zones.get(&address) == Some(zone) && is_usable(address)
+        })
+    }
+
     /// Returns a number that differs after each change of the hosts.
     pub fn changes(&self) -> u64 {
         self.changes
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -15,6 +15,7 @@
 use crate::departures::Departures;
 use crate::evacuation::Evacuations;
 use crate::health::HealthTable;
+use crate::lapsed_entries::LapsedEntries;
 use crate::peers::{Load, Peers};
 use crate::poison_parts::PoisonParts;
 use crate::poison_requests::PoisonRequests;
@@ -25,6 +26,7 @@
 use crate::stream_origin::StreamOrigins;
 use crate::target::{TargetDirectory, TargetEntry};
 use crate::target_notice::TargetNotices;
+use crate::target_watch::{SuspectedTargets, TargetWatch};
 
 /// Identity of this host.
 #[derive(Clone, Debug)]
@@ -132,6 +134,16 @@
     /// When the host list that this host knows was last the newest.
     pub(crate) host_list_confirmed_ms: Option<u64>,
     pub(crate) target_notices: TargetNotices,
+    pub(crate) target_watch: TargetWatch,
+    pub(crate) suspected_targets: SuspectedTargets,
+    /// Whether engines are asked, since nobody reads the host list.
+    pub(crate) is_watching_targets: bool,
+    /// When a host began to read the host list again, until the entries that expired meanwhile
+    /// are back.
+    pub(crate) host_list_returned_ms: Option<u64>,
+    pub(crate) lapsed_entries: LapsedEntries,
+    /// Whether this host reads the host list for all, as peers were last told.
+    pub(crate) reads_host_list: bool,
     pub(crate) brittle_targets: BrittleTargets,
     pub(crate) evacuations: Evacuations,
     pub(crate) cold_targets: ColdTargets,
@@ -199,6 +211,12 @@
             sole_origins: SoleOrigins::default(),
             host_list_confirmed_ms: None,
             target_notices: TargetNotices::default(),
+            target_watch: TargetWatch::default(),
+            suspected_targets: SuspectedTargets::default(),
+            is_watching_targets: false,
+            host_list_returned_ms: None,
+            lapsed_entries: LapsedEntries::default(),
+            reads_host_list: false,
             brittle_targets: BrittleTargets::default(),
             evacuations: Evacuations::default(),
             cold_targets: ColdTargets::default(),
@@ -255,6 +273,11 @@
         self.pool_paths.lost_count()
     }
 
+    /// Returns the number of targets that are suspected to be leaving.
+    pub fn suspected_targets(&self, now_ms: u64) -> usize {
+        self.suspected_targets.iter(now_ms).count()
+    }
+
     /// Returns the number of requests that wait for room.
     pub fn waiting_requests(&self) -> usize {
         self.queue.len()
--- a/crates/toucancleat-fleet/tests/support/fleet.rs
+++ b/crates/toucancleat-fleet/tests/support/fleet.rs
@@ -8,6 +8,7 @@
 use toucancleat_fleet::store::{Query, Reply};
 use toucancleat_fleet::stream_origin::OriginMessage;
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
+use toucancleat_fleet::target_watch::TargetReport;
 
 use super::*;
 
@@ -35,6 +36,12 @@
     /// Requests that hosts have handed off, and probes of targets, with the host.
     pub handoffs: Vec<(usize, Handoff)>,
     pub probes: Vec<(usize, PoolName, TargetName)>,
+    /// What engines report when they are asked, if they don't report that all is well.
+    pub reports: IndexMap<TargetName, TargetReport>,
+    /// The hosts that have asked engines, with the engines.
+    pub asked: Vec<(usize, TargetName)>,
+    /// The runs that hosts have begun to migrate, with the destinations.
+    pub migrations: Vec<(RequestNumber, TargetName)>,
     /// Number of messages about the origins of streams.
     pub origin_messages: usize,
 }
@@ -72,6 +79,9 @@
             refused_requests: IndexMap::new(),
             handoffs: Vec::new(),
             probes: Vec::new(),
+            reports: IndexMap::new(),
+            asked: Vec::new(),
+            migrations: Vec::new(),
             origin_messages: 0,
         };
         for host in &mut fleet.hosts {
@@ -189,6 +199,14 @@
                     self.deliver_origin(index, *to, message.clone());
                 }
             }
+            self.record_migrations(std::slice::from_ref(&effect));
+            if let Effect::QueryReport { target, .. } = &effect {
+                let target = target.clone();
+                self.asked.push((index, target.clone()));
+                let report = self.reports.get(&target).copied();
+                let report = Some(report.unwrap_or_default());
+                self.apply(index, Event::TargetReported { target, report });
+            }
             if let Effect::QueryStore(query) = effect {
                 self.readers.insert(index);
                 self.queries.push(query);
@@ -212,6 +230,7 @@
                 };
                 let answered = answer(&mut self.hosts[index], self.now_ms, query, reply);
                 self.send(index, &answered);
+                self.record_migrations(&answered);
             }
         }
     }
@@ -264,7 +283,22 @@
             return;
         }
         if let Some(host) = self.hosts.get_mut(index) {
-            apply(host, self.now_ms, Event::MessageReceived(Box::new(message)));
+            let event = Event::MessageReceived(Box::new(message));
+            let effects = apply(host, self.now_ms, event);
+            self.record_migrations(&effects);
+        }
+    }
+
+    fn record_migrations(&mut self, effects: &[Effect]) {
+        for effect in effects {
+            if let Effect::Migrate {
+                request_number,
+                destination,
+                ..
+            } = effect
+            {
+                self.migrations.push((*request_number, destination.clone()));
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/toucancleat-fleet/tests/target_watch.rs
@@ -0,0 +1,377 @@
+//! Targets that leave while the store answers nobody.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use support::fleet::Fleet;
+use support::{change, entry, incoming_request};
+use toucancleat_fleet::config::FleetConfig;
+use toucancleat_fleet::prelude::*;
+use toucancleat_fleet::target::{TargetChange, TargetEntry};
+use toucancleat_fleet::target_watch::{
+    ASK_INTERVAL_MS, Belief, SUSPECTS_DIVISOR, SUSPICION_MS, TargetReport, TargetWatch,
+};
+
+const ZONES: [&str; 4] = ["upp-a", "upp-b", "vas-a", "ore-a"];
+
+/// Shortest notice that targets give before they exit.
+const NOTICE_MS: u64 = 1_500;
+
+/// Time for the copies of a target's runs.
+const COPIES_MS: u64 = 1_000;
+
+fn closing() -> TargetReport {
+    TargetReport {
+        is_closing: true,
+        ..TargetReport::default()
+    }
+}
+
+fn leaving() -> TargetReport {
+    TargetReport {
+        is_leaving: true,
+        leaves_in_ms: Some(900),
+        is_closing: true,
+    }
+}
+
+fn engines(count: u16) -> Vec<(String, TargetEntry)> {
+    let engine = |n: u16| {
+        let zone = ZONES[usize::from(n) % ZONES.len()];
+        (format!("engine-{n}"), entry("engines", zone, 500 + n))
+    };
+    (0..count).map(engine).collect()
+}
+
+fn fleet(hosts: u16, engines: &[(String, TargetEntry)]) -> Fleet {
+    let known: Vec<(&str, TargetEntry)> = engines
+        .iter()
+        .map(|(name, entry)| (name.as_str(), entry.clone()))
+        .collect();
+    // Migrations count as retries; they aren't what is tested here.
+    let config = FleetConfig {
+        retry_allowance: 10.0 * f64::from(hosts),
+        ..FleetConfig::default()
+    };
+    Fleet::with_config(hosts, &ZONES, &known, &config)
+}
+
+fn list(engines: &[(String, TargetEntry)], version: u64) -> Vec<TargetChange> {
+    engines
+        .iter()
+        .map(|(name, entry)| change(name, version, Some(entry.clone())))
+        .collect()
+}
+
+/// Sends a draft to each host and lets it generate, and returns how many run at a target.
+fn begin_drafts(fleet: &mut Fleet, target: &TargetName) -> usize {
+    let hosts = fleet.hosts.len();
+    let mut at_target = 0;
+    for number in 0..3 * hosts as u64 {
+        let host = number as usize % hosts;
+        if fleet.silent.contains(&host) {
+            continue;
+        }
+        let incoming = IncomingRequest {
+            time_limit_ms: Some(39_000),
+            prompt_tokens: 300,
+            ..incoming_request("draft")
+        };
+        let sent_to = fleet.send_request(host, number, incoming);
+        let request_number = RequestNumber(number);
+        let progress = Event::StreamProgressed {
+            request_number,
+            events: 1,
+        };
+        fleet.apply(host, progress);
+        at_target += usize::from(sent_to.as_ref() == Some(target));
+    }
+    at_target
+}
+
+/// The store is away for eight seconds while engines are reclaimed. Hosts learnt of that when it was
+/// back, seconds after the engines had gone, and all their runs were lost.
+#[test]
+fn runs_migrate_in_time_from_targets_that_leave_while_the_store_is_away() {
+    struct Case {
+        name: &'static str,
+        hosts: u16,
+        engines: u16,
+        /// Hosts that were killed just before.
+        killed: &'static [usize],
+    }
+    let case = |name, hosts, engines, killed| Case {
+        name,
+        hosts,
+        engines,
+        killed,
+    };
+    let cases = [
+        case("8 hosts", 8, 12, &[]),
+        case("8 hosts, some were killed", 8, 12, &[2, 5, 6]),
+        case("61 hosts", 61, 24, &[]),
+        case("3 hosts, more engines than one asks at once", 3, 24, &[]),
+    ];
+    for case in cases {
+        let engines = engines(case.engines);
+        let mut fleet = fleet(case.hosts, &engines);
+        fleet.host_list = Some((10, list(&engines, 10)));
+        fleet.advance(5_000);
+        assert!(fleet.asked.is_empty(), "{}: the list is read", case.name);
+        fleet.silent.extend(case.killed);
+        fleet.advance_with(1_500, false);
+        let target = TargetName::new("engine-1");
+        let runs = begin_drafts(&mut fleet, &target);
+        assert!(runs > 0, "{}", case.name);
+        // The notice. The report itself is half a second old.
+        fleet.reports.insert(target.clone(), closing());
+        fleet.advance_with(NOTICE_MS - COPIES_MS, false);
+        let migrating = fleet.migrations.len();
+        assert_eq!(migrating, runs, "{}: {migrating} of {runs}", case.name);
+        let is_moved_there = |(_, to): &(RequestNumber, TargetName)| *to == target;
+        assert!(
+            !fleet.migrations.iter().any(is_moved_there),
+            "{}",
+            case.name
+        );
+        fleet.reports.insert(target.clone(), leaving());
+        fleet.advance_with(SUSPICION_MS + 200, false);
+        let again = fleet.migrations.len();
+        assert_eq!(again, runs, "{}: the runs migrate once", case.name);
+        for host in 0..fleet.hosts.len() {
+            if !fleet.silent.contains(&host) {
+                let number = 10_000 + host as u64;
+                fleet.send_request(host, number, incoming_request("draft"));
+                let sent_to = fleet.dispatched_to(number);
+                assert!(!sent_to.contains(&target), "{}: {host}", case.name);
+                assert!(!sent_to.is_empty(), "{}: {host}", case.name);
+            }
+        }
+    }
+}
+
+/// Each engine is asked by one host, within the rate that a host may ask at.
+#[test]
+fn one_host_asks_each_target() {
+    for (hosts, engine_count) in [(8, 12), (61, 61), (3, 40)] {
+        let engines = engines(engine_count);
+        let mut fleet = fleet(hosts, &engines);
+        fleet.host_list = Some((10, list(&engines, 10)));
+        fleet.advance(5_000);
+        fleet.advance_with(4_000, false);
+        fleet.asked.clear();
+        fleet.advance_with(2_000, false);
+        let askers: BTreeSet<(&TargetName, usize)> = fleet
+            .asked
+            .iter()
+            .map(|(host, target)| (target, *host))
+            .collect();
+        assert_eq!(askers.len(), usize::from(engine_count), "{hosts} hosts");
+        let asks_max = u64::from(engine_count) * 2_000 / ASK_INTERVAL_MS;
+        let asks = fleet.asked.len() as u64;
+        assert!(asks <= asks_max, "{hosts} hosts: {asks}");
+        for host in 0..usize::from(hosts) {
+            let own = fleet.asked.iter().filter(|(asker, _)| *asker == host);
+            let count = own.count();
+            assert!(count <= 160, "{hosts} hosts: {count} in 2 s by one");
+        }
+        fleet.advance(3_000);
+        fleet.asked.clear();
+        fleet.advance(2_000);
+        assert!(fleet.asked.is_empty(), "the list is read again");
+    }
+}
+
+/// Signs of leaving that are wrong take few targets out of use, and not for long.
+#[test]
+fn false_signs_do_not_empty_a_pool() {
+    let engines = engines(12);
+    let mut fleet = fleet(8, &engines);
+    fleet.host_list = Some((10, list(&engines, 10)));
+    fleet.advance(5_000);
+    fleet.advance_with(1_200, false);
+    for (name, _) in &engines {
+        fleet.reports.insert(TargetName::new(name), closing());
+    }
+    let suspects_max = engines.len() / SUSPECTS_DIVISOR;
+    for _ in 0..10 {
+        fleet.advance_with(100, false);
+        for host in &fleet.hosts {
+            let suspected = host.suspected_targets(fleet.now_ms);
+            assert!(suspected <= suspects_max, "{suspected}");
+        }
+    }
+    fleet.advance_with(SUSPICION_MS, false);
+    for host in &fleet.hosts {
+        assert_eq!(host.suspected_targets(fleet.now_ms), 0);
+    }
+    for host in 0..8 {
+        let sent_to =
+            fleet.send_request(host, 100 + host as u64, incoming_request("draft"));
+        assert!(sent_to.is_some(), "{host}");
+    }
+}
+
+/// What follows from the reports of one engine.
+#[test]
+fn a_target_is_suspected_when_it_closes_connections_in_succession() {
+    struct Case {
+        name: &'static str,
+        reports: &'static [Option<(bool, bool)>],
+        beliefs: &'static [Belief],
+    }
+    use Belief::{Leaving, Suspected, Unchanged};
+    const SOUND: Option<(bool, bool)> = Some((false, false));
+    const CLOSING: Option<(bool, bool)> = Some((false, true));
+    const SAYS_SO: Option<(bool, bool)> = Some((true, true));
+    let cases = [
+        Case {
+            name: "sound",
+            reports: &[SOUND, SOUND],
+            beliefs: &[Unchanged, Unchanged],
+        },
+        Case {
+            name: "one connection closed",
+            reports: &[SOUND, CLOSING, SOUND, CLOSING],
+            beliefs: &[Unchanged, Unchanged, Unchanged, Unchanged],
+        },
+        Case {
+            name: "two in succession, then it says so",
+            reports: &[CLOSING, CLOSING, CLOSING, SAYS_SO],
+            beliefs: &[Unchanged, Suspected, Unchanged, Leaving],
+        },
+        Case {
+            name: "no answer in between",
+            reports: &[CLOSING, None, CLOSING],
+            beliefs: &[Unchanged, Unchanged, Suspected],
+        },
+        Case {
+            name: "it closes all connections and never leaves",
+            reports: &[CLOSING, CLOSING, CLOSING, CLOSING],
+            beliefs: &[Unchanged, Suspected, Unchanged, Unchanged],
+        },
+        Case {
+            name: "suspected again after a sound report",
+            reports: &[CLOSING, CLOSING, SOUND, CLOSING, CLOSING],
+            beliefs: &[Unchanged, Suspected, Unchanged, Unchanged, Suspected],
+        },
+    ];
+    for case in cases {
+        let target = TargetName::new("engine-1");
+        let mut watch = TargetWatch::default();
+        watch.assign([(target.clone(), false)]);
+        for (number, (report, expected)) in
+            case.reports.iter().zip(case.beliefs).enumerate()
+        {
+            let report = report.map(|(is_leaving, is_closing)| TargetReport {
+                is_leaving,
+                leaves_in_ms: None,
+                is_closing,
+            });
+            let belief = watch.record(100 * number as u64, &target, report);
+            assert_eq!(belief, *expected, "{}: report {number}", case.name);
+        }
+    }
+}
+
+/// Entries expire while the store is away, and are back soon after it. The runs of their targets
+/// stay where they are, and so do those of targets that were missing for a moment only.
+#[test]
+fn runs_stay_at_targets_whose_entries_lapsed_while_the_store_was_away() {
+    struct Case {
+        name: &'static str,
+        /// Engines whose entries are back after a second.
+        back: u16,
+        /// Whether runs migrate from the others in the end.
+        others_leave: bool,
+    }
+    let cases = [
+        Case {
+            name: "all are back",
+            back: 12,
+            others_leave: false,
+        },
+        Case {
+            name: "some are gone",
+            back: 6,
+            others_leave: true,
+        },
+    ];
+    for case in cases {
+        let engines = engines(12);
+        let mut fleet = fleet(8, &engines);
+        fleet.host_list = Some((10, list(&engines, 10)));
+        fleet.advance(5_000);
+        fleet.advance_with(4_000, false);
+        let _ = begin_drafts(&mut fleet, &TargetName::new("engine-1"));
+        // Few are listed when the store is back.
+        fleet.host_list = Some((20, list(&engines[..2], 20)));
+        fleet.advance(1_000);
+        let moved = fleet.migrations.len();
+        assert_eq!(moved, 0, "{}: {moved} runs migrate", case.name);
+        let back = usize::from(case.back);
+        fleet.host_list = Some((30, list(&engines[..back], 30)));
+        fleet.advance(5_000);
+        let has_moved = !fleet.migrations.is_empty();
+        assert_eq!(has_moved, case.others_leave, "{}", case.name);
+        let is_gone = |(_, to): &(RequestNumber, TargetName)| {
+            engines[back..].iter().any(|(name, _)| name == to.as_str())
+        };
+        assert!(!fleet.migrations.iter().any(is_gone), "{}", case.name);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 48,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    })]
+
+    /// Reports and messages arrive late and in any order. Once a host has learnt for certain that a
+    /// target is leaving, nothing older makes it send there again.
+    #[test]
+    fn leaving_is_never_unlearnt(
+        steps in prop::collection::vec((0_usize..4, 0_u8..5, 25_u64..800), 1..24),
+    ) {
+        let engines = engines(6);
+        let mut fleet = fleet(4, &engines);
+        fleet.host_list = Some((10, list(&engines, 10)));
+        fleet.advance(3_000);
+        fleet.advance_with(3_000, false);
+        let target = TargetName::new("engine-1");
+        let mut has_left_at = BTreeSet::new();
+        for (number, (host, what, pause_ms)) in (0..).zip(steps) {
+            let report = match what {
+                0 => Some(TargetReport::default()),
+                1 => Some(closing()),
+                2 => None,
+                3 => Some(leaving()),
+                // The notice of an answer that was sent before the target was leaving.
+                _ => {
+                    let notice = toucancleat_fleet::target_notice::TargetNotice::default();
+                    let target = target.clone();
+                    fleet.apply(host, Event::NoticeReceived { target, notice });
+                    None
+                }
+            };
+            let event = Event::TargetReported { target: target.clone(), report };
+            fleet.apply(host, event);
+            if what == 3 {
+                has_left_at.insert(host);
+            }
+            fleet.advance_with(pause_ms, false);
+            for knowing in &has_left_at {
+                let number = 100 + 10 * number + *knowing as u64;
+                fleet.send_request(*knowing, number, incoming_request("check"));
+                prop_assert!(!fleet.dispatched_to(number).contains(&target));
+                let request_number = RequestNumber(number);
+                fleet.apply(*knowing, Event::RequestClosed { request_number });
+            }
+        }
+    }
+}
--- a/crates/toucancleat-gateway/src/datagram.rs
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -17,6 +17,7 @@
 use toucancleat_fleet::prelude::SoftwareVersion;
 use toucancleat_fleet::stream_origin::OriginMessage;
 use toucancleat_fleet::target_notice::NoticeReport;
+use toucancleat_fleet::target_watch::WatchReport;
 
 /// The parts of a message that follow the echo. Hosts of earlier releases ignore what follows
 /// the echo, and send nothing there.
@@ -50,13 +51,19 @@
     demand: DemandReport,
 }
 
-/// The part that follows the operation: what the last release doesn't know of a change of the
+/// The part that follows the operation: what earlier releases don't know of a change of the
 /// configuration. It is empty if the message has no such change.
 #[derive(Serialize, Deserialize)]
 struct ConfigurationExtension {
     additions: ChangeAdditions,
 }
 
+/// The part that follows the additions to the configuration. Hosts of the last release ignore it.
+#[derive(Serialize, Deserialize)]
+struct WatchExtension {
+    watch: Option<WatchReport>,
+}
+
 /// Encodes the parts of a message that precede and follow the echo of each recipient.
 ///
 /// # Errors
@@ -90,11 +97,15 @@
         _ => ChangeAdditions::default(),
     };
     let configuration = ConfigurationExtension { additions };
+    let watch = WatchExtension {
+        watch: message.watch.take(),
+    };
     let extension = postcard::to_extend(&reports, extension)?;
     let extension = postcard::to_extend(&operation, extension)?;
+    let extension = postcard::to_extend(&configuration, extension)?;
     Ok((
         postcard::to_stdvec(&message)?,
-        postcard::to_extend(&configuration, extension)?,
+        postcard::to_extend(&watch, extension)?,
     ))
 }
 
@@ -176,21 +187,25 @@
                 message.evacuations = operation.evacuations;
                 message.cold_reports = operation.cold_reports;
                 message.demand = operation.demand;
-                restore_change(&mut message, rest)?;
+                decode_newest(&mut message, rest)?;
             }
         }
     }
     Ok(message)
 }
 
-/// Restores what the last release doesn't know of a change of the configuration.
-fn restore_change(message: &mut Message, rest: &[u8]) -> postcard::Result<()> {
-    let Some(Update::Configuration(change)) = &mut message.update else {
+/// Decodes the additions to a change of the configuration, and what follows them.
+fn decode_newest(message: &mut Message, rest: &[u8]) -> postcard::Result<()> {
+    if rest.is_empty() {
         return Ok(());
-    };
-    if !rest.is_empty() {
-        let extension: ConfigurationExtension = postcard::from_bytes(rest)?;
+    }
+    let (extension, rest) = postcard::take_from_bytes::<ConfigurationExtension>(rest)?;
+    if let Some(Update::Configuration(change)) = &mut message.update {
         change.restore(extension.additions);
     }
+    if !rest.is_empty() {
+        let extension: WatchExtension = postcard::from_bytes(rest)?;
+        message.watch = extension.watch;
+    }
     Ok(())
 }
--- a/crates/toucancleat-gateway/src/event_log.rs
+++ b/crates/toucancleat-gateway/src/event_log.rs
@@ -42,6 +42,30 @@
         LogEvent::TargetReportedLeaving { target, runs } => {
             log::info!(target_name:% = target, runs; "target reported that it is leaving; no new requests are routed to it");
         }
+        LogEvent::TargetWatchChanged { is_watching: true } => {
+            log::warn!(
+                "no host reads the host list; asking the engines whether they are leaving"
+            );
+        }
+        LogEvent::TargetWatchChanged { is_watching: false } => {
+            log::info!("a host reads the host list again; engines are no longer asked");
+        }
+        LogEvent::TargetSuspected {
+            target,
+            is_own,
+            runs,
+        } => {
+            log::info!(target_name:% = target, is_own, runs; "target suspected to be leaving: it closes its connections");
+        }
+        LogEvent::SuspicionEnded {
+            target,
+            is_confirmed,
+        } => {
+            log::info!(target_name:% = target, is_confirmed; "suspicion that a target is leaving ended");
+        }
+        LogEvent::MigrationObstructed { attempt_id, cause } => {
+            log::info!(request:% = attempt_id, cause = cause.as_str(); "run can't migrate now");
+        }
         LogEvent::TargetPaused { target, pause_ms } => {
             log::info!(target_name:% = target, pause_ms; "target wants no requests from this host for a time");
         }
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -10,32 +10,19 @@
 use tokio::sync::{Notify, watch};
 use toucancleat_fleet::configuration::CallerLimits;
 use toucancleat_fleet::prelude::*;
-use toucancleat_platform::engine;
 
 use crate::bodies::BodyReader;
-use crate::call::{ReplyLimits, call};
 use crate::event_log::log_event;
 use crate::memory::MemoryBound;
 use crate::metrics::Metrics;
 use crate::peers::OutgoingMessage;
 use crate::settings::Settings;
 use crate::timeouts::OpenConnections;
-use crate::{clock, connection, store};
+use crate::{clock, connection, report, store};
 
 /// Interval between two ticks of the reducer; a fifth of the shortest interval that it keeps.
 pub const TICK_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Delay between the notice that a target leaves and the query for its leave time: a
-/// target's reports lag by about half a second, so an earlier one may lack the time.
-const LEAVE_TIME_QUERY_DELAY: Duration = Duration::from_millis(600);
-
-/// Limits on the reply to a leave time query. A report has an entry for each run.
-const LEAVE_TIME_REPLY_LIMITS: ReplyLimits = ReplyLimits {
-    idle_timeout: Duration::from_millis(300),
-    body_max_bytes: 1_048_576,
-    body_bytes_per_s: None,
-};
-
 /// A command of the reducer to the task of a request.
 #[derive(Debug)]
 pub enum Command {
@@ -231,6 +218,11 @@
         self.state.borrow().cold_targets(clock::now_ms())
     }
 
+    /// Returns the number of targets that are suspected to be leaving.
+    pub fn suspected_targets(&self) -> usize {
+        self.state.borrow().suspected_targets(clock::now_ms())
+    }
+
     /// Returns the number of pools to which this host has no path.
     pub fn lost_paths(&self) -> usize {
         self.state.borrow().lost_paths()
@@ -369,7 +361,13 @@
             }
             Effect::QueryLeaveTime { target, address } => {
                 if let Some(host) = self.weak_self.upgrade() {
-                    tokio::task::spawn_local(query_leave_time(host, target, address));
+                    let query = report::query_leave_time(host, target, address);
+                    tokio::task::spawn_local(query);
+                }
+            }
+            Effect::QueryReport { target, address } => {
+                if let Some(host) = self.weak_self.upgrade() {
+                    tokio::task::spawn_local(report::query(host, target, address));
                 }
             }
             Effect::ApplyConfiguration(configuration) => {
@@ -410,33 +408,6 @@
     }
 }
 
-async fn query_leave_time(host: Rc<Host>, target: TargetName, address: SocketAddr) {
-    tokio::time::sleep(LEAVE_TIME_QUERY_DELAY).await;
-    let queried_ms = clock::now_ms();
-    let reply = call(address, engine::report_request(), LEAVE_TIME_REPLY_LIMITS).await;
-    let remaining_ms = match &reply {
-        Ok(reply) => engine::decode_remaining_ms(reply.status(), reply.body()),
-        Err(error) => {
-            log::info!(target_name:% = target, error:% = error; "could not query a target's leave time; assuming the default notice");
-            return;
-        }
-    };
-    match remaining_ms {
-        Ok(Some(remaining_ms)) => {
-            let leaves_at_ms = queried_ms + remaining_ms;
-            log::info!(target_name:% = target, left_ms = remaining_ms; "received a target's leave time");
-            host.apply(Event::LeaveTimeReceived {
-                target,
-                leaves_at_ms,
-            });
-        }
-        Ok(None) => {}
-        Err(error) => {
-            log::info!(target_name:% = target, error:% = error; "could not read a target's leave time from its report; assuming the default notice");
-        }
-    }
-}
-
 async fn probe_target(
     host: Rc<Host>,
     pool: PoolName,
--- a/crates/toucancleat-gateway/src/lib.rs
+++ b/crates/toucancleat-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod peers;
 mod readiness;
 mod relay;
+mod report;
 mod request;
 mod settings;
 mod stop;
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -65,6 +65,10 @@
     pub evacuated_zones: Gauge,
     /// Targets that are cold.
     pub cold_targets: Gauge,
+    /// Targets that are suspected to be leaving.
+    pub suspected_targets: Gauge,
+    /// Engines asked whether they are leaving.
+    pub report_queries: Counter,
     /// Streams of which this host keeps where they began.
     pub stream_origins: Gauge,
     /// Parts of prompts with which requests are refused.
@@ -103,6 +107,8 @@
             limited_targets: Gauge::default(),
             evacuated_zones: Gauge::default(),
             cold_targets: Gauge::default(),
+            suspected_targets: Gauge::default(),
+            report_queries: Counter::default(),
             stream_origins: Gauge::default(),
             poison_parts: Gauge::default(),
             invalid_notices: Counter::default(),
@@ -192,6 +198,16 @@
             "Availability zones that operators have evacuated",
             self.evacuated_zones.clone(),
         );
+        registry.register(
+            "suspected_targets",
+            "Targets that are suspected to be leaving",
+            self.suspected_targets.clone(),
+        );
+        registry.register(
+            "report_queries",
+            "Engines asked whether they are leaving",
+            self.report_queries.clone(),
+        );
         registry.register(
             "cold_targets",
             "Targets that are cold and take only so many requests",
@@ -267,6 +283,8 @@
     host.metrics.evacuated_zones.set(evacuated_zones);
     let cold_targets = i64::try_from(host.cold_targets()).unwrap_or(i64::MAX);
     host.metrics.cold_targets.set(cold_targets);
+    let suspected_targets = i64::try_from(host.suspected_targets()).unwrap_or(i64::MAX);
+    host.metrics.suspected_targets.set(suspected_targets);
     let waiting_requests = i64::try_from(host.waiting_requests()).unwrap_or(i64::MAX);
     host.metrics.waiting_requests.set(waiting_requests);
     let over_share = i64::try_from(host.organisations_over_share()).unwrap_or(i64::MAX);
--- a/crates/toucancleat-gateway/tests/compatibility.rs
+++ b/crates/toucancleat-gateway/tests/compatibility.rs
@@ -14,26 +14,38 @@
     heeds_confinement: bool,
     /// Whether it knows parts of prompts that crash targets, paths, and brittle targets.
     has_reports: bool,
+    /// Whether it asks targets while nobody reads the host list.
+    has_watch: bool,
 }
 
-const RELEASES: [Release; 3] = [
+const RELEASES: [Release; 4] = [
     Release {
         name: "ec54b7f",
         text: include_str!("recorded/ec54b7f.txt"),
         heeds_confinement: false,
         has_reports: false,
+        has_watch: false,
     },
     Release {
         name: "2b1dfa5",
         text: include_str!("recorded/2b1dfa5.txt"),
         heeds_confinement: false,
         has_reports: true,
+        has_watch: false,
+    },
+    Release {
+        name: "1d957f9",
+        text: include_str!("recorded/1d957f9.txt"),
+        heeds_confinement: true,
+        has_reports: true,
+        has_watch: false,
     },
     Release {
         name: "next",
         text: include_str!("recorded/next.txt"),
         heeds_confinement: true,
         has_reports: true,
+        has_watch: true,
     },
 ];
 
@@ -131,6 +143,7 @@
                 evacuations,
                 cold_reports,
                 demand,
+                watch,
                 update,
                 ..
             } = *state;
@@ -141,6 +154,7 @@
                 && !cold_reports.is_empty()
                 && !demand.organisations.is_empty();
             assert_eq!(has_operation, release.heeds_confinement, "{name}");
+            assert_eq!(watch.is_some(), release.has_watch, "{name}");
             if let Some(Update::Configuration(change)) = update {
                 assert_eq!(change.is_complete, release.heeds_confinement, "{name}");
             }
@@ -151,7 +165,8 @@
 /// A datagram of a later release has more bytes behind all that this one knows.
 #[test]
 fn what_later_releases_add_is_ignored() {
-    for release in RELEASES.into_iter().skip(2) {
+    let known = |release: &Release| release.name == "next";
+    for release in RELEASES.into_iter().filter(known) {
         for message in recorded(&release) {
             let later = [&message.bytes[..], &[1, 2, 3]].concat();
             let name = message.name;
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -27,6 +27,7 @@
 use toucancleat_fleet::stream_origin::{OriginMessage, StreamKey, StreamOrigin};
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
 use toucancleat_fleet::target_notice::NoticeReport;
+use toucancleat_fleet::target_watch::{SuspicionReport, WatchReport};
 use toucancleat_gateway::datagram::{Datagram, decode, encode, encode_origin};
 
 fn message() -> Message {
@@ -133,6 +134,14 @@
             )],
         },
         heeds_confinement: true,
+        watch: Some(WatchReport {
+            reads_host_list: true,
+            suspicions: vec![SuspicionReport {
+                target: TargetName::new("i-4"),
+                started_unix_ms: Some(1),
+                left_ms: 1_200,
+            }],
+        }),
         addresses: vec![address],
         update: Some(Update::Targets(vec![
             change("i-1", Some(entry(Some(SoftwareVersion::new("v1"))))),
@@ -341,6 +350,7 @@
         cold_reports: Vec::new(),
         demand: DemandReport::default(),
         heeds_confinement: false,
+        watch: None,
         ..message.clone()
     };
     let (mut bytes, _) = datagram(&message);
@@ -478,6 +488,9 @@
         message.brittle_reports.pools[0].2 = highest;
         message.brittle_reports.rejections[0].1 = highest;
         message.notices[0].rate_limit_per_s = Some(f64::MAX);
+        if let Some(watch) = &mut message.watch {
+            watch.suspicions[0].left_ms = highest;
+        }
         message
     };
     let mut datagrams = vec![state_datagram()];
