Count only attempts that reached a target as retries; move late runs

An attempt that reached no target took a retry of the budget, though targets get the request for the first time with the next one.

A run without an event when its target turned out to be leaving was told to migrate while its task waited for the answer, and then left there. It migrates with its first event.

--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -116,6 +116,29 @@
     }
 }
 
+/// Starts to migrate a run that has just begun at a target that is leaving. When the others began
+/// to migrate, it wasn't in the target's memory yet.
+pub(super) fn leave_late(
+    state: &mut State,
+    now_ms: u64,
+    request_number: RequestNumber,
+    effects: &mut Vec<Effect>,
+) {
+    let Some(request) = state.requests.get(&request_number) else {
+        return;
+    };
+    let Some((target, _)) = &request.placement else {
+        return;
+    };
+    let entry = state.directory.get(target);
+    let is_leaving = entry.is_some_and(|entry| entry.is_leaving)
+        || state.target_notices.get(target).is_leaving
+        || state.suspected_targets.contains(now_ms, target);
+    if is_leaving && request.destination.is_none() && is_migratable(request) {
+        choose_destination(state, now_ms, request_number, false, effects);
+    }
+}
+
 /// Takes the last of the planned destinations that a run may be sent to.
 fn take_permitted(
     state: &State,
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -4,7 +4,7 @@
 
 use super::migration::release_destination;
 use super::placement::{dispatch, place};
-use super::{cold, contention, handoff, messages, origins, restarts};
+use super::{cold, contention, handoff, messages, migration, origins, restarts};
 use crate::budget::RetryBound;
 use crate::config::EXIT_RESERVE_MS;
 use crate::configuration::{RetrySafety, Route};
@@ -200,10 +200,12 @@
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
     };
+    let mut is_first = false;
     if events > 0 {
         if request.answering_since_ms.is_none() && request.generated_tokens == 0 {
             contention::record_first_event(&mut state.contention, now_ms, request);
         }
+        is_first = request.answering_since_ms.is_none();
         let since_ms = *request.answering_since_ms.get_or_insert(now_ms);
         if now_ms.saturating_sub(since_ms) >= SOUND_AFTER_MS {
             let parts = &request.incoming.shared_parts;
@@ -227,6 +229,9 @@
     load.subtract(*counted_load);
     load.add(needed);
     *counted_load = needed;
+    if is_first {
+        migration::leave_late(state, now_ms, request_number, effects);
+    }
 }
 
 /// Handles the end of an attempt: dispatches another one, forwards the target's answer or
@@ -307,8 +312,10 @@
     {
         return;
     }
+    // The budget bounds what targets get beyond the first of each request.
+    let has_arrived = outcome != AttemptOutcome::NotSent;
     if can_retry(state, now_ms, request_number, verdict)
-        && take_retry(state, now_ms, request_number)
+        && (!has_arrived || take_retry(state, now_ms, request_number))
     {
         let effects_before = effects.len();
         dispatch(state, now_ms, request_number, effects);
--- a/crates/toucancleat-fleet/tests/target_watch.rs
+++ b/crates/toucancleat-fleet/tests/target_watch.rs
@@ -153,6 +153,52 @@
     }
 }
 
+/// A run without an event isn't in its target's memory and can't be copied. It was left where it was
+/// when its target turned out to be leaving, and lost with it.
+#[test]
+fn a_run_that_begins_at_a_leaving_target_migrates_with_its_first_event() {
+    struct Case {
+        name: &'static str,
+        kind: &'static str,
+        is_leaving: bool,
+        migrates: bool,
+    }
+    let case = |name, kind, is_leaving, migrates| Case {
+        name,
+        kind,
+        is_leaving,
+        migrates,
+    };
+    let cases = [
+        case("a draft at a leaving target", "draft", true, true),
+        case("a draft at a target that stays", "draft", false, false),
+        case("a stream that may run again", "check", true, false),
+    ];
+    for case in cases {
+        let engines = engines(4);
+        let mut fleet = fleet(1, &engines);
+        let target = fleet
+            .send_request(0, 1, incoming_request(case.kind))
+            .expect("a target");
+        let request_number = RequestNumber(1);
+        if case.is_leaving {
+            let report = Some(leaving());
+            fleet.apply(0, Event::TargetReported { target, report });
+            // Its task can't migrate it while it waits for the answer.
+            fleet.apply(0, Event::MigrationAbandoned { request_number });
+        }
+        fleet.migrations.clear();
+        let progress = |events| Event::StreamProgressed {
+            request_number,
+            events,
+        };
+        fleet.apply(0, progress(1));
+        assert_eq!(!fleet.migrations.is_empty(), case.migrates, "{}", case.name);
+        fleet.apply(0, progress(17));
+        assert!(fleet.migrations.len() <= 1, "{}", case.name);
+    }
+}
+
 /// Each engine is asked by one host, within the rate that a host may ask at.
 #[test]
 fn one_host_asks_each_target() {
