--- a/crates/toucancleat-fleet/src/reduce/watch.rs
+++ b/crates/toucancleat-fleet/src/reduce/watch.rs
@@ -10,7 +10,7 @@
 use crate::lapsed_entries::LAPSED_ENTRY_GRACE_MS;
 use crate::peers::{Message, Peer};
 use crate::state::State;
-use crate::store::READER_SILENCE_MS;
+use crate::store::{Query, READER_SILENCE_MS};
 use crate::target::TargetEntry;
 use crate::target_watch::{
     Belief, SUSPECTS_DIVISOR, SUSPICION_MS, TargetReport, WatchReport,
@@ -50,6 +50,8 @@
     {
         state.host_list_returned_ms = None;
         state.lapsed_entries.end();
+        // The targets that are still missing have been gone for as long.
+        state.query_schedule.make_due(now_ms, Query::Targets);
     }
     if !is_watching {
         return;
--- a/crates/toucancleat-fleet/tests/target_watch.rs
+++ b/crates/toucancleat-fleet/tests/target_watch.rs
@@ -9,7 +9,9 @@
 use support::fleet::Fleet;
 use support::{change, entry, incoming_request};
 use toucancleat_fleet::config::FleetConfig;
+use toucancleat_fleet::lapsed_entries::LAPSED_ENTRY_GRACE_MS;
 use toucancleat_fleet::prelude::*;
+use toucancleat_fleet::store::RETRY_INTERVAL_MAX_MS;
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
 use toucancleat_fleet::target_watch::{
     ASK_INTERVAL_MS, Belief, SUSPECTS_DIVISOR, SUSPICION_MS, TargetReport, TargetWatch,
@@ -360,6 +362,29 @@
         assert_eq!(moved, 0, "{}: {moved} runs migrate", case.name);
         let back = usize::from(case.back);
         fleet.host_list = Some((30, list(&engines[..back], 30)));
+        // A target that is gone gets nothing once its entry has been missing for as long as the
+        // entries of others may be. The store is asked again at most a second after its return.
+        let end_ms = fleet.now_ms + RETRY_INTERVAL_MAX_MS + LAPSED_ENTRY_GRACE_MS - 800;
+        for version in 31.. {
+            // Heartbeats advance the store's version.
+            fleet.host_list = Some((version, list(&engines[..back], version)));
+            fleet.advance(100);
+            if fleet.now_ms >= end_ms {
+                break;
+            }
+        }
+        for host in 0..fleet.hosts.len() {
+            let number = 10_000 + host as u64;
+            for attempt in 0..6 {
+                let request_number = number + 100 * attempt;
+                let sent_to =
+                    fleet.send_request(host, request_number, incoming_request("check"));
+                let is_gone = |(name, _): &(String, TargetEntry)| {
+                    sent_to.as_ref().is_some_and(|to| to.as_str() == name)
+                };
+                assert!(!engines[back..].iter().any(is_gone), "{}", case.name);
+            }
+        }
         fleet.advance(5_000);
         let has_moved = !fleet.migrations.is_empty();
         assert_eq!(has_moved, case.others_leave, "{}", case.name);
