--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -289,8 +289,9 @@
                 .advance_configuration_feed(store_version);
             let is_first = !state.directory.is_known();
             hold_back_departed(state, &mut list);
-            keep_lapsed(state, store_version, &mut list);
             cold::record_changes(state, now_ms, state.store_era, &list, effects);
+            // N.B. afterwards, since the entries that are kept are of an earlier time.
+            keep_lapsed(state, store_version, &mut list);
             let position = current_position(state, store_version);
             let transitions = state.directory.replace_all(position, &mut list);
             let targets = state.directory.iter().count();
