Don't ask engines that pause

An engine that has refused a request with a time to retry after wants nothing of that host until then, so it isn't asked for its report either.

--- a/crates/toucancleat-fleet/src/reduce/watch.rs
+++ b/crates/toucancleat-fleet/src/reduce/watch.rs
@@ -61,7 +61,10 @@
         state.target_watch.assign(targets);
     }
     for target in state.target_watch.start_due(now_ms) {
-        if let Some(entry) = state.directory.get(&target) {
+        if now_ms < state.target_notices.get(&target).paused_until_ms {
+            // It wants nothing of this host, not even a question.
+            state.target_watch.record(now_ms, &target, None);
+        } else if let Some(entry) = state.directory.get(&target) {
             let address = entry.address;
             effects.push(Effect::QueryReport { target, address });
         }
--- a/crates/toucancleat-fleet/tests/target_watch.rs
+++ b/crates/toucancleat-fleet/tests/target_watch.rs
@@ -13,6 +13,7 @@
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::store::RETRY_INTERVAL_MAX_MS;
 use toucancleat_fleet::target::{TargetChange, TargetEntry};
+use toucancleat_fleet::target_notice::TargetNotice;
 use toucancleat_fleet::target_watch::{
     ASK_INTERVAL_MS, Belief, SUSPECTS_DIVISOR, SUSPICION_MS, TargetReport, TargetWatch,
 };
@@ -201,6 +202,36 @@
     }
 }
 
+/// An engine that has asked a host for a pause gets nothing of it, also no question.
+#[test]
+fn a_target_that_pauses_is_not_asked() {
+    let engines = engines(4);
+    let mut fleet = fleet(1, &engines);
+    fleet.host_list = Some((10, list(&engines, 10)));
+    fleet.advance(3_000);
+    fleet.advance_with(2_000, false);
+    let paused = TargetName::new("engine-1");
+    let notice = TargetNotice {
+        pause_ms: Some(1_300),
+        ..TargetNotice::default()
+    };
+    let target = paused.clone();
+    fleet.apply(0, Event::NoticeReceived { target, notice });
+    fleet.asked.clear();
+    fleet.advance_with(1_200, false);
+    let asked = |fleet: &Fleet, target: &TargetName| {
+        fleet
+            .asked
+            .iter()
+            .filter(|(_, asked)| asked == target)
+            .count()
+    };
+    assert_eq!(asked(&fleet, &paused), 0);
+    assert!(asked(&fleet, &TargetName::new("engine-2")) > 5);
+    fleet.advance_with(600, false);
+    assert!(asked(&fleet, &paused) > 0, "the pause is over");
+}
+
 /// Each engine is asked by one host, within the rate that a host may ask at.
 #[test]
 fn one_host_asks_each_target() {
@@ -424,7 +455,7 @@
                 3 => Some(leaving()),
                 // The notice of an answer that was sent before the target was leaving.
                 _ => {
-                    let notice = toucancleat_fleet::target_notice::TargetNotice::default();
+                    let notice = TargetNotice::default();
                     let target = target.clone();
                     fleet.apply(host, Event::NoticeReceived { target, notice });
                     None
