--- a/crates/toucancleat-fleet/src/reduce/watch.rs
+++ b/crates/toucancleat-fleet/src/reduce/watch.rs
@@ -19,7 +19,9 @@
 /// Asks the engines that are due, while nobody reads the host list.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
     for target in state.suspected_targets.expire(now_ms) {
-        let is_confirmed = state.target_notices.get(&target).is_leaving;
+        let entry = state.directory.get(&target);
+        let is_confirmed = state.target_notices.get(&target).is_leaving
+            || entry.is_none_or(|entry| entry.is_leaving);
         effects.push(Effect::Log(LogEvent::SuspicionEnded {
             target,
             is_confirmed,
