--- a/review/harness/cases/endless_lines.rs
+++ b/review/harness/cases/endless_lines.rs
@@ -107,6 +107,7 @@
 /// Requests a draft and reads its events, until it ends or no event has come for too long.
 fn request_draft(record: &Record, host: &Host) {
     let request = Request {
+        key: client::KEY,
         method: "POST",
         path: "/draft/2f".to_owned(),
         attempt_id: new_attempt_id(),
@@ -139,6 +140,7 @@
 /// Requests a lookup and returns the time to its answer.
 fn look_up(record: &Record, host: &Host, is_idempotent: bool) -> Duration {
     let request = Request {
+        key: client::KEY,
         method: if is_idempotent { "GET" } else { "POST" },
         path: if is_idempotent { "/coach/2f" } else { "/driver/2f" }.to_owned(),
         attempt_id: new_attempt_id(),
--- a/review/harness/cases/herd_kill.rs
+++ b/review/harness/cases/herd_kill.rs
@@ -191,6 +191,7 @@
         let host = &hosts[(self.stream + number) % hosts.len()];
         let sent = Instant::now();
         let mut request = Request {
+            key: client::KEY,
             method: "POST",
             path: "/draft/2f".to_owned(),
             attempt_id: id.to_owned(),
--- a/review/harness/cases/mod.rs
+++ b/review/harness/cases/mod.rs
@@ -1,5 +1,6 @@
 pub mod endless_lines;
 pub mod herd_kill;
+pub mod revoke_last;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,6 +12,12 @@
 
 /// Returns the operator's configuration: two services, and a route of each kind.
 pub fn configuration(version: u64, is_draft_resumable: bool) -> String {
+    configuration_with_keys(version, is_draft_resumable, &[crate::client::KEY])
+}
+
+/// Returns such a configuration in which the only tenant has these keys.
+pub fn configuration_with_keys(version: u64, is_draft_resumable: bool, keys: &[&str]) -> String {
+    let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     let route = |path: &str, kind: &str, service: &str, (timeout_ms, slo_ms): (u32, u32), more: &str| {
         format!(
             "{{\"name\":\"r-{path}\",\"hostname\":\"{}\",\"path_prefix\":\"/{path}/\",\
@@ -37,9 +44,9 @@
          {{\"name\":\"roster-api\",\"health_path\":\"/healthz\",\"max_conns\":110}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\
          \"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-         \"tenants\":[{{\"name\":\"huka270\",\"api_keys\":[\"{}\"],\"priority\":1}}]}}",
+         \"tenants\":[{{\"name\":\"huka270\",\"api_keys\":[{}],\"priority\":1}}]}}",
         routes.join(","),
-        crate::client::KEY,
+        keys.join(","),
     )
 }
 
@@ -55,13 +62,19 @@
 
 /// Adds four sound servers of the service for lookups.
 pub fn add_lookup_servers(deployment: &Deployment) {
+    let handler: Handler = Arc::new(|mut exchange: Exchange| {
+        std::thread::sleep(Duration::from_millis(30));
+        let id = exchange.attempt_id().to_owned();
+        let text = format!("{id} {}", "r".repeat(783));
+        exchange.answer("200 OK", &text);
+    });
+    add_lookup_servers_with(deployment, &handler);
+}
+
+/// Adds four servers of the service for lookups.
+pub fn add_lookup_servers_with(deployment: &Deployment, handler: &Handler) {
     for (number, zone) in ZONES.iter().enumerate() {
-        let handler: Handler = Arc::new(|mut exchange: Exchange| {
-            std::thread::sleep(Duration::from_millis(30));
-            let id = exchange.attempt_id().to_owned();
-            let text = format!("{id} {}", "r".repeat(783));
-            exchange.answer("200 OK", &text);
-        });
-        deployment.add_server(40 + number as u8, ("roster-api", zone, "v1"), 6, handler);
+        let number = 40 + number as u8;
+        deployment.add_server(number, ("roster-api", zone, "v1"), 6, handler.clone());
     }
 }
--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -25,6 +25,7 @@
 /// What a client asks for.
 #[derive(Clone, Debug)]
 pub struct Request {
+    pub key: &'static str,
     pub method: &'static str,
     pub path: String,
     pub attempt_id: String,
@@ -43,11 +44,12 @@
         };
         format!(
             "{} {} HTTP/1.1\r\nHost: {HOSTNAME}\r\nX-Attempt-Id: {}\r\n\
-             X-Deadline-Ms: {}\r\nAuthorization: Bearer {KEY}\r\n{}{length}\r\n{}",
+             X-Deadline-Ms: {}\r\nAuthorization: Bearer {}\r\n{}{length}\r\n{}",
             self.method,
             self.path,
             self.attempt_id,
             self.time_limit.as_millis(),
+            self.key,
             self.headers,
             self.body,
         )
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -33,6 +33,7 @@
     let record = deployment::Record::create(&Path::new(&folder).join("record.txt"));
     record.write(&format!("case {case}, disruption: {has_trouble}"));
     let is_broken = match case.as_str() {
+        "revoke-last" => cases::revoke_last::run(&record, has_trouble),
         "herd-kill" => cases::herd_kill::run(&record, has_trouble),
         "endless-lines" => cases::endless_lines::run(&record, has_trouble),
         _ => give_up("unknown case"),
