--- a/review/harness/cases/mod.rs
+++ b/review/harness/cases/mod.rs
@@ -1,6 +1,8 @@
 pub mod endless_lines;
 pub mod herd_kill;
+pub mod poison_part;
 pub mod revoke_last;
+pub mod tiny_chunks;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -67,6 +67,10 @@
     pub body: Vec<u8>,
     /// Time from sending to the last byte of the answer.
     pub took: Duration,
+    /// Whether the connection was closed before a byte of an answer.
+    pub is_closed: bool,
+    /// Whether the answer says that the connection is closed after it.
+    pub must_close: bool,
 }
 
 /// Sends a request and reads its answer, which is handed on in parts.
@@ -97,6 +101,27 @@
     outcome
 }
 
+/// Sends a request like [`send`], and gives up after a time in which nothing of the answer came.
+pub fn send_for(
+    address: SocketAddr,
+    request: &Request,
+    gap: Duration,
+    mut use_part: impl FnMut(&[u8]) -> bool,
+) -> Outcome {
+    let began = Instant::now();
+    let mut outcome = Outcome::default();
+    let Ok(mut connection) = Connection::open(address, CONNECT_TIMEOUT) else {
+        return outcome;
+    };
+    connection.send(request.encode().as_bytes());
+    if let Some(head) = connection.read_head(Some(Instant::now() + gap)) {
+        outcome.status = head.status();
+        outcome.is_complete = connection.read_body(&head, began + request.time_limit, &mut use_part);
+    }
+    outcome.took = began.elapsed();
+    outcome
+}
+
 /// Sends a request and reads its whole answer.
 pub fn fetch(address: SocketAddr, request: &Request) -> Outcome {
     let mut body = Vec::new();
@@ -108,6 +133,38 @@
     outcome
 }
 
+/// A connection on which a client sends one request after the other.
+pub struct KeptConnection(Connection);
+
+/// Opens a connection, or returns `None` if that fails.
+pub fn open(address: SocketAddr) -> Option<KeptConnection> {
+    Connection::open(address, CONNECT_TIMEOUT).ok().map(KeptConnection)
+}
+
+impl KeptConnection {
+    /// Sends a request and reads its whole answer.
+    pub fn fetch(&mut self, request: &Request) -> Outcome {
+        let began = Instant::now();
+        let deadline = began + request.time_limit;
+        let mut outcome = Outcome::default();
+        self.0.send(request.encode().as_bytes());
+        match self.0.read_head(Some(deadline)) {
+            Some(head) => {
+                outcome.status = head.status();
+                let option = head.get("connection").unwrap_or_default();
+                outcome.must_close = option.eq_ignore_ascii_case("close");
+                outcome.is_complete = self.0.read_body(&head, deadline, |part| {
+                    outcome.body.extend_from_slice(part);
+                    true
+                });
+            }
+            None => outcome.is_closed = self.0.is_empty() && Instant::now() < deadline,
+        }
+        outcome.took = began.elapsed();
+        outcome
+    }
+}
+
 /// Splits the events of a stream.
 #[derive(Default)]
 pub struct Events {
--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -274,6 +274,16 @@
         }
     }
 
+    /// Returns the memory of the process, in megabytes.
+    pub fn memory_mb(&self) -> f64 {
+        let pid = self.child.lock().unwrap().as_ref().map(Child::id);
+        let status = pid.and_then(|pid| std::fs::read_to_string(format!("/proc/{pid}/status")).ok());
+        let status = status.unwrap_or_default();
+        let resident = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let resident = resident.and_then(|text| text.trim().strip_suffix(" kB"));
+        resident.and_then(|text| text.trim().parse::<f64>().ok()).map_or(0.0, |kb| kb * 1_024.0 / 1e6)
+    }
+
     /// Returns true if the process has ended by itself.
     pub fn has_ended(&self) -> bool {
         let mut child = self.child.lock().unwrap();
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Returns true if nothing has been read that was not used.
+    pub fn is_empty(&self) -> bool {
+        self.buffer.is_empty()
+    }
+
     pub fn send(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).is_ok()
     }
