--- a/review/harness/cases/endless_lines.rs
+++ b/review/harness/cases/endless_lines.rs
@@ -1,6 +1,6 @@
-//! A server in trouble sends line ends without end in the body of three answers.
+//! A server in trouble sends line ends without end in the body of six answers.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -17,14 +17,11 @@
 /// Requests that are unanswered at their timeout from which the rule is judged.
 const UNANSWERED_MIN: usize = 8;
 
-/// When the server in trouble begins to spoil its next answer.
-const SPOILED_AT: [Duration; 3] = [
-    Duration::from_secs(5),
-    Duration::from_secs(15),
-    Duration::from_secs(25),
-];
+/// From when on the server in trouble spoils its answers, and how many.
+const SPOILED_FROM: Duration = Duration::from_secs(5);
+const SPOILED: u32 = 6;
 
-const LENGTH: Duration = Duration::from_secs(40);
+const LENGTH: Duration = Duration::from_secs(60);
 const DRAFT_EVENTS: u64 = 50;
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -34,11 +31,12 @@
 pub fn run(record: &Arc<Record>, has_trouble: bool) -> bool {
     let mut deployment = Deployment::new(record.clone());
     deployment.store.write("op", "config", Some(&configuration(7, false)));
-    let must_spoil = Arc::new(AtomicBool::new(false));
+    // Answers that the server in trouble still has to spoil.
+    let to_spoil = Arc::new(AtomicU32::new(0));
     for number in 0..4 {
-        let must_spoil = must_spoil.clone();
+        let to_spoil = to_spoil.clone();
         let model: Handler = Arc::new(move |mut exchange: Exchange| {
-            let is_spoiled = number == 0 && must_spoil.swap(false, Ordering::Relaxed);
+            let is_spoiled = number == 0 && take_one(&to_spoil);
             std::thread::sleep(Duration::from_millis(200));
             if is_spoiled {
                 send_lines_without_end(&mut exchange);
@@ -55,10 +53,8 @@
     let start = Instant::now();
     if has_trouble {
         std::thread::spawn(move || {
-            for at in SPOILED_AT {
-                std::thread::sleep(at.saturating_sub(start.elapsed()));
-                must_spoil.store(true, Ordering::Relaxed);
-            }
+            std::thread::sleep(SPOILED_FROM.saturating_sub(start.elapsed()));
+            to_spoil.store(SPOILED, Ordering::Relaxed);
         });
     }
     let lookups: Arc<Mutex<Vec<Duration>>> = Arc::default();
@@ -94,6 +90,12 @@
     unanswered >= UNANSWERED_MIN && 2 * late > unanswered
 }
 
+/// Takes one of a number, and returns false if none is left.
+fn take_one(number: &AtomicU32) -> bool {
+    let take = |left: u32| left.checked_sub(1);
+    number.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).is_ok()
+}
+
 /// Sends the head of a stream, and then line ends until the connection is closed.
 fn send_lines_without_end(exchange: &mut Exchange) {
     let (server, id) = (exchange.server.id.clone(), exchange.attempt_id().to_owned());
--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -48,7 +48,6 @@
 /// A machine of the system with its process.
 pub struct Host {
     pub name: String,
-    pub zone: String,
     pub address: Ipv4Addr,
     settings: PathBuf,
     log: PathBuf,
@@ -123,7 +122,6 @@
             self.hosts.push(Arc::new(Host {
                 log: self.directory.join(format!("{name}.log")),
                 name,
-                zone: zone.to_owned(),
                 address: ip,
                 settings: path,
                 child: Mutex::new(None),
@@ -174,8 +172,7 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGKILL: i32 = 9;
-pub const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
 
 /// Ends every process that was started here.
 pub fn end_processes() {
@@ -257,13 +254,6 @@
         SocketAddr::from((self.address, CALLERS_PORT))
     }
 
-    pub fn signal(&self, signal: i32) {
-        if let Some(child) = &*self.child.lock().unwrap() {
-            // SAFETY: the call takes two numbers, and the process was started here.
-            unsafe { kill(child.id() as i32, signal) };
-        }
-    }
-
     /// Kills the process and waits for its end.
     pub fn kill(&self, record: &Record) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
@@ -283,18 +273,11 @@
         let resident = resident.and_then(|text| text.trim().strip_suffix(" kB"));
         resident.and_then(|text| text.trim().parse::<f64>().ok()).map_or(0.0, |kb| kb * 1_024.0 / 1e6)
     }
-
-    /// Returns true if the process has ended by itself.
-    pub fn has_ended(&self) -> bool {
-        let mut child = self.child.lock().unwrap();
-        child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_))))
-    }
 }
 
 /// A request at a server, with its connection.
 pub struct Exchange {
     pub head: Head,
-    pub body: Vec<u8>,
     pub connection: Connection,
     pub server: Arc<Server>,
     pub record: Arc<Record>,
@@ -513,12 +496,11 @@
     let Some(head) = connection.read_head(None) else {
         return;
     };
-    let Some(body) = connection.read_request_body(&head) else {
+    if connection.read_request_body(&head).is_none() {
         return;
-    };
+    }
     let mut exchange = Exchange {
         head,
-        body,
         connection,
         server: server.clone(),
         record: record.clone(),
