--- a/review/harness/cases/mod.rs
+++ b/review/harness/cases/mod.rs
@@ -2,6 +2,7 @@
 pub mod herd_kill;
 pub mod poison_part;
 pub mod revoke_last;
+pub mod late_stop;
 pub mod tiny_chunks;
 
 use std::sync::Arc;
@@ -35,6 +36,8 @@
     };
     let routes = [
         route("draft", "streaming", "plan-llm", (39_000, 1_800), draft),
+        route("check", "streaming", "plan-llm", (6_000, 1_500),
+            "\"max_attempts\":2,\"sticky\":true,\"resumable\":true,\"gap_slo_ms\":180"),
         route("driver", "non_idempotent", "roster-api", (1_500, 150), "\"max_attempts\":1"),
         route("coach", "idempotent", "roster-api", (1_500, 150), "\"max_attempts\":2"),
     ];
--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -152,6 +152,13 @@
         if ready.is_empty() { self.hosts.clone() } else { ready }
     }
 
+    /// Returns the machines of the only zone that new connections go to: those in rotation, or all
+    /// if they are fewer than half.
+    pub fn destinations(&self) -> Vec<Arc<Host>> {
+        let ready = self.in_rotation();
+        if 2 * ready.len() < self.hosts.len() { self.hosts.clone() } else { ready }
+    }
+
     /// Ends all processes, and removes the temporary folder unless `REVIEW_KEEP` is set.
     pub fn end(&self) {
         for host in &self.hosts {
@@ -173,6 +180,7 @@
 }
 
 const SIGKILL: i32 = 9;
+const SIGTERM: i32 = 15;
 
 /// Ends every process that was started here.
 pub fn end_processes() {
@@ -254,6 +262,30 @@
         SocketAddr::from((self.address, CALLERS_PORT))
     }
 
+    /// Sends SIGTERM, and SIGKILL after the grace. Returns when the process has ended.
+    pub fn stop(&self, record: &Record, grace: Duration) {
+        let pid = self.child.lock().unwrap().as_ref().map(Child::id);
+        let Some(pid) = pid else {
+            return;
+        };
+        record.write(&format!("platform: SIGTERM to {}", self.name));
+        // SAFETY: the call takes two numbers, and the process was started here.
+        unsafe { kill(pid as i32, SIGTERM) };
+        let end = Instant::now() + grace;
+        while Instant::now() < end {
+            let mut child = self.child.lock().unwrap();
+            if child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(Some(_)))) {
+                *child = None;
+                RUNNING.lock().unwrap().retain(|running| *running != pid);
+                record.write(&format!("platform: {} has ended", self.name));
+                return;
+            }
+            drop(child);
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        self.kill(record);
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&self, record: &Record) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
