--- a/review/harness/deployment.rs
+++ b/review/harness/deployment.rs
@@ -395,6 +395,8 @@
     beats: AtomicU64,
     /// While true, the server has crashed: it refuses connections, and has lost those it had.
     pub is_down: AtomicBool,
+    /// While true, the server writes no heartbeats, and serves on.
+    pub has_left: AtomicBool,
     connections: Mutex<BTreeMap<u64, std::net::TcpStream>>,
     next_connection: AtomicU64,
 }
@@ -486,6 +488,7 @@
             born_ms: AtomicU64::new(unix_ms()),
             beats: AtomicU64::new(1),
             is_down: AtomicBool::new(false),
+            has_left: AtomicBool::new(false),
             connections: Mutex::default(),
             next_connection: AtomicU64::new(0),
         });
@@ -503,7 +506,8 @@
                 let is_down = beating.is_down.load(Ordering::Relaxed);
                 let has_restarted = was_down && !is_down;
                 was_down = is_down;
-                if !is_down && (has_restarted || last_beat.elapsed() >= HEARTBEAT) {
+                let has_left = beating.has_left.load(Ordering::Relaxed);
+                if !is_down && !has_left && (has_restarted || last_beat.elapsed() >= HEARTBEAT) {
                     last_beat = Instant::now();
                     let entry = beating.entry();
                     store.write("servers", &beating.id, Some(&entry));
