--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/harness ] || { echo "run review/build.sh first" >&2; exit 2; }
 [ -x target/release/toucancleat-gateway ] || { echo "run the build of the deploy file first" >&2; exit 2; }
-exec target/review/harness reader-kill review/3
+exec target/review/harness reader-stop review/3
--- a/review/harness/cases/mod.rs
+++ b/review/harness/cases/mod.rs
@@ -1,7 +1,7 @@
 pub mod endless_lines;
 pub mod herd_kill;
 pub mod poison_part;
-pub mod reader_kill;
+pub mod reader_stop;
 pub mod revoke_last;
 pub mod late_stop;
 pub mod tiny_chunks;
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -37,7 +37,7 @@
         "poison-part" => cases::poison_part::run(&record, has_trouble),
         "tiny-chunks" => cases::tiny_chunks::run(&record, has_trouble),
         "late-stop" => cases::late_stop::run(&record, has_trouble),
-        "reader-kill" => cases::reader_kill::run(&record, has_trouble),
+        "reader-stop" => cases::reader_stop::run(&record, has_trouble),
         "herd-kill" => cases::herd_kill::run(&record, has_trouble),
         "endless-lines" => cases::endless_lines::run(&record, has_trouble),
         _ => give_up("unknown case"),
