--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -3,6 +3,7 @@
 
 mod case_memory;
 mod case_origins;
+mod case_pause;
 mod case_power;
 mod case_return;
 mod client;
@@ -60,6 +61,7 @@
             "power" => case_power::run(&stage),
             "origins" => case_origins::run(&stage),
             "memory" => case_memory::run(&stage),
+            "pause" => case_pause::run(&stage),
             "return" => case_return::run(&stage),
             _ => Verdict::CouldNotRun,
         }));
