--- a/review/harness-2/case_origins.rs
+++ b/review/harness-2/case_origins.rs
@@ -119,7 +119,7 @@
         let (hosts, record) = (hosts.clone(), record.clone());
         std::thread::spawn(move || {
             let plan = Plan {
-                path: "/draft/1",
+                path: "/draft/1".to_owned(),
                 key: "k-1",
                 deadline: Duration::from_secs(39),
                 gap: Duration::from_secs(6),
--- a/review/harness-2/case_power.rs
+++ b/review/harness-2/case_power.rs
@@ -115,7 +115,7 @@
         std::thread::spawn(move || {
             std::thread::sleep(at.saturating_duration_since(Instant::now()));
             let plan = Plan {
-                path: "/draft/1",
+                path: "/draft/1".to_owned(),
                 key: "k-1",
                 deadline: Duration::from_secs(39),
                 gap: GAP,
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -1,9 +1,9 @@
 //! Runs one case of the review: `stage CASE FOLDER`. The variable `TROUBLE` is 0 to leave the
 //! disruption out.
 
+mod case_alike;
 mod case_memory;
 mod case_origins;
-mod case_pause;
 mod case_power;
 mod case_return;
 mod client;
@@ -58,10 +58,10 @@
     // A case that fails by itself has shown nothing. Hosts are killed when they are dropped.
     let run =
         std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
+            "alike" => case_alike::run(&stage),
             "power" => case_power::run(&stage),
             "origins" => case_origins::run(&stage),
             "memory" => case_memory::run(&stage),
-            "pause" => case_pause::run(&stage),
             "return" => case_return::run(&stage),
             _ => Verdict::CouldNotRun,
         }));
--- a/review/harness-2/session.rs
+++ b/review/harness-2/session.rs
@@ -15,7 +15,7 @@
 const RETRIES: u32 = 3;
 
 pub struct Plan {
-    pub path: &'static str,
+    pub path: String,
     pub key: &'static str,
     pub deadline: Duration,
     /// How long a client waits for the next event before it abandons the attempt.
@@ -53,7 +53,7 @@
         if left < Duration::from_millis(200) {
             return outcome;
         }
-        let mut attempt = Attempt::new("POST", plan.path, plan.key, left);
+        let mut attempt = Attempt::new("POST", &plan.path, plan.key, left);
         let prompt = format!(
             "X-Model: m\r\nX-Token-Usage: 300,600\r\nX-Prompt-Prefix: {}:300\r\n",
             attempt.id
