--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Drops what has been read and not taken, and returns its length.
+    pub fn take_buffered(&mut self) -> usize {
+        std::mem::take(&mut self.buffer).len()
+    }
+
     fn fill(&mut self) -> io::Result<()> {
         let mut bytes = [0; 16_384];
         let length = self.stream.read(&mut bytes)?;
