--- a/review/harness-2/case_memory.rs
+++ b/review/harness-2/case_memory.rs
@@ -51,8 +51,8 @@
                 address,
                 &store,
                 record,
-                |path| {
-                    if path.ends_with("long") {
+                |head| {
+                    if head.path().ends_with("long") {
                         Work::Answer {
                             after: Duration::from_millis(30),
                             bytes: ANSWER_BYTES,
--- a/review/harness-2/case_origins.rs
+++ b/review/harness-2/case_origins.rs
@@ -50,9 +50,9 @@
             address,
             &store,
             record,
-            |path| {
+            |head| {
                 // A short one, by which a host is seen to reach the servers.
-                if path.ends_with("short") {
+                if head.path().ends_with("short") {
                     Work::Stream {
                         events: 2,
                         interval: Duration::from_millis(20),
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -4,7 +4,7 @@
 mod case_alike;
 mod case_memory;
 mod case_origins;
-mod case_pause;
+mod case_part;
 mod case_return;
 mod client;
 mod deployment;
@@ -59,7 +59,7 @@
     let run =
         std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| match case.as_str() {
             "alike" => case_alike::run(&stage),
-            "pause" => case_pause::run(&stage),
+            "part" => case_part::run(&stage),
             "origins" => case_origins::run(&stage),
             "memory" => case_memory::run(&stage),
             "return" => case_return::run(&stage),
--- a/review/harness-2/server.rs
+++ b/review/harness-2/server.rs
@@ -4,7 +4,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::http::{Head, Reader};
 use crate::record::Record;
@@ -17,6 +17,8 @@
 pub enum Work {
     /// Answers with a number of bytes after a time.
     Answer { after: Duration, bytes: usize },
+    /// Crashes when it begins to write an answer, and starts again after a time.
+    Crash { after: Duration, down: Duration },
     /// Answers with a stream of events, one at each interval.
     Stream { events: u64, interval: Duration },
 }
@@ -27,7 +29,10 @@
     pub zone: String,
     pub version: &'static str,
     pub address: SocketAddr,
-    work: Box<dyn Fn(&str) -> Work + Send + Sync>,
+    work: Box<dyn Fn(&Head) -> Work + Send + Sync>,
+    /// Whether it starts again under the id that it had.
+    keeps_id: AtomicBool,
+    crashes: Mutex<Vec<Instant>>,
     store: Arc<Store>,
     record: Arc<Record>,
     starts: AtomicU64,
@@ -46,7 +51,7 @@
         address: SocketAddr,
         store: &Arc<Store>,
         record: &Arc<Record>,
-        work: impl Fn(&str) -> Work + Send + Sync + 'static,
+        work: impl Fn(&Head) -> Work + Send + Sync + 'static,
     ) -> Arc<Server> {
         let server = Arc::new(Server {
             name: name.to_owned(),
@@ -55,6 +60,8 @@
             version,
             address,
             work: Box::new(work),
+            keeps_id: AtomicBool::new(false),
+            crashes: Mutex::default(),
             store: store.clone(),
             record: record.clone(),
             starts: AtomicU64::new(0),
@@ -67,9 +74,24 @@
     }
 
     fn id(&self, start: u64) -> String {
+        let start = if self.keeps_id.load(Ordering::SeqCst) {
+            1
+        } else {
+            start
+        };
         format!("i-{}-{start}", self.name)
     }
 
+    /// Lets the server start again under its id, as the news page says that it may.
+    pub fn keep_id(&self) {
+        self.keeps_id.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns when the server crashed under a request.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.crashes.lock().unwrap().clone()
+    }
+
     /// Starts the server, as a new incarnation.
     pub fn start(self: &Arc<Self>) {
         let start = self.starts.fetch_add(1, Ordering::SeqCst) + 1;
@@ -113,7 +135,11 @@
             }
             // The entry of a server that crashed goes after three intervals of silence.
             std::thread::sleep(2 * HEARTBEAT);
-            beating.store.try_write("servers", &id, None);
+            let is_back = beating.keeps_id.load(Ordering::SeqCst)
+                && beating.is_up.load(Ordering::SeqCst);
+            if !is_back {
+                beating.store.try_write("servers", &id, None);
+            }
         });
     }
 
@@ -134,7 +160,7 @@
         self.is_up.load(Ordering::SeqCst) && self.starts.load(Ordering::SeqCst) == start
     }
 
-    fn serve(&self, start: u64, stream: TcpStream) {
+    fn serve(self: &Arc<Self>, start: u64, stream: TcpStream) {
         if let Ok(stream) = stream.try_clone() {
             self.open.lock().unwrap().push(stream);
         }
@@ -149,7 +175,7 @@
     }
 
     /// Answers a request, and returns true if the connection stays open.
-    fn answer(&self, start: u64, head: &Head, stream: &mut TcpStream) -> bool {
+    fn answer(self: &Arc<Self>, start: u64, head: &Head, stream: &mut TcpStream) -> bool {
         let mut words = head.first_line.split(' ');
         let (method, path) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
         let attempt = head.text("x-attempt-id").unwrap_or_default();
@@ -175,7 +201,7 @@
             "X-Attempt-Id: {attempt}\r\nX-Server-Stamp: {}.{}\r\n",
             self.name, attempt
         );
-        match (self.work)(path) {
+        match (self.work)(head) {
             Work::Answer { after, bytes } => {
                 std::thread::sleep(after);
                 let head = format!(
@@ -184,6 +210,21 @@
                 stream.write_all(head.as_bytes()).is_ok()
                     && stream.write_all(&vec![b'a'; bytes]).is_ok()
             }
+            Work::Crash { after, down } => {
+                std::thread::sleep(after);
+                if !self.is_running(start) {
+                    return false;
+                }
+                self.record.note(format!(
+                    "server {} crashes under attempt {attempt}",
+                    self.name
+                ));
+                self.crashes.lock().unwrap().push(Instant::now());
+                self.crash();
+                std::thread::sleep(down);
+                self.start();
+                false
+            }
             Work::Stream { events, interval } => {
                 let last = head
                     .text("last-event-id")
