Tell the origin of a stream at its first event, not at each attempt

Cause: a host told the keepers of a stream where it had sent it, at each attempt. Attempts that found no connection left "4.1, attempt 3" at the host and its keepers, and the peer that began the stream at 4.2 told "attempt 1", which lost by its lower number. So a belief was told before it was certain and never taken back, and numbers that two hosts had counted were compared. The first alone suffices: a keeper that missed the second message of a stream that was retried before its first event, without any handoff, believed the first.

Change: keepers are told at the first event, before it is forwarded; the messages leave the host before the caller has the event. An attempt without an event is never told, so nothing has to be corrected or ordered. Numbers of attempts, which hosts of earlier releases still send, are compared within one host only; those of two hosts that contradict each other leave the origin unknown, and a first event replaces them.

--- a/crates/toucancleat-fleet/src/reduce/origins.rs
+++ b/crates/toucancleat-fleet/src/reduce/origins.rs
@@ -12,8 +12,8 @@
 use crate::sole_origin::HOST_LIST_AGE_MAX_MS;
 use crate::state::State;
 use crate::stream_origin::{
-    KEEPERS, KEEPERS_ASKED, OriginMessage, OriginSource, RETENTION_MARGIN_MS, StreamKey,
-    StreamOrigin,
+    Evidence, FIRST_EVENT, KEEPERS, KEEPERS_ASKED, OriginMessage, OriginSource,
+    RETENTION_MARGIN_MS, StreamKey, StreamOrigin,
 };
 
 /// Ends look-ups that have timed out.
@@ -32,9 +32,10 @@
         .update(now_ms, &state.directory, configuration);
 }
 
-/// Keeps where a stream has been sent, and tells its keepers.
+/// Keeps where a stream has begun, and tells its keepers.
 ///
-/// They are told before the first event can arrive, since this host may be gone right after.
+/// N.B. this precedes the forwarding of the first event, since this host may be gone right after. It
+/// doesn't precede the event itself: an attempt without one is no origin.
 pub(super) fn record(
     state: &mut State,
     now_ms: u64,
@@ -55,13 +56,13 @@
         pool: request.pool.clone(),
         version: version.clone(),
     };
-    let attempt = request.attempts;
     let time_limit_ms = request.incoming.time_limit_ms.unwrap_or_default();
     let retention_ms =
         time_limit_ms.max(request.route().timeout_ms) + RETENTION_MARGIN_MS;
+    let evidence = Evidence::FirstEvent;
     state
         .stream_origins
-        .keep(now_ms, key, origin.clone(), attempt, retention_ms);
+        .keep(now_ms, key, origin.clone(), evidence, retention_ms);
     let is_staying = |peer: &Peer| !peer.last_message.is_stopping;
     let zone = &state.identity.zone;
     let keepers = state
@@ -70,7 +71,7 @@
     let message = OriginMessage::Began {
         key,
         origin,
-        attempt,
+        attempt: FIRST_EVENT,
         retention_ms,
     };
     send(keepers, message, effects);
@@ -213,9 +214,12 @@
             origin,
             attempt,
             retention_ms,
-        } => state
-            .stream_origins
-            .keep(now_ms, key, origin, attempt, retention_ms),
+        } => {
+            let evidence = Evidence::of_message(from, attempt);
+            state
+                .stream_origins
+                .keep(now_ms, key, origin, evidence, retention_ms);
+        }
         OriginMessage::Query { key } => {
             let origin = state.stream_origins.get(now_ms, key).cloned();
             send(vec![from], OriginMessage::Reply { key, origin }, effects);
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -5,7 +5,7 @@
 use super::requests::{
     ATTEMPT_MIN_MS, RETRY_AFTER_LONG_MS, RETRY_AFTER_SHORT_MS, refuse,
 };
-use super::{contention, eligibility, evacuation, handoff, messages, origins};
+use super::{contention, eligibility, evacuation, handoff, messages};
 use crate::brittle_targets::Occupancy;
 use crate::configuration::{EngineCapabilities, RetrySafety};
 use crate::contention::Decision;
@@ -352,7 +352,6 @@
     let is_stream = dispatch.retry_safety.is_stream();
     effects.push(Effect::Dispatch(Box::new(dispatch)));
     if is_stream {
-        origins::record(state, now_ms, request_number, effects);
         // Hosts that choose among the same engines need this load before their next
         // choice. Where zones are full, those are the hosts of all zones.
         messages::broadcast(state, now_ms, None, effects);
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -262,6 +262,12 @@
     if events > 0 && request.continuation == Continuation::AnyVersion {
         request.continuation = Continuation::after(request.running_version.as_ref());
     }
+    if is_first {
+        origins::record(state, now_ms, request_number, effects);
+    }
+    let Some(request) = state.requests.get_mut(&request_number) else {
+        return;
+    };
     let needed = request.load();
     let Some((target, counted_load)) = &mut request.placement else {
         return;
--- a/crates/toucancleat-fleet/src/stream_origin.rs
+++ b/crates/toucancleat-fleet/src/stream_origin.rs
@@ -1,11 +1,14 @@
 //! Where streams began, so that any host can continue one that its caller takes up again.
 //!
 //! A stream may continue only at the version of the targets' software that began it, and the
-//! caller names only the attempt that brought the first event. So a host that sends a stream to
-//! a target tells a few keepers where it does: hosts on a ring of hashes, some of its own zone
-//! and some of the others ([`Peers::keepers`](crate::peers::Peers::keepers)). A host that doesn't
-//! know the origin of a stream asks the keepers. Both cost the same whatever the size of the
-//! fleet. See docs/design/software-versions.md.
+//! caller names only the attempt that brought the first event. So a host that receives the first
+//! event of a stream tells a few keepers where it began, before it forwards the event: hosts on a
+//! ring of hashes, some of its own zone and some of the others
+//! ([`Peers::keepers`](crate::peers::Peers::keepers)). A host that doesn't know the origin of a
+//! stream asks the keepers. Both cost the same whatever the size of the fleet.
+//!
+//! An attempt that has brought no event is no origin: the next one may go to another version, also
+//! at another host, to which the request was handed off. See docs/design/software-versions.md.
 
 use std::net::SocketAddr;
 
@@ -38,6 +41,10 @@
 /// a host keeps some 2,000.
 pub const ORIGINS_MAX: usize = 16_384;
 
+/// Number of the attempt in [`OriginMessage::Began`] if the first event has arrived. Keepers of
+/// earlier releases prefer the highest number.
+pub const FIRST_EVENT: u32 = u32::MAX;
+
 /// Interval at which origins that are out of date are discarded.
 const EXPIRY_INTERVAL_MS: u64 = 1_000;
 
@@ -71,13 +78,14 @@
 /// A message about the origin of one stream.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OriginMessage {
-    /// The sender has sent a stream to a target.
+    /// The sender has received the first event of a stream.
     Began {
         /// The stream.
         key: StreamKey,
-        /// Its origin, if this attempt brings its first event.
+        /// Its origin.
         origin: StreamOrigin,
-        /// Number of the attempt at the sender, from 1.
+        /// [`FIRST_EVENT`]. A host of an earlier release sends the number of its attempt, from 1, before
+        /// any event has arrived.
         attempt: u32,
         /// Time for which the origin is kept.
         retention_ms: u64,
@@ -119,13 +127,65 @@
     }
 }
 
+/// What shows that a stream began at an origin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// Its first event.
+    FirstEvent,
+    /// Only that a host of an earlier release has sent it there. Another attempt may have begun it.
+    Attempt {
+        /// The host.
+        sender: SocketAddr,
+        /// The number of the attempt, which can be compared only with others of that host.
+        number: u32,
+    },
+}
+
+impl Evidence {
+    /// Returns the evidence for what a host has told.
+    pub fn of_message(sender: SocketAddr, attempt: u32) -> Self {
+        match attempt {
+            FIRST_EVENT => Evidence::FirstEvent,
+            number => Evidence::Attempt { sender, number },
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct KeptOrigin {
-    origin: StreamOrigin,
-    attempt: u32,
+    /// `None` if the attempts of two hosts contradict each other.
+    origin: Option<StreamOrigin>,
+    evidence: Evidence,
     until_ms: u64,
 }
 
+impl KeptOrigin {
+    /// Adds what another message says of the same stream.
+    fn merge(&mut self, other: KeptOrigin) {
+        self.until_ms = self.until_ms.max(other.until_ms);
+        let is_later = match (self.evidence, other.evidence) {
+            (Evidence::FirstEvent, _) => false,
+            (Evidence::Attempt { .. }, Evidence::FirstEvent) => true,
+            (
+                Evidence::Attempt { sender, number },
+                Evidence::Attempt {
+                    sender: other_sender,
+                    number: other_number,
+                },
+            ) => {
+                if sender != other_sender && self.origin != other.origin {
+                    self.origin = None;
+                }
+                self.origin.is_some() && sender == other_sender && number < other_number
+            }
+        };
+        if is_later {
+            self.origin = other.origin;
+            self.evidence = other.evidence;
+        }
+    }
+}
+
 /// A resumption that waits for the answers of keepers.
 #[derive(Clone, Debug)]
 struct Lookup {
@@ -154,35 +214,31 @@
         self.kept.is_empty()
     }
 
-    /// Keeps the origin of a stream. A later attempt replaces an earlier one, which has brought
-    /// no event.
+    /// Keeps the origin of a stream.
+    ///
+    /// The first event proves it for good. Without that, attempts of different hosts that went to
+    /// different origins leave it unknown.
     pub fn keep(
         &mut self,
         now_ms: u64,
         key: StreamKey,
         origin: StreamOrigin,
-        attempt: u32,
+        evidence: Evidence,
         retention_ms: u64,
     ) {
-        let until_ms = now_ms + retention_ms.min(RETENTION_MAX_MS);
-        if let Some(known) = self.kept.get_mut(&key) {
-            if known.origin == origin {
-                known.attempt = known.attempt.max(attempt);
-                known.until_ms = known.until_ms.max(until_ms);
-                return;
-            }
-            if attempt < known.attempt && now_ms < known.until_ms {
-                return;
-            }
+        let kept = KeptOrigin {
+            origin: Some(origin),
+            evidence,
+            until_ms: now_ms + retention_ms.min(RETENTION_MAX_MS),
+        };
+        if let Some(known) = self.kept.get_mut(&key)
+            && now_ms < known.until_ms
+        {
+            return known.merge(kept);
         }
         if self.kept.len() >= ORIGINS_MAX {
             self.discard_oldest(now_ms);
         }
-        let kept = KeptOrigin {
-            origin,
-            attempt,
-            until_ms,
-        };
         self.kept.insert(key, kept);
     }
 
@@ -196,7 +252,7 @@
     /// Returns the origin of a stream, if it is kept here.
     pub fn get(&self, now_ms: u64, key: StreamKey) -> Option<&StreamOrigin> {
         let kept = self.kept.get(&key)?;
-        (now_ms < kept.until_ms).then_some(&kept.origin)
+        kept.origin.as_ref().filter(|_| now_ms < kept.until_ms)
     }
 
     /// Begins to wait for the answers of keepers.
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -285,6 +285,11 @@
     /// Tells the peers that this process exits, and waits until the messages have been sent.
     pub async fn announce_exit(&self) {
         self.apply(Event::Exiting);
+        self.flush_messages().await;
+    }
+
+    /// Waits until the messages to peers that have been queued so far have been sent.
+    pub async fn flush_messages(&self) {
         let (done, sent) = oneshot::channel();
         let _ = self.outgoing.send(OutgoingMessage::Barrier(done));
         // The sending task ends only with the process.
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -235,7 +235,13 @@
             return self.handle_lack_of_memory().await;
         }
         if received.count > 0 {
+            let is_first = self.attempt_event_count == 0;
             self.record_events(received.count);
+            if is_first && self.dispatch.retry_safety == RetrySafety::ResumableStream {
+                // The caller may take the stream up as soon as it has an event, and this host may be
+                // gone then.
+                self.host.flush_messages().await;
+            }
             let held = HeldBytes::new(Bytes::from(received.bytes), reservation);
             let sent = tokio::select! {
                 biased;
