Take over the highest count of a poison request's crashes that peers know

A host that had crashed targets, told only some of its peers and was killed, took over the lower count if a peer that had missed its last message was heard first. The request then crashed one target more (BUDGET).

Found by reading. The second case of a_restarted_host_takes_over_the_highest_count_that_its_peers_know failed before ("the first has missed a message": left 1, right 2). Peers tell what they know of the processes before, which no longer changes, so the highest is the newest.

--- a/crates/toucancleat-fleet/src/poison_requests.rs
+++ b/crates/toucancleat-fleet/src/poison_requests.rs
@@ -139,13 +139,17 @@
             .collect()
     }
 
-    /// Takes over what a peer knows of the processes of this host before this one.
+    /// Takes over what a peer knows of the processes of this host before this one. Peers may differ, since
+    /// some may have missed the last messages of those processes.
     pub fn inherit(&mut self, now_ms: u64, told: &[(Fingerprint, u32)]) {
         for (fingerprint, count) in told {
             // What was answered since doesn't count any more.
-            let is_known = self.answered_ms.contains_key(fingerprint)
-                || self.inherited.contains_key(fingerprint);
-            if !is_known && self.inherited.len() < REPORTED_MAX {
+            if self.answered_ms.contains_key(fingerprint) {
+                continue;
+            }
+            if let Some(known) = self.inherited.get_mut(fingerprint) {
+                known.count = known.count.max(*count);
+            } else if self.inherited.len() < REPORTED_MAX {
                 let interruptions = Interruptions {
                     count: *count,
                     last_ms: now_ms,
--- a/crates/toucancleat-fleet/tests/poison_requests.rs
+++ b/crates/toucancleat-fleet/tests/poison_requests.rs
@@ -195,3 +195,57 @@
         }
     }
 }
+
+/// Guards against a count of crashes that depends on which peer tells a restarted host first: one that
+/// had missed the last message of its process before knows fewer.
+#[test]
+fn a_restarted_host_takes_over_the_highest_count_that_its_peers_know() {
+    struct Case {
+        name: &'static str,
+        /// What peers tell, in order.
+        told: &'static [u32],
+        /// Whether a complete answer precedes the last of them.
+        is_answered: bool,
+        expected: u32,
+    }
+    let cases = [
+        Case {
+            name: "the first knows most",
+            told: &[2, 1],
+            is_answered: false,
+            expected: 2,
+        },
+        Case {
+            name: "the first has missed a message",
+            told: &[1, 2],
+            is_answered: false,
+            expected: 2,
+        },
+        Case {
+            name: "both know the same",
+            told: &[2, 2],
+            is_answered: false,
+            expected: 2,
+        },
+        Case {
+            name: "an answer clears what is told later",
+            told: &[1, 2],
+            is_answered: true,
+            expected: 0,
+        },
+    ];
+    for case in cases {
+        let mut requests = PoisonRequests::default();
+        let (last, others) = case.told.split_last().unwrap();
+        for count in others {
+            requests.inherit(START_MS, &[(FINGERPRINT, *count)]);
+        }
+        if case.is_answered {
+            requests.record_answer(START_MS, FINGERPRINT);
+        }
+        requests.inherit(START_MS, &[(FINGERPRINT, *last)]);
+        let counts = requests.own_counts();
+        let count = counts.first().map_or(0, |(_, count)| *count);
+        assert_eq!(count, case.expected, "{}", case.name);
+    }
+}
