Entry daemon: take no status that ends no request for a service's answer

The same fault as in the gateway: callers of the own interface got 101 and 600 to 999 of a plain service as its answers, stored under their idempotency keys, and 600 and above counted as run since they are no server errors. With X-Verdict: NotRun such an answer was the proof for another attempt.

entry/service_statuses failed before at 101 ("Answered { status: 101 }"). What ends a request is one function of the core now, which the platform's adapter uses too. The stand-in of a raw service moved to the tests' support.

--- a/crates/toucancleat-core/src/lib.rs
+++ b/crates/toucancleat-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod routing;
 pub mod settings;
 mod state;
+pub mod status;
 pub mod streams;
 pub mod targets;
 pub mod timeline;
--- a/crates/toucancleat-entry/src/service.rs
+++ b/crates/toucancleat-entry/src/service.rs
@@ -8,6 +8,7 @@
 use toucancleat_core::observation::Observation;
 use toucancleat_core::prelude::*;
 use toucancleat_core::requests::InterruptionCause;
+use toucancleat_core::status::ends_request;
 
 use crate::engine::{has_not_run_verdict, retry_after_ms};
 use crate::http::{CallError, HttpCall, HttpClient};
@@ -110,6 +111,14 @@
 }
 
 fn read_reply(reply: http::Response<Bytes>, method: &Method) -> ServiceReply {
+    let status = reply.status();
+    if !ends_request(status.as_u16()) {
+        log::warn!(
+            status = status.as_u16();
+            "the status of a service's answer ends no request; discarding the answer"
+        );
+        return ServiceReply::Unknown(InterruptionCause::Disconnected);
+    }
     if has_not_run_verdict(reply.headers()) {
         return ServiceReply::NotRun {
             retry_after_ms: retry_after_ms(reply.headers()),
@@ -122,7 +131,7 @@
         return ServiceReply::Unknown(InterruptionCause::Disconnected);
     }
     ServiceReply::Answered {
-        status: reply.status(),
+        status,
         content_type: reply.headers().get(http::header::CONTENT_TYPE).cloned(),
         body: reply.into_body(),
     }
--- a/crates/toucancleat-entry/tests/cut_service_answers.rs
+++ b/crates/toucancleat-entry/tests/cut_service_answers.rs
@@ -1,43 +1,12 @@
 //! Answers of a plain service that end in the middle of their heads.
 
-use std::net::SocketAddr;
+mod support;
 
-use bytes::Bytes;
-use http::Method;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
-use toucancleat_core::prelude::RequestId;
-use toucancleat_entry::http::HttpClient;
-use toucancleat_entry::service::{ServiceReply, ServiceRequest, call};
-
-const TIMEOUT_MS: u64 = 5_000;
-const ANSWER_MAX_BYTES: usize = 1_024;
-
-/// Starts a service that answers its only request with a text and closes the connection.
-async fn start(text: String) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    tokio::spawn(async move {
-        let (mut stream, _) = listener.accept().await.expect("a connection");
-        let mut request = [0; 4_096];
-        let _ = stream.read(&mut request).await;
-        let _ = stream.write_all(text.as_bytes()).await;
-    });
-    address
-}
+use support::raw_service::answer_of;
+use toucancleat_entry::service::ServiceReply;
 
 async fn is_answered(text: String) -> bool {
-    let address = start(text).await;
-    let request = ServiceRequest {
-        method: Method::POST,
-        path: "/coaches".to_owned(),
-        headers: Vec::new(),
-        body: Bytes::new(),
-    };
-    let id = RequestId(7);
-    let client = HttpClient::unpooled();
-    let reply = call(&client, address, id, &request, TIMEOUT_MS, ANSWER_MAX_BYTES).await;
-    matches!(reply, ServiceReply::Answered { .. })
+    matches!(answer_of(text).await, ServiceReply::Answered { .. })
 }
 
 /// Guards against a success with an empty body, framed as whole: a service stops in the middle of the
--- a/crates/toucancleat-entry/tests/support/mod.rs
+++ b/crates/toucancleat-entry/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod deployment;
 pub mod process;
 pub mod proxied;
+pub mod raw_service;
 pub mod received_answer;
 pub mod settings;
 
