Entry daemon: take no proof from an engine whose status ends no request

Related to the statuses of services: an engine's answer with 101 or 600 to 999 and X-Verdict: NotRun counted as proof that the generation had not begun, so it was begun again elsewhere.

an_engine_proves_nothing_with_a_status_that_ends_no_request failed before at 101 ("NotBegun"). Without the verdict such answers counted as unknown before.

--- a/crates/toucancleat-entry/src/engine.rs
+++ b/crates/toucancleat-entry/src/engine.rs
@@ -16,6 +16,7 @@
 use toucancleat_core::accounts;
 use toucancleat_core::observation::Observation;
 use toucancleat_core::prelude::*;
+use toucancleat_core::status::ends_request;
 use volo_http::client::sse::SseReader;
 use volo_http::error::BoxError;
 use volo_http::response::Response;
@@ -337,7 +338,7 @@
         return read_stream(response);
     }
     let retry_after_ms = retry_after_ms(response.headers());
-    if has_not_run_verdict(response.headers()) {
+    if ends_request(status.as_u16()) && has_not_run_verdict(response.headers()) {
         return StartReply::NotBegun { retry_after_ms };
     }
     if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
--- a/crates/toucancleat-entry/tests/support/raw_service.rs
+++ b/crates/toucancleat-entry/tests/support/raw_service.rs
@@ -28,7 +28,7 @@
 }
 
 /// Starts a service that answers its only request.
-async fn start(text: String) -> SocketAddr {
+pub async fn start(text: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
