Entry daemon: replay no stored answer whose status can't be one

Related to the statuses of targets: a stored answer with an invalid status was replayed as a success (200).

claims/a_stored_answer_is_decoded_only_with_a_status_that_ends_a_request failed before (status 0 was decoded).

--- a/crates/toucancleat-core/src/claims/row.rs
+++ b/crates/toucancleat-core/src/claims/row.rs
@@ -6,6 +6,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::prelude::*;
+use crate::status::ends_request;
 
 /// Table that holds the claims.
 pub const TABLE: &str = "claims";
@@ -47,6 +48,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredAnswer {
     /// HTTP status.
+    #[serde(deserialize_with = "final_status")]
     pub status: u16,
     /// Media type of the body.
     pub content_type: String,
@@ -185,6 +187,17 @@
     Some(BodyHash(hash))
 }
 
+fn final_status<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u16, D::Error> {
+    let status = u16::deserialize(deserializer)?;
+    if !ends_request(status) {
+        let expected = "expected a status that ends a request";
+        return Err(serde::de::Error::custom(format!(
+            "{expected}, got {status}"
+        )));
+    }
+    Ok(status)
+}
+
 fn invalid_hex<E: serde::de::Error>(digits: &str, text: &str) -> E {
     E::custom(format!(
         "expected {digits} hexadecimal digits, got {text:?}"
--- a/crates/toucancleat-core/tests/claims/main.rs
+++ b/crates/toucancleat-core/tests/claims/main.rs
@@ -455,3 +455,25 @@
         [3]
     );
 }
+
+/// Guards against a stored answer whose status can't be one of an answer, which was replayed as a
+/// success. What can't be decoded counts as a request that may have run.
+#[test]
+fn a_stored_answer_is_decoded_only_with_a_status_that_ends_a_request() {
+    let row = |status: serde_json::Value| {
+        serde_json::json!({
+            "token": "0".repeat(32), "body_sha256": "0".repeat(64), "state": "finished",
+            "answer": {"status": status, "content_type": "", "body": {"text": "good"}},
+            "expires_unix_ms": EXPIRES_UNIX_MS,
+        })
+    };
+    for status in [0, 1, 99, 100, 101, 199, 600, 999, 65_535, 65_536] {
+        let decoded = serde_json::from_value::<Row>(row(status.into()));
+        assert!(decoded.is_err(), "{status}: {decoded:?}");
+    }
+    for status in [200, 201, 404, 500, 599] {
+        let decoded = serde_json::from_value::<Row>(row(status.into()));
+        let answer = decoded.ok().and_then(|row| row.answer);
+        assert_eq!(answer.map(|answer| answer.status), Some(status), "{status}");
+    }
+}
--- a/crates/toucancleat-entry/src/relay/answer.rs
+++ b/crates/toucancleat-entry/src/relay/answer.rs
@@ -116,7 +116,7 @@
         StoredBody::Object(name) => host.platform.get_object(&name).await.ok().flatten(),
         _ => None,
     };
-    let Some(body) = body else {
+    let (Some(body), Ok(status)) = (body, StatusCode::from_u16(stored.status)) else {
         let detail = "the request ran; its stored answer can't be read just now";
         let refusal = Refusal::not_run(Problem::ClaimsUnavailable, detail)
             .with_verdict(Verdict::Ran)
@@ -125,7 +125,6 @@
         sender.refuse(request, &refusal).await;
         return;
     };
-    let status = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
     let content_type = HeaderValue::from_str(&stored.content_type).ok();
     let mut response = response(status, content_type, verdict_of_status(status), body);
     response
