Reserve memory for events before they count as forwarded

Cause: a relay read the events of a target's bytes, then reserved memory for them. If there was none it dropped them and interrupted the run, but an event that has been read counts as forwarded, so the next run went on after it.

Change: what the stream may hold after a read is reserved before the read.

--- a/crates/toucancleat-gateway/src/memory.rs
+++ b/crates/toucancleat-gateway/src/memory.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns the number of bytes that are held now.
+    pub fn reserved_bytes(&self) -> u64 {
+        self.reserved_bytes.get()
+    }
+
     /// Returns a reservation of no bytes.
     pub fn start_reservation(&self) -> Reservation {
         Reservation {
@@ -95,6 +100,21 @@
         Ok(())
     }
 
+    /// Decreases the number of reserved bytes if it is higher.
+    pub fn shrink_to(&mut self, bytes: u64) {
+        drop(self.split(self.bytes.saturating_sub(bytes)));
+    }
+
+    /// Moves some of the reserved bytes, or all if there are fewer, to a reservation of their own.
+    pub fn split(&mut self, bytes: u64) -> Reservation {
+        let bytes = bytes.min(self.bytes);
+        self.bytes -= bytes;
+        Reservation {
+            bound: self.bound.clone(),
+            bytes,
+        }
+    }
+
     /// Increases the number of reserved bytes if it is lower. Fails, and changes nothing, if they
     /// would exceed the bound.
     pub fn grow_to(&mut self, bytes: u64) -> Result<(), NoRoom> {
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -73,6 +73,8 @@
     pub report_queries: Counter,
     /// Streams of which this host keeps where they began.
     pub stream_origins: Gauge,
+    /// Bytes that are held of all targets' answers.
+    pub held_answer_bytes: Gauge,
     /// Parts of prompts with which requests are refused.
     pub poison_parts: Gauge,
     /// Answers whose report about their target is invalid.
@@ -113,6 +115,7 @@
             suspected_targets: Gauge::default(),
             report_queries: Counter::default(),
             stream_origins: Gauge::default(),
+            held_answer_bytes: Gauge::default(),
             poison_parts: Gauge::default(),
             invalid_notices: Counter::default(),
             invalid_entries: Counter::default(),
@@ -226,6 +229,11 @@
             "Streams of which this host keeps where they began",
             self.stream_origins.clone(),
         );
+        registry.register(
+            "held_answer_bytes",
+            "Bytes that are held of all targets' answers, which have a common bound",
+            self.held_answer_bytes.clone(),
+        );
         registry.register(
             "poison_parts",
             "Parts of prompts with which requests are refused",
@@ -308,6 +316,9 @@
     host.metrics.lost_paths.set(lost_paths);
     let poison_parts = i64::try_from(host.poison_parts()).unwrap_or(i64::MAX);
     host.metrics.poison_parts.set(poison_parts);
+    let held_answer_bytes = host.answer_memory.reserved_bytes();
+    let held_answer_bytes = i64::try_from(held_answer_bytes).unwrap_or(i64::MAX);
+    host.metrics.held_answer_bytes.set(held_answer_bytes);
     let mut text = String::new();
     // Writing to a `String` can't fail.
     let _ = encode(&mut text, &host.metrics.registry);
--- a/crates/toucancleat-gateway/src/relay.rs
+++ b/crates/toucancleat-gateway/src/relay.rs
@@ -225,15 +225,16 @@
     }
 
     async fn forward_bytes(&mut self, bytes: &[u8]) -> NextAction {
-        let received = self.stream.receive(bytes);
-        let length = received.bytes.len() as u64;
-        let pending_bytes = self.stream.pending_bytes() as u64;
-        let Ok(reservation) = self.host.answer_memory.reserve(length) else {
-            return self.handle_lack_of_memory().await;
-        };
-        if self.pending_memory.resize(pending_bytes).is_err() {
+        // N.B. this precedes the reading of the events, which count as forwarded from then on. What the
+        // bytes complete and what they leave incomplete take no more than this together.
+        let pending_bytes = self.stream.pending_bytes() + bytes.len();
+        if self.pending_memory.resize(pending_bytes as u64).is_err() {
             return self.handle_lack_of_memory().await;
         }
+        let received = self.stream.receive(bytes);
+        let reservation = self.pending_memory.split(received.bytes.len() as u64);
+        self.pending_memory
+            .shrink_to(self.stream.pending_bytes() as u64);
         if received.count > 0 {
             let is_first = self.attempt_event_count == 0;
             self.record_events(received.count);
@@ -337,8 +338,7 @@
             "events exceed the bound on what is held of all answers; interrupting the stream"
         );
         self.stream.end_run();
-        // Reserving nothing can't fail.
-        let _ = self.pending_memory.resize(0);
+        self.pending_memory.shrink_to(0);
         self.handle_interruption().await
     }
 
