Bound all pages of one query of the store together

What callers would see: a table of the store that has always another page takes a host over its memory; it is killed with all its requests (LOST).

Cause: each page had a bound on its length and time, and all that were read of one query were kept until the last. The number of pages had none.

pages_without_end_do_not_exhaust_the_memory failed before (servers: 271.8 MB of 40 MB) and passes for the three tables that are read in pages. Pages of one query have the bounds of one reply now: an eighth of the memory, and 15 s.

--- a/crates/toucancleat-gateway/src/store.rs
+++ b/crates/toucancleat-gateway/src/store.rs
@@ -13,7 +13,7 @@
 use crate::clock;
 use crate::host::Host;
 
-/// Maximum time in which the body of a reply must be complete. A small machine with a link of
+/// Maximum time in which the body of a reply, and of all pages of one query, must be complete. A small machine with a link of
 /// 10 Mbit/s receives the longest reply for which it has memory in 9 s. With a shorter time, a host on
 /// a slow link that has to read a long configuration would discard what it has received and start
 /// again, without end.
@@ -48,7 +48,7 @@
         Query::Register => WRITE_TIMEOUT,
         _ => REPLY_TIMEOUT,
     };
-    let limits = ReplyLimits {
+    let mut limits = ReplyLimits {
         idle_timeout: timeout,
         body_timeout: BODY_TIMEOUT,
         body_max_bytes: host.settings.store_reply_max_bytes(),
@@ -58,6 +58,7 @@
             .store_reply_bytes_per_s()
             .filter(|_| host.has_configuration()),
     };
+    let started = tokio::time::Instant::now();
     let mut exchange = StoreExchange::new(query);
     let mut era = None;
     let reply = loop {
@@ -93,7 +94,12 @@
                 report_invalid_entries(&host, exchange.invalid_entries());
                 break reply;
             }
-            Ok(None) => {}
+            Ok(None) => {
+                // N.B. a table may have always another page, and those before it are kept.
+                let read_bytes = response.body().len();
+                limits.body_max_bytes = limits.body_max_bytes.saturating_sub(read_bytes);
+                limits.body_timeout = BODY_TIMEOUT.saturating_sub(started.elapsed());
+            }
             Err(error) => {
                 let status = response.status().as_u16();
                 log::debug!(query = query.as_str(), status, error:% = error; "store reply rejected; leaving the next query to the reducer");
