Bound the number of interim answers that precede an answer

What callers would see: a host to which faulty targets send interim answers (1xx) without end isn't ready, and its other requests wait.

The bound moves to a crate of its own, since the entry daemon needs it too.

--- a/crates/toucancleat-gateway/src/connection.rs
+++ b/crates/toucancleat-gateway/src/connection.rs
@@ -1,7 +1,7 @@
 //! TCP connections, with timeouts for a remote end that does not respond.
 
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
@@ -11,9 +11,9 @@
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
+use toucancleat_http::{HeadBoundedStream, HeadProgress};
 
 use crate::Error;
-use crate::head_bound::{HeadBoundedStream, HeadProgress};
 
 /// Maximum wait for a connection to open. Within a region this takes a few milliseconds; a
 /// longer wait means a partition or a full accept queue, and TCP would retransmit the SYN
@@ -32,10 +32,6 @@
 /// the same time must not exhaust the memory with heads without end.
 const READ_MAX_BYTES: usize = 65_536;
 
-/// Maximum number of bytes before the end of the head of an answer, with interim answers and what is
-/// read of the body behind it.
-const HEAD_MAX_BYTES: usize = 3 * READ_MAX_BYTES;
-
 /// Listens at an address. Fails if the address can't be bound.
 pub fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
     let open = || {
@@ -73,7 +69,7 @@
 pub struct Connection<B> {
     sender: SendRequest<B>,
     driver: Driver,
-    head: Rc<HeadProgress>,
+    head: Arc<HeadProgress>,
 }
 
 /// The task that does the I/O of a connection; dropping it closes the connection.
@@ -96,8 +92,8 @@
     pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
         let stream = connect(address).await?;
         set_options(&stream);
-        let head = Rc::new(HeadProgress::default());
-        let stream = HeadBoundedStream::new(stream, head.clone(), HEAD_MAX_BYTES);
+        let head = Arc::new(HeadProgress::default());
+        let stream = HeadBoundedStream::new(stream, head.clone());
         let (sender, connection) = hyper::client::conn::http1::Builder::new()
             .max_buf_size(READ_MAX_BYTES)
             .handshake(TokioIo::new(stream))
--- a/crates/toucancleat-gateway/src/lib.rs
+++ b/crates/toucancleat-gateway/src/lib.rs
@@ -21,7 +21,6 @@
 mod error;
 mod event_log;
 mod handoff;
-mod head_bound;
 mod host;
 pub mod log_interval;
 mod logging;
