Entry daemon: bound what precedes a reply, and the number of interim answers

What callers would see: beside 16 faulty targets that send interim answers without end, calls of the entry daemon's client to a sound target time out on one thread, and the faulty ones outlive their timeouts: 10 s instead of 2.

Cause: the client library reads them in one loop, without a bound on their number or bytes, and takes no other transport. Change: the daemon's client opens and keeps its connections by itself, with the same HTTP library below and the bounds of the gateway.

--- a/crates/toucancleat-entry/src/http/client.rs
+++ b/crates/toucancleat-entry/src/http/client.rs
@@ -1,30 +1,24 @@
 //! An HTTP client that distinguishes requests that were certainly not sent.
 
-use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::CONNECTION;
-use http::{HeaderName, HeaderValue, Method};
-use http_body_util::{BodyExt, Limited};
+use http::header::{CONNECTION, HOST};
+use http::{HeaderName, HeaderValue, Method, Request};
+use http_body_util::{BodyExt, Full, Limited};
 use volo_http::body::Body;
-use volo_http::client::{Client, ClientBuilder};
-use volo_http::error::ClientError;
-use volo_http::error::client::ErrorKind;
 use volo_http::response::Response;
 
 use super::body::read_joined;
-
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+use super::connection::{ClientConnection, IdleConnections, NotSent};
 
 /// An HTTP client whose errors show whether a request may have reached the server.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client,
-    reuses_connections: bool,
+    /// The idle connections that are reused, if any are.
+    idle: Option<IdleConnections>,
 }
 
 /// One call.
@@ -76,16 +70,12 @@
     }
 }
 
-impl std::fmt::Debug for HttpClient {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("HttpClient").finish_non_exhaustive()
-    }
-}
-
 impl HttpClient {
     /// Creates a client that reuses idle connections.
     pub fn pooled() -> Self {
-        HttpClient::with_idle_connections(1_024)
+        HttpClient {
+            idle: Some(IdleConnections::default()),
+        }
     }
 
     /// Creates a client that opens a new connection for each call.
@@ -93,18 +83,7 @@
     /// A request that must run at most once needs this: on an idle connection, a close
     /// before the server read the request can't be distinguished from a close after it.
     pub fn unpooled() -> Self {
-        HttpClient::with_idle_connections(0)
-    }
-
-    fn with_idle_connections(idle_max: usize) -> Self {
-        let mut builder = ClientBuilder::new();
-        builder.set_connect_timeout(CONNECT_TIMEOUT);
-        builder.set_max_idle_per_host(idle_max);
-        let client = builder.build().expect("the client's settings are constant");
-        HttpClient {
-            client,
-            reuses_connections: idle_max > 0,
-        }
+        HttpClient { idle: None }
     }
 
     /// Sends a call and returns the reply once its head is received.
@@ -114,26 +93,59 @@
     /// Returns an error if no reply is received; [`CallError::is_not_sent`] is true for
     /// it only if no byte can have been sent.
     pub async fn send(&self, call: HttpCall<'_>) -> Result<Response, CallError> {
-        let uri = format!("http://{}{}", call.address, call.path);
-        let mut builder = self.client.request(call.method, uri);
-        for (name, value) in call.headers {
-            builder.headers_mut().insert(name, value);
+        let address = call.address;
+        let mut request = self.build_request(call)?;
+        loop {
+            let idle = self.idle.as_ref().and_then(|idle| idle.take(address));
+            let is_new = idle.is_none();
+            let connection = match idle {
+                Some(connection) => connection,
+                None => ClientConnection::open(address)
+                    .await
+                    .map_err(connect_error)?,
+            };
+            match connection.send(request).await {
+                Ok((response, connection)) => {
+                    if let Some(idle) = &self.idle {
+                        idle.keep(address, connection);
+                    }
+                    return Ok(response.map(Body::from_incoming));
+                }
+                Err(NotSent {
+                    request: Some(unsent),
+                    error,
+                }) => {
+                    if is_new {
+                        return Err(CallError::NotSent(error.to_string()));
+                    }
+                    // The server had closed the idle connection.
+                    request = unsent;
+                }
+                Err(NotSent { error, .. }) => {
+                    return Err(CallError::NoReply(error.to_string()));
+                }
+            }
         }
-        if !self.reuses_connections {
-            // N.B. without this header the library may give a connection that becomes
-            // idle to a call that is opening its own.
-            let close = HeaderValue::from_static("close");
-            builder.headers_mut().insert(CONNECTION, close);
+    }
+
+    fn build_request(
+        &self,
+        call: HttpCall<'_>,
+    ) -> Result<Request<Full<Bytes>>, CallError> {
+        let not_sent = |error: http::Error| CallError::NotSent(error.to_string());
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .body(Full::new(call.body))
+            .map_err(not_sent)?;
+        let headers = request.headers_mut();
+        let host = HeaderValue::from_str(&call.address.to_string());
+        headers.insert(HOST, host.map_err(|error| not_sent(error.into()))?);
+        headers.extend(call.headers);
+        if self.idle.is_none() {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
-        let sent = builder.body(Body::from(call.body)).send().await;
-        sent.map_err(|error| match error.kind() {
-            _ if is_refused(&error) => CallError::Refused(error.to_string()),
-            ErrorKind::Connect | ErrorKind::Builder => {
-                CallError::NotSent(error.to_string())
-            }
-            _ if is_connect_error(&error) => CallError::NotSent(error.to_string()),
-            _ => CallError::NoReply(error.to_string()),
-        })
+        Ok(request)
     }
 
     /// Sends a call and reads the whole reply within bounds on its time and size.
@@ -208,28 +220,9 @@
     }
 }
 
-/// Returns true if no connection could be opened.
-///
-/// N.B. the client library reports this as a request error whose direct source is the
-/// system's error; an error on an open connection has the HTTP library's error in
-/// between.
-fn is_connect_error(error: &ClientError) -> bool {
-    error
-        .source()
-        .is_some_and(|source| source.is::<io::Error>())
-}
-
-/// Returns true if an error or one of its sources is a refused connection.
-fn is_refused(error: &(dyn Error + 'static)) -> bool {
-    let mut source = Some(error);
-    while let Some(current) = source {
-        let refused = current
-            .downcast_ref::<io::Error>()
-            .is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused);
-        if refused {
-            return true;
-        }
-        source = current.source();
+fn connect_error(error: io::Error) -> CallError {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => CallError::Refused(error.to_string()),
+        _ => CallError::NotSent(error.to_string()),
     }
-    false
 }
--- a/crates/toucancleat-entry/src/http/mod.rs
+++ b/crates/toucancleat-entry/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod connection;
 mod listener;
 
 pub use self::body::read_joined;
