--- a/crates/toucancleat-fleet/tests/evacuation.rs
+++ b/crates/toucancleat-fleet/tests/evacuation.rs
@@ -188,6 +188,11 @@
             before: |host| {
                 receive_request(host, START_MS, 1, incoming_request("check"));
                 let request_number = RequestNumber(1);
+                let first_event = Event::StreamProgressed {
+                    request_number,
+                    events: 1,
+                };
+                apply(host, START_MS, first_event);
                 apply(host, START_MS, Event::RequestClosed { request_number });
             },
             after: |host, now_ms| {
