Take the confirmation of a configuration back that peers know to be replaced

Cause: the store's word confirmed what a host had in force, also while peers reported a newer version. And what it had confirmed before it heard its peers, some milliseconds after its start, stayed trusted for the whole bound of revocation, so the comparison alone would not have sufficed.

Change: nothing is confirmed while a peer is known to have a newer version; a host that begins to hear peers takes its confirmation back if one of them reports a newer one within 2.4 s; one that has heard none since its start trusts the store alone only if it knows no other host, or after 1.2 s.

All tests of toucancleat-fleet pass. Two tests began to send before their hosts had heard each other, or within 2.4 s of that; they wait now, and check the same.

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -263,6 +263,13 @@
         /// What is wrong with the rejected one.
         problem: String,
     },
+    /// A peer knows a newer configuration than the one that this host has confirmed without its peers.
+    ConfigurationDistrusted {
+        /// The version in force here.
+        known_version: Option<u64>,
+        /// The version that the peer knows.
+        newest_version: Option<u64>,
+    },
     /// The host list was read for the first time.
     TargetsListed {
         /// Number of targets.
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -479,6 +479,11 @@
         (self.peers.len() + 1).max(self.listed_hosts)
     }
 
+    /// Returns true if no other host is known that may be running.
+    pub fn is_alone(&self) -> bool {
+        self.fleet_size() == 1 && self.candidate_addresses.is_empty()
+    }
+
     /// Returns true if every host that may be running is a live peer and receives from
     /// this one.
     ///
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -155,13 +155,16 @@
     // An update is applied even if a later message has overtaken it.
     apply_update(state, now_ms, &message, effects);
     if state.peers.is_newest(&message) {
+        if state.peers.live(now_ms).next().is_none() {
+            state.joined_ms = Some(now_ms);
+        }
         record_retry_counts(state, now_ms, &message, effects);
         record_interruptions(state, now_ms, &message);
         let changes = state
             .poison_parts
             .record_reports(now_ms, &message.part_reports);
         log_part_changes(&changes, effects);
-        compare_versions(state, now_ms, &message);
+        compare_versions(state, now_ms, &message, effects);
         notices::handle_reports(state, now_ms, &message, effects);
         cold::handle_reports(state, now_ms, &message, effects);
         watch::handle_peer_report(state, now_ms, &message, effects);
@@ -291,11 +294,35 @@
             .is_none_or(|digest| digest == own_version_digest)
 }
 
+/// Takes the confirmation of the configuration back if peers know a newer one that this host can have missed:
+/// it has confirmed the older one without them, possibly by a store that has returned to a copy.
+fn distrust_older_configuration(
+    state: &mut State,
+    now_ms: u64,
+    effects: &mut Vec<Effect>,
+) {
+    if !state.lacks_newest_configuration() || !state.is_joining(now_ms) {
+        return;
+    }
+    if state.configuration_confirmed_ms.take().is_some() {
+        effects.push(Effect::Log(LogEvent::ConfigurationDistrusted {
+            known_version: state.configuration.as_ref().map(|known| known.version),
+            newest_version: state.peer_versions.configuration,
+        }));
+    }
+}
+
 /// Compares the versions that the sender knows with those known here, and confirms the
 /// configuration if the sender has confirmed the same version.
-fn compare_versions(state: &mut State, now_ms: u64, message: &Message) {
+fn compare_versions(
+    state: &mut State,
+    now_ms: u64,
+    message: &Message,
+    effects: &mut Vec<Effect>,
+) {
     let newest_version = &mut state.peer_versions.configuration;
     *newest_version = (*newest_version).max(message.configuration_version);
+    distrust_older_configuration(state, now_ms, effects);
     // N.B. the versions alone don't show whether a list was missed: two hosts that read the
     // same list at different times know it at different versions.
     if has_same_host_list(state, message) {
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -613,7 +613,13 @@
 }
 
 /// Records that the configuration in force was the newest at a time.
+///
+/// N.B. the store may have returned to a copy. It then says so of a configuration that it has replaced before,
+/// as long as peers know a newer one.
 pub(super) fn confirm_configuration(state: &mut State, at_ms: u64) {
+    if state.lacks_newest_configuration() {
+        return;
+    }
     state.configuration_confirmed_ms = Some(
         state
             .configuration_confirmed_ms
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -16,7 +16,7 @@
 use crate::evacuation::Evacuations;
 use crate::health::HealthTable;
 use crate::lapsed_entries::LapsedEntries;
-use crate::peers::{Load, Peers};
+use crate::peers::{Load, MESSAGE_INTERVAL_MAX_MS, Peers};
 use crate::poison_parts::PoisonParts;
 use crate::poison_requests::PoisonRequests;
 use crate::pool_path::PoolPaths;
@@ -28,6 +28,14 @@
 use crate::target_notice::TargetNotices;
 use crate::target_watch::{SuspectedTargets, TargetWatch};
 
+/// Time after its start from which a host that hears no peer trusts the store alone. Live peers send a message
+/// within their longest interval.
+const JOIN_TIMEOUT_MS: u64 = MESSAGE_INTERVAL_MAX_MS;
+
+/// Time from the first message of a peer in which all live peers have been heard, also if one of their messages
+/// is lost.
+const JOINING_MS: u64 = 2 * MESSAGE_INTERVAL_MAX_MS;
+
 /// Identity of this host.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -82,6 +90,8 @@
     pub(crate) config: FleetConfig,
     pub(crate) configuration: Option<Arc<Configuration>>,
     pub(crate) configuration_confirmed_ms: Option<u64>,
+    /// When this host began to hear peers, after it had heard none.
+    pub(crate) joined_ms: Option<u64>,
     /// The row of the configuration in force, if this host has read it from the store.
     pub(crate) configuration_row: Option<ConfigurationRow>,
     /// From when on this host may ask whether that row has changed.
@@ -181,6 +191,7 @@
             config,
             configuration: None,
             configuration_confirmed_ms: None,
+            joined_ms: None,
             configuration_row: None,
             may_check_from_ms: 0,
             configuration_problem: None,
@@ -368,9 +379,28 @@
     }
 
     /// Returns true if API keys of the configuration may still be trusted.
+    ///
+    /// The store's word doesn't suffice for a host that has just started: the store may have returned to a
+    /// copy from before a key was withdrawn, which peers know.
     pub(crate) fn is_configuration_fresh(&self, now_ms: u64) -> bool {
-        self.configuration_age_ms(now_ms)
-            .is_some_and(|age_ms| age_ms < self.config.revocation_bound_ms)
+        self.has_asked_peers(now_ms)
+            && self
+                .configuration_age_ms(now_ms)
+                .is_some_and(|age_ms| age_ms < self.config.revocation_bound_ms)
+    }
+
+    /// Returns true if this host has heard a peer since its start, or if there is none to wait for.
+    fn has_asked_peers(&self, now_ms: u64) -> bool {
+        let started_ms = self.started_ms.unwrap_or(now_ms);
+        self.joined_ms.is_some()
+            || self.peers.is_alone()
+            || now_ms >= started_ms + JOIN_TIMEOUT_MS
+    }
+
+    /// Returns true if this host has just begun to hear peers, and some of them may not have been heard.
+    pub(crate) fn is_joining(&self, now_ms: u64) -> bool {
+        self.joined_ms
+            .is_some_and(|joined_ms| now_ms < joined_ms + JOINING_MS)
     }
 }
 
--- a/crates/toucancleat-fleet/tests/evacuation.rs
+++ b/crates/toucancleat-fleet/tests/evacuation.rs
@@ -394,6 +394,8 @@
             read_row(host, fleet.now_ms, EVACUATED, 40, true);
         }
         fleet.hosts = hosts;
+        // The hosts hear each other.
+        fleet.advance(1_200);
         // The peer reaches the targets, and the host doesn't.
         fleet.send_request(1, 1, incoming_request("lookup"));
         let answered = AttemptOutcome::Answered { took_ms: 5 };
--- a/crates/toucancleat-fleet/tests/partitioned_hosts.rs
+++ b/crates/toucancleat-fleet/tests/partitioned_hosts.rs
@@ -178,6 +178,8 @@
             &["upp-a"],
             &[("roster-1", entry("roster", "upp-a", 900))],
         );
+        // Longer than a host distrusts what it has confirmed before it heard its peers.
+        fleet.advance(2_400);
         let now_ms = fleet.now_ms;
         let effects = apply(&mut fleet.hosts[1], now_ms + 200, Event::Tick);
         let sent = effects.into_iter().find_map(|effect| match effect {
--- a/crates/toucancleat-gateway/src/event_log.rs
+++ b/crates/toucancleat-gateway/src/event_log.rs
@@ -11,6 +11,14 @@
         } => {
             log::error!(kept_version, problem; "configuration rejected; keeping the last valid one");
         }
+        LogEvent::ConfigurationDistrusted {
+            known_version,
+            newest_version,
+        } => log::warn!(
+            version = known_version.unwrap_or_default(),
+            newest_version = newest_version.unwrap_or_default();
+            "peers know a newer configuration; requests with keys are refused until it is read"
+        ),
         LogEvent::TargetsListed {
             targets,
             store_version,
