Count only runs that have hardly begun against a request that may be poison

Cause: each interrupted run counted as a crash by its request, also one that had been answering for seconds and ended with a target that crashed for another reason.

Change: a run counts if it ends within a second of its first event, which is the rule for parts of prompts already.

--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -304,6 +304,7 @@
         return;
     };
     let fingerprint = request.incoming.fingerprint;
+    let may_have_crashed = may_have_crashed_target(now_ms, request);
     let pool = request.pool.clone();
     let dispatched_ms = request.dispatched_ms;
     if outcome == AttemptOutcome::Declined
@@ -338,7 +339,7 @@
             let changes = state.poison_parts.record_answer(now_ms, parts);
             log_part_changes(&changes, effects);
         }
-        AttemptOutcome::Interrupted => state
+        AttemptOutcome::Interrupted if may_have_crashed => state
             .poison_requests
             .record_interruption(now_ms, fingerprint),
         _ => {}
@@ -414,6 +415,20 @@
     }
 }
 
+/// Returns for how long the run of a request has been answering, or `None` before its first event.
+fn answered_ms(now_ms: u64, request: &Request) -> Option<u64> {
+    let since_ms = request.answering_since_ms?;
+    Some(now_ms.saturating_sub(since_ms))
+}
+
+/// Returns true if a request may have crashed the target that runs it, should that end now.
+///
+/// A request that crashes targets does so when they begin to run it. A run that has been answering for a while
+/// ends with a target that crashes for another reason, along with all others there.
+fn may_have_crashed_target(now_ms: u64, request: &Request) -> bool {
+    answered_ms(now_ms, request).is_none_or(|answered_ms| answered_ms < SOUND_AFTER_MS)
+}
+
 /// Records that the run of a request was interrupted at its target. If the target had hardly
 /// begun to answer, it may have crashed under the request.
 pub(super) fn handle_interruption(
@@ -431,16 +446,13 @@
     if request.incoming.shared_parts.is_empty() {
         return;
     }
-    let answered_ms = request
-        .answering_since_ms
-        .map(|since_ms| now_ms.saturating_sub(since_ms));
     effects.push(Effect::Log(LogEvent::RunInterrupted {
         attempt_id: request.incoming.attempt_id.clone(),
         target: target.clone(),
-        answered_ms,
+        answered_ms: answered_ms(now_ms, request),
         shared_parts: request.incoming.shared_parts.clone(),
     }));
-    if answered_ms.is_none_or(|answered_ms| answered_ms < SOUND_AFTER_MS) {
+    if may_have_crashed_target(now_ms, request) {
         let parts = &request.incoming.shared_parts;
         let changes = state
             .poison_parts
--- a/crates/toucancleat-fleet/tests/poison_requests.rs
+++ b/crates/toucancleat-fleet/tests/poison_requests.rs
@@ -5,6 +5,7 @@
 use support::fleet::Fleet;
 use support::*;
 use toucancleat_fleet::event::Effect;
+use toucancleat_fleet::poison_parts::SOUND_AFTER_MS;
 use toucancleat_fleet::poison_requests::{
     INTERRUPTIONS_MAX, PoisonRequests, RETENTION_MS,
 };
@@ -249,3 +250,88 @@
         assert_eq!(count, case.expected, "{}", case.name);
     }
 }
+
+/// Guards against review/7: the crash of some targets made requests poison whose runs had been answering for
+/// seconds, so that streams which share path, caller and body were refused after it.
+#[test]
+fn only_a_run_that_has_hardly_begun_counts_as_crashed_by_its_request() {
+    struct Case {
+        name: &'static str,
+        kind: &'static str,
+        /// Time from the first event to the interruption, if there was an event.
+        answered_ms: Option<u64>,
+        is_refused: bool,
+    }
+    let cases = [
+        Case {
+            name: "no event",
+            kind: "check",
+            answered_ms: None,
+            is_refused: true,
+        },
+        Case {
+            name: "just begun",
+            kind: "check",
+            answered_ms: Some(SOUND_AFTER_MS - 1),
+            is_refused: true,
+        },
+        Case {
+            name: "answering for a while",
+            kind: "check",
+            answered_ms: Some(SOUND_AFTER_MS),
+            is_refused: false,
+        },
+        Case {
+            name: "answering for a while, not resumable",
+            kind: "draft",
+            answered_ms: Some(SOUND_AFTER_MS),
+            is_refused: false,
+        },
+    ];
+    for case in cases {
+        let targets: Vec<(String, _)> = (1..=12)
+            .map(|n| (format!("engine-{n}"), entry("engines", "upp-a", 100 + n)))
+            .collect();
+        let named: Vec<(&str, _)> = targets
+            .iter()
+            .map(|(name, entry)| (name.as_str(), entry.clone()))
+            .collect();
+        let mut host = empty_host("host-01", "upp-a", 1);
+        populate(&mut host, START_MS, &named);
+        let request = || IncomingRequest {
+            fingerprint: FINGERPRINT,
+            prompt_tokens: 100,
+            time_limit_ms: Some(60_000),
+            ..incoming_request(case.kind)
+        };
+        for number in 0..u64::from(INTERRUPTIONS_MAX) {
+            let sent = receive_request(&mut host, START_MS, number, request());
+            assert_eq!(dispatches(&sent).len(), 1, "{}: {number}", case.name);
+        }
+        let request_numbers = (0..u64::from(INTERRUPTIONS_MAX)).map(RequestNumber);
+        let mut now_ms = START_MS + 100;
+        if let Some(answered_ms) = case.answered_ms {
+            for request_number in request_numbers.clone() {
+                let events = 1;
+                let progressed = Event::StreamProgressed {
+                    request_number,
+                    events,
+                };
+                apply(&mut host, now_ms, progressed);
+            }
+            now_ms += answered_ms;
+        }
+        for request_number in request_numbers {
+            let ended = Event::AttemptEnded {
+                request_number,
+                outcome: AttemptOutcome::Interrupted,
+            };
+            apply(&mut host, now_ms, ended);
+        }
+        let effects = receive_request(&mut host, now_ms, 99, request());
+        let is_refused = refusals(&effects)
+            .iter()
+            .any(|refusal| refusal.reason == Reason::CrashesTargets);
+        assert_eq!(is_refused, case.is_refused, "{}", case.name);
+    }
+}
