Identify the crash of a target by its name and its start

Cause: crashes under a part were identified by the name of the target, and three had to differ. A target may keep its name since the users' pages changed; its start tells two crashes apart, and every host knows it.

Evidence: two cases with engines that keep their names in requests_with_a_poison_part_are_refused_by_all_hosts; the first failed before ("two engines that keep their names: 19 requests after the fifth of 14 crashes").

--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -63,9 +63,10 @@
 /// Identifies one start of a target, for which every host computes the same value.
 pub type TargetKey = u32;
 
-/// Returns the key of a target. Each start of a target has a name of its own.
-pub fn target_key(target: &TargetName) -> TargetKey {
-    stable_hash(target.as_str().as_bytes()) as TargetKey
+/// Returns the key of a start of a target, which may have started under its name before.
+pub fn target_key(target: &TargetName, started_unix_ms: Option<u64>) -> TargetKey {
+    let started_unix_ms = started_unix_ms.unwrap_or_default();
+    stable_hash(format!("{target}\n{started_unix_ms}").as_bytes()) as TargetKey
 }
 
 /// What a host reports to its peers about parts of prompts.
--- a/crates/toucancleat-fleet/tests/poison_parts.rs
+++ b/crates/toucancleat-fleet/tests/poison_parts.rs
@@ -53,7 +53,8 @@
 }
 
 /// Guards against the incident of docs/incidents/prompt-part-crashes-targets.md: requests that
-/// share only a poison part crashed engine after engine, since no two of them were alike.
+/// share only a poison part crashed engine after engine, since no two of them were alike. Also against review/10:
+/// the crashes of engines that keep their names counted as one for each name.
 #[test]
 fn requests_with_a_poison_part_are_refused_by_all_hosts() {
     #[derive(Clone, Copy)]
@@ -69,6 +70,8 @@
         restarts: Restarts,
         /// Whether the engines of a zone fail at the moment of the first poison request.
         zone_fails: bool,
+        /// Whether crashed engines start again under their names.
+        engines_keep_names: bool,
     }
     let plain = Case {
         name: "other parts at random",
@@ -79,8 +82,20 @@
         kind: "check",
         restarts: Restarts::None,
         zone_fails: false,
+        engines_keep_names: false,
     };
     let cases = [
+        Case {
+            name: "two engines that keep their names",
+            engines: 2,
+            engines_keep_names: true,
+            ..plain
+        },
+        Case {
+            name: "twelve engines that keep their names",
+            engines_keep_names: true,
+            ..plain
+        },
         Case {
             name: "always the same other parts",
             other_parts: |_| vec![first_part(0), second_part(0)],
@@ -128,6 +143,7 @@
     for case in cases {
         let zones = ["upp-a", "upp-b", "vas-a", "ore-a"];
         let mut simulation = CrashingFleet::new(case.hosts, case.engines, &zones, 5);
+        simulation.engines_keep_names = case.engines_keep_names;
         let hosts = f64::from(case.hosts);
         let began_ms = simulation.fleet.now_ms;
         let poison_from_ms = began_ms + case.quiet_ms;
--- a/crates/toucancleat-fleet/tests/support/crashing.rs
+++ b/crates/toucancleat-fleet/tests/support/crashing.rs
@@ -59,6 +59,8 @@
     pub poison_refusals: usize,
     /// When each host was started last, if it was restarted.
     pub restarted_ms: IndexMap<usize, u64>,
+    /// Whether engines start again under their names.
+    pub engines_keep_names: bool,
 }
 
 impl CrashingFleet {
@@ -89,6 +91,7 @@
             poison_arrivals: Vec::new(),
             poison_refusals: 0,
             restarted_ms: IndexMap::new(),
+            engines_keep_names: false,
         }
     }
 
@@ -344,12 +347,17 @@
         }
         self.store_version += 1;
         let version = self.store_version;
+        let keeps_names = self.engines_keep_names;
         self.engines = std::mem::take(&mut self.engines)
             .into_iter()
-            .map(|(target, (entry, down_until_ms))| {
+            .map(|(target, (mut entry, down_until_ms))| {
                 if !is_back(down_until_ms) {
                     return (target, (entry, down_until_ms));
                 }
+                if keeps_names {
+                    entry.started_unix_ms = Some(now_ms);
+                    return (target, (entry, 0));
+                }
                 let name = format!("{target}-{version}");
                 (TargetName::new(&name), (entry, 0))
             })
