--- a/crates/toucancleat-entry/src/http/client.rs
+++ b/crates/toucancleat-entry/src/http/client.rs
@@ -12,7 +12,7 @@
 use volo_http::response::Response;
 
 use super::body::read_joined;
-use super::connection::{ClientConnection, IdleConnections, NotSent};
+use super::connection::{ClientConnection, IdleConnections, UnansweredRequest};
 
 /// An HTTP client whose errors show whether a request may have reached the server.
 #[derive(Clone, Debug)]
@@ -111,7 +111,7 @@
                     }
                     return Ok(response.map(Body::from_incoming));
                 }
-                Err(NotSent {
+                Err(UnansweredRequest {
                     request: Some(unsent),
                     error,
                 }) => {
@@ -121,7 +121,7 @@
                     // The server had closed the idle connection.
                     request = unsent;
                 }
-                Err(NotSent { error, .. }) => {
+                Err(UnansweredRequest { error, .. }) => {
                     return Err(CallError::NoReply(error.to_string()));
                 }
             }
--- a/crates/toucancleat-entry/src/http/connection.rs
+++ b/crates/toucancleat-entry/src/http/connection.rs
@@ -37,7 +37,7 @@
 
 /// A request that has no reply.
 #[derive(Debug)]
-pub(super) struct NotSent {
+pub(super) struct UnansweredRequest {
     /// The request, if no byte of it was sent.
     pub(super) request: Option<Request<Full<Bytes>>>,
     /// What went wrong.
@@ -82,14 +82,14 @@
     pub(super) async fn send(
         mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, Self), NotSent> {
+    ) -> Result<(Response<Incoming>, Self), UnansweredRequest> {
         self.head.begin_request();
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.head.record_head();
                 Ok((response, self))
             }
-            Err(mut failed) => Err(NotSent {
+            Err(mut failed) => Err(UnansweredRequest {
                 request: failed.take_message(),
                 error: failed.into_error(),
             }),
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -383,14 +383,14 @@
     /// The store's word doesn't suffice for a host that has just started: the store may have returned to a
     /// copy from before a key was withdrawn, which peers know.
     pub(crate) fn is_configuration_fresh(&self, now_ms: u64) -> bool {
-        self.has_asked_peers(now_ms)
+        self.has_heard_peers(now_ms)
             && self
                 .configuration_age_ms(now_ms)
                 .is_some_and(|age_ms| age_ms < self.config.revocation_bound_ms)
     }
 
     /// Returns true if this host has heard a peer since its start, or if there is none to wait for.
-    fn has_asked_peers(&self, now_ms: u64) -> bool {
+    fn has_heard_peers(&self, now_ms: u64) -> bool {
         let started_ms = self.started_ms.unwrap_or(now_ms);
         self.joined_ms.is_some()
             || self.peers.is_alone()
--- a/crates/toucancleat-gateway/src/store.rs
+++ b/crates/toucancleat-gateway/src/store.rs
@@ -13,10 +13,10 @@
 use crate::clock;
 use crate::host::Host;
 
-/// Maximum time in which the body of a reply, and of all pages of one query, must be complete. A small machine with a link of
-/// 10 Mbit/s receives the longest reply for which it has memory in 9 s. With a shorter time, a host on
-/// a slow link that has to read a long configuration would discard what it has received and start
-/// again, without end.
+/// Maximum time in which the body of a reply, and those of all pages of one query, must be complete.
+/// A small machine with a link of 10 Mbit/s receives the longest reply for which it has memory in 9 s.
+/// With a shorter time, a host on a slow link that has to read a long configuration would discard what
+/// it has received and start again, without end.
 const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// Maximum wait for the head of a reply, and for each further part. It is many times what the
