Let a host that has begun to trust the store go on when others start

It had been alone, another host started within 1.2 s, and from then on the first one waited to hear it. A host that starts later knows no more, so the first one need not wait.

A host trusts the store from the first moment at which it has heard a peer, or has read the list of hosts and is alone, or after 1.2 s, and for good. Two tests that never read the list of hosts do so now.

--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -240,6 +240,8 @@
     /// All hosts that may be running, this one included.
     senders: SenderRing,
     listed_hosts: usize,
+    /// Whether the store's list of the entry hosts was read.
+    is_list_read: bool,
 }
 
 impl Peers {
@@ -338,6 +340,7 @@
     /// Records how many entry hosts the store lists.
     pub fn record_listed_hosts(&mut self, hosts: usize) {
         self.listed_hosts = self.listed_hosts.max(hosts);
+        self.is_list_read = true;
     }
 
     /// Forgets the load of all peers at targets that have restarted, until their next messages.
@@ -479,9 +482,10 @@
         (self.peers.len() + 1).max(self.listed_hosts)
     }
 
-    /// Returns true if no other host is known that may be running.
+    /// Returns true if neither the store nor the settings name another host.
     pub fn is_alone(&self) -> bool {
-        self.fleet_size() == 1 && self.candidate_addresses.is_empty()
+        let has_no_peer = self.fleet_size() == 1 && self.candidate_addresses.is_empty();
+        self.is_list_read && has_no_peer
     }
 
     /// Returns true if every host that may be running is a live peer and receives from
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -157,6 +157,7 @@
     if state.peers.is_newest(&message) {
         if state.peers.live(now_ms).next().is_none() {
             state.joined_ms = Some(now_ms);
+            state.update_store_trust(now_ms);
         }
         record_retry_counts(state, now_ms, &message, effects);
         record_interruptions(state, now_ms, &message);
--- a/crates/toucancleat-fleet/src/reduce/store_sync.rs
+++ b/crates/toucancleat-fleet/src/reduce/store_sync.rs
@@ -25,6 +25,7 @@
 /// Starts the queries that are due.
 pub(super) fn tick(state: &mut State, now_ms: u64, effects: &mut Vec<Effect>) {
     state.started_ms.get_or_insert(now_ms);
+    state.update_store_trust(now_ms);
     update_reader_role(state, now_ms, effects);
     state
         .expired_entries
@@ -338,6 +339,7 @@
         Reply::Hosts(addresses) => {
             state.peers.record_listed_hosts(addresses.len());
             handle_listed_hosts(state, now_ms, &addresses);
+            state.update_store_trust(now_ms);
         }
         Reply::Registered => {
             state.registration = Registration::Written;
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -92,6 +92,8 @@
     pub(crate) configuration_confirmed_ms: Option<u64>,
     /// When this host began to hear peers, after it had heard none.
     pub(crate) joined_ms: Option<u64>,
+    /// Whether what the store says is believed, though peers may know better.
+    pub(crate) trusts_store: bool,
     /// The row of the configuration in force, if this host has read it from the store.
     pub(crate) configuration_row: Option<ConfigurationRow>,
     /// From when on this host may ask whether that row has changed.
@@ -192,6 +194,7 @@
             configuration: None,
             configuration_confirmed_ms: None,
             joined_ms: None,
+            trusts_store: false,
             configuration_row: None,
             may_check_from_ms: 0,
             configuration_problem: None,
@@ -383,18 +386,19 @@
     /// The store's word doesn't suffice for a host that has just started: the store may have returned to a
     /// copy from before a key was withdrawn, which peers know.
     pub(crate) fn is_configuration_fresh(&self, now_ms: u64) -> bool {
-        self.has_heard_peers(now_ms)
+        self.trusts_store
             && self
                 .configuration_age_ms(now_ms)
                 .is_some_and(|age_ms| age_ms < self.config.revocation_bound_ms)
     }
 
-    /// Returns true if this host has heard a peer since its start, or if there is none to wait for.
-    fn has_heard_peers(&self, now_ms: u64) -> bool {
+    /// Lets this host trust the store from the first moment at which it has heard a peer, or at which there is
+    /// none to wait for. Hosts that start later know no more.
+    pub(crate) fn update_store_trust(&mut self, now_ms: u64) {
         let started_ms = self.started_ms.unwrap_or(now_ms);
-        self.joined_ms.is_some()
+        self.trusts_store |= self.joined_ms.is_some()
             || self.peers.is_alone()
-            || now_ms >= started_ms + JOIN_TIMEOUT_MS
+            || now_ms >= started_ms + JOIN_TIMEOUT_MS;
     }
 
     /// Returns true if this host has just begun to hear peers, and some of them may not have been heard.
--- a/crates/toucancleat-fleet/tests/confinement.rs
+++ b/crates/toucancleat-fleet/tests/confinement.rs
@@ -78,6 +78,7 @@
         list: list.collect(),
     };
     answer(&mut host, START_MS, Query::Targets, reply);
+    answer(&mut host, START_MS, Query::Hosts, Reply::Hosts(Vec::new()));
     host
 }
 
--- a/crates/toucancleat-fleet/tests/store_eras_replay.rs
+++ b/crates/toucancleat-fleet/tests/store_eras_replay.rs
@@ -113,6 +113,7 @@
     let mut host = empty_host("host-1", "upp-a", 1);
     let configuration = Reply::Configuration(Some(stored(configuration(1))));
     answer(&mut host, START_MS, Query::Configuration, configuration);
+    answer(&mut host, START_MS, Query::Hosts, Reply::Hosts(Vec::new()));
     host
 }
 
