--- a/review/harness-3/fleet.rs
+++ b/review/harness-3/fleet.rs
@@ -172,6 +172,11 @@
         )
     }
 
+    /// Records what the server has done.
+    pub fn note(&self, text: &str) {
+        self.record.line(&format!("server {} {text}", self.id));
+    }
+
     pub fn is_running(&self) -> bool {
         self.is_running.load(Ordering::SeqCst)
     }
@@ -378,12 +383,23 @@
         false
     }
 
+    /// Requests a planned stop, as the platform does.
+    pub fn terminate(&self) {
+        const SIGTERM: i32 = 15;
+        // SAFETY: the process is a child of this one that has not been waited for.
+        unsafe { kill(self.child.id() as i32, SIGTERM) };
+    }
+
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 }
 
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 impl Drop for Host {
     fn drop(&mut self) {
         self.kill();
@@ -403,6 +419,7 @@
     pub path: &'a str,
     pub id: &'a str,
     pub deadline_ms: u64,
+    pub key: &'a str,
     pub headers: &'a [(&'a str, &'a str)],
     pub body: &'a str,
 }
@@ -418,14 +435,16 @@
 }
 
 pub const KEY: &str = "xd9dnn2ctnfzs989anu6";
+/// A second key of the same tenant, where a configuration has one.
+pub const SECOND_KEY: &str = "wsjnbanfqasnmgkcuyj8";
 pub const HOSTNAME: &str = "ficu95.example";
 
 impl Request<'_> {
     fn text(&self) -> String {
         let mut text = format!(
             "{} {} HTTP/1.1\r\nHost: {HOSTNAME}\r\nX-Attempt-Id: {}\r\n\
-             X-Deadline-Ms: {}\r\nAuthorization: Bearer {KEY}\r\n",
-            self.method, self.path, self.id, self.deadline_ms
+             X-Deadline-Ms: {}\r\nAuthorization: Bearer {}\r\n",
+            self.method, self.path, self.id, self.deadline_ms, self.key
         );
         for (name, value) in self.headers {
             text.push_str(&format!("{name}: {value}\r\n"));
@@ -440,7 +459,11 @@
 
     /// Sends the request on a new connection and returns that.
     pub fn send(&self, host: SocketAddr) -> io::Result<TcpStream> {
-        let mut stream = connect(host)?;
+        self.send_on(connect(host)?)
+    }
+
+    /// Sends the request on a connection and returns that.
+    pub fn send_on(&self, mut stream: TcpStream) -> io::Result<TcpStream> {
         stream.write_all(self.text().as_bytes())?;
         Ok(stream)
     }
@@ -459,10 +482,17 @@
     pub status: u16,
     pub events: Vec<String>,
     pub is_complete: bool,
+    /// Why it isn't complete.
+    pub error: Option<String>,
+}
+
+/// Reads a stream to its end.
+pub fn read_stream(stream: TcpStream) -> Received {
+    read_stream_with(stream, |_| {})
 }
 
 /// Reads a stream to its end. `on_event` is called for each event.
-pub fn read_stream(stream: TcpStream, mut on_event: impl FnMut(&str)) -> Received {
+pub fn read_stream_with(stream: TcpStream, mut on_event: impl FnMut(&str)) -> Received {
     let mut received = Received::default();
     let mut reader = BufReader::new(stream);
     let Ok(Some(head)) = read_head(&mut reader) else {
@@ -474,8 +504,12 @@
     }
     let mut text = String::new();
     loop {
-        let Ok(chunk) = read_chunk(&mut reader) else {
-            return received;
+        let chunk = match read_chunk(&mut reader) {
+            Ok(chunk) => chunk,
+            Err(error) => {
+                received.error = Some(error.to_string());
+                return received;
+            }
         };
         if chunk.is_empty() {
             received.is_complete = true;
--- a/review/harness-3/foreign_entry.rs
+++ b/review/harness-3/foreign_entry.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::fleet::{HostConfig, Request, Server, ServerConfig, new_id};
+use crate::fleet::{HostConfig, KEY, Request, Server, ServerConfig, new_id};
 use crate::store::Store;
 use crate::util::free_address;
 use crate::{Context, Verdict};
@@ -115,6 +115,7 @@
                 path: &path,
                 id: &id,
                 deadline_ms: 1_500,
+                key: KEY,
                 headers: &[],
                 body: if is_booking { "one coach" } else { "" },
             };
--- a/review/harness-3/in_place.rs
+++ b/review/harness-3/in_place.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::{
-    HEARTBEAT, HostConfig, Request, Run, Server, ServerConfig, new_id, read_stream,
+    HEARTBEAT, HostConfig, KEY, Request, Run, Server, ServerConfig, new_id, read_stream,
 };
 use crate::store::Store;
 use crate::util::free_address;
@@ -121,6 +121,7 @@
                         path: &path,
                         id: &id,
                         deadline_ms: 6_000,
+                        key: KEY,
                         headers: &[
                             ("X-Model", "m"),
                             ("X-Token-Usage", "308,80"),
@@ -131,7 +132,7 @@
                     let Ok(stream) = request.send(address) else {
                         return record.line(&format!("client could not send {id}"));
                     };
-                    let received = read_stream(stream, |_| {});
+                    let received = read_stream(stream);
                     let versions = versions(&received.events);
                     record.line(&format!(
                         "client got {} for {id}: {} events of {versions:?}, complete: {}",
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -1,9 +1,11 @@
 //! Plays one case of the review: `case NAME FOLDER`. Exits with 1 if the rule was broken, with 0 if it
 //! held, and with 2 if the case could not run.
 
+mod drill;
 mod fleet;
 mod foreign_entry;
 mod in_place;
+mod pause;
 mod store;
 mod util;
 
@@ -58,6 +60,8 @@
     let verdict = match name.as_str() {
         "foreign-entry" => foreign_entry::play(&context, Flaw::LacksField),
         "other-part" => foreign_entry::play(&context, Flaw::OtherPart),
+        "drill" => drill::play(&context),
+        "pause" => pause::play(&context),
         "in-place" => in_place::play(&context),
         _ => Verdict::NotRun(format!("there is no case {name}")),
     };
--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -11,7 +12,7 @@
 
 type RowKey = (String, String, String);
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Rows {
     /// By table, part and key; a removed row has no value.
     rows: BTreeMap<RowKey, (Option<String>, u64)>,
@@ -24,8 +25,14 @@
     rows: Mutex<Rows>,
     changed: Condvar,
     start: Instant,
+    /// How often the store has returned to a copy, and 1.
+    era: AtomicU64,
+    is_away: AtomicBool,
 }
 
+/// The rows of the store at one moment.
+pub struct StoreCopy(Rows);
+
 impl Store {
     pub fn start() -> Arc<Store> {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -34,6 +41,8 @@
             rows: Mutex::default(),
             changed: Condvar::new(),
             start: Instant::now(),
+            era: AtomicU64::new(1),
+            is_away: AtomicBool::new(false),
         });
         let serving = store.clone();
         thread::spawn(move || {
@@ -47,6 +56,23 @@
         store
     }
 
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.rows.lock().unwrap().clone())
+    }
+
+    /// Ends all connections without an answer until the store returns.
+    pub fn go_away(&self) {
+        self.is_away.store(true, Ordering::SeqCst);
+        self.changed.notify_all();
+    }
+
+    /// Returns from a copy. What was written since is gone, and its versions are given out again.
+    pub fn return_from(&self, copy: &StoreCopy) {
+        *self.rows.lock().unwrap() = copy.0.clone();
+        self.era.fetch_add(1, Ordering::SeqCst);
+        self.is_away.store(false, Ordering::SeqCst);
+    }
+
     /// Writes a row, or removes it.
     pub fn put(&self, table: &str, part: &str, key: &str, value: Option<&str>) -> u64 {
         let encoded = value.map(|text| base64(text.as_bytes()));
@@ -74,9 +100,16 @@
         let mut writer = stream.try_clone()?;
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_message(&mut reader)? {
+            let era = self.era.load(Ordering::SeqCst);
             let (status, body) = self.answer(&request);
+            // A store that is away answers nothing, nor does it answer later what it was asked before.
+            if self.is_away.load(Ordering::SeqCst)
+                || era != self.era.load(Ordering::SeqCst)
+            {
+                return Ok(());
+            }
             let text = format!(
-                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nStore-Era: 1\r\n\
+                "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
                  Content-Length: {}\r\n\r\n{body}",
                 body.len()
             );
@@ -132,6 +165,9 @@
                 let end = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
                 let mut rows = self.rows.lock().unwrap();
                 loop {
+                    if after > rows.version {
+                        return ("410 Gone", "{}".to_owned());
+                    }
                     let mut changes: Vec<(u64, String)> = rows
                         .rows
                         .iter()
@@ -145,7 +181,8 @@
                         })
                         .collect();
                     let now = Instant::now();
-                    if !changes.is_empty() || now >= end {
+                    let is_over = now >= end || self.is_away.load(Ordering::SeqCst);
+                    if !changes.is_empty() || is_over {
                         changes.sort();
                         let listed: Vec<String> =
                             changes.into_iter().map(|(_, text)| text).collect();
