--- a/review/harness-3/store.rs
+++ b/review/harness-3/store.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::util::{Json, Message, base64, read_message};
+use crate::util::{Json, Message, base64, free_address, read_message};
 
 type RowKey = (String, String, String);
 
@@ -35,7 +35,7 @@
 
 impl Store {
     pub fn start() -> Arc<Store> {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind(free_address()).unwrap();
         let store = Arc::new(Store {
             address: listener.local_addr().unwrap(),
             rows: Mutex::default(),
--- a/review/harness-3/util.rs
+++ b/review/harness-3/util.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -208,10 +208,18 @@
     }
 }
 
-/// Returns a loopback address with a port that is free for TCP and UDP.
+/// Returns a loopback address with a port that is free for TCP and UDP. The IP address is that of this process
+/// alone, so that nothing else on the machine takes the port before it is used.
 pub fn free_address() -> SocketAddr {
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(
+        127,
+        100 + (std::process::id() >> 16) as u8 % 100,
+        high,
+        low | 1,
+    );
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listener = TcpListener::bind((ip, 0)).unwrap();
         let address = listener.local_addr().unwrap();
         if std::net::UdpSocket::bind(address).is_ok() {
             return address;
