--- a/review/harness-3/foreign_entry.rs
+++ b/review/harness-3/foreign_entry.rs
@@ -35,6 +35,8 @@
     LacksField,
     /// It is in a part of the table that isn't the empty one, where entries are.
     OtherPart,
+    /// Not a case: the same in the table of the operator, with the key of the configuration.
+    OtherPartOfOperator,
 }
 
 pub fn play(context: &Context, flaw: Flaw) -> Verdict {
@@ -150,9 +152,21 @@
 
 /// Puts a row of another writer under the id of a live server.
 fn put_foreign_row(context: &Context, store: &Store, server: &Server, flaw: Flaw) {
+    if flaw == Flaw::OtherPartOfOperator {
+        let draft = CONFIGURATION.replace(r#""version":7"#, r#""version":9"#);
+        let draft =
+            draft.replace(r#""service":"booking-api""#, r#""service":"roster-api""#);
+        context
+            .record
+            .line("the operator puts a draft, part \"draft\" and key config: version 9");
+        store.put("op", "draft", "config", Some(&draft));
+        return;
+    }
     let (part, last_field) = match flaw {
         Flaw::LacksField => ("", String::new()),
-        Flaw::OtherPart => ("trial", format!(r#","born":{},"seq":4"#, server.born_ms)),
+        Flaw::OtherPart | Flaw::OtherPartOfOperator => {
+            ("trial", format!(r#","born":{},"seq":4"#, server.born_ms))
+        }
     };
     let entry = format!(
         r#"{{"service":"{BOOKING}","address":"{}","zone":"upp-a","version":"v1","slots":6,"state":"ready","cold_left_ms":0{last_field}}}"#,
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -1,11 +1,13 @@
 //! Plays one case of the review: `case NAME FOLDER`. Exits with 1 if the rule was broken, with 0 if it
 //! held, and with 2 if the case could not run.
 
+mod bad_part;
 mod drill;
 mod fleet;
 mod foreign_entry;
 mod in_place;
 mod pause;
+mod paused_server;
 mod store;
 mod util;
 
@@ -60,7 +62,12 @@
     let verdict = match name.as_str() {
         "foreign-entry" => foreign_entry::play(&context, Flaw::LacksField),
         "other-part" => foreign_entry::play(&context, Flaw::OtherPart),
+        "bad-part" => bad_part::play(&context),
         "drill" => drill::play(&context),
+        "paused-server" => paused_server::play(&context),
+        "other-part-of-operator" => {
+            foreign_entry::play(&context, Flaw::OtherPartOfOperator)
+        }
         "pause" => pause::play(&context),
         "in-place" => in_place::play(&context),
         _ => Verdict::NotRun(format!("there is no case {name}")),
