--- a/review/harness-3/bad_part.rs
+++ b/review/harness-3/bad_part.rs
@@ -40,7 +40,7 @@
 const REQUESTS_MAX: usize = 3;
 
 const SOUND_INTERVAL: Duration = Duration::from_millis(250);
-const BAD_INTERVAL: Duration = Duration::from_millis(1_000);
+const BAD_INTERVAL: Duration = Duration::from_millis(500);
 const BAD_BEGIN: Duration = Duration::from_secs(8);
 const END: Duration = Duration::from_secs(48);
 
--- a/review/harness-3/in_place.rs
+++ b/review/harness-3/in_place.rs
@@ -34,7 +34,7 @@
 /// Two of twelve servers crash at a time (`srv_crash`, a share of 0.17), and are back soon.
 const CRASHED_AT_ONCE: usize = 2;
 const DOWN_FOR: Duration = Duration::from_millis(400);
-const BETWEEN_CRASHES: Duration = Duration::from_millis(1_200);
+const BETWEEN_CRASHES: Duration = Duration::from_millis(900);
 
 /// Runs a request as a sound engine does: it goes on after the last event that the caller has.
 fn run_stream(mut run: Run<'_>) -> std::io::Result<()> {
