--- a/review/harness-3/foreign_entry.rs
+++ b/review/harness-3/foreign_entry.rs
@@ -163,14 +163,12 @@
         return;
     }
     let (part, last_field) = match flaw {
-        Flaw::LacksField => ("", String::new()),
-        Flaw::OtherPart | Flaw::OtherPartOfOperator => {
-            ("trial", format!(r#","born":{},"seq":4"#, server.born_ms))
-        }
+        Flaw::LacksField => ("", ""),
+        Flaw::OtherPart | Flaw::OtherPartOfOperator => ("trial", r#","seq":4"#),
     };
     let entry = format!(
-        r#"{{"service":"{BOOKING}","address":"{}","zone":"upp-a","version":"v1","slots":6,"state":"ready","cold_left_ms":0{last_field}}}"#,
-        server.address
+        r#"{{"service":"{BOOKING}","address":"{}","zone":"upp-a","version":"v1","slots":6,"state":"ready","cold_left_ms":0,"born":{}{last_field}}}"#,
+        server.address, server.born_ms
     );
     context.record.line(&format!(
         "another writer puts a row with table servers, part {part:?}, key {}: {entry}",
