--- a/review/harness-3/fleet.rs
+++ b/review/harness-3/fleet.rs
@@ -183,14 +183,19 @@
 
     /// Ends the server as a crash does: all its connections close at once.
     pub fn crash(&self) {
+        self.end();
+        // The accepting thread closes the listener meanwhile.
+        thread::sleep(Duration::from_millis(20));
+    }
+
+    /// Does the same, and doesn't wait until its address is free.
+    pub fn end(&self) {
         self.is_running.store(false, Ordering::SeqCst);
         for stream in self.streams.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
         self.record
             .line(&format!("server {} {} crashed", self.id, self.version));
-        // The accepting thread closes the listener meanwhile.
-        thread::sleep(Duration::from_millis(20));
     }
 
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -8,6 +8,7 @@
 mod in_place;
 mod pause;
 mod paused_server;
+mod service_down;
 mod store;
 mod util;
 
@@ -69,6 +70,8 @@
             foreign_entry::play(&context, Flaw::OtherPartOfOperator)
         }
         "pause" => pause::play(&context),
+        "service-down" => service_down::play(&context, true),
+        "service-down-alone" => service_down::play(&context, false),
         "in-place" => in_place::play(&context),
         _ => Verdict::NotRun(format!("there is no case {name}")),
     };
--- a/review/harness-3/util.rs
+++ b/review/harness-3/util.rs
@@ -3,8 +3,9 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::Path;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -211,22 +212,24 @@
 /// Returns a loopback address with a port that is free for TCP and UDP. The IP address is that of this process
 /// alone, so that nothing else on the machine takes the port before it is used.
 pub fn free_address() -> SocketAddr {
-    let [.., high, low] = std::process::id().to_be_bytes();
+    let process = std::process::id();
     let ip = Ipv4Addr::new(
         127,
-        100 + (std::process::id() >> 16) as u8 % 100,
-        high,
-        low | 1,
+        100 + (process >> 15) as u8 % 100,
+        (process >> 7) as u8,
+        (process as u8) << 1 | 1,
     );
     loop {
-        let listener = TcpListener::bind((ip, 0)).unwrap();
-        let address = listener.local_addr().unwrap();
-        if std::net::UdpSocket::bind(address).is_ok() {
+        // Below the ports of outgoing connections, one of which could take that of a server that is down.
+        let address = SocketAddr::from((ip, NEXT_PORT.fetch_add(1, Ordering::SeqCst)));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
             return address;
         }
     }
 }
 
+static NEXT_PORT: AtomicU16 = AtomicU16::new(12_000);
+
 /// The head and body of an HTTP message.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
