Blame no part of a prompt that was just answered for a crash

Cause: `suspected` looked for a culprit in each crash. If all parts had been answered in the last two minutes, it blamed the one with the oldest answer, though that was some milliseconds old. Three targets that crashed at the same moment were then enough for a verdict, at every host by itself, so that none was left whose answers would withdraw it. A peer's crash was compared with the answers here in the same way.

A part that crashes each target that begins to answer has no answers. An answer now clears its parts of the crashes of the next second as well, here and in reports of peers, whichever of the two is heard first.

--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -7,9 +7,9 @@
 //! - **Crash.** A run is interrupted before its target has answered for a while. Longer runs
 //!   beside it end with the target too, but didn't crash it. The crash counts against the parts
 //!   of the request that have not been in a recent answer; if all have, against the one whose
-//!   answer is the oldest.
-//! - **Answer.** A run answers for a while, or completely. What counted against its parts before
-//!   is withdrawn, at all hosts.
+//!   answer is the oldest, unless even that was just received.
+//! - **Answer.** A run answers for a while, or completely. What counted against its parts before,
+//!   and what does in the next [`FRESH_ANSWER_MS`], is withdrawn, at all hosts.
 //!
 //! A part is poison once [`CRASHES_MAX`] targets have crashed under it and no other part explains
 //! these crashes. While two parts have been in the same crashed runs only, a request is refused
@@ -30,6 +30,10 @@
 /// Time from the first event of a target to the one from which its run counts as sound.
 pub const SOUND_AFTER_MS: u64 = 1_000;
 
+/// Time after an answer in which crashes don't count against its parts. Targets that crash for a
+/// common reason do so under the parts that most requests share.
+pub const FRESH_ANSWER_MS: u64 = 1_000;
+
 /// Time for which a crash is remembered.
 pub const CRASH_RETENTION_MS: u64 = 60_000;
 
@@ -231,7 +235,7 @@
             for (target, age_ms) in crashes.iter().take(CRASHES_OF_PART_MAX) {
                 let at_ms = received_at(*age_ms)
                     .filter(|at_ms| now_ms - at_ms < CRASH_RETENTION_MS)
-                    .filter(|at_ms| self.answered_ms(*part) < Some(*at_ms));
+                    .filter(|at_ms| !self.is_freshly_answered(*at_ms, *part));
                 if let Some(at_ms) = at_ms {
                     let is_own = false;
                     self.insert_crash(*part, *target, Crash { at_ms, is_own });
@@ -318,16 +322,30 @@
             return without_answer;
         }
         let oldest = parts.iter().min_by_key(|part| self.answered_ms(**part));
-        oldest.copied().into_iter().collect()
+        oldest
+            .copied()
+            .filter(|part| !self.is_freshly_answered(now_ms, *part))
+            .into_iter()
+            .collect()
+    }
+
+    /// Returns true if a part was answered so shortly before a time, or after it, that a crash at
+    /// that time doesn't count against it.
+    fn is_freshly_answered(&self, at_ms: u64, part: PartId) -> bool {
+        self.answered_ms(part)
+            .is_some_and(|answered_ms| at_ms <= answered_ms + FRESH_ANSWER_MS)
     }
 
-    /// Withdraws what counted against a part before an answer.
-    fn clear(&mut self, at_ms: u64, part: PartId) -> Option<PartChange> {
+    /// Withdraws what an answer contradicts: crashes and a verdict that are older, or that came
+    /// shortly after it.
+    fn clear(&mut self, answered_ms: u64, part: PartId) -> Option<PartChange> {
         let suspect = self.suspects.get_mut(&part)?;
-        suspect.crashes.retain(|_, crash| crash.at_ms > at_ms);
+        let is_upheld = |at_ms: u64| at_ms > answered_ms + FRESH_ANSWER_MS;
+        suspect.crashes.retain(|_, crash| is_upheld(crash.at_ms));
         let was_poison = suspect.poison_since_ms.is_some();
-        suspect.poison_since_ms =
-            suspect.poison_since_ms.filter(|since_ms| *since_ms > at_ms);
+        suspect.poison_since_ms = suspect
+            .poison_since_ms
+            .filter(|since_ms| is_upheld(*since_ms));
         (was_poison && suspect.poison_since_ms.is_none())
             .then_some(PartChange::Sound(part))
     }
