Date a verdict on a part of prompts by its last crash

A host that has just started hears of crashes from its peers before it hears of answers. It found a part poison from three crashes that were seconds old, and an answer that had come after them, told by the next message, didn't end the verdict: it was older than the verdict's own time, which was that of the message. The verdict then spreads.

Cause: a verdict was dated by when it was found, so what contradicts its evidence could be older than it is. It has the time of its last crash now.

The new case of `parts_are_refused_by_the_crashes_that_they_explain` ("crashes at a peer, and then an earlier answer ...") failed before.

--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -105,7 +105,7 @@
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     crashes: IndexMap<TargetKey, Crash>,
-    /// When it was found to be poison.
+    /// When the last of the crashes happened by which it was found to be poison.
     poison_since_ms: Option<u64>,
     /// When a peer last reported it as suspect or poison.
     peer_reported_ms: Option<u64>,
@@ -396,7 +396,10 @@
             };
             changes.push(PartChange::Poison(*part, targets.len()));
             let part = *part;
-            self.suspect(part).poison_since_ms = Some(now_ms);
+            // N.B. not the present time: peers may tell of answers after the crashes only later.
+            let suspect = self.suspect(part);
+            suspect.poison_since_ms =
+                suspect.crashes.values().map(|crash| crash.at_ms).max();
         }
     }
 
--- a/crates/toucancleat-fleet/tests/poison_parts.rs
+++ b/crates/toucancleat-fleet/tests/poison_parts.rs
@@ -343,8 +343,10 @@
     /// A target, by its key, crashed under a request with these parts.
     Crashed(u32, &'static [PartId]),
     Answered(&'static [PartId]),
-    /// A peer reports crashes of these targets, the last of them now.
+    /// A peer reports crashes of these targets, which have just happened.
     PeerCrashes(PartId, &'static [u32]),
+    /// A peer reports crashes of these targets, and their age.
+    PeerCrashesBefore(PartId, &'static [u32], u32),
     /// A peer reports that a part is poison, and the age of its verdict.
     PeerVerdict(PartId, u32),
     /// A peer reports an answer, and its age.
@@ -361,7 +363,10 @@
             parts.record_answer(*now_ms, answered);
         }
         Step::PeerCrashes(part, targets) => {
-            let targets = targets.iter().map(|target| (*target, 0)).collect();
+            apply_step(parts, now_ms, Step::PeerCrashesBefore(part, targets, 0));
+        }
+        Step::PeerCrashesBefore(part, targets, age_ms) => {
+            let targets = targets.iter().map(|target| (*target, age_ms)).collect();
             let reports = PartReports {
                 crashes: vec![(part, targets)],
                 ..PartReports::default()
@@ -563,6 +568,15 @@
             refused: &[],
             accepted: &[&[A], &[B], &[A, B]],
         },
+        Case {
+            name: "crashes at a peer, and then an earlier answer that is later than they are",
+            steps: &[
+                PeerCrashesBefore(P, &[1, 2, 3], 5_000),
+                PeerAnswer(P, 3_000),
+            ],
+            refused: &[],
+            accepted: &[&[P]],
+        },
         Case {
             name: "a verdict of a peer",
             steps: &[PeerVerdict(P, 5_000)],
