Count the crashes of a target whose new start isn't known yet

Cause: a crash is identified by the target and its start, as it was known when the request was sent. A target that has started again, and crashes before its heartbeat says so, had the key of its last start, and all its crashes counted as one.

A run that was sent after a known crash of the target can't have ended with that crash: the target has started anew. Its crash gets the next key. All hosts that know the earlier crash compute the same one; one that doesn't takes both for one, as before.

Before, `a_target_that_takes_requests_after_a_crash_has_started_anew` failed, and the new case of `requests_with_a_poison_part_are_refused_by_all_hosts` did with "18 requests after the fifth of 14 crashes".

--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -68,6 +68,8 @@
 pub type TargetKey = u32;
 
 /// Returns the key of a start of a target, which may have started under its name before.
+///
+/// N.B. a target that starts anew has the key of its last start until that is known.
 pub fn target_key(target: &TargetName, started_unix_ms: Option<u64>) -> TargetKey {
     let started_unix_ms = started_unix_ms.unwrap_or_default();
     stable_hash(format!("{target}\n{started_unix_ms}").as_bytes()) as TargetKey
@@ -121,6 +123,22 @@
         self.poison_since_ms.is_some()
     }
 
+    /// Returns the key of a crash of a target to which a run was sent at `sent_ms`.
+    ///
+    /// A target that takes requests after a crash has started anew, though its start may not be
+    /// known yet. All hosts that know of its earlier crashes compute the same key.
+    fn key_of_crash(&self, target: TargetKey, sent_ms: u64) -> TargetKey {
+        let mut key = target;
+        while self
+            .crashes
+            .get(&key)
+            .is_some_and(|crash| crash.at_ms < sent_ms)
+        {
+            key = key.wrapping_add(1);
+        }
+        key
+    }
+
     fn is_kept(&self, now_ms: u64) -> bool {
         let is_recent = |at_ms: Option<u64>, retention_ms: u64| {
             at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < retention_ms)
@@ -165,11 +183,13 @@
 }
 
 impl PoisonParts {
-    /// Records that a target crashed when it began to answer a request with these parts.
+    /// Records that a target crashed when it began to answer a request with these parts, which was
+    /// sent to it at `sent_ms`.
     pub fn record_crash(
         &mut self,
         now_ms: u64,
         target: TargetKey,
+        sent_ms: u64,
         parts: &[PartId],
     ) -> Vec<PartChange> {
         self.expire(now_ms);
@@ -178,6 +198,7 @@
             is_own: true,
         };
         for part in self.suspected(now_ms, parts) {
+            let target = self.suspect(part).key_of_crash(target, sent_ms);
             self.insert_crash(part, target, crash);
         }
         self.find_poison(now_ms)
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -455,7 +455,10 @@
     if may_have_crashed_target(now_ms, request) {
         let parts = &request.incoming.shared_parts;
         let target = target_key(target, request.target_started_unix_ms);
-        let changes = state.poison_parts.record_crash(now_ms, target, parts);
+        let sent_ms = request.dispatched_ms;
+        let changes = state
+            .poison_parts
+            .record_crash(now_ms, target, sent_ms, parts);
         log_part_changes(&changes, effects);
         state.must_broadcast = true;
     }
--- a/crates/toucancleat-fleet/tests/poison_parts.rs
+++ b/crates/toucancleat-fleet/tests/poison_parts.rs
@@ -73,6 +73,8 @@
         zone_fails: bool,
         /// Whether crashed engines start again under their names.
         engines_keep_names: bool,
+        /// Whether hosts don't learn of these starts.
+        hides_starts: bool,
     }
     let plain = Case {
         name: "other parts at random",
@@ -84,6 +86,7 @@
         restarts: Restarts::None,
         zone_fails: false,
         engines_keep_names: false,
+        hides_starts: false,
     };
     let cases = [
         Case {
@@ -97,6 +100,13 @@
             engines_keep_names: true,
             ..plain
         },
+        Case {
+            name: "two engines whose starts aren't known before they crash again",
+            engines: 2,
+            engines_keep_names: true,
+            hides_starts: true,
+            ..plain
+        },
         Case {
             name: "always the same other parts",
             other_parts: |_| vec![first_part(0), second_part(0)],
@@ -145,6 +155,7 @@
         let zones = ["upp-a", "upp-b", "vas-a", "ore-a"];
         let mut simulation = CrashingFleet::new(case.hosts, case.engines, &zones, 5);
         simulation.engines_keep_names = case.engines_keep_names;
+        simulation.hides_starts = case.hides_starts;
         let hosts = f64::from(case.hosts);
         let began_ms = simulation.fleet.now_ms;
         let poison_from_ms = began_ms + case.quiet_ms;
@@ -357,7 +368,7 @@
 fn apply_step(parts: &mut PoisonParts, now_ms: &mut u64, step: Step) {
     match step {
         Step::Crashed(target, crashed) => {
-            parts.record_crash(*now_ms, target, crashed);
+            parts.record_crash(*now_ms, target, 0, crashed);
         }
         Step::Answered(answered) => {
             parts.record_answer(*now_ms, answered);
@@ -643,12 +654,25 @@
     }
 }
 
+/// A target that hosts have not heard of since it started anew has crashed again all the same.
+#[test]
+fn a_target_that_takes_requests_after_a_crash_has_started_anew() {
+    let mut parts = PoisonParts::default();
+    for crash in 0..CRASHES_MAX as u64 {
+        let sent_ms = START_MS + crash * 1_000;
+        let refused_ms = parts.refused_for_ms(sent_ms, &[P]);
+        assert_eq!(refused_ms, None, "before crash {crash}");
+        parts.record_crash(sent_ms + 100, 7, sent_ms, &[P]);
+    }
+    assert!(parts.refused_for_ms(START_MS + 2_500, &[P]).is_some());
+}
+
 /// Reports of peers, however many, must not use up memory or displace a verdict.
 #[test]
 fn reports_are_bounded() {
     let mut parts = PoisonParts::default();
     for target in 0..CRASHES_MAX as u32 {
-        parts.record_crash(START_MS, target, &[P]);
+        parts.record_crash(START_MS, target, 0, &[P]);
     }
     for message in 0..1_000_u64 {
         let invented = |n: u64| PartId(1_000 + message * 100 + n);
--- a/crates/toucancleat-fleet/tests/support/crashing.rs
+++ b/crates/toucancleat-fleet/tests/support/crashing.rs
@@ -61,6 +61,8 @@
     pub restarted_ms: IndexMap<usize, u64>,
     /// Whether engines start again under their names.
     pub engines_keep_names: bool,
+    /// Whether hosts don't learn that an engine has started again, as before its first heartbeat.
+    pub hides_starts: bool,
 }
 
 impl CrashingFleet {
@@ -92,6 +94,7 @@
             poison_refusals: 0,
             restarted_ms: IndexMap::new(),
             engines_keep_names: false,
+            hides_starts: false,
         }
     }
 
@@ -348,6 +351,7 @@
         self.store_version += 1;
         let version = self.store_version;
         let keeps_names = self.engines_keep_names;
+        let hides_starts = self.hides_starts;
         self.engines = std::mem::take(&mut self.engines)
             .into_iter()
             .map(|(target, (mut entry, down_until_ms))| {
@@ -355,7 +359,9 @@
                     return (target, (entry, down_until_ms));
                 }
                 if keeps_names {
-                    entry.started_unix_ms = Some(now_ms);
+                    if !hides_starts {
+                        entry.started_unix_ms = Some(now_ms);
+                    }
                     return (target, (entry, 0));
                 }
                 let name = format!("{target}-{version}");
