Try a refused part of prompts from time to time, one request in the fleet at a time

After ten quiet seconds, with a burst of sound requests in their first half second as all servers crash, all hosts refused each request with the common first part for ten minutes, though the servers were back after 3 s. No part has a fresh answer then, and nothing tells the common part from a poison one.

Cause: a verdict that was drawn from one moment was as firm as one from many, and only an answer ended it, which nobody could get any more: no host sent a request with the part. Docs weighed trials and turned them down, since each costs a target.

Now a verdict has a confidence: the number of occasions on which targets crashed, all within half a second being one. When a pause is over (1 s after one or two occasions, 60 s after three) one request is sent as a trial. Its answer ends the verdict, its crash makes it firmer. The first host in the order of their names' hashes begins, then twice as many every 250 ms, and each tells its peers at once, so that they wait.

Before, `sound_requests_begin_after_all_engines_crashed_at_once` failed at "a burst after a quiet time: 0.00 of the sound requests began".

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -437,6 +437,20 @@
         /// Number of crashed targets that this host knows of.
         crashed_targets: usize,
     },
+    /// A target crashed again under a refused part.
+    PartConfirmed {
+        /// The part.
+        part: PartId,
+        /// Time to the next trial.
+        pause_ms: u64,
+    },
+    /// A request with refused parts is sent, to learn whether they still crash targets.
+    PartTrialBegan {
+        /// The id of the caller's attempt.
+        attempt_id: Arc<str>,
+        /// The shared parts of its prompt.
+        shared_parts: Vec<PartId>,
+    },
     /// A request with a refused part was answered, so requests with it are accepted again.
     PartAccepted {
         /// The part.
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod peers;
 pub mod poison_parts;
 pub mod poison_requests;
+pub mod poison_verdict;
 pub mod pool_path;
 pub mod prelude;
 pub mod prompt_part;
--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -13,14 +13,18 @@
 //!
 //! A part is poison once [`CRASHES_MAX`] targets have crashed under it and no other part explains
 //! these crashes. While two parts have been in the same crashed runs only, a request is refused
-//! if it has both. All hosts share the evidence and the verdicts. See
-//! docs/design/poison-parts.md.
+//! if it has both. All hosts share the evidence and the verdicts. From time to time one request
+//! is let through as a trial, since a verdict may be wrong and nothing else is sent that would
+//! contradict it ([`poison_verdict`](crate::poison_verdict)). See docs/design/poison-parts.md.
 
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use toucancleat_core::prelude::*;
 use toucancleat_core::rng::stable_hash;
 
+use crate::poison_verdict::{
+    CONFIRMED, Confidence, PROBATION_MS, REFUSAL_MS, TRIAL_MS, Verdict,
+};
 use crate::prompt_part::PartId;
 
 /// Number of targets that have crashed under a part at which it is poison. One may be a faulty
@@ -37,13 +41,6 @@
 /// Time for which a crash is remembered.
 pub const CRASH_RETENTION_MS: u64 = 60_000;
 
-/// Time for which requests with a poison part are refused. The next one then shows whether the
-/// part still crashes targets.
-pub const REFUSAL_MS: u64 = 600_000;
-
-/// Time after that in which a single crash suffices for another verdict.
-const PROBATION_MS: u64 = 600_000;
-
 /// Time between an answer and a peer's verdict within which the two contradict each other: ages
 /// grow a little with each host that passes a verdict on.
 const VERDICT_MARGIN_MS: u64 = 2_000;
@@ -84,6 +81,18 @@
     pub poison: Vec<(PartId, u32)>,
     /// Parts that other hosts suspect, and the age of their last answer here.
     pub answered: Vec<(PartId, u32)>,
+    /// What hosts of the last release don't send, so it is encoded apart.
+    #[serde(skip)]
+    pub trials: TrialReports,
+}
+
+/// What a host reports about trials of poison parts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TrialReports {
+    /// The confidence in each verdict, in their order.
+    pub confidences: Vec<Confidence>,
+    /// Parts of which this host has begun a trial, and the age of the trial.
+    pub begun: Vec<(PartId, u32)>,
 }
 
 /// A change of what is known of a part.
@@ -92,6 +101,8 @@
     /// Requests with the part are refused from now on. Holds the number of crashed targets that
     /// this host knows of.
     Poison(PartId, usize),
+    /// A target crashed again under a poison part, as in a trial. Holds the time to the next trial.
+    Confirmed(PartId, u64),
     /// A request with the part was answered, so that it is no longer suspected.
     Sound(PartId),
 }
@@ -103,24 +114,39 @@
     is_own: bool,
 }
 
+/// A trial of a poison part.
+#[derive(Clone, Debug)]
+struct Trial {
+    began_ms: u64,
+    /// The peer that has sent the request, or `None` if this host has.
+    peer: Option<HostName>,
+}
+
+impl Trial {
+    /// Returns true if it began after the last crash by which there is a verdict.
+    fn is_of(&self, verdict: &Verdict) -> bool {
+        self.began_ms > verdict.since_ms
+    }
+}
+
 /// A part under which targets have crashed.
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     crashes: IndexMap<TargetKey, Crash>,
-    /// When the last of the crashes happened by which it was found to be poison.
-    poison_since_ms: Option<u64>,
+    verdict: Option<Verdict>,
+    trial: Option<Trial>,
     /// When a peer last reported it as suspect or poison.
     peer_reported_ms: Option<u64>,
 }
 
 impl Suspect {
     fn is_refused(&self, now_ms: u64) -> bool {
-        self.poison_since_ms
-            .is_some_and(|since_ms| now_ms.saturating_sub(since_ms) < REFUSAL_MS)
+        self.verdict
+            .is_some_and(|verdict| verdict.is_in_force(now_ms))
     }
 
     fn is_on_probation(&self) -> bool {
-        self.poison_since_ms.is_some()
+        self.verdict.is_some()
     }
 
     /// Returns the key of a crash of a target to which a run was sent at `sent_ms`.
@@ -139,12 +165,26 @@
         key
     }
 
+    fn crash_times_ms(&self) -> impl Iterator<Item = u64> {
+        self.crashes.values().map(|crash| crash.at_ms)
+    }
+
+    /// Returns when another trial may begin by a verdict, after the one that may be running.
+    fn next_trial_ms(&self, verdict: &Verdict) -> u64 {
+        let running = self.trial.as_ref().filter(|trial| trial.is_of(verdict));
+        let over_ms = running.map(|trial| trial.began_ms + TRIAL_MS);
+        over_ms.unwrap_or_default().max(verdict.trial_due_ms())
+    }
+
     fn is_kept(&self, now_ms: u64) -> bool {
         let is_recent = |at_ms: Option<u64>, retention_ms: u64| {
             at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < retention_ms)
         };
         !self.crashes.is_empty()
-            || is_recent(self.poison_since_ms, REFUSAL_MS + PROBATION_MS)
+            || is_recent(
+                self.verdict.map(|verdict| verdict.since_ms),
+                REFUSAL_MS + PROBATION_MS,
+            )
             || is_recent(self.peer_reported_ms, CRASH_RETENTION_MS)
     }
 }
@@ -197,11 +237,13 @@
             at_ms: now_ms,
             is_own: true,
         };
+        let mut changes = Vec::new();
         for part in self.suspected(now_ms, parts) {
             let target = self.suspect(part).key_of_crash(target, sent_ms);
-            self.insert_crash(part, target, crash);
+            changes.extend(self.insert_crash(part, target, crash));
         }
-        self.find_poison(now_ms)
+        changes.extend(self.find_poison(now_ms));
+        changes
     }
 
     /// Records that a target answered a request with these parts for a while, or completely.
@@ -218,10 +260,12 @@
     pub fn record_reports(
         &mut self,
         now_ms: u64,
+        from: &HostName,
         reports: &PartReports,
     ) -> Vec<PartChange> {
         let mut changes = Vec::new();
         if *reports == PartReports::default() {
+            self.record_trials(now_ms, from, &[]);
             return changes;
         }
         let received_at = |age_ms: u32| now_ms.checked_sub(u64::from(age_ms));
@@ -231,25 +275,13 @@
                 changes.extend(self.clear(at_ms, *part));
             }
         }
-        for (part, age_ms) in reports.poison.iter().take(REPORTED_MAX) {
-            let answered_ms = self.answered_ms(*part).unwrap_or_default();
-            let since_ms = received_at(*age_ms).filter(|since_ms| {
-                now_ms - since_ms < REFUSAL_MS + PROBATION_MS
-                    && answered_ms + VERDICT_MARGIN_MS < *since_ms
-            });
-            let suspect = self.suspect(*part);
-            suspect.peer_reported_ms = Some(now_ms);
-            // N.B. a verdict that returns from a peer looks slightly younger. It must not renew
-            // the one that it repeats.
-            let renewable_ms = suspect
-                .poison_since_ms
-                .map(|since_ms| since_ms + REFUSAL_MS);
-            if since_ms > renewable_ms {
-                suspect.poison_since_ms = since_ms;
-                if suspect.is_refused(now_ms) {
-                    changes.push(PartChange::Poison(*part, suspect.crashes.len()));
-                }
-            }
+        let confidences = reports.trials.confidences.iter().copied();
+        let confidences = confidences.chain(std::iter::repeat(CONFIRMED));
+        for ((part, age_ms), confidence) in
+            reports.poison.iter().zip(confidences).take(REPORTED_MAX)
+        {
+            let since_ms = received_at(*age_ms);
+            changes.extend(self.record_verdict(now_ms, *part, since_ms, confidence));
         }
         for (part, crashes) in reports.crashes.iter().take(REPORTED_MAX) {
             self.suspect(*part).peer_reported_ms = Some(now_ms);
@@ -259,15 +291,37 @@
                     .filter(|at_ms| !self.is_freshly_answered(*at_ms, *part));
                 if let Some(at_ms) = at_ms {
                     let is_own = false;
-                    self.insert_crash(*part, *target, Crash { at_ms, is_own });
+                    let crash = Crash { at_ms, is_own };
+                    changes.extend(self.insert_crash(*part, *target, crash));
                 }
             }
         }
+        self.record_trials(now_ms, from, &reports.trials.begun);
         self.expire(now_ms);
         changes.extend(self.find_poison(now_ms));
         changes
     }
 
+    /// Records the trials of a peer. Those that it doesn't report any more are over.
+    fn record_trials(&mut self, now_ms: u64, from: &HostName, begun: &[(PartId, u32)]) {
+        for suspect in self.suspects.values_mut() {
+            suspect
+                .trial
+                .take_if(|trial| trial.peer.as_ref() == Some(from));
+        }
+        for (part, age_ms) in begun.iter().take(REPORTED_MAX) {
+            let began_ms = now_ms.saturating_sub(u64::from(*age_ms));
+            let Some(suspect) = self.suspects.get_mut(part) else {
+                continue;
+            };
+            let is_later = |known: &Trial| known.began_ms < began_ms;
+            if suspect.trial.as_ref().is_none_or(is_later) {
+                let peer = Some(from.clone());
+                suspect.trial = Some(Trial { began_ms, peer });
+            }
+        }
+    }
+
     /// Returns what this host reports to its peers.
     ///
     /// Verdicts are reported by all hosts that know them, so that they outlive the hosts that
@@ -278,8 +332,14 @@
         let mut reports = PartReports::default();
         // The most recent suspects come last.
         for (part, suspect) in self.suspects.iter().rev() {
-            if let Some(since_ms) = suspect.poison_since_ms {
-                reports.poison.push((*part, age_ms(since_ms)));
+            if let Some(verdict) = suspect.verdict {
+                reports.poison.push((*part, age_ms(verdict.since_ms)));
+                reports.trials.confidences.push(verdict.confidence);
+            }
+            if let Some(trial) = &suspect.trial
+                && trial.peer.is_none()
+            {
+                reports.trials.begun.push((*part, age_ms(trial.began_ms)));
             }
             let own: Vec<(TargetKey, u32)> = suspect
                 .crashes
@@ -299,25 +359,76 @@
         reports.crashes.truncate(REPORTED_MAX);
         reports.poison.truncate(REPORTED_MAX);
         reports.answered.truncate(REPORTED_MAX);
+        reports.trials.confidences.truncate(REPORTED_MAX);
+        reports.trials.begun.truncate(REPORTED_MAX);
         reports
     }
 
+    /// Returns true if requests with these parts are refused, except for trials.
+    pub fn is_refused(&self, now_ms: u64, parts: &[PartId]) -> bool {
+        self.next_trial_ms(now_ms, parts).is_some()
+    }
+
     /// Returns for how long requests with these parts are refused, in milliseconds, or `None` if
-    /// they aren't.
-    pub fn refused_for_ms(&self, now_ms: u64, parts: &[PartId]) -> Option<u64> {
-        let suspects = parts.iter().filter_map(|part| {
-            let suspect = self.suspects.get(part)?;
-            Some((part, suspect))
-        });
-        let refused_ms = suspects.filter_map(|(part, suspect)| {
-            if suspect.is_refused(now_ms) {
-                let since_ms = suspect.poison_since_ms?;
-                return Some((since_ms + REFUSAL_MS).saturating_sub(now_ms));
+    /// they aren't or the next one is a trial. The host begins a trial some time after it is due.
+    pub fn refused_for_ms(
+        &self,
+        now_ms: u64,
+        parts: &[PartId],
+        trial_delay_ms: impl FnOnce() -> u64,
+    ) -> Option<u64> {
+        let trial_ms = self.next_trial_ms(now_ms, parts)? + trial_delay_ms();
+        // Others are accepted only once the trial has been answered.
+        (trial_ms > now_ms).then(|| trial_ms - now_ms + TRIAL_MS)
+    }
+
+    /// Records that a request with these parts is sent as a trial.
+    pub fn begin_trial(&mut self, now_ms: u64, parts: &[PartId]) {
+        for part in self.refused_parts(now_ms, parts) {
+            self.suspect(part).trial = Some(Trial {
+                began_ms: now_ms,
+                peer: None,
+            });
+        }
+    }
+
+    /// Records that this host's trial of these parts is over. Without a crash or an answer, another one
+    /// may begin.
+    pub fn end_trial(&mut self, parts: &[PartId]) {
+        for part in parts {
+            if let Some(suspect) = self.suspects.get_mut(part) {
+                suspect.trial.take_if(|trial| trial.peer.is_none());
             }
-            self.is_inseparable(now_ms, *part, parts)
-                .then_some(CRASH_RETENTION_MS)
+        }
+    }
+
+    fn refused_parts(&self, now_ms: u64, parts: &[PartId]) -> Vec<PartId> {
+        let is_refused = |part: &PartId| self.verdict_on(now_ms, *part, parts).is_some();
+        parts.iter().copied().filter(is_refused).collect()
+    }
+
+    /// Returns when a request with these parts may be sent as a trial, or `None` if it isn't
+    /// refused.
+    fn next_trial_ms(&self, now_ms: u64, parts: &[PartId]) -> Option<u64> {
+        let times_ms = parts.iter().filter_map(|part| {
+            let verdict = self.verdict_on(now_ms, *part, parts)?;
+            Some(self.suspects.get(part)?.next_trial_ms(&verdict))
         });
-        refused_ms.max()
+        times_ms.max()
+    }
+
+    /// Returns the verdict by which requests with these parts are refused for one of them.
+    fn verdict_on(&self, now_ms: u64, part: PartId, parts: &[PartId]) -> Option<Verdict> {
+        let suspect = self.suspects.get(&part)?;
+        if let Some(verdict) = suspect.verdict
+            && verdict.is_in_force(now_ms)
+        {
+            return Some(verdict);
+        }
+        if !self.is_inseparable(now_ms, part, parts) {
+            return None;
+        }
+        Verdict::from_crashes(suspect.crash_times_ms())
     }
 
     /// Returns the number of poison parts.
@@ -330,6 +441,11 @@
 
     /// Returns the parts of a crashed request that the crash counts against.
     fn suspected(&self, now_ms: u64, parts: &[PartId]) -> Vec<PartId> {
+        // A poison part explains the crash.
+        let refused = self.refused_parts(now_ms, parts);
+        if !refused.is_empty() {
+            return refused;
+        }
         let has_answer = |part: &PartId| {
             self.answered_ms(*part)
                 .is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < ANSWER_RETENTION_MS)
@@ -363,12 +479,42 @@
         let suspect = self.suspects.get_mut(&part)?;
         let is_upheld = |at_ms: u64| at_ms > answered_ms + FRESH_ANSWER_MS;
         suspect.crashes.retain(|_, crash| is_upheld(crash.at_ms));
-        let was_poison = suspect.poison_since_ms.is_some();
-        suspect.poison_since_ms = suspect
-            .poison_since_ms
-            .filter(|since_ms| is_upheld(*since_ms));
-        (was_poison && suspect.poison_since_ms.is_none())
-            .then_some(PartChange::Sound(part))
+        let contradicted = suspect
+            .verdict
+            .take_if(|verdict| !is_upheld(verdict.since_ms));
+        contradicted.map(|_| PartChange::Sound(part))
+    }
+
+    /// Records a peer's verdict, which may be older or firmer than the one that is known.
+    fn record_verdict(
+        &mut self,
+        now_ms: u64,
+        part: PartId,
+        since_ms: Option<u64>,
+        confidence: Confidence,
+    ) -> Option<PartChange> {
+        let answered_ms = self.answered_ms(part).unwrap_or_default();
+        let suspect = self.suspect(part);
+        suspect.peer_reported_ms = Some(now_ms);
+        let since_ms = since_ms.filter(|since_ms| {
+            now_ms - since_ms < REFUSAL_MS + PROBATION_MS
+                && answered_ms + VERDICT_MARGIN_MS < *since_ms
+        })?;
+        // N.B. a verdict that returns from a peer looks slightly younger. It must not renew
+        // the one that it repeats.
+        let is_news = suspect.verdict.is_none_or(|known| {
+            confidence > known.confidence || since_ms > known.since_ms + REFUSAL_MS
+        });
+        if !is_news {
+            return None;
+        }
+        let was_refused = suspect.is_refused(now_ms);
+        suspect.verdict = Some(Verdict {
+            since_ms,
+            confidence,
+        });
+        (!was_refused && suspect.is_refused(now_ms))
+            .then(|| PartChange::Poison(part, suspect.crashes.len()))
     }
 
     fn answered_ms(&self, part: PartId) -> Option<u64> {
@@ -379,19 +525,37 @@
     fn suspect(&mut self, part: PartId) -> &mut Suspect {
         if !self.suspects.contains_key(&part) && self.suspects.len() >= SUSPECTS_MAX {
             // A verdict is worth more than a suspicion.
-            let without_verdict = |suspect: &Suspect| suspect.poison_since_ms.is_none();
+            let without_verdict = |suspect: &Suspect| suspect.verdict.is_none();
             let oldest = self.suspects.values().position(without_verdict);
             self.suspects.shift_remove_index(oldest.unwrap_or_default());
         }
         self.suspects.entry(part).or_default()
     }
 
-    fn insert_crash(&mut self, part: PartId, target: TargetKey, crash: Crash) {
-        let crashes = &mut self.suspect(part).crashes;
-        if crashes.len() < CRASHES_OF_PART_MAX || crashes.contains_key(&target) {
-            let known = crashes.entry(target).or_insert(crash);
+    fn insert_crash(
+        &mut self,
+        part: PartId,
+        target: TargetKey,
+        crash: Crash,
+    ) -> Option<PartChange> {
+        let suspect = self.suspect(part);
+        if let Some(known) = suspect.crashes.get_mut(&target) {
             known.is_own |= crash.is_own;
+            return None;
+        }
+        if suspect.crashes.len() < CRASHES_OF_PART_MAX {
+            suspect.crashes.insert(target, crash);
+        }
+        let verdict = suspect.verdict.as_mut()?;
+        if !verdict.is_in_force(crash.at_ms) {
+            return None;
         }
+        let trial = suspect.trial.as_ref();
+        let was_trial = trial.is_some_and(|trial| trial.is_of(verdict));
+        verdict.renew(crash.at_ms, was_trial).then(|| {
+            let pause_ms = verdict.trial_due_ms() - verdict.since_ms;
+            PartChange::Confirmed(part, pause_ms)
+        })
     }
 
     /// Finds the parts that explain the crashes, the one with the most crashes first.
@@ -419,8 +583,14 @@
             let part = *part;
             // N.B. not the present time: peers may tell of answers after the crashes only later.
             let suspect = self.suspect(part);
-            suspect.poison_since_ms =
-                suspect.crashes.values().map(|crash| crash.at_ms).max();
+            let before = suspect.verdict;
+            suspect.verdict =
+                Verdict::from_crashes(suspect.crash_times_ms()).map(|mut verdict| {
+                    if let Some(before) = before {
+                        verdict.confidence = before.confidence;
+                    }
+                    verdict
+                });
         }
     }
 
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -2,7 +2,8 @@
 
 use toucancleat_core::prelude::*;
 
-use super::requests::{log_part_changes, retry_bound};
+use super::crashes::log_part_changes;
+use super::requests::retry_bound;
 use super::{cold, contention, evacuation, notices, store_sync, transitions, watch};
 use crate::budget::CountsReport;
 use crate::event::{Effect, LogEvent};
@@ -161,9 +162,11 @@
         }
         record_retry_counts(state, now_ms, &message, effects);
         record_interruptions(state, now_ms, &message);
-        let changes = state
-            .poison_parts
-            .record_reports(now_ms, &message.part_reports);
+        let changes = state.poison_parts.record_reports(
+            now_ms,
+            &message.from,
+            &message.part_reports,
+        );
         log_part_changes(&changes, effects);
         compare_versions(state, now_ms, &message, effects);
         notices::handle_reports(state, now_ms, &message, effects);
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -301,7 +301,7 @@
         .requests
         .get(&request_number)
         .map_or(&[][..], |request| &request.incoming.shared_parts);
-    if state.poison_parts.refused_for_ms(now_ms, parts).is_some() {
+    if state.poison_parts.is_refused(now_ms, parts) {
         let cause = MigrationObstacle::CrashesTargets;
         return report_obstacle(state, request_number, cause, effects);
     }
--- a/crates/toucancleat-fleet/src/reduce/mod.rs
+++ b/crates/toucancleat-fleet/src/reduce/mod.rs
@@ -2,6 +2,7 @@
 
 mod cold;
 mod contention;
+mod crashes;
 mod eligibility;
 mod evacuation;
 mod handoff;
@@ -80,7 +81,7 @@
             requests::handle_attempt_end(state, now_ms, request_number, outcome, effects);
         }
         Event::RunInterrupted { request_number } => {
-            requests::handle_interruption_with_copy(
+            crashes::handle_interruption_with_copy(
                 state,
                 now_ms,
                 request_number,
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -5,7 +5,7 @@
 use super::requests::{
     ATTEMPT_MIN_MS, RETRY_AFTER_LONG_MS, RETRY_AFTER_SHORT_MS, refuse,
 };
-use super::{contention, eligibility, evacuation, handoff, messages};
+use super::{contention, crashes, eligibility, evacuation, handoff, messages};
 use crate::brittle_targets::Occupancy;
 use crate::configuration::{EngineCapabilities, RetrySafety};
 use crate::contention::Decision;
@@ -260,10 +260,7 @@
     if now_ms + ATTEMPT_MIN_MS > request.deadline_ms {
         return refuse(state, request_number, Reason::TooLate, None, effects);
     }
-    if let Some(refused_ms) = state
-        .poison_parts
-        .refused_for_ms(now_ms, &request.incoming.shared_parts)
-    {
+    if let Some(refused_ms) = crashes::refused_for_ms(state, now_ms, &request.incoming) {
         let reason = Reason::CrashesTargets;
         return refuse(state, request_number, reason, Some(refused_ms), effects);
     }
@@ -343,6 +340,7 @@
         retry_safety: route.retry_safety,
         inputs,
     };
+    crashes::begin_trial(state, now_ms, request_number, effects);
     eligibility::take_permit(state, now_ms, &selection.target);
     state
         .own_loads
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -4,7 +4,7 @@
 
 use super::migration::release_destination;
 use super::placement::{dispatch, place};
-use super::{cold, contention, handoff, messages, migration, origins, restarts};
+use super::{cold, contention, crashes, handoff, messages, migration, origins, restarts};
 use crate::budget::{RetryBound, RetryOutcome};
 use crate::config::EXIT_RESERVE_MS;
 use crate::configuration::{RetrySafety, Route};
@@ -13,7 +13,7 @@
 use crate::event::{Effect, LogEvent};
 use crate::health::HealthSample;
 use crate::peers::Load;
-use crate::poison_parts::{PartChange, SOUND_AFTER_MS, target_key};
+use crate::poison_parts::SOUND_AFTER_MS;
 use crate::poison_requests::RETENTION_MS;
 use crate::request::{
     AttemptOutcome, IncomingRequest, Reason, Refusal, Request, RequestNumber,
@@ -129,10 +129,7 @@
     {
         return Err(not_run(Reason::CrashesTargets, Some(RETENTION_MS)));
     }
-    if let Some(refused_ms) = state
-        .poison_parts
-        .refused_for_ms(now_ms, &incoming.shared_parts)
-    {
+    if let Some(refused_ms) = crashes::refused_for_ms(state, now_ms, &incoming) {
         return Err(not_run(Reason::CrashesTargets, Some(refused_ms)));
     }
     let time_limit_ms = incoming
@@ -175,6 +172,7 @@
         destination: None,
         has_migration_retry: false,
         migration_obstacle: None,
+        is_trial: false,
         generated_tokens: 0,
     })
 }
@@ -249,11 +247,12 @@
         is_first = request.answering_since_ms.is_none();
         let since_ms = *request.answering_since_ms.get_or_insert(now_ms);
         if now_ms.saturating_sub(since_ms) >= SOUND_AFTER_MS {
-            let parts = &request.incoming.shared_parts;
-            let changes = state.poison_parts.record_answer(now_ms, parts);
-            log_part_changes(&changes, effects);
+            crashes::record_answer(state, now_ms, request_number, effects);
         }
     }
+    let Some(request) = state.requests.get_mut(&request_number) else {
+        return;
+    };
     let event_tokens = request
         .configuration
         .engine(&request.pool)
@@ -291,8 +290,9 @@
     effects: &mut Vec<Effect>,
 ) {
     if outcome == AttemptOutcome::Interrupted {
-        handle_interruption(state, now_ms, request_number, effects);
+        crashes::handle_interruption(state, now_ms, request_number, effects);
     }
+    crashes::end_trial(state, request_number);
     let Some(target) = release_placement(state, request_number) else {
         return;
     };
@@ -304,7 +304,7 @@
         return;
     };
     let fingerprint = request.incoming.fingerprint;
-    let may_have_crashed = may_have_crashed_target(now_ms, request);
+    let may_have_crashed = crashes::may_have_crashed_target(now_ms, request);
     let pool = request.pool.clone();
     let dispatched_ms = request.dispatched_ms;
     if outcome == AttemptOutcome::Declined
@@ -329,21 +329,19 @@
         }
         _ => {}
     }
-    let Some(request) = state.requests.get_mut(&request_number) else {
-        return;
-    };
     match outcome {
         AttemptOutcome::Answered { .. } => {
             state.poison_requests.record_answer(now_ms, fingerprint);
-            let parts = &request.incoming.shared_parts;
-            let changes = state.poison_parts.record_answer(now_ms, parts);
-            log_part_changes(&changes, effects);
+            crashes::record_answer(state, now_ms, request_number, effects);
         }
         AttemptOutcome::Interrupted if may_have_crashed => state
             .poison_requests
             .record_interruption(now_ms, fingerprint),
         _ => {}
     }
+    let Some(request) = state.requests.get_mut(&request_number) else {
+        return;
+    };
     let verdict = outcome.verdict();
     request.verdict = request.verdict.max(verdict);
     if verdict != Verdict::NotRun {
@@ -415,92 +413,6 @@
     }
 }
 
-/// Returns for how long the run of a request has been answering, or `None` before its first event.
-fn answered_ms(now_ms: u64, request: &Request) -> Option<u64> {
-    let since_ms = request.answering_since_ms?;
-    Some(now_ms.saturating_sub(since_ms))
-}
-
-/// Returns true if a request may have crashed the target that runs it, should that end now.
-///
-/// A request that crashes targets does so when they begin to run it. A run that has been answering for a while
-/// ends with a target that crashes for another reason, along with all others there.
-fn may_have_crashed_target(now_ms: u64, request: &Request) -> bool {
-    answered_ms(now_ms, request).is_none_or(|answered_ms| answered_ms < SOUND_AFTER_MS)
-}
-
-/// Records that the run of a request was interrupted at its target. If the target had hardly
-/// begun to answer, it may have crashed under the request.
-pub(super) fn handle_interruption(
-    state: &mut State,
-    now_ms: u64,
-    request_number: RequestNumber,
-    effects: &mut Vec<Effect>,
-) {
-    let Some(request) = state.requests.get(&request_number) else {
-        return;
-    };
-    let Some((target, _)) = &request.placement else {
-        return;
-    };
-    if request.incoming.shared_parts.is_empty() {
-        return;
-    }
-    effects.push(Effect::Log(LogEvent::RunInterrupted {
-        attempt_id: request.incoming.attempt_id.clone(),
-        target: target.clone(),
-        answered_ms: answered_ms(now_ms, request),
-        shared_parts: request.incoming.shared_parts.clone(),
-    }));
-    if may_have_crashed_target(now_ms, request) {
-        let parts = &request.incoming.shared_parts;
-        let target = target_key(target, request.target_started_unix_ms);
-        let sent_ms = request.dispatched_ms;
-        let changes = state
-            .poison_parts
-            .record_crash(now_ms, target, sent_ms, parts);
-        log_part_changes(&changes, effects);
-        state.must_broadcast = true;
-    }
-}
-
-/// Handles the interruption of a run of which there is a copy: it resumes there, unless it
-/// would crash that target too.
-pub(super) fn handle_interruption_with_copy(
-    state: &mut State,
-    now_ms: u64,
-    request_number: RequestNumber,
-    effects: &mut Vec<Effect>,
-) {
-    handle_interruption(state, now_ms, request_number, effects);
-    let Some(request) = state.requests.get(&request_number) else {
-        return;
-    };
-    let parts = &request.incoming.shared_parts;
-    match state.poison_parts.refused_for_ms(now_ms, parts) {
-        None => effects.push(Effect::ResumeFromCopy { request_number }),
-        refused_ms => {
-            if let Some(request) = state.requests.get_mut(&request_number) {
-                request.verdict = request.verdict.max(Verdict::MayHaveRun);
-            }
-            let reason = Reason::CrashesTargets;
-            refuse(state, request_number, reason, refused_ms, effects);
-        }
-    }
-}
-
-/// Logs what has changed about parts of prompts.
-pub(super) fn log_part_changes(changes: &[PartChange], effects: &mut Vec<Effect>) {
-    let events = changes.iter().map(|change| match *change {
-        PartChange::Poison(part, crashed_targets) => LogEvent::PartRefused {
-            part,
-            crashed_targets,
-        },
-        PartChange::Sound(part) => LogEvent::PartAccepted { part },
-    });
-    effects.extend(events.map(Effect::Log));
-}
-
 fn health_sample(outcome: AttemptOutcome) -> HealthSample {
     match outcome {
         AttemptOutcome::Answered { took_ms } => HealthSample::Answered { took_ms },
@@ -531,10 +443,7 @@
         && !state
             .poison_requests
             .is_poison(now_ms, request.incoming.fingerprint)
-        && state
-            .poison_parts
-            .refused_for_ms(now_ms, &request.incoming.shared_parts)
-            .is_none()
+        && crashes::refused_for_ms(state, now_ms, &request.incoming).is_none()
         && request.runs < route.runs_max
         && request.attempts < ATTEMPTS_MAX
         && now_ms + ATTEMPT_MIN_MS < request.deadline_ms
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -338,6 +338,8 @@
     pub has_migration_retry: bool,
     /// Why it has no destination, as last logged.
     pub migration_obstacle: Option<MigrationObstacle>,
+    /// Whether its attempt is a trial of refused parts of prompts.
+    pub is_trial: bool,
     /// Number of tokens generated so far.
     pub generated_tokens: u64,
 }
--- a/crates/toucancleat-fleet/tests/poison_parts.rs
+++ b/crates/toucancleat-fleet/tests/poison_parts.rs
@@ -6,8 +6,8 @@
 use support::crashing::CrashingFleet;
 use toucancleat_fleet::poison_parts::{
     CRASH_RETENTION_MS, CRASHES_MAX, FRESH_ANSWER_MS, PartReports, PoisonParts,
-    REFUSAL_MS,
 };
+use toucancleat_fleet::poison_verdict::REFUSAL_MS;
 use toucancleat_fleet::prelude::*;
 
 /// Time after the fifth crash from which hosts know of it.
@@ -68,6 +68,8 @@
         /// The other parts of a poison request, from a random number.
         other_parts: fn(usize) -> Vec<PartId>,
         kind: &'static str,
+        /// Poison requests a second.
+        poison_per_s: f64,
         restarts: Restarts,
         /// Whether the engines of a zone fail at the moment of the first poison request.
         zone_fails: bool,
@@ -83,6 +85,7 @@
         quiet_ms: 10_000,
         other_parts: |n| vec![first_part(n), second_part(n / 8)],
         kind: "check",
+        poison_per_s: 4.0,
         restarts: Restarts::None,
         zone_fails: false,
         engines_keep_names: false,
@@ -107,6 +110,16 @@
             hides_starts: true,
             ..plain
         },
+        Case {
+            name: "a burst of poison requests",
+            poison_per_s: 25.0,
+            ..plain
+        },
+        Case {
+            name: "few poison requests",
+            poison_per_s: 0.4,
+            ..plain
+        },
         Case {
             name: "always the same other parts",
             other_parts: |_| vec![first_part(0), second_part(0)],
@@ -168,7 +181,7 @@
                     simulation.crash(&target);
                 }
             }
-            if now_ms >= poison_from_ms && simulation.is_due(4.0) {
+            if now_ms >= poison_from_ms && simulation.is_due(case.poison_per_s) {
                 let mut parts = (case.other_parts)(simulation.rng.below(3_200));
                 parts.push(POISON);
                 simulation.send(case.kind, parts, 0, true);
@@ -297,6 +310,18 @@
             busy_ms: 8_000,
             has_poison: true,
         },
+        Case {
+            name: "a burst after a quiet time",
+            pause_ms: 10_000,
+            busy_ms: 400,
+            has_poison: false,
+        },
+        Case {
+            name: "a burst after a quiet time, and a poison part",
+            pause_ms: 10_000,
+            busy_ms: 400,
+            has_poison: true,
+        },
     ];
     for case in cases {
         let mut simulation = CrashingFleet::new(3, 12, &["upp-a", "upp-b"], 7);
@@ -365,6 +390,10 @@
     TimePasses(u64),
 }
 
+fn peer() -> HostName {
+    HostName::new("host-2")
+}
+
 fn apply_step(parts: &mut PoisonParts, now_ms: &mut u64, step: Step) {
     match step {
         Step::Crashed(target, crashed) => {
@@ -382,21 +411,21 @@
                 crashes: vec![(part, targets)],
                 ..PartReports::default()
             };
-            parts.record_reports(*now_ms, &reports);
+            parts.record_reports(*now_ms, &peer(), &reports);
         }
         Step::PeerVerdict(part, age_ms) => {
             let reports = PartReports {
                 poison: vec![(part, age_ms)],
                 ..PartReports::default()
             };
-            parts.record_reports(*now_ms, &reports);
+            parts.record_reports(*now_ms, &peer(), &reports);
         }
         Step::PeerAnswer(part, age_ms) => {
             let reports = PartReports {
                 answered: vec![(part, age_ms)],
                 ..PartReports::default()
             };
-            parts.record_reports(*now_ms, &reports);
+            parts.record_reports(*now_ms, &peer(), &reports);
         }
         Step::TimePasses(time_ms) => *now_ms += time_ms,
     }
@@ -642,7 +671,7 @@
         }
         for (requests, is_refused) in [(case.refused, true), (case.accepted, false)] {
             for request in requests {
-                let refused_for_ms = parts.refused_for_ms(now_ms, request);
+                let refused_for_ms = parts.refused_for_ms(now_ms, request, || 0);
                 assert_eq!(
                     refused_for_ms.is_some(),
                     is_refused,
@@ -660,11 +689,11 @@
     let mut parts = PoisonParts::default();
     for crash in 0..CRASHES_MAX as u64 {
         let sent_ms = START_MS + crash * 1_000;
-        let refused_ms = parts.refused_for_ms(sent_ms, &[P]);
+        let refused_ms = parts.refused_for_ms(sent_ms, &[P], || 0);
         assert_eq!(refused_ms, None, "before crash {crash}");
         parts.record_crash(sent_ms + 100, 7, sent_ms, &[P]);
     }
-    assert!(parts.refused_for_ms(START_MS + 2_500, &[P]).is_some());
+    assert!(parts.is_refused(START_MS + 2_500, &[P]));
 }
 
 /// Reports of peers, however many, must not use up memory or displace a verdict.
@@ -680,10 +709,11 @@
             crashes: (0..100).map(|n| (invented(n), vec![(7, 0); 100])).collect(),
             poison: Vec::new(),
             answered: (0..100).map(|n| (invented(n), 0)).collect(),
+            ..PartReports::default()
         };
-        parts.record_reports(START_MS, &reports);
+        parts.record_reports(START_MS, &peer(), &reports);
     }
-    assert!(parts.refused_for_ms(START_MS, &[P]).is_some());
+    assert!(parts.refused_for_ms(START_MS, &[P], || 0).is_some());
     let reports = parts.own_reports(START_MS);
     assert_eq!(reports.poison, [(P, 0)]);
     assert!(reports.crashes.len() <= 32 && reports.answered.len() <= 32);
--- a/crates/toucancleat-gateway/src/datagram.rs
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -12,7 +12,7 @@
 use toucancleat_fleet::contention::DemandReport;
 use toucancleat_fleet::evacuation::EvacuationReport;
 use toucancleat_fleet::peers::{Echo, Message, Predecessor, Update};
-use toucancleat_fleet::poison_parts::PartReports;
+use toucancleat_fleet::poison_parts::{PartReports, TrialReports};
 use toucancleat_fleet::pool_path::PathReport;
 use toucancleat_fleet::prelude::SoftwareVersion;
 use toucancleat_fleet::stream_origin::OriginMessage;
@@ -64,21 +64,57 @@
     watch: Option<WatchReport>,
 }
 
-/// The parts that follow the watch. Hosts of the last release ignore them, and what is known of the
-/// recipient's predecessor, which ends a datagram.
+/// The parts that follow the watch, before what is known of the recipient's predecessor.
 #[derive(Serialize, Deserialize)]
 struct RetryExtension {
     has_retry_history: bool,
     is_exiting: bool,
 }
 
-/// Encodes the parts of a message that precede and follow the echo of each recipient. What is known
-/// of the recipient's predecessor follows both.
+/// The part that follows what is known of the predecessor. Hosts of the last release ignore it.
+#[derive(Serialize, Deserialize)]
+struct TrialExtension {
+    trials: TrialReports,
+}
+
+/// A message to peers, encoded but for what differs between them.
+#[derive(Clone, Debug)]
+pub struct EncodedMessage {
+    /// What precedes the echo.
+    message: Vec<u8>,
+    /// What follows the echo, and what follows the predecessor.
+    extension: Vec<u8>,
+    trials: Vec<u8>,
+}
+
+impl EncodedMessage {
+    /// Returns the datagram for one recipient.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part can't be encoded.
+    pub fn complete(
+        &self,
+        echo: &Option<Echo>,
+        predecessor: &Predecessor,
+    ) -> postcard::Result<Vec<u8>> {
+        let mut datagram = postcard::to_extend(echo, self.message.clone())?;
+        datagram.extend_from_slice(&self.extension);
+        let mut datagram = postcard::to_extend(predecessor, datagram)?;
+        datagram.extend_from_slice(&self.trials);
+        Ok(datagram)
+    }
+}
+
+/// Encodes the parts of a message that are the same for all recipients.
 ///
 /// # Errors
 ///
 /// Returns an error if a part can't be encoded.
-pub fn encode(mut message: Message) -> postcard::Result<(Vec<u8>, Vec<u8>)> {
+pub fn encode(mut message: Message) -> postcard::Result<EncodedMessage> {
+    let trials = TrialExtension {
+        trials: std::mem::take(&mut message.part_reports.trials),
+    };
     let extension = Extension {
         notices: std::mem::take(&mut message.notices),
         store_era: message.store_era,
@@ -117,26 +153,11 @@
         is_exiting: message.is_exiting,
     };
     let extension = postcard::to_extend(&watch, extension)?;
-    Ok((
-        postcard::to_stdvec(&message)?,
-        postcard::to_extend(&retries, extension)?,
-    ))
-}
-
-/// Puts the encoded parts of a message and those of one recipient together.
-///
-/// # Errors
-///
-/// Returns an error if a part can't be encoded.
-pub fn complete(
-    message: &[u8],
-    extension: &[u8],
-    echo: &Option<Echo>,
-    predecessor: &Predecessor,
-) -> postcard::Result<Vec<u8>> {
-    let mut datagram = postcard::to_extend(echo, message.to_vec())?;
-    datagram.extend_from_slice(extension);
-    postcard::to_extend(predecessor, datagram)
+    Ok(EncodedMessage {
+        message: postcard::to_stdvec(&message)?,
+        extension: postcard::to_extend(&retries, extension)?,
+        trials: postcard::to_stdvec(&trials)?,
+    })
 }
 
 /// Returns the software's version of each entry among the changes that a message carries.
@@ -244,8 +265,14 @@
     let (extension, rest) = postcard::take_from_bytes::<RetryExtension>(rest)?;
     message.has_retry_history = extension.has_retry_history;
     message.is_exiting = extension.is_exiting;
+    if rest.is_empty() {
+        return Ok(());
+    }
+    let (predecessor, rest) = postcard::take_from_bytes::<Predecessor>(rest)?;
+    message.predecessor = predecessor;
     if !rest.is_empty() {
-        message.predecessor = postcard::from_bytes(rest)?;
+        let extension: TrialExtension = postcard::from_bytes(rest)?;
+        message.part_reports.trials = extension.trials;
     }
     Ok(())
 }
--- a/crates/toucancleat-gateway/src/event_log.rs
+++ b/crates/toucancleat-gateway/src/event_log.rs
@@ -150,6 +150,16 @@
         } => {
             log::warn!(part:% = part, crashed_targets; "targets crash under a part of prompts; refusing requests with it");
         }
+        LogEvent::PartConfirmed { part, pause_ms } => {
+            log::warn!(part:% = part, pause_ms; "a target crashed again under a refused part of prompts");
+        }
+        LogEvent::PartTrialBegan {
+            attempt_id,
+            shared_parts,
+        } => {
+            let shared_parts = part_list(shared_parts);
+            log::info!(request:% = attempt_id, shared_parts; "trying a refused part of prompts");
+        }
         LogEvent::PartAccepted { part } => {
             log::info!(part:% = part; "a request with a refused part of prompts was answered; accepting requests with it");
         }
--- a/crates/toucancleat-gateway/src/peers.rs
+++ b/crates/toucancleat-gateway/src/peers.rs
@@ -13,7 +13,7 @@
 use toucancleat_fleet::peers::{Message, Recipient};
 use toucancleat_fleet::stream_origin::OriginMessage;
 
-use crate::datagram::{Datagram, complete, decode, encode, encode_origin};
+use crate::datagram::{Datagram, decode, encode, encode_origin};
 use crate::host::Host;
 use crate::log_interval::LogInterval;
 use crate::{Error, clock};
@@ -106,11 +106,10 @@
     recipients: Vec<Recipient>,
     message: Message,
 ) -> postcard::Result<()> {
-    let (message, extension) = encode(message)?;
+    let message = encode(message)?;
     host.metrics.datagrams.inc_by(recipients.len() as u64);
     for recipient in recipients {
-        let predecessor = &recipient.predecessor;
-        let datagram = complete(&message, &extension, &recipient.echo, predecessor)?;
+        let datagram = message.complete(&recipient.echo, &recipient.predecessor)?;
         send_datagram(socket, &datagram, recipient.address);
     }
     Ok(())
--- a/crates/toucancleat-gateway/tests/compatibility.rs
+++ b/crates/toucancleat-gateway/tests/compatibility.rs
@@ -4,7 +4,8 @@
 //! docs/design/compatibility.md.
 
 use toucancleat_fleet::peers::{Message, Update};
-use toucancleat_gateway::datagram::{Datagram, complete, decode, encode, encode_origin};
+use toucancleat_fleet::poison_parts::TrialReports;
+use toucancleat_gateway::datagram::{Datagram, decode, encode, encode_origin};
 
 /// A release, or what will be the next one.
 struct Release {
@@ -18,9 +19,11 @@
     has_watch: bool,
     /// Whether it tells what earlier processes used of the retry budget.
     has_retry_history: bool,
+    /// Whether it tells of trials of poison parts.
+    has_trials: bool,
 }
 
-const RELEASES: [Release; 5] = [
+const RELEASES: [Release; 6] = [
     Release {
         name: "ec54b7f",
         text: include_str!("recorded/ec54b7f.txt"),
@@ -28,6 +31,7 @@
         has_reports: false,
         has_watch: false,
         has_retry_history: false,
+        has_trials: false,
     },
     Release {
         name: "2b1dfa5",
@@ -36,6 +40,7 @@
         has_reports: true,
         has_watch: false,
         has_retry_history: false,
+        has_trials: false,
     },
     Release {
         name: "1d957f9",
@@ -44,6 +49,7 @@
         has_reports: true,
         has_watch: false,
         has_retry_history: false,
+        has_trials: false,
     },
     Release {
         name: "0fa0a79",
@@ -52,6 +58,16 @@
         has_reports: true,
         has_watch: true,
         has_retry_history: false,
+        has_trials: false,
+    },
+    Release {
+        name: "49665f7",
+        text: include_str!("recorded/49665f7.txt"),
+        heeds_confinement: true,
+        has_reports: true,
+        has_watch: true,
+        has_retry_history: true,
+        has_trials: false,
     },
     Release {
         name: "next",
@@ -60,6 +76,7 @@
         has_reports: true,
         has_watch: true,
         has_retry_history: true,
+        has_trials: true,
     },
 ];
 
@@ -95,10 +112,10 @@
             encode_origin(message).expect("a message that can be encoded")
         }
         Datagram::State(message) => {
-            let (body, extension) =
+            let encoded =
                 encode((**message).clone()).expect("a message that can be encoded");
-            let predecessor = &message.predecessor;
-            complete(&body, &extension, &message.echo, predecessor).expect("an echo")
+            let datagram = encoded.complete(&message.echo, &message.predecessor);
+            datagram.expect("an echo and counts")
         }
     }
 }
@@ -153,6 +170,7 @@
             let Message {
                 heeds_confinement,
                 version_digest,
+                part_reports,
                 path_reports,
                 evacuations,
                 cold_reports,
@@ -174,6 +192,8 @@
             let tells_history = has_retry_history && predecessor.retries.is_some();
             assert_eq!(tells_history, release.has_retry_history, "{name}");
             assert!(release.has_retry_history || !has_retry_history, "{name}");
+            let tells_trials = part_reports.trials != TrialReports::default();
+            assert_eq!(tells_trials, release.has_trials, "{name}");
             if let Some(Update::Configuration(change)) = update {
                 assert_eq!(change.is_complete, release.heeds_confinement, "{name}");
             }
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -19,7 +19,7 @@
 use toucancleat_fleet::evacuation::{EvacuationReport, ZoneReport};
 use toucancleat_fleet::organisation_share::OrganisationTokens;
 use toucancleat_fleet::peers::{Echo, Load, Message, Predecessor, Update};
-use toucancleat_fleet::poison_parts::PartReports;
+use toucancleat_fleet::poison_parts::{PartReports, TrialReports};
 use toucancleat_fleet::pool_path::PathReport;
 use toucancleat_fleet::prelude::*;
 use toucancleat_fleet::service_rate::ServiceSums;
@@ -90,6 +90,10 @@
             crashes: vec![(PartId(5), vec![(6, 70), (8, 90)])],
             poison: vec![(PartId(u64::MAX), 1_000)],
             answered: vec![(PartId(9), 20)],
+            trials: TrialReports {
+                confidences: vec![1],
+                begun: vec![(PartId(u64::MAX), 200)],
+            },
         },
         path_reports: vec![PathReport {
             pool: PoolName::new("engines"),
@@ -169,11 +173,13 @@
 
 /// Returns the parts of a datagram: the message, the echo, and what follows it.
 fn datagram(message: &Message) -> (Vec<u8>, Vec<u8>) {
-    let (body, extension) =
-        encode(message.clone()).expect("a message that can be encoded");
-    let body = postcard::to_extend(&message.echo, body).expect("an echo");
-    let predecessor = &message.predecessor;
-    let extension = postcard::to_extend(predecessor, extension).expect("counts");
+    let encoded = encode(message.clone()).expect("a message that can be encoded");
+    let mut body = encoded
+        .complete(&message.echo, &message.predecessor)
+        .expect("an echo and counts");
+    let known_first = postcard::to_stdvec(message).expect("a message");
+    let known_first = postcard::to_extend(&message.echo, known_first).expect("an echo");
+    let extension = body.split_off(known_first.len());
     (body, extension)
 }
 
@@ -372,6 +378,10 @@
         has_retry_history: false,
         is_exiting: false,
         predecessor: Predecessor::default(),
+        part_reports: PartReports {
+            trials: TrialReports::default(),
+            ..message.part_reports.clone()
+        },
         ..message.clone()
     };
     let (mut bytes, _) = datagram(&message);
@@ -504,6 +514,10 @@
             ],
             poison: vec![(PartId(highest), highest as u32); 99],
             answered: vec![(PartId(highest), highest as u32); 99],
+            trials: TrialReports {
+                confidences: vec![highest as u8; 99],
+                begun: vec![(PartId(highest), highest as u32); 99],
+            },
         };
         message.path_reports[0].reached_age_ms = Some(highest);
         message.brittle_reports.pools[0].2 = highest;
