Take only a target that couldn't be reached after a crash for started anew

A target that only breaks connections off, or sends what is no answer, hasn't crashed: alone it made a part poison by three such answers.

`an_answer_with_a_status_that_ends_no_request_reaches_no_caller` (platform/tests/gateway) showed it: 503 `crashes_targets` in place of 502 at the second faulty status line.

A process that has crashed refuses connections until it is back. So the next crash counts only if a connection to the target failed to open in between, at this host, before the request was sent. A case for each of the two is in `a_target_that_was_down_after_a_crash_has_started_anew`, which takes the place of `a_target_that_takes_requests_after_a_crash_has_started_anew`; the fleet's case, "two engines whose starts aren't known before they crash again", is unchanged and holds.

--- a/crates/toucancleat-fleet/src/health.rs
+++ b/crates/toucancleat-fleet/src/health.rs
@@ -21,6 +21,8 @@
     latency_ms: Option<f64>,
     consecutive_failures: u32,
     ejected_until_ms: u64,
+    /// When a connection to it last failed to open.
+    unreached_ms: Option<u64>,
 }
 
 /// The health of a target as shown by one attempt.
@@ -35,8 +37,10 @@
     Failed,
     /// The target declined the request, as a full one does.
     Declined,
-    /// The connection failed or was interrupted, the address belongs to another target, no
-    /// answer was received in time, or the response was malformed.
+    /// No connection could be opened.
+    Unreached,
+    /// The connection was interrupted, the address belongs to another target, no answer was
+    /// received in time, or the response was malformed.
     ConnectionFailed,
 }
 
@@ -58,7 +62,10 @@
             }
             HealthSample::Failed => 1.0,
             HealthSample::Declined => 0.5,
-            HealthSample::ConnectionFailed => {
+            HealthSample::Unreached | HealthSample::ConnectionFailed => {
+                if sample == HealthSample::Unreached {
+                    health.unreached_ms = Some(now_ms);
+                }
                 let ejection_ms = EJECTION_FIRST_MS << health.consecutive_failures.min(4);
                 health.ejected_until_ms = now_ms + ejection_ms.min(EJECTION_MAX_MS);
                 health.consecutive_failures += 1;
@@ -80,6 +87,11 @@
             .is_some_and(|health| now_ms < health.ejected_until_ms)
     }
 
+    /// Returns when a connection to a target last failed to open.
+    pub fn unreached_ms(&self, target: &TargetName) -> Option<u64> {
+        self.0.get(target)?.unreached_ms
+    }
+
     /// Returns the moving average of a target's share of failed answers.
     pub fn failure_rate(&self, target: &TargetName) -> f64 {
         self.0.get(target).map_or(0.0, |health| health.failure_rate)
--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -72,6 +72,18 @@
     stable_hash(format!("{target}\n{started_unix_ms}").as_bytes()) as TargetKey
 }
 
+/// A target that has crashed.
+///
+/// A target that couldn't be reached after a crash, and then took a request, has started anew, though
+/// its start may not be known yet. One that only breaks connections off has not.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashedTarget {
+    /// The key of its last known start.
+    pub key: TargetKey,
+    /// When it last couldn't be reached, before the request was sent to it.
+    pub unreached_ms: Option<u64>,
+}
+
 /// What a host reports to its peers about parts of prompts.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PartReports {
@@ -149,16 +161,14 @@
         self.verdict.is_some()
     }
 
-    /// Returns the key of a crash of a target to which a run was sent at `sent_ms`.
-    ///
-    /// A target that takes requests after a crash has started anew, though its start may not be
-    /// known yet. All hosts that know of its earlier crashes compute the same key.
-    fn key_of_crash(&self, target: TargetKey, sent_ms: u64) -> TargetKey {
-        let mut key = target;
+    /// Returns the key of a crash. All hosts that know of the target's earlier crashes, and that it
+    /// couldn't be reached after them, compute the same key.
+    fn key_of_crash(&self, target: CrashedTarget) -> TargetKey {
+        let mut key = target.key;
         while self
             .crashes
             .get(&key)
-            .is_some_and(|crash| crash.at_ms < sent_ms)
+            .is_some_and(|crash| Some(crash.at_ms) < target.unreached_ms)
         {
             key = key.wrapping_add(1);
         }
@@ -223,13 +233,11 @@
 }
 
 impl PoisonParts {
-    /// Records that a target crashed when it began to answer a request with these parts, which was
-    /// sent to it at `sent_ms`.
+    /// Records that a target crashed when it began to answer a request with these parts.
     pub fn record_crash(
         &mut self,
         now_ms: u64,
-        target: TargetKey,
-        sent_ms: u64,
+        target: CrashedTarget,
         parts: &[PartId],
     ) -> Vec<PartChange> {
         self.expire(now_ms);
@@ -239,8 +247,8 @@
         };
         let mut changes = Vec::new();
         for part in self.suspected(now_ms, parts) {
-            let target = self.suspect(part).key_of_crash(target, sent_ms);
-            changes.extend(self.insert_crash(part, target, crash));
+            let key = self.suspect(part).key_of_crash(target);
+            changes.extend(self.insert_crash(part, key, crash));
         }
         changes.extend(self.find_poison(now_ms));
         changes
--- a/crates/toucancleat-fleet/src/reduce/crashes.rs
+++ b/crates/toucancleat-fleet/src/reduce/crashes.rs
@@ -4,7 +4,7 @@
 
 use super::requests::refuse;
 use crate::event::{Effect, LogEvent};
-use crate::poison_parts::{PartChange, SOUND_AFTER_MS, target_key};
+use crate::poison_parts::{CrashedTarget, PartChange, SOUND_AFTER_MS, target_key};
 use crate::poison_verdict;
 use crate::request::{IncomingRequest, Reason, Request, RequestNumber};
 use crate::state::State;
@@ -116,11 +116,14 @@
     }));
     if may_have_crashed_target(now_ms, request) {
         let parts = &request.incoming.shared_parts;
-        let target = target_key(target, request.target_started_unix_ms);
-        let sent_ms = request.dispatched_ms;
-        let changes = state
-            .poison_parts
-            .record_crash(now_ms, target, sent_ms, parts);
+        let crashed = CrashedTarget {
+            key: target_key(target, request.target_started_unix_ms),
+            unreached_ms: state
+                .health
+                .unreached_ms(target)
+                .filter(|unreached_ms| *unreached_ms < request.dispatched_ms),
+        };
+        let changes = state.poison_parts.record_crash(now_ms, crashed, parts);
         log_part_changes(&changes, effects);
         state.must_broadcast = true;
     }
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -418,8 +418,8 @@
         AttemptOutcome::Answered { took_ms } => HealthSample::Answered { took_ms },
         AttemptOutcome::ErrorAnswer => HealthSample::Failed,
         AttemptOutcome::Declined => HealthSample::Declined,
+        AttemptOutcome::NotSent => HealthSample::Unreached,
         AttemptOutcome::Misdirected
-        | AttemptOutcome::NotSent
         | AttemptOutcome::Interrupted
         | AttemptOutcome::TimedOut => HealthSample::ConnectionFailed,
     }
--- a/crates/toucancleat-fleet/tests/poison_parts.rs
+++ b/crates/toucancleat-fleet/tests/poison_parts.rs
@@ -5,7 +5,8 @@
 use support::START_MS;
 use support::crashing::CrashingFleet;
 use toucancleat_fleet::poison_parts::{
-    CRASH_RETENTION_MS, CRASHES_MAX, FRESH_ANSWER_MS, PartReports, PoisonParts,
+    CRASH_RETENTION_MS, CRASHES_MAX, CrashedTarget, FRESH_ANSWER_MS, PartReports,
+    PoisonParts,
 };
 use toucancleat_fleet::poison_verdict::REFUSAL_MS;
 use toucancleat_fleet::prelude::*;
@@ -390,6 +391,13 @@
     TimePasses(u64),
 }
 
+fn crashed_target(key: u32) -> CrashedTarget {
+    CrashedTarget {
+        key,
+        unreached_ms: None,
+    }
+}
+
 fn peer() -> HostName {
     HostName::new("host-2")
 }
@@ -397,7 +405,7 @@
 fn apply_step(parts: &mut PoisonParts, now_ms: &mut u64, step: Step) {
     match step {
         Step::Crashed(target, crashed) => {
-            parts.record_crash(*now_ms, target, 0, crashed);
+            parts.record_crash(*now_ms, crashed_target(target), crashed);
         }
         Step::Answered(answered) => {
             parts.record_answer(*now_ms, answered);
@@ -683,17 +691,42 @@
     }
 }
 
-/// A target that hosts have not heard of since it started anew has crashed again all the same.
+/// Guards against crashes of targets that count as one, since hosts have not heard of them since they
+/// started anew; and against a target that breaks connections off, but hasn't crashed, counting each time.
 #[test]
-fn a_target_that_takes_requests_after_a_crash_has_started_anew() {
-    let mut parts = PoisonParts::default();
-    for crash in 0..CRASHES_MAX as u64 {
-        let sent_ms = START_MS + crash * 1_000;
-        let refused_ms = parts.refused_for_ms(sent_ms, &[P], || 0);
-        assert_eq!(refused_ms, None, "before crash {crash}");
-        parts.record_crash(sent_ms + 100, 7, sent_ms, &[P]);
+fn a_target_that_was_down_after_a_crash_has_started_anew() {
+    struct Case {
+        name: &'static str,
+        /// Whether it couldn't be reached between a crash and the next.
+        is_down_between: bool,
+        is_refused: bool,
+    }
+    let cases = [
+        Case {
+            name: "down after each crash",
+            is_down_between: true,
+            is_refused: true,
+        },
+        Case {
+            name: "connections broken off",
+            is_down_between: false,
+            is_refused: false,
+        },
+    ];
+    for case in cases {
+        let mut parts = PoisonParts::default();
+        for crash in 0..CRASHES_MAX as u64 {
+            let now_ms = START_MS + crash * 1_000;
+            assert!(!parts.is_refused(now_ms, &[P]), "{}: {crash}", case.name);
+            let target = CrashedTarget {
+                unreached_ms: case.is_down_between.then_some(now_ms - 500),
+                ..crashed_target(7)
+            };
+            parts.record_crash(now_ms, target, &[P]);
+        }
+        let is_refused = parts.is_refused(START_MS + 2_500, &[P]);
+        assert_eq!(is_refused, case.is_refused, "{}", case.name);
     }
-    assert!(parts.is_refused(START_MS + 2_500, &[P]));
 }
 
 /// Reports of peers, however many, must not use up memory or displace a verdict.
@@ -701,7 +734,7 @@
 fn reports_are_bounded() {
     let mut parts = PoisonParts::default();
     for target in 0..CRASHES_MAX as u32 {
-        parts.record_crash(START_MS, target, 0, &[P]);
+        parts.record_crash(START_MS, crashed_target(target), &[P]);
     }
     for message in 0..1_000_u64 {
         let invented = |n: u64| PartId(1_000 + message * 100 + n);
--- a/crates/toucancleat-fleet/tests/poison_verdict.rs
+++ b/crates/toucancleat-fleet/tests/poison_verdict.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use support::START_MS;
-use toucancleat_fleet::poison_parts::{PoisonParts, TargetKey};
+use toucancleat_fleet::poison_parts::{CrashedTarget, PoisonParts, TargetKey};
 use toucancleat_fleet::poison_verdict::{
     COMMON_CAUSE_MS, CONFIRMED, TRIAL_MS, Verdict, trial_delay_ms,
 };
@@ -43,13 +43,11 @@
             Step::Crash(host, targets) => {
                 for _ in 0..targets {
                     self.next_target += 1;
-                    let sent_ms = now_ms - 100;
-                    self.hosts[host].record_crash(
-                        now_ms,
-                        self.next_target,
-                        sent_ms,
-                        &[P],
-                    );
+                    let target = CrashedTarget {
+                        key: self.next_target,
+                        unreached_ms: None,
+                    };
+                    self.hosts[host].record_crash(now_ms, target, &[P]);
                     self.hosts[host].end_trial(&[P]);
                 }
             }
