Find poison requests by the crashes of targets, as poison parts are

After all servers crashed at once, requests that are alike were refused at all hosts (`crashes_targets`), though most had run soundly before: of 15 a second none began in the ten seconds that the test looks at. Such a verdict had no end for a caller that stays at one host: peers reported their counts as long as no other request was interrupted there.

Cause: hosts added up interrupted runs of a request, by a fingerprint of its content. Three runs that one crash of a target ended were three, and so were three targets that crashed at the same moment. Only a complete answer at the same host withdrew that.

The content of a request is now a part in a second instance of the evidence of poison parts: crashes are told by target, start and age, an answer anywhere ends a verdict, also that of a stream that has been answering for a while, and trials do when nothing else is sent. `poison_requests.rs` goes. All hosts pass on the crashes that they know, of parts as well, in place of what peers told a restarted host of its predecessor. Hosts of earlier builds still read the counts, but their own aren't used.

Before, `alike_requests_begin_after_all_engines_crashed_at_once` failed at "short streams: 0.00 of the requests began".

--- a/crates/toucancleat-fleet/src/event.rs
+++ b/crates/toucancleat-fleet/src/event.rs
@@ -10,6 +10,7 @@
 use crate::contention::RoomCause;
 use crate::evacuation::EvacuationRows;
 use crate::peers::{Message, Recipient};
+use crate::poison_parts::PartScope;
 use crate::prompt_part::PartId;
 use crate::request::{
     AttemptOutcome, Dispatch, Handoff, HandoffOutcome, IncomingRequest,
@@ -430,8 +431,11 @@
         /// Whether the path is lost.
         is_lost: bool,
     },
-    /// Requests with a part of a prompt are refused from now on: targets crash under it.
+    /// Requests with a part of a prompt, or repeats of a request, are refused from now on: targets
+    /// crash under it.
     PartRefused {
+        /// Whether it is a part of a prompt or a whole request.
+        scope: PartScope,
         /// The part.
         part: PartId,
         /// Number of crashed targets that this host knows of.
@@ -439,6 +443,8 @@
     },
     /// A target crashed again under a refused part.
     PartConfirmed {
+        /// Whether it is a part of a prompt or a whole request.
+        scope: PartScope,
         /// The part.
         part: PartId,
         /// Time to the next trial.
@@ -450,9 +456,13 @@
         attempt_id: Arc<str>,
         /// The shared parts of its prompt.
         shared_parts: Vec<PartId>,
+        /// Its whole content.
+        content: PartId,
     },
     /// A request with a refused part was answered, so requests with it are accepted again.
     PartAccepted {
+        /// Whether it is a part of a prompt or a whole request.
+        scope: PartScope,
         /// The part.
         part: PartId,
     },
--- a/crates/toucancleat-fleet/src/lib.rs
+++ b/crates/toucancleat-fleet/src/lib.rs
@@ -22,8 +22,8 @@
 //!   host its caller takes it up again ([`continuation`], [`stream_origin`]).
 //! - A host that has lost its path to the targets hands its requests off to peers that have one
 //!   ([`pool_path`]).
-//! - A poison request, which crashes every target that runs it, is refused by all hosts
-//!   ([`poison_requests`]), and so are requests that share a poison part of their prompts
+//! - Requests that share a poison part of their prompts, which crashes every target that
+//!   answers it, are refused by all hosts, and so are repeats of a poison request
 //!   ([`poison_parts`]).
 //!
 //! # Cost
@@ -58,7 +58,6 @@
 pub mod organisation_share;
 pub mod peers;
 pub mod poison_parts;
-pub mod poison_requests;
 pub mod poison_verdict;
 pub mod pool_path;
 pub mod prelude;
--- a/crates/toucancleat-fleet/src/peers.rs
+++ b/crates/toucancleat-fleet/src/peers.rs
@@ -21,8 +21,8 @@
 pub use crate::load::Load;
 use crate::migration_plan::HostRuns;
 use crate::poison_parts::PartReports;
-use crate::poison_requests::Fingerprint;
 use crate::pool_path::PathReport;
+use crate::request::Fingerprint;
 use crate::sender_ring::SenderRing;
 use crate::store::{READER_SILENCE_MS, StorePosition};
 use crate::target::TargetChange;
@@ -89,7 +89,8 @@
     pub loads: Vec<(TargetName, Load)>,
     /// The sender's counts against the retry budget, by pool.
     pub retry_counts: Vec<(PoolName, RetryCounts)>,
-    /// Fingerprints of requests whose runs were interrupted at the sender, and how often.
+    /// Fingerprints of requests under which targets crashed at the sender, and how many. Only hosts of
+    /// earlier releases read them.
     pub interruptions: Vec<(Fingerprint, u32)>,
     /// The last message that the sender received from the recipient. This is the only part
     /// that differs between recipients, so it is encoded separately.
@@ -110,6 +111,10 @@
     /// don't send it.
     #[serde(skip)]
     pub part_reports: PartReports,
+    /// What it knows of whole requests that do, each as a part. Hosts of the last release don't
+    /// send it.
+    #[serde(skip)]
+    pub request_reports: PartReports,
     /// The sender's paths to the pools. Hosts of the last release don't send them, and take no
     /// requests of peers.
     #[serde(skip)]
@@ -205,7 +210,8 @@
 pub struct Predecessor {
     /// What it used of the retry budget, if the peer knows that.
     pub retries: Option<PredecessorCounts>,
-    /// Fingerprints of requests whose runs were interrupted at it, and how often.
+    /// Fingerprints of requests whose runs were interrupted at it, and how often. Only hosts of the last
+    /// release send and read them.
     pub interruptions: Vec<(Fingerprint, u32)>,
 }
 
@@ -273,6 +279,7 @@
                 update: None,
                 notices: Vec::new(),
                 part_reports: PartReports::default(),
+                request_reports: PartReports::default(),
                 brittle_reports: BrittleReports::default(),
                 cold_reports: Vec::new(),
                 demand: DemandReport::default(),
--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -11,6 +11,9 @@
 //! - **Answer.** A run answers for a while, or completely. What counted against its parts before,
 //!   and what does in the next [`FRESH_ANSWER_MS`], is withdrawn, at all hosts.
 //!
+//! The whole content of a request is a part as well, in a second instance of the evidence: callers
+//! repeat a poison request at any host and with a new name for each attempt.
+//!
 //! A part is poison once [`CRASHES_MAX`] targets have crashed under it and no other part explains
 //! these crashes. While two parts have been in the same crashed runs only, a request is refused
 //! if it has both. All hosts share the evidence and the verdicts. From time to time one request
@@ -45,6 +48,10 @@
 /// grow a little with each host that passes a verdict on.
 const VERDICT_MARGIN_MS: u64 = 2_000;
 
+/// Age up to which a crash that a peer reports is accepted. Ages grow younger with each host that
+/// passes them on, so hosts would tell each other of a crash for ever.
+const CRASH_ACCEPTANCE_MS: u64 = CRASH_RETENTION_MS - 5_000;
+
 /// Time for which an answer speaks for a part when another part of its request may be to blame.
 const ANSWER_RETENTION_MS: u64 = 120_000;
 
@@ -87,7 +94,7 @@
 /// What a host reports to its peers about parts of prompts.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct PartReports {
-    /// Parts, the targets that crashed under each at this host, and the age of each crash.
+    /// Parts, the targets that crashed under each, and the age of each crash.
     pub crashes: Vec<(PartId, Vec<(TargetKey, u32)>)>,
     /// Poison parts, and the age of each verdict.
     pub poison: Vec<(PartId, u32)>,
@@ -107,6 +114,15 @@
     pub begun: Vec<(PartId, u32)>,
 }
 
+/// What the parts of an instance of the evidence are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartScope {
+    /// Parts of prompts.
+    Prompt,
+    /// Whole contents of requests.
+    Request,
+}
+
 /// A change of what is known of a part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartChange {
@@ -295,7 +311,7 @@
             self.suspect(*part).peer_reported_ms = Some(now_ms);
             for (target, age_ms) in crashes.iter().take(CRASHES_OF_PART_MAX) {
                 let at_ms = received_at(*age_ms)
-                    .filter(|at_ms| now_ms - at_ms < CRASH_RETENTION_MS)
+                    .filter(|at_ms| now_ms - at_ms < CRASH_ACCEPTANCE_MS)
                     .filter(|at_ms| !self.is_freshly_answered(*at_ms, *part));
                 if let Some(at_ms) = at_ms {
                     let is_own = false;
@@ -332,8 +348,8 @@
 
     /// Returns what this host reports to its peers.
     ///
-    /// Verdicts are reported by all hosts that know them, so that they outlive the hosts that
-    /// found them.
+    /// Crashes and verdicts are reported by all hosts that know them, so that they outlive the
+    /// processes that saw or found them.
     pub fn own_reports(&self, now_ms: u64) -> PartReports {
         let age_ms =
             |at_ms: u64| u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX);
@@ -349,14 +365,13 @@
             {
                 reports.trials.begun.push((*part, age_ms(trial.began_ms)));
             }
-            let own: Vec<(TargetKey, u32)> = suspect
+            let crashes: Vec<(TargetKey, u32)> = suspect
                 .crashes
                 .iter()
-                .filter(|(_, crash)| crash.is_own)
                 .map(|(target, crash)| (*target, age_ms(crash.at_ms)))
                 .collect();
-            if !own.is_empty() {
-                reports.crashes.push((*part, own));
+            if !crashes.is_empty() {
+                reports.crashes.push((*part, crashes));
             }
             if suspect.peer_reported_ms.is_some()
                 && let Some(answered_ms) = self.own_answers.last_ms(*part)
@@ -439,6 +454,20 @@
         Verdict::from_crashes(suspect.crash_times_ms())
     }
 
+    /// Returns the parts under which targets have crashed at this host, and how many.
+    pub fn own_crash_counts(&self) -> Vec<(PartId, u32)> {
+        let crash_count = |suspect: &Suspect| {
+            let own = suspect.crashes.values().filter(|crash| crash.is_own);
+            u32::try_from(own.count()).unwrap_or(u32::MAX)
+        };
+        let counts = self.suspects.iter().rev();
+        counts
+            .map(|(part, suspect)| (*part, crash_count(suspect)))
+            .filter(|(_, count)| *count > 0)
+            .take(REPORTED_MAX)
+            .collect()
+    }
+
     /// Returns the number of poison parts.
     pub fn poison_count(&self, now_ms: u64) -> usize {
         self.suspects
@@ -571,17 +600,24 @@
     /// A crash that a poison part explains counts against no other part.
     fn find_poison(&mut self, now_ms: u64) -> Vec<PartChange> {
         let mut changes = Vec::new();
-        loop {
+        let may_be_poison = |suspect: &Suspect| {
+            !suspect.is_refused(now_ms)
+                && (suspect.is_on_probation() || suspect.crashes.len() >= CRASHES_MAX)
+        };
+        while self.suspects.values().any(may_be_poison) {
             let unexplained = self.unexplained(now_ms);
-            let candidates = unexplained.iter().filter(|(part, targets)| {
-                let is_alone = !unexplained
+            let is_alone = |part: &PartId, targets: &IndexSet<TargetKey>| {
+                !unexplained
                     .iter()
-                    .any(|(other, others)| other != *part && others.is_superset(targets));
+                    .any(|(other, others)| other != part && others.is_superset(targets))
+            };
+            let candidates = unexplained.iter().filter(|(part, targets)| {
                 let is_on_probation = self
                     .suspects
                     .get(*part)
                     .is_some_and(Suspect::is_on_probation);
-                is_on_probation || (targets.len() >= CRASHES_MAX && is_alone)
+                is_on_probation
+                    || (targets.len() >= CRASHES_MAX && is_alone(part, targets))
             });
             let found = candidates.max_by_key(|(_, targets)| targets.len());
             let Some((part, targets)) = found else {
@@ -600,6 +636,7 @@
                     verdict
                 });
         }
+        changes
     }
 
     /// Returns the crashes under each part that isn't refused, without those that a poison part
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -11,6 +11,8 @@
     ANNOUNCEMENT_SPREAD_PER_HOST_MS, Message, Predecessor, Recipient, Update,
     earliest_send_ms,
 };
+use crate::poison_parts::PartScope;
+use crate::request::Fingerprint;
 use crate::state::{State, random_unit};
 use crate::store::{READER_SILENCE_MS, StorePosition};
 
@@ -70,7 +72,7 @@
         let retries = state.retry_budget.predecessor_of(now_ms, window_ms, host);
         Predecessor {
             retries: retries.cloned(),
-            interruptions: state.poison_requests.predecessor_of(now_ms, host),
+            interruptions: Vec::new(),
         }
     })
 }
@@ -107,12 +109,13 @@
             .map(|(target, load)| (target.clone(), *load))
             .collect(),
         retry_counts: counts.into_iter().collect(),
-        interruptions: state.poison_requests.own_counts(),
+        interruptions: own_crash_counts(state),
         echo: None,
         notices: state.target_notices.own_reports(now_ms),
         store_era: state.store_era,
         version_digest: Some(state.directory.version_digest()),
         part_reports: state.poison_parts.own_reports(now_ms),
+        request_reports: state.poison_requests.own_reports(now_ms),
         path_reports: state.pool_paths.reports(now_ms),
         brittle_reports: state.brittle_targets.own_reports(now_ms),
         evacuations: state.evacuations.report(now_ms),
@@ -161,13 +164,7 @@
             state.update_store_trust(now_ms);
         }
         record_retry_counts(state, now_ms, &message, effects);
-        record_interruptions(state, now_ms, &message);
-        let changes = state.poison_parts.record_reports(
-            now_ms,
-            &message.from,
-            &message.part_reports,
-        );
-        log_part_changes(&changes, effects);
+        record_crash_reports(state, now_ms, &message, effects);
         compare_versions(state, now_ms, &message, effects);
         notices::handle_reports(state, now_ms, &message, effects);
         cold::handle_reports(state, now_ms, &message, effects);
@@ -220,19 +217,25 @@
     }
 }
 
-/// Records which runs were interrupted at a peer's host, and at this one before its process
-/// started.
-fn record_interruptions(state: &mut State, now_ms: u64, message: &Message) {
-    state.poison_requests.record_peer_counts(
-        now_ms,
-        message.from.clone(),
-        message.incarnation,
-        &message.interruptions,
-    );
-    if is_for_this_process(state, message) {
-        let told = &message.predecessor.interruptions;
-        state.poison_requests.inherit(now_ms, told);
-    }
+/// Records what a peer has seen of requests that crash targets.
+fn record_crash_reports(
+    state: &mut State,
+    now_ms: u64,
+    message: &Message,
+    effects: &mut Vec<Effect>,
+) {
+    let (from, reports) = (&message.from, &message.part_reports);
+    let changes = state.poison_parts.record_reports(now_ms, from, reports);
+    log_part_changes(PartScope::Prompt, &changes, effects);
+    let reports = &message.request_reports;
+    let changes = state.poison_requests.record_reports(now_ms, from, reports);
+    log_part_changes(PartScope::Request, &changes, effects);
+}
+
+/// Returns what hosts of earlier releases count of requests that crash targets.
+fn own_crash_counts(state: &State) -> Vec<(Fingerprint, u32)> {
+    let counts = state.poison_requests.own_crash_counts().into_iter();
+    counts.map(|(part, count)| (part.0, count)).collect()
 }
 
 /// Returns true if a peer had heard the present process of this host when it sent a message.
--- a/crates/toucancleat-fleet/src/reduce/migration.rs
+++ b/crates/toucancleat-fleet/src/reduce/migration.rs
@@ -4,7 +4,7 @@
 
 use super::placement::{load_at, select_for};
 use super::requests::{release_placement, subtract_load, take_retry};
-use super::{eligibility, messages};
+use super::{crashes, eligibility, messages};
 use crate::configuration::RetrySafety;
 use crate::continuation::Continuation;
 use crate::event::{Effect, LogEvent};
@@ -297,11 +297,10 @@
     destination: TargetName,
     effects: &mut Vec<Effect>,
 ) {
-    let parts = state
-        .requests
-        .get(&request_number)
-        .map_or(&[][..], |request| &request.incoming.shared_parts);
-    if state.poison_parts.is_refused(now_ms, parts) {
+    let request = state.requests.get(&request_number);
+    if request
+        .is_some_and(|request| crashes::is_refused(state, now_ms, &request.incoming))
+    {
         let cause = MigrationObstacle::CrashesTargets;
         return report_obstacle(state, request_number, cause, effects);
     }
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -14,7 +14,6 @@
 use crate::health::HealthSample;
 use crate::peers::Load;
 use crate::poison_parts::SOUND_AFTER_MS;
-use crate::poison_requests::RETENTION_MS;
 use crate::request::{
     AttemptOutcome, IncomingRequest, Reason, Refusal, Request, RequestNumber,
 };
@@ -123,12 +122,6 @@
             Some(RETRY_AFTER_SHORT_MS),
         ));
     }
-    if state
-        .poison_requests
-        .is_poison(now_ms, incoming.fingerprint)
-    {
-        return Err(not_run(Reason::CrashesTargets, Some(RETENTION_MS)));
-    }
     if let Some(refused_ms) = crashes::refused_for_ms(state, now_ms, &incoming) {
         return Err(not_run(Reason::CrashesTargets, Some(refused_ms)));
     }
@@ -303,8 +296,6 @@
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
     };
-    let fingerprint = request.incoming.fingerprint;
-    let may_have_crashed = crashes::may_have_crashed_target(now_ms, request);
     let pool = request.pool.clone();
     let dispatched_ms = request.dispatched_ms;
     if outcome == AttemptOutcome::Declined
@@ -329,15 +320,8 @@
         }
         _ => {}
     }
-    match outcome {
-        AttemptOutcome::Answered { .. } => {
-            state.poison_requests.record_answer(now_ms, fingerprint);
-            crashes::record_answer(state, now_ms, request_number, effects);
-        }
-        AttemptOutcome::Interrupted if may_have_crashed => state
-            .poison_requests
-            .record_interruption(now_ms, fingerprint),
-        _ => {}
+    if matches!(outcome, AttemptOutcome::Answered { .. }) {
+        crashes::record_answer(state, now_ms, request_number, effects);
     }
     let Some(request) = state.requests.get_mut(&request_number) else {
         return;
@@ -440,9 +424,6 @@
             .verdict
             .permits_retry(route.retry_safety.is_idempotent());
     is_allowed
-        && !state
-            .poison_requests
-            .is_poison(now_ms, request.incoming.fingerprint)
         && crashes::refused_for_ms(state, now_ms, &request.incoming).is_none()
         && request.runs < route.runs_max
         && request.attempts < ATTEMPTS_MAX
--- a/crates/toucancleat-fleet/src/request.rs
+++ b/crates/toucancleat-fleet/src/request.rs
@@ -9,7 +9,6 @@
 use crate::confinement::Confinement;
 use crate::continuation::Continuation;
 use crate::peers::Load;
-use crate::poison_requests::Fingerprint;
 use crate::prompt_part::PartId;
 use crate::target::SoftwareVersion;
 
@@ -17,6 +16,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestNumber(pub u64);
 
+/// Identifies the content of a request across attempts.
+pub type Fingerprint = u64;
+
 /// The parts of a received request that decisions depend on.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct IncomingRequest {
@@ -55,6 +57,11 @@
 const LOOKAHEAD_TOKENS: u64 = 130;
 
 impl IncomingRequest {
+    /// Returns its whole content as a part, which only repeats of the request share.
+    pub fn content(&self) -> PartId {
+        PartId(self.fingerprint)
+    }
+
     /// Returns the memory that a run needs now and in the near future, in tokens.
     ///
     /// The length of an answer isn't known and the caller's hint is often far off, so the
--- a/crates/toucancleat-fleet/src/state.rs
+++ b/crates/toucancleat-fleet/src/state.rs
@@ -18,7 +18,6 @@
 use crate::lapsed_entries::LapsedEntries;
 use crate::peers::{Load, MESSAGE_INTERVAL_MAX_MS, Peers};
 use crate::poison_parts::PoisonParts;
-use crate::poison_requests::PoisonRequests;
 use crate::pool_path::PoolPaths;
 use crate::request::{Request, RequestNumber};
 use crate::sole_origin::SoleOrigins;
@@ -137,8 +136,9 @@
     pub(crate) has_unsent_load: bool,
     pub(crate) address_sample_offset: usize,
     pub(crate) retry_budget: RetryBudget,
-    pub(crate) poison_requests: PoisonRequests,
     pub(crate) poison_parts: PoisonParts,
+    /// The whole contents of requests, each as a part of its own.
+    pub(crate) poison_requests: PoisonParts,
     pub(crate) pool_paths: PoolPaths,
     pub(crate) health: HealthTable,
     pub(crate) stream_origins: StreamOrigins,
@@ -222,8 +222,8 @@
             has_unsent_load: false,
             address_sample_offset: 0,
             retry_budget,
-            poison_requests: PoisonRequests::default(),
             poison_parts: PoisonParts::default(),
+            poison_requests: PoisonParts::default(),
             pool_paths: PoolPaths::default(),
             health: HealthTable::default(),
             stream_origins: StreamOrigins::default(),
@@ -313,6 +313,11 @@
         self.poison_parts.poison_count(now_ms)
     }
 
+    /// Returns the number of poison requests.
+    pub fn poison_requests(&self, now_ms: u64) -> usize {
+        self.poison_requests.poison_count(now_ms)
+    }
+
     /// Returns the availability zones that operators have evacuated.
     pub fn evacuations(&self) -> &Evacuations {
         &self.evacuations
--- a/crates/toucancleat-gateway/src/datagram.rs
+++ b/crates/toucancleat-gateway/src/datagram.rs
@@ -71,10 +71,12 @@
     is_exiting: bool,
 }
 
-/// The part that follows what is known of the predecessor. Hosts of the last release ignore it.
+/// The parts that follow what is known of the predecessor. Hosts of the last release ignore it.
 #[derive(Serialize, Deserialize)]
 struct TrialExtension {
     trials: TrialReports,
+    request_reports: PartReports,
+    request_trials: TrialReports,
 }
 
 /// A message to peers, encoded but for what differs between them.
@@ -114,6 +116,8 @@
 pub fn encode(mut message: Message) -> postcard::Result<EncodedMessage> {
     let trials = TrialExtension {
         trials: std::mem::take(&mut message.part_reports.trials),
+        request_trials: std::mem::take(&mut message.request_reports.trials),
+        request_reports: std::mem::take(&mut message.request_reports),
     };
     let extension = Extension {
         notices: std::mem::take(&mut message.notices),
@@ -273,6 +277,10 @@
     if !rest.is_empty() {
         let extension: TrialExtension = postcard::from_bytes(rest)?;
         message.part_reports.trials = extension.trials;
+        message.request_reports = PartReports {
+            trials: extension.request_trials,
+            ..extension.request_reports
+        };
     }
     Ok(())
 }
--- a/crates/toucancleat-gateway/src/event_log.rs
+++ b/crates/toucancleat-gateway/src/event_log.rs
@@ -1,5 +1,6 @@
 //! Log lines of the reducer's events.
 
+use toucancleat_fleet::poison_parts::PartScope;
 use toucancleat_fleet::prelude::*;
 
 /// Writes the log line of an event of the reducer.
@@ -145,24 +146,53 @@
             }
         }
         LogEvent::PartRefused {
+            scope: PartScope::Prompt,
             part,
             crashed_targets,
         } => {
             log::warn!(part:% = part, crashed_targets; "targets crash under a part of prompts; refusing requests with it");
         }
-        LogEvent::PartConfirmed { part, pause_ms } => {
+        LogEvent::PartRefused {
+            scope: PartScope::Request,
+            part,
+            crashed_targets,
+        } => {
+            log::warn!(content:% = part, crashed_targets; "targets crash under a request; refusing its repeats");
+        }
+        LogEvent::PartConfirmed {
+            scope: PartScope::Prompt,
+            part,
+            pause_ms,
+        } => {
             log::warn!(part:% = part, pause_ms; "a target crashed again under a refused part of prompts");
         }
+        LogEvent::PartConfirmed {
+            scope: PartScope::Request,
+            part,
+            pause_ms,
+        } => {
+            log::warn!(content:% = part, pause_ms; "a target crashed again under a refused request");
+        }
         LogEvent::PartTrialBegan {
             attempt_id,
             shared_parts,
+            content,
         } => {
             let shared_parts = part_list(shared_parts);
-            log::info!(request:% = attempt_id, shared_parts; "trying a refused part of prompts");
+            log::info!(request:% = attempt_id, shared_parts, content:% = content; "sending a refused request as a trial");
         }
-        LogEvent::PartAccepted { part } => {
+        LogEvent::PartAccepted {
+            scope: PartScope::Prompt,
+            part,
+        } => {
             log::info!(part:% = part; "a request with a refused part of prompts was answered; accepting requests with it");
         }
+        LogEvent::PartAccepted {
+            scope: PartScope::Request,
+            part,
+        } => {
+            log::info!(content:% = part; "a refused request was answered; accepting its repeats");
+        }
         LogEvent::StreamResumed {
             attempt_id,
             version,
--- a/crates/toucancleat-gateway/src/host.rs
+++ b/crates/toucancleat-gateway/src/host.rs
@@ -248,6 +248,11 @@
         self.state.borrow().poison_parts(clock::now_ms())
     }
 
+    /// Returns the number of poison requests.
+    pub fn poison_requests(&self) -> usize {
+        self.state.borrow().poison_requests(clock::now_ms())
+    }
+
     /// Returns the number of streams of which this host keeps where they began.
     pub fn kept_origins(&self) -> usize {
         self.state.borrow().kept_origins()
--- a/crates/toucancleat-gateway/src/metrics.rs
+++ b/crates/toucancleat-gateway/src/metrics.rs
@@ -77,6 +77,8 @@
     pub held_answer_bytes: Gauge,
     /// Parts of prompts with which requests are refused.
     pub poison_parts: Gauge,
+    /// Requests whose repeats are refused.
+    pub poison_requests: Gauge,
     /// Answers whose report about their target is invalid.
     pub invalid_notices: Counter,
     /// Entries of the host list that are invalid, each time they are read.
@@ -117,6 +119,7 @@
             stream_origins: Gauge::default(),
             held_answer_bytes: Gauge::default(),
             poison_parts: Gauge::default(),
+            poison_requests: Gauge::default(),
             invalid_notices: Counter::default(),
             invalid_entries: Counter::default(),
             invalid_eras: Counter::default(),
@@ -239,6 +242,11 @@
             "Parts of prompts with which requests are refused",
             self.poison_parts.clone(),
         );
+        registry.register(
+            "poison_requests",
+            "Requests whose repeats are refused",
+            self.poison_requests.clone(),
+        );
         registry.register(
             "invalid_notices",
             "Answers whose report about their target is invalid",
@@ -316,6 +324,8 @@
     host.metrics.lost_paths.set(lost_paths);
     let poison_parts = i64::try_from(host.poison_parts()).unwrap_or(i64::MAX);
     host.metrics.poison_parts.set(poison_parts);
+    let poison_requests = i64::try_from(host.poison_requests()).unwrap_or(i64::MAX);
+    host.metrics.poison_requests.set(poison_requests);
     let held_answer_bytes = host.answer_memory.reserved_bytes();
     let held_answer_bytes = i64::try_from(held_answer_bytes).unwrap_or(i64::MAX);
     host.metrics.held_answer_bytes.set(held_answer_bytes);
--- a/crates/toucancleat-gateway/src/request.rs
+++ b/crates/toucancleat-gateway/src/request.rs
@@ -8,8 +8,8 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri, header};
-use toucancleat_fleet::poison_requests::Fingerprint;
 use toucancleat_fleet::prelude::*;
+use toucancleat_fleet::request::Fingerprint;
 use toucancleat_platform::{answer, caller};
 
 use crate::attempt::{Answer, AttemptResult, Outbound, Resumption, run_attempt};
--- a/crates/toucancleat-gateway/tests/compatibility.rs
+++ b/crates/toucancleat-gateway/tests/compatibility.rs
@@ -4,7 +4,7 @@
 //! docs/design/compatibility.md.
 
 use toucancleat_fleet::peers::{Message, Update};
-use toucancleat_fleet::poison_parts::TrialReports;
+use toucancleat_fleet::poison_parts::{PartReports, TrialReports};
 use toucancleat_gateway::datagram::{Datagram, decode, encode, encode_origin};
 
 /// A release, or what will be the next one.
@@ -19,7 +19,7 @@
     has_watch: bool,
     /// Whether it tells what earlier processes used of the retry budget.
     has_retry_history: bool,
-    /// Whether it tells of trials of poison parts.
+    /// Whether it tells of trials of poison parts, and of poison requests by their crashes.
     has_trials: bool,
 }
 
@@ -171,6 +171,7 @@
                 heeds_confinement,
                 version_digest,
                 part_reports,
+                request_reports,
                 path_reports,
                 evacuations,
                 cold_reports,
@@ -194,6 +195,8 @@
             assert!(release.has_retry_history || !has_retry_history, "{name}");
             let tells_trials = part_reports.trials != TrialReports::default();
             assert_eq!(tells_trials, release.has_trials, "{name}");
+            let tells_requests = request_reports != PartReports::default();
+            assert_eq!(tells_requests, release.has_trials, "{name}");
             if let Some(Update::Configuration(change)) = update {
                 assert_eq!(change.is_complete, release.heeds_confinement, "{name}");
             }
--- a/crates/toucancleat-gateway/tests/datagram.rs
+++ b/crates/toucancleat-gateway/tests/datagram.rs
@@ -95,6 +95,15 @@
                 begun: vec![(PartId(u64::MAX), 200)],
             },
         },
+        request_reports: PartReports {
+            crashes: vec![(PartId(17), vec![(6, 70)])],
+            poison: vec![(PartId(17), 65)],
+            answered: vec![(PartId(18), 25)],
+            trials: TrialReports {
+                confidences: vec![0],
+                begun: vec![(PartId(17), 40)],
+            },
+        },
         path_reports: vec![PathReport {
             pool: PoolName::new("engines"),
             reached_age_ms: Some(30),
@@ -382,6 +391,7 @@
             trials: TrialReports::default(),
             ..message.part_reports.clone()
         },
+        request_reports: PartReports::default(),
         ..message.clone()
     };
     let (mut bytes, _) = datagram(&message);
@@ -519,6 +529,7 @@
                 begun: vec![(PartId(highest), highest as u32); 99],
             },
         };
+        message.request_reports = message.part_reports.clone();
         message.path_reports[0].reached_age_ms = Some(highest);
         message.brittle_reports.pools[0].2 = highest;
         message.brittle_reports.rejections[0].1 = highest;
