Bound the confidence in a verdict that a peer names

A peer that names a confidence beyond the highest, such as a damaged message does, let its verdict replace the known one with each message, and ended the process at the next crash (an overflow, in builds that check it). The type is `PoisonVerdict` now: `Verdict` says whether a request may have run.

--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -26,7 +26,8 @@
 use toucancleat_core::rng::stable_hash;
 
 use crate::poison_verdict::{
-    CONFIRMED, Confidence, PROBATION_MS, REFUSAL_MS, TRIAL_MS, Verdict,
+    CONFIDENCE_MAX, CONFIRMED, Confidence, PROBATION_MS, PoisonVerdict, REFUSAL_MS,
+    TRIAL_MS,
 };
 use crate::prompt_part::PartId;
 
@@ -152,7 +153,7 @@
 
 impl Trial {
     /// Returns true if it began after the last crash by which there is a verdict.
-    fn is_of(&self, verdict: &Verdict) -> bool {
+    fn is_of(&self, verdict: &PoisonVerdict) -> bool {
         self.began_ms > verdict.since_ms
     }
 }
@@ -161,7 +162,7 @@
 #[derive(Clone, Debug, Default)]
 struct Suspect {
     crashes: IndexMap<TargetKey, Crash>,
-    verdict: Option<Verdict>,
+    verdict: Option<PoisonVerdict>,
     trial: Option<Trial>,
     /// When a peer last reported it as suspect or poison.
     peer_reported_ms: Option<u64>,
@@ -196,7 +197,7 @@
     }
 
     /// Returns when another trial may begin by a verdict, after the one that may be running.
-    fn next_trial_ms(&self, verdict: &Verdict) -> u64 {
+    fn next_trial_ms(&self, verdict: &PoisonVerdict) -> u64 {
         let running = self.trial.as_ref().filter(|trial| trial.is_of(verdict));
         let over_ms = running.map(|trial| trial.began_ms + TRIAL_MS);
         over_ms.unwrap_or_default().max(verdict.trial_due_ms())
@@ -441,7 +442,12 @@
     }
 
     /// Returns the verdict by which requests with these parts are refused for one of them.
-    fn verdict_on(&self, now_ms: u64, part: PartId, parts: &[PartId]) -> Option<Verdict> {
+    fn verdict_on(
+        &self,
+        now_ms: u64,
+        part: PartId,
+        parts: &[PartId],
+    ) -> Option<PoisonVerdict> {
         let suspect = self.suspects.get(&part)?;
         if let Some(verdict) = suspect.verdict
             && verdict.is_in_force(now_ms)
@@ -451,7 +457,7 @@
         if !self.is_inseparable(now_ms, part, parts) {
             return None;
         }
-        Verdict::from_crashes(suspect.crash_times_ms())
+        PoisonVerdict::from_crashes(suspect.crash_times_ms())
     }
 
     /// Returns the parts under which targets have crashed at this host, and how many.
@@ -531,6 +537,7 @@
         confidence: Confidence,
     ) -> Option<PartChange> {
         let answered_ms = self.answered_ms(part).unwrap_or_default();
+        let confidence = confidence.min(CONFIDENCE_MAX);
         let suspect = self.suspect(part);
         suspect.peer_reported_ms = Some(now_ms);
         let since_ms = since_ms.filter(|since_ms| {
@@ -546,7 +553,7 @@
             return None;
         }
         let was_refused = suspect.is_refused(now_ms);
-        suspect.verdict = Some(Verdict {
+        suspect.verdict = Some(PoisonVerdict {
             since_ms,
             confidence,
         });
@@ -628,13 +635,14 @@
             // N.B. not the present time: peers may tell of answers after the crashes only later.
             let suspect = self.suspect(part);
             let before = suspect.verdict;
-            suspect.verdict =
-                Verdict::from_crashes(suspect.crash_times_ms()).map(|mut verdict| {
+            suspect.verdict = PoisonVerdict::from_crashes(suspect.crash_times_ms()).map(
+                |mut verdict| {
                     if let Some(before) = before {
                         verdict.confidence = before.confidence;
                     }
                     verdict
-                });
+                },
+            );
         }
         changes
     }
--- a/crates/toucancleat-fleet/src/poison_verdict.rs
+++ b/crates/toucancleat-fleet/src/poison_verdict.rs
@@ -33,20 +33,21 @@
 /// The confidence in a verdict with crashes on three occasions, or of a host that names none.
 pub const CONFIRMED: Confidence = 2;
 
-const CONFIDENCE_MAX: Confidence = CONFIRMED + 1;
+/// The highest confidence.
+pub const CONFIDENCE_MAX: Confidence = CONFIRMED + 1;
 
 /// A verdict on a poison part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Verdict {
+pub struct PoisonVerdict {
     /// When the last of the crashes happened by which the part was found to be poison.
     pub since_ms: u64,
     /// How firmly it stands.
     pub confidence: Confidence,
 }
 
-impl Verdict {
+impl PoisonVerdict {
     /// Returns the verdict by the times of crashes, or `None` if there are none.
-    pub fn from_crashes(crashes_ms: impl Iterator<Item = u64>) -> Option<Verdict> {
+    pub fn from_crashes(crashes_ms: impl Iterator<Item = u64>) -> Option<PoisonVerdict> {
         let mut crashes_ms: Vec<u64> = crashes_ms.collect();
         crashes_ms.sort_unstable();
         let since_ms = *crashes_ms.last()?;
@@ -58,7 +59,7 @@
                 occasions = occasions.saturating_add(1);
             }
         }
-        Some(Verdict {
+        Some(PoisonVerdict {
             since_ms,
             confidence: (occasions - 1).min(CONFIRMED),
         })
--- a/crates/toucancleat-fleet/tests/poison_verdict.rs
+++ b/crates/toucancleat-fleet/tests/poison_verdict.rs
@@ -3,9 +3,11 @@
 mod support;
 
 use support::START_MS;
-use toucancleat_fleet::poison_parts::{CrashedTarget, PoisonParts, TargetKey};
+use toucancleat_fleet::poison_parts::{
+    CrashedTarget, PartReports, PoisonParts, TargetKey, TrialReports,
+};
 use toucancleat_fleet::poison_verdict::{
-    COMMON_CAUSE_MS, CONFIRMED, TRIAL_MS, Verdict, trial_delay_ms,
+    COMMON_CAUSE_MS, CONFIRMED, PoisonVerdict, TRIAL_MS, trial_delay_ms,
 };
 use toucancleat_fleet::prelude::*;
 
@@ -268,13 +270,40 @@
         },
     ];
     for case in cases {
-        let verdict = Verdict::from_crashes(case.crashes_ms.iter().copied());
+        let verdict = PoisonVerdict::from_crashes(case.crashes_ms.iter().copied());
         let verdict = verdict.expect("there are crashes");
         assert_eq!(verdict.confidence, case.confidence, "{}", case.name);
         let last_ms = case.crashes_ms.iter().max();
         assert_eq!(Some(&verdict.since_ms), last_ms, "{}", case.name);
     }
-    assert_eq!(Verdict::from_crashes([].into_iter()), None);
+    assert_eq!(PoisonVerdict::from_crashes([].into_iter()), None);
+}
+
+/// Guards against a process that ends since a peer names a confidence that no verdict has.
+#[test]
+fn a_verdict_of_any_confidence_is_renewed_by_a_crash() {
+    for confidence in [CONFIRMED, CONFIRMED + 1, u8::MAX - 1, u8::MAX] {
+        let mut parts = PoisonParts::default();
+        let reports = PartReports {
+            poison: vec![(P, 0)],
+            trials: TrialReports {
+                confidences: vec![confidence],
+                begun: Vec::new(),
+            },
+            ..PartReports::default()
+        };
+        parts.record_reports(START_MS, &HostName::new("host-1"), &reports);
+        let target = CrashedTarget {
+            key: 1,
+            unreached_ms: None,
+        };
+        let now_ms = START_MS + CONFIRMED_PAUSE_MS;
+        parts.begin_trial(now_ms, &[P]);
+        parts.record_crash(now_ms, target, &[P]);
+        assert!(parts.is_refused(now_ms + 1, &[P]), "{confidence}");
+        let known = parts.own_reports(now_ms).trials.confidences;
+        assert_eq!(known, [CONFIRMED + 1], "{confidence}");
+    }
 }
 
 /// The first of a fleet's hosts begins a trial at once, and all of a large one may within seconds.
