Tell peers of a single crash for some seconds only

The only crash under a part is now told by the host that saw it, for 4 s; several crashes and verdicts are passed on by all as before. Suspects are searched for old crashes once a second.

--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -65,6 +65,12 @@
 /// Maximum number of crashes under one part that are remembered and reported.
 const CRASHES_OF_PART_MAX: usize = 16;
 
+/// Time for which a host reports the only crash under a part: some messages of a large fleet.
+const SINGLE_CRASH_REPORT_MS: u64 = 4_000;
+
+/// Interval at which suspects are searched for what is older than its retention time.
+const EXPIRY_INTERVAL_MS: u64 = 1_000;
+
 /// Maximum number of parts in each list of a message. An entry takes some 15 bytes, and five
 /// more for each crash.
 const REPORTED_MAX: usize = 32;
@@ -192,6 +198,15 @@
         key
     }
 
+    /// Returns true if peers are told of a crash.
+    ///
+    /// Most parts crash one target only, which ended for another reason. Messages would be full
+    /// of them, at all hosts and for as long as they are remembered.
+    fn is_reported(&self, now_ms: u64, crash: &Crash) -> bool {
+        let is_recent = now_ms.saturating_sub(crash.at_ms) < SINGLE_CRASH_REPORT_MS;
+        self.crashes.len() > 1 || (crash.is_own && is_recent)
+    }
+
     fn crash_times_ms(&self) -> impl Iterator<Item = u64> {
         self.crashes.values().map(|crash| crash.at_ms)
     }
@@ -247,6 +262,7 @@
     own_answers: AnsweredParts,
     /// Answers that peers have reported.
     peer_answers: AnsweredParts,
+    expired_ms: u64,
 }
 
 impl PoisonParts {
@@ -369,6 +385,7 @@
             let crashes: Vec<(TargetKey, u32)> = suspect
                 .crashes
                 .iter()
+                .filter(|(_, crash)| suspect.is_reported(now_ms, crash))
                 .map(|(target, crash)| (*target, age_ms(crash.at_ms)))
                 .collect();
             if !crashes.is_empty() {
@@ -460,11 +477,13 @@
         PoisonVerdict::from_crashes(suspect.crash_times_ms())
     }
 
-    /// Returns the parts under which targets have crashed at this host, and how many.
-    pub fn own_crash_counts(&self) -> Vec<(PartId, u32)> {
+    /// Returns the parts under which targets have crashed at this host, and how many, as far as
+    /// they are reported.
+    pub fn own_crash_counts(&self, now_ms: u64) -> Vec<(PartId, u32)> {
         let crash_count = |suspect: &Suspect| {
             let own = suspect.crashes.values().filter(|crash| crash.is_own);
-            u32::try_from(own.count()).unwrap_or(u32::MAX)
+            let reported = own.filter(|crash| suspect.is_reported(now_ms, crash));
+            u32::try_from(reported.count()).unwrap_or(u32::MAX)
         };
         let counts = self.suspects.iter().rev();
         counts
@@ -690,6 +709,10 @@
 
     /// Forgets what is older than its retention time.
     fn expire(&mut self, now_ms: u64) {
+        if now_ms.saturating_sub(self.expired_ms) < EXPIRY_INTERVAL_MS {
+            return;
+        }
+        self.expired_ms = now_ms;
         self.suspects.retain(|_, suspect| {
             suspect.crashes.retain(|_, crash| {
                 now_ms.saturating_sub(crash.at_ms) < CRASH_RETENTION_MS
--- a/crates/toucancleat-fleet/src/reduce/messages.rs
+++ b/crates/toucancleat-fleet/src/reduce/messages.rs
@@ -109,7 +109,7 @@
             .map(|(target, load)| (target.clone(), *load))
             .collect(),
         retry_counts: counts.into_iter().collect(),
-        interruptions: own_crash_counts(state),
+        interruptions: own_crash_counts(state, now_ms),
         echo: None,
         notices: state.target_notices.own_reports(now_ms),
         store_era: state.store_era,
@@ -233,8 +233,8 @@
 }
 
 /// Returns what hosts of earlier releases count of requests that crash targets.
-fn own_crash_counts(state: &State) -> Vec<(Fingerprint, u32)> {
-    let counts = state.poison_requests.own_crash_counts().into_iter();
+fn own_crash_counts(state: &State, now_ms: u64) -> Vec<(Fingerprint, u32)> {
+    let counts = state.poison_requests.own_crash_counts(now_ms).into_iter();
     counts.map(|(part, count)| (part.0, count)).collect()
 }
 
