Spread the Retry-After of requests that a poison verdict refuses

Callers refused by one verdict, at any host and at any time of its pause, were told the same moment to return: the end of the next trial. One request would then be the trial, and all others that returned with it be refused for another 3 s; those of a minute come together after the longest pause.

They are now told that moment and up to half as much later, at random. The earliest is as before, so that nobody is told a time at which the trial can't be over.

--- a/crates/toucancleat-fleet/src/reduce/crashes.rs
+++ b/crates/toucancleat-fleet/src/reduce/crashes.rs
@@ -9,7 +9,7 @@
 };
 use crate::poison_verdict;
 use crate::request::{IncomingRequest, Reason, Request, RequestNumber};
-use crate::state::State;
+use crate::state::{State, random_unit};
 
 /// Returns for how long a request is refused since its parts crash targets, in milliseconds, or
 /// `None` if it may be sent.
@@ -34,6 +34,12 @@
     parts_ms.max(request_ms)
 }
 
+/// Returns after what time a caller may return that is refused for a time, see
+/// [`poison_verdict::retry_after_ms`].
+pub(super) fn retry_after_ms(state: &mut State, refused_ms: u64) -> u64 {
+    poison_verdict::retry_after_ms(refused_ms, random_unit(&mut state.rng_state))
+}
+
 /// Returns true if a request is refused since its parts crash targets, except as a trial.
 pub(super) fn is_refused(state: &State, now_ms: u64, incoming: &IncomingRequest) -> bool {
     state
@@ -184,16 +190,16 @@
     let Some(request) = state.requests.get(&request_number) else {
         return;
     };
-    match refused_for_ms(state, now_ms, &request.incoming) {
-        None => effects.push(Effect::ResumeFromCopy { request_number }),
-        refused_ms => {
-            if let Some(request) = state.requests.get_mut(&request_number) {
-                request.verdict = request.verdict.max(Verdict::MayHaveRun);
-            }
-            let reason = Reason::CrashesTargets;
-            refuse(state, request_number, reason, refused_ms, effects);
-        }
+    let Some(refused_ms) = refused_for_ms(state, now_ms, &request.incoming) else {
+        effects.push(Effect::ResumeFromCopy { request_number });
+        return;
+    };
+    if let Some(request) = state.requests.get_mut(&request_number) {
+        request.verdict = request.verdict.max(Verdict::MayHaveRun);
     }
+    let reason = Reason::CrashesTargets;
+    let retry_after_ms = Some(retry_after_ms(state, refused_ms));
+    refuse(state, request_number, reason, retry_after_ms, effects);
 }
 
 /// Logs what has changed about parts of prompts or whole requests.
--- a/crates/toucancleat-fleet/src/reduce/placement.rs
+++ b/crates/toucancleat-fleet/src/reduce/placement.rs
@@ -262,7 +262,8 @@
     }
     if let Some(refused_ms) = crashes::refused_for_ms(state, now_ms, &request.incoming) {
         let reason = Reason::CrashesTargets;
-        return refuse(state, request_number, reason, Some(refused_ms), effects);
+        let retry_after_ms = Some(crashes::retry_after_ms(state, refused_ms));
+        return refuse(state, request_number, reason, retry_after_ms, effects);
     }
     let is_keyed = !request.route().is_public;
     if is_keyed && !state.is_configuration_fresh(now_ms) {
--- a/crates/toucancleat-fleet/src/reduce/requests.rs
+++ b/crates/toucancleat-fleet/src/reduce/requests.rs
@@ -123,7 +123,8 @@
         ));
     }
     if let Some(refused_ms) = crashes::refused_for_ms(state, now_ms, &incoming) {
-        return Err(not_run(Reason::CrashesTargets, Some(refused_ms)));
+        let retry_after_ms = crashes::retry_after_ms(state, refused_ms);
+        return Err(not_run(Reason::CrashesTargets, Some(retry_after_ms)));
     }
     let time_limit_ms = incoming
         .time_limit_ms
--- a/crates/toucancleat-fleet/tests/poison_verdict.rs
+++ b/crates/toucancleat-fleet/tests/poison_verdict.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use support::START_MS;
+use support::crashing::CrashingFleet;
 use toucancleat_fleet::poison_parts::{
     CrashedTarget, PartReports, PoisonParts, TargetKey, TrialReports,
 };
@@ -321,3 +322,53 @@
     assert_eq!(counts, expected);
     assert!(trial_delay_ms(1_199) < TRIAL_MS);
 }
+
+/// Guards against callers who all return at one moment since they were refused by one verdict.
+#[test]
+fn callers_that_one_verdict_refuses_return_at_different_times() {
+    struct Case {
+        name: &'static str,
+        /// Time for which poison requests come.
+        poison_ms: u64,
+        pause_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "a new verdict",
+            poison_ms: 1_000,
+            pause_ms: PAUSE_MS,
+        },
+        Case {
+            name: "a confirmed verdict",
+            poison_ms: 8_000,
+            pause_ms: CONFIRMED_PAUSE_MS,
+        },
+    ];
+    for case in cases {
+        let mut simulation = CrashingFleet::new(3, 12, &["upp-a"], 7);
+        let end_ms = simulation.fleet.now_ms + case.poison_ms;
+        while simulation.fleet.now_ms < end_ms {
+            if simulation.is_due(20.0) {
+                simulation.send("check", vec![P], 600, true);
+            }
+            simulation.step();
+        }
+        assert!(simulation.crashes_ms.len() >= 3, "{}", case.name);
+        for _ in 0..40 {
+            simulation.send("check", vec![P], 600, true);
+        }
+        let refusals = &simulation.fleet.refused_requests;
+        let times_ms: Vec<u64> = refusals
+            .iter()
+            .filter(|(_, refusal)| refusal.reason == Reason::CrashesTargets)
+            .filter_map(|(_, refusal)| refusal.retry_after_ms)
+            .collect();
+        assert!(times_ms.len() >= 39, "{}: {times_ms:?}", case.name);
+        let first_ms = times_ms.iter().min().copied().unwrap_or_default();
+        let last_ms = times_ms.iter().max().copied().unwrap_or_default();
+        let range = format!("{}: {first_ms} to {last_ms} ms", case.name);
+        assert!(first_ms >= TRIAL_MS, "{range}");
+        assert!(last_ms <= 2 * (case.pause_ms + TRIAL_MS), "{range}");
+        assert!(last_ms - first_ms >= first_ms / 4, "{range}");
+    }
+}
