Ask for a host's place among all only once a trial is due

Each refused request counted all live peers that precede this host, to tell the caller when its trial would begin. The place decides only whether a trial that is due may begin here; the time that callers are told is spread further than the places are. So a refused request no longer costs more in a larger fleet, except in the seconds in which a trial may begin.

hosts_ask_for_their_turn_only_once_a_trial_is_due failed before.

--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -418,9 +418,10 @@
         parts: &[PartId],
         trial_delay_ms: impl FnOnce() -> u64,
     ) -> Option<u64> {
-        let trial_ms = self.next_trial_ms(now_ms, parts)? + trial_delay_ms();
+        let due_ms = self.next_trial_ms(now_ms, parts)?;
+        let may_begin = now_ms >= due_ms && now_ms >= due_ms + trial_delay_ms();
         // Others are accepted only once the trial has been answered.
-        (trial_ms > now_ms).then(|| trial_ms - now_ms + TRIAL_MS)
+        (!may_begin).then(|| due_ms.saturating_sub(now_ms) + TRIAL_MS)
     }
 
     /// Records that a request with these parts is sent as a trial.
--- a/crates/toucancleat-fleet/tests/poison_verdict.rs
+++ b/crates/toucancleat-fleet/tests/poison_verdict.rs
@@ -323,6 +323,33 @@
     assert!(trial_delay_ms(1_199) < TRIAL_MS);
 }
 
+/// Guards against requests that are refused at a cost that grows with the fleet: a host's place among all
+/// hosts matters only once a trial is due.
+#[test]
+fn hosts_ask_for_their_turn_only_once_a_trial_is_due() {
+    let mut parts = PoisonParts::default();
+    for key in 0..3 {
+        let target = CrashedTarget {
+            key,
+            unreached_ms: None,
+        };
+        parts.record_crash(START_MS, target, &[P]);
+    }
+    let due_ms = START_MS + PAUSE_MS;
+    let delay_ms = trial_delay_ms(1);
+    let refused_ms = |now_ms| {
+        let is_asked = std::cell::Cell::new(false);
+        let turn = || {
+            is_asked.set(true);
+            delay_ms
+        };
+        (parts.refused_for_ms(now_ms, &[P], turn), is_asked.get())
+    };
+    assert_eq!(refused_ms(due_ms - 1), (Some(1 + TRIAL_MS), false));
+    assert_eq!(refused_ms(due_ms), (Some(TRIAL_MS), true));
+    assert_eq!(refused_ms(due_ms + delay_ms), (None, true));
+}
+
 /// Guards against callers who all return at one moment since they were refused by one verdict.
 #[test]
 fn callers_that_one_verdict_refuses_return_at_different_times() {
