Split the evidence about poison parts: suspects, answers, reports

Nothing is changed but the places of types and their constants.

Measured: poison_verdict, poison_parts, poison_requests and alike_requests pass.

--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -20,11 +20,18 @@
 //! is let through as a trial, since a verdict may be wrong and nothing else is sent that would
 //! contradict it ([`poison_verdict`](crate::poison_verdict)). See docs/design/poison-parts.md.
 
+mod answers;
+mod reports;
+mod suspect;
+
 use indexmap::{IndexMap, IndexSet};
-use serde::{Deserialize, Serialize};
 use toucancleat_core::prelude::*;
 use toucancleat_core::rng::stable_hash;
 
+pub use self::reports::{PartReports, TrialReports};
+
+use self::answers::AnsweredParts;
+use self::suspect::{Crash, Suspect, Trial};
 use crate::poison_verdict::{
     CONFIDENCE_MAX, CONFIRMED, Confidence, PROBATION_MS, PoisonVerdict, REFUSAL_MS,
     TRIAL_MS,
@@ -56,18 +63,12 @@
 /// Time for which an answer speaks for a part when another part of its request may be to blame.
 const ANSWER_RETENTION_MS: u64 = 120_000;
 
-/// Maximum number of parts with answers that are remembered; a host forgets the oldest half.
-const ANSWERED_PARTS_MAX: usize = 8_192;
-
 /// Maximum number of parts with crashes or a verdict; the oldest is forgotten.
 const SUSPECTS_MAX: usize = 1_024;
 
 /// Maximum number of crashes under one part that are remembered and reported.
 const CRASHES_OF_PART_MAX: usize = 16;
 
-/// Time for which a host reports the only crash under a part: some messages of a large fleet.
-const SINGLE_CRASH_REPORT_MS: u64 = 4_000;
-
 /// Interval at which suspects are searched for what is older than its retention time.
 const EXPIRY_INTERVAL_MS: u64 = 1_000;
 
@@ -98,29 +99,6 @@
     pub unreached_ms: Option<u64>,
 }
 
-/// What a host reports to its peers about parts of prompts.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct PartReports {
-    /// Parts, the targets that crashed under each, and the age of each crash.
-    pub crashes: Vec<(PartId, Vec<(TargetKey, u32)>)>,
-    /// Poison parts, and the age of each verdict.
-    pub poison: Vec<(PartId, u32)>,
-    /// Parts that other hosts suspect, and the age of their last answer here.
-    pub answered: Vec<(PartId, u32)>,
-    /// What hosts of the last release don't send, so it is encoded apart.
-    #[serde(skip)]
-    pub trials: TrialReports,
-}
-
-/// What a host reports about trials of poison parts.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct TrialReports {
-    /// The confidence in each verdict, in their order.
-    pub confidences: Vec<Confidence>,
-    /// Parts of which this host has begun a trial, and the age of the trial.
-    pub begun: Vec<(PartId, u32)>,
-}
-
 /// What the parts of an instance of the evidence are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartScope {
@@ -142,118 +120,6 @@
     Sound(PartId),
 }
 
-/// A crash under a part.
-#[derive(Clone, Copy, Debug)]
-struct Crash {
-    at_ms: u64,
-    is_own: bool,
-}
-
-/// A trial of a poison part.
-#[derive(Clone, Debug)]
-struct Trial {
-    began_ms: u64,
-    /// The peer that has sent the request, or `None` if this host has.
-    peer: Option<HostName>,
-}
-
-impl Trial {
-    /// Returns true if it began after the last crash by which there is a verdict.
-    fn is_of(&self, verdict: &PoisonVerdict) -> bool {
-        self.began_ms > verdict.since_ms
-    }
-}
-
-/// A part under which targets have crashed.
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    crashes: IndexMap<TargetKey, Crash>,
-    verdict: Option<PoisonVerdict>,
-    trial: Option<Trial>,
-    /// When a peer last reported it as suspect or poison.
-    peer_reported_ms: Option<u64>,
-}
-
-impl Suspect {
-    fn is_refused(&self, now_ms: u64) -> bool {
-        self.verdict
-            .is_some_and(|verdict| verdict.is_in_force(now_ms))
-    }
-
-    fn is_on_probation(&self) -> bool {
-        self.verdict.is_some()
-    }
-
-    /// Returns the key of a crash. All hosts that know of the target's earlier crashes, and that it
-    /// couldn't be reached after them, compute the same key.
-    fn key_of_crash(&self, target: CrashedTarget) -> TargetKey {
-        let mut key = target.key;
-        while self
-            .crashes
-            .get(&key)
-            .is_some_and(|crash| Some(crash.at_ms) < target.unreached_ms)
-        {
-            key = key.wrapping_add(1);
-        }
-        key
-    }
-
-    /// Returns true if peers are told of a crash.
-    ///
-    /// Most parts crash one target only, which ended for another reason. Messages would be full
-    /// of them, at all hosts and for as long as they are remembered.
-    fn is_reported(&self, now_ms: u64, crash: &Crash) -> bool {
-        let is_recent = now_ms.saturating_sub(crash.at_ms) < SINGLE_CRASH_REPORT_MS;
-        self.crashes.len() > 1 || (crash.is_own && is_recent)
-    }
-
-    fn crash_times_ms(&self) -> impl Iterator<Item = u64> {
-        self.crashes.values().map(|crash| crash.at_ms)
-    }
-
-    /// Returns when another trial may begin by a verdict, after the one that may be running.
-    fn next_trial_ms(&self, verdict: &PoisonVerdict) -> u64 {
-        let running = self.trial.as_ref().filter(|trial| trial.is_of(verdict));
-        let over_ms = running.map(|trial| trial.began_ms + TRIAL_MS);
-        over_ms.unwrap_or_default().max(verdict.trial_due_ms())
-    }
-
-    fn is_kept(&self, now_ms: u64) -> bool {
-        let is_recent = |at_ms: Option<u64>, retention_ms: u64| {
-            at_ms.is_some_and(|at_ms| now_ms.saturating_sub(at_ms) < retention_ms)
-        };
-        !self.crashes.is_empty()
-            || is_recent(
-                self.verdict.map(|verdict| verdict.since_ms),
-                REFUSAL_MS + PROBATION_MS,
-            )
-            || is_recent(self.peer_reported_ms, CRASH_RETENTION_MS)
-    }
-}
-
-/// Parts with answers, and when the last was received. Held in two generations, so that the
-/// oldest are forgotten without being searched for.
-#[derive(Clone, Debug, Default)]
-struct AnsweredParts {
-    recent: IndexMap<PartId, u64>,
-    earlier: IndexMap<PartId, u64>,
-}
-
-impl AnsweredParts {
-    fn record(&mut self, at_ms: u64, part: PartId) {
-        if self.recent.len() >= ANSWERED_PARTS_MAX / 2 {
-            self.earlier = std::mem::take(&mut self.recent);
-        }
-        let answered_ms = self.recent.entry(part).or_default();
-        *answered_ms = at_ms.max(*answered_ms);
-    }
-
-    fn last_ms(&self, part: PartId) -> Option<u64> {
-        let recent = self.recent.get(&part).copied();
-        recent.max(self.earlier.get(&part).copied())
-    }
-}
-
 /// The evidence for and against parts of prompts, of all hosts.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonParts {
