Keep the trials of each peer, instead of looking for them among all suspects

Each message of a peer, also one without reports, searched up to 1,024 suspects for trials that the peer no longer reports: the cost of messages grew with the fleet times the suspects. The parts are now kept by peer.

Measured: poison_verdict, poison_parts, poison_requests and alike_requests pass.

--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -128,6 +128,8 @@
     own_answers: AnsweredParts,
     /// Answers that peers have reported.
     peer_answers: AnsweredParts,
+    /// Parts of which a peer has begun a trial, for peers that have.
+    peer_trials: IndexMap<HostName, Vec<PartId>>,
     expired_ms: u64,
 }
 
@@ -211,11 +213,13 @@
 
     /// Records the trials of a peer. Those that it doesn't report any more are over.
     fn record_trials(&mut self, now_ms: u64, from: &HostName, begun: &[(PartId, u32)]) {
-        for suspect in self.suspects.values_mut() {
-            suspect
-                .trial
-                .take_if(|trial| trial.peer.as_ref() == Some(from));
+        let is_of_peer = |trial: &mut Trial| trial.peer.as_ref() == Some(from);
+        for part in self.peer_trials.swap_remove(from).unwrap_or_default() {
+            if let Some(suspect) = self.suspects.get_mut(&part) {
+                suspect.trial.take_if(is_of_peer);
+            }
         }
+        let mut known_begun = Vec::new();
         for (part, age_ms) in begun.iter().take(REPORTED_MAX) {
             let began_ms = now_ms.saturating_sub(u64::from(*age_ms));
             let Some(suspect) = self.suspects.get_mut(part) else {
@@ -225,8 +229,12 @@
             if suspect.trial.as_ref().is_none_or(is_later) {
                 let peer = Some(from.clone());
                 suspect.trial = Some(Trial { began_ms, peer });
+                known_begun.push(*part);
             }
         }
+        if !known_begun.is_empty() {
+            self.peer_trials.insert(from.clone(), known_begun);
+        }
     }
 
     /// Returns what this host reports to its peers.
@@ -586,5 +594,12 @@
             });
             suspect.is_kept(now_ms)
         });
+        let suspects = &self.suspects;
+        self.peer_trials.retain(|peer, begun| {
+            begun.iter().any(|part| {
+                let trial = suspects.get(part).and_then(|known| known.trial.as_ref());
+                trial.is_some_and(|trial| trial.peer.as_ref() == Some(peer))
+            })
+        });
     }
 }
