Keep a pause that a target may have asked for since it started again

What targets saw: a server that had started again under its name and turned a request away with 503 and Retry-After before its first heartbeat got more than two requests of that host in its pause.

Cause: what targets say is recorded for the start that the host list shows, and all of an earlier start is forgotten when the entry of a new one arrives. The answer may have been the new start's.

A pause is now kept if it was asked for since the new start may have begun: a heartbeat before the last time at which the list was known to be without it. Limits and notices of leaving are forgotten as before, since nothing would end them if they were the earlier start's.

a_pause_that_may_be_of_the_new_start_is_kept failed before.

--- a/crates/toucancleat-fleet/src/reduce/restarts.rs
+++ b/crates/toucancleat-fleet/src/reduce/restarts.rs
@@ -19,6 +19,7 @@
     if restarted.is_empty() {
         return;
     }
+    let restarted_from_ms = restarted_from_ms(state);
     for target in restarted {
         let started_unix_ms = state
             .directory
@@ -28,9 +29,11 @@
         state.suspected_targets.remove(target);
         state.leaves_at_ms.swap_remove(target);
         state.brittle_targets.forget(target);
-        state
-            .target_notices
-            .forget_earlier_start(target, started_unix_ms);
+        state.target_notices.forget_earlier_start(
+            target,
+            started_unix_ms,
+            restarted_from_ms,
+        );
         state
             .cold_targets
             .forget_earlier_start(target, started_unix_ms);
@@ -41,17 +44,21 @@
     }
 }
 
-/// Returns the runs that have ended with the earlier start of their targets.
+/// Returns the earliest time at which targets started again whose new starts have just become known.
 ///
 /// A target writes its entry soon after it has started, so it started no earlier than a heartbeat
-/// before the last moment at which the host list was known to be without that entry. A run that
-/// was sent later may have been sent to the new start, and is waited for.
+/// before the last moment at which the host list was known to be without that entry.
+pub(super) fn restarted_from_ms(state: &State) -> u64 {
+    let confirmed_ms = state.host_list_confirmed_ms.unwrap_or_default();
+    confirmed_ms.saturating_sub(HEARTBEAT_INTERVAL_MS)
+}
+
+/// Returns the runs that have ended with the earlier start of their targets. A run that was sent
+/// later may have been sent to the new start, and is waited for.
 fn lost_runs(state: &State, restarted: &IndexSet<TargetName>) -> Vec<RequestNumber> {
-    let Some(confirmed_ms) = state.host_list_confirmed_ms else {
-        return Vec::new();
-    };
+    let restarted_from_ms = restarted_from_ms(state);
     let is_lost = |target: &TargetName, placed_ms: u64| {
-        restarted.contains(target) && placed_ms + HEARTBEAT_INTERVAL_MS <= confirmed_ms
+        restarted.contains(target) && placed_ms <= restarted_from_ms
     };
     let lost = state.requests.iter().filter(|(_, request)| {
         let placement = request.placement.as_ref();
--- a/crates/toucancleat-fleet/src/reduce/transitions.rs
+++ b/crates/toucancleat-fleet/src/reduce/transitions.rs
@@ -63,9 +63,12 @@
                 state.health.remove(&target);
                 state.suspected_targets.remove(&target);
                 state.leaves_at_ms.swap_remove(&target);
-                state
-                    .target_notices
-                    .forget_earlier_start(&target, entry.started_unix_ms);
+                let restarted_from_ms = restarts::restarted_from_ms(state);
+                state.target_notices.forget_earlier_start(
+                    &target,
+                    entry.started_unix_ms,
+                    restarted_from_ms,
+                );
                 state
                     .cold_targets
                     .forget_earlier_start(&target, entry.started_unix_ms);
--- a/crates/toucancleat-fleet/src/target_notice.rs
+++ b/crates/toucancleat-fleet/src/target_notice.rs
@@ -75,6 +75,8 @@
     pub is_leaving: bool,
     /// Until when the target wants no requests from this host.
     pub paused_until_ms: u64,
+    /// When the last answer was received that asked for a pause.
+    pause_asked_ms: u64,
     /// When the target started, in Unix time. A target that has restarted has reported nothing.
     started_unix_ms: Option<u64>,
     /// When the last answer was received, by this host's clock.
@@ -160,6 +162,7 @@
         if let Some(pause_ms) = notice.pause_ms {
             let until_ms = source.answered_ms + pause_ms.min(PAUSE_MAX_MS);
             known.paused_until_ms = known.paused_until_ms.max(until_ms);
+            known.pause_asked_ms = known.pause_asked_ms.max(source.answered_ms);
         }
         if source.answered_ms >= known.answered_ms {
             known.rate_limit_per_s = notice.rate_limit_per_s;
@@ -175,16 +178,32 @@
         is_changed.then_some(before)
     }
 
-    /// Forgets what a target reported before it restarted.
+    /// Forgets what a target reported before it restarted, at some time from `restarted_from_ms`.
+    ///
+    /// A pause that the new start may have asked for is kept. It ends by itself; a limit and a notice
+    /// that the target is leaving don't, and its next answer repeats them.
     pub fn forget_earlier_start(
         &mut self,
         target: &TargetName,
         started_unix_ms: Option<u64>,
+        restarted_from_ms: u64,
     ) {
-        let known = self.known.get(target);
-        if known.is_some_and(|known| known.started_unix_ms != started_unix_ms) {
+        let Some(known) = self.known.get_mut(target) else {
+            return;
+        };
+        if known.started_unix_ms == started_unix_ms {
+            return;
+        }
+        if known.pause_asked_ms < restarted_from_ms {
             self.known.swap_remove(target);
+            return;
         }
+        *known = KnownNotice {
+            started_unix_ms,
+            paused_until_ms: known.paused_until_ms,
+            pause_asked_ms: known.pause_asked_ms,
+            ..KnownNotice::default()
+        };
     }
 
     /// Returns what a target has reported.
--- a/crates/toucancleat-fleet/tests/target_restarts.rs
+++ b/crates/toucancleat-fleet/tests/target_restarts.rs
@@ -208,6 +208,68 @@
     }
 }
 
+/// Guards against requests in a pause that a new start asked for before its entry was known: what
+/// was known of the earlier start is forgotten then.
+#[test]
+fn a_pause_that_may_be_of_the_new_start_is_kept() {
+    struct Case {
+        name: &'static str,
+        /// Time from the answer that asks for the pause to the last list without the new start.
+        confirmed_after_ms: u64,
+        /// The notice of another answer of the earlier start, at the time of that list.
+        is_answered: bool,
+        is_used: bool,
+    }
+    let cases = [
+        Case {
+            name: "the new start may have asked for it",
+            confirmed_after_ms: 1_100,
+            is_answered: false,
+            is_used: false,
+        },
+        Case {
+            name: "the earlier start has asked for it",
+            confirmed_after_ms: 1_300,
+            is_answered: false,
+            is_used: true,
+        },
+        Case {
+            name: "the earlier start has asked for it, and answered later",
+            confirmed_after_ms: 1_300,
+            is_answered: true,
+            is_used: true,
+        },
+    ];
+    for case in cases {
+        let mut host = populated_host();
+        let target = TargetName::new("roster-1");
+        let notify = |host: &mut State, now_ms, notice| {
+            let target = target.clone();
+            apply(host, now_ms, Event::NoticeReceived { target, notice });
+        };
+        let pause = TargetNotice {
+            pause_ms: Some(8_000),
+            ..TargetNotice::default()
+        };
+        notify(&mut host, START_MS, pause);
+        let confirmed_ms = START_MS + case.confirmed_after_ms;
+        if case.is_answered {
+            notify(&mut host, confirmed_ms, TargetNotice::default());
+        }
+        list(&mut host, confirmed_ms, 20, 1);
+        list(&mut host, confirmed_ms + 100, 21, 2);
+        let sent_ms = confirmed_ms + 200;
+        let request = incoming_request("lookup");
+        let effects = receive_request(&mut host, sent_ms, 1, request);
+        assert_eq!(
+            !dispatches(&effects).is_empty(),
+            case.is_used,
+            "{}",
+            case.name
+        );
+    }
+}
+
 /// Guards against a new start that is ejected because of runs that have ended with the earlier one.
 #[test]
 fn end_of_an_earlier_run_says_nothing_about_the_new_start() {
