--- a/crates/toucancleat-fleet/src/poison_parts.rs
+++ b/crates/toucancleat-fleet/src/poison_parts.rs
@@ -21,13 +21,14 @@
 //! contradict it ([`poison_verdict`](crate::poison_verdict)). See docs/design/poison-parts.md.
 
 mod answers;
+mod crashed_target;
 mod reports;
 mod suspect;
 
 use indexmap::{IndexMap, IndexSet};
 use toucancleat_core::prelude::*;
-use toucancleat_core::rng::stable_hash;
 
+pub use self::crashed_target::{CrashedTarget, TargetKey, target_key};
 pub use self::reports::{PartReports, TrialReports};
 
 use self::answers::AnsweredParts;
@@ -76,29 +77,6 @@
 /// more for each crash.
 const REPORTED_MAX: usize = 32;
 
-/// Identifies one start of a target, for which every host computes the same value.
-pub type TargetKey = u32;
-
-/// Returns the key of a start of a target, which may have started under its name before.
-///
-/// N.B. a target that starts anew has the key of its last start until that is known.
-pub fn target_key(target: &TargetName, started_unix_ms: Option<u64>) -> TargetKey {
-    let started_unix_ms = started_unix_ms.unwrap_or_default();
-    stable_hash(format!("{target}\n{started_unix_ms}").as_bytes()) as TargetKey
-}
-
-/// A target that has crashed.
-///
-/// A target that couldn't be reached after a crash, and then took a request, has started anew, though
-/// its start may not be known yet. One that only breaks connections off has not.
-#[derive(Clone, Copy, Debug)]
-pub struct CrashedTarget {
-    /// The key of its last known start.
-    pub key: TargetKey,
-    /// When it last couldn't be reached, before the request was sent to it.
-    pub unreached_ms: Option<u64>,
-}
-
 /// What the parts of an instance of the evidence are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PartScope {
@@ -219,7 +197,7 @@
                 suspect.trial.take_if(is_of_peer);
             }
         }
-        let mut known_begun = Vec::new();
+        let mut recorded = Vec::new();
         for (part, age_ms) in begun.iter().take(REPORTED_MAX) {
             let began_ms = now_ms.saturating_sub(u64::from(*age_ms));
             let Some(suspect) = self.suspects.get_mut(part) else {
@@ -229,11 +207,11 @@
             if suspect.trial.as_ref().is_none_or(is_later) {
                 let peer = Some(from.clone());
                 suspect.trial = Some(Trial { began_ms, peer });
-                known_begun.push(*part);
+                recorded.push(*part);
             }
         }
-        if !known_begun.is_empty() {
-            self.peer_trials.insert(from.clone(), known_begun);
+        if !recorded.is_empty() {
+            self.peer_trials.insert(from.clone(), recorded);
         }
     }
 
--- a/crates/toucancleat-fleet/src/poison_verdict.rs
+++ b/crates/toucancleat-fleet/src/poison_verdict.rs
@@ -26,9 +26,8 @@
 /// Delay of a trial at one host after another. It covers the message that tells of a trial.
 const TRIAL_STAGGER_MS: u64 = 250;
 
-/// Range of the additional time after which a refused caller may return, as a share of the time
-/// for which it is refused.
-const RETURN_SPREAD: f64 = 0.5;
+/// Range of the random delay that is added to the time to retry after, as a share of that time.
+const RETRY_SPREAD: f64 = 0.5;
 
 /// How firmly a verdict stands; each crash on another occasion raises it by one. Beyond the pauses
 /// of trials, after a trial of a confirmed verdict has failed, there are no more trials.
@@ -103,11 +102,11 @@
     u64::from(step) * TRIAL_STAGGER_MS
 }
 
-/// Returns after what time a caller may return that is refused for a time, given a random number
+/// Returns the time after which the caller of a refused request should retry, given a random number
 /// from 0 to 1.
 ///
-/// Callers that a verdict has refused would otherwise return at one moment. The first of them is
-/// the trial, and those that return with it are refused again.
+/// Without the random delay, all callers that a verdict has refused would retry at the same moment:
+/// the first as the trial, and the others only to be refused again.
 pub fn retry_after_ms(refused_ms: u64, random_unit: f64) -> u64 {
-    refused_ms + (RETURN_SPREAD * refused_ms as f64 * random_unit) as u64
+    refused_ms + (RETRY_SPREAD * refused_ms as f64 * random_unit) as u64
 }
--- a/crates/toucancleat-fleet/src/reduce/crashes.rs
+++ b/crates/toucancleat-fleet/src/reduce/crashes.rs
@@ -34,8 +34,7 @@
     parts_ms.max(request_ms)
 }
 
-/// Returns after what time a caller may return that is refused for a time, see
-/// [`poison_verdict::retry_after_ms`].
+/// Returns the time after which the caller of a refused request should retry.
 pub(super) fn retry_after_ms(state: &mut State, refused_ms: u64) -> u64 {
     poison_verdict::retry_after_ms(refused_ms, random_unit(&mut state.rng_state))
 }
